--- /dev/null
+++ b/src/base/str.c
@@ -0,0 +1,127 @@
+#include "base/str.h"
+
+#include <apr_strings.h>
+#include <stdio.h>
+#include <string.h>
+#include <strings.h>
+
+struct str
+str_from (const char *text)
+{
+  if (!text)
+    return STR ("");
+  return (struct str){ text, strlen (text) };
+}
+
+struct str
+str_view (const char *data, size_t size)
+{
+  return (struct str){ data, size };
+}
+
+struct str
+str_dup (apr_pool_t *pool, struct str s)
+{
+  char *copy = apr_pstrmemdup (pool, s.data ? s.data : "", s.size);
+  return (struct str){ copy, s.size };
+}
+
+char *
+str_vformat (apr_pool_t *pool, const char *format, va_list args)
+{
+  va_list again;
+  va_copy (again, args);
+  int size = vsnprintf (NULL, 0, format, again);
+  va_end (again);
+  char *text = apr_palloc (pool, (apr_size_t)size + 1);
+  vsnprintf (text, (size_t)size + 1, format, args);
+  return text;
+}
+
+char *
+str_format (apr_pool_t *pool, const char *format, ...)
+{
+  va_list args;
+  va_start (args, format);
+  char *text = str_vformat (pool, format, args);
+  va_end (args);
+  return text;
+}
+
+struct str
+str_printf (apr_pool_t *pool, const char *format, ...)
+{
+  va_list args;
+  va_start (args, format);
+  char *text = str_vformat (pool, format, args);
+  va_end (args);
+  return str_from (text);
+}
+
+bool
+str_equal (struct str a, struct str b)
+{
+  return a.size == b.size && memcmp (a.data, b.data, a.size) == 0;
+}
+
+bool
+str_equal_nocase (struct str a, struct str b)
+{
+  return a.size == b.size && strncasecmp (a.data, b.data, a.size) == 0;
+}
+
+bool
+str_starts (struct str s, struct str prefix)
+{
+  return s.size >= prefix.size
+         && memcmp (s.data, prefix.data, prefix.size) == 0;
+}
+
+bool
+str_list_has (const struct str_list *list, struct str s)
+{
+  for (size_t i = 0; i < list->count; i++)
+    if (str_equal (list->items[i], s))
+      return true;
+  return false;
+}
+
+int
+str_compare (struct str a, struct str b)
+{
+  size_t n = a.size < b.size ? a.size : b.size;
+  int order = memcmp (a.data, b.data, n);
+  if (order != 0)
+    return order;
+  return (a.size > b.size) - (a.size < b.size);
+}
+
+size_t
+str_distance (struct str a, struct str b)
+{
+  enum
+  {
+    LONGEST = 63
+  };
+  size_t row[LONGEST + 1];
+  size_t n = a.size < LONGEST ? a.size : LONGEST;
+  size_t m = b.size < LONGEST ? b.size : LONGEST;
+  for (size_t j = 0; j <= m; j++)
+    row[j] = j;
+  for (size_t i = 1; i <= n; i++)
+    {
+      size_t diagonal = row[0];
+      row[0] = i;
+      for (size_t j = 1; j <= m; j++)
+        {
+          size_t best = diagonal + (a.data[i - 1] != b.data[j - 1]);
+          if (row[j] + 1 < best)
+            best = row[j] + 1;
+          if (row[j - 1] + 1 < best)
+            best = row[j - 1] + 1;
+          diagonal = row[j];
+          row[j] = best;
+        }
+    }
+  return row[m];
+}
--- /dev/null
+++ b/src/burn/burn.c
@@ -0,0 +1,239 @@
+#include "burn/burn.h"
+
+#include <apr_strings.h>
+#include <apr_thread_mutex.h>
+#include <string.h>
+
+/* types */
+
+enum
+{
+  MINUTES = 1440
+};
+
+struct minute
+{
+  int64_t number; /* minutes of the monotonic clock */
+  uint32_t counts[BURN_CAUSES];
+};
+
+/* The counts of one service in one region.  */
+struct account
+{
+  struct account *next;
+  struct str service;
+  struct str region;
+  struct minute minutes[MINUTES];
+};
+
+struct burn_ledger
+{
+  apr_pool_t *pool;
+  apr_thread_mutex_t *mutex;
+  struct account *accounts;
+};
+
+/* constants */
+
+#define MINUTE_US INT64_C (60000000)
+
+static const int64_t windows_s[] = { 300, 3600, 21600, 86400 };
+
+enum
+{
+  WINDOWS = sizeof windows_s / sizeof *windows_s
+};
+
+static const char *const cause_names[BURN_CAUSES]
+    = { "good", "slow", "failed", "refused", "unknown", "deadline" };
+
+/* private functions */
+
+static struct account *
+account_of (struct burn_ledger *ledger, struct str service, struct str region)
+{
+  struct account *a = ledger->accounts;
+  while (
+      a && !(str_equal (a->service, service) && str_equal (a->region, region)))
+    a = a->next;
+  if (a)
+    return a;
+  a = apr_pcalloc (ledger->pool, sizeof *a);
+  a->service = str_dup (ledger->pool, service);
+  a->region = str_dup (ledger->pool, region);
+  a->next = ledger->accounts;
+  ledger->accounts = a;
+  return a;
+}
+
+static json_object *
+member (json_object *object, const char *name)
+{
+  json_object *value = NULL;
+  json_object_object_get_ex (object, name, &value);
+  return value;
+}
+
+static int64_t
+number (json_object *object, const char *name)
+{
+  return json_object_get_int64 (member (object, name));
+}
+
+static json_object *
+row_of (const struct account *account, int64_t window_s, int64_t minute)
+{
+  int64_t counts[BURN_CAUSES] = { 0 };
+  int64_t bad = 0;
+  for (int i = 0; i < MINUTES; i++)
+    {
+      const struct minute *m = &account->minutes[i];
+      if (m->number > minute - window_s / 60 && m->number <= minute)
+        for (int cause = 0; cause < BURN_CAUSES; cause++)
+          counts[cause] += m->counts[cause];
+    }
+  json_object *row = json_object_new_object ();
+  json_object *causes = json_object_new_object ();
+  for (int cause = 1; cause < BURN_CAUSES; cause++)
+    {
+      bad += counts[cause];
+      json_object_object_add (causes, cause_names[cause],
+                              json_object_new_int64 (counts[cause]));
+    }
+  json_object_object_add (row, "service",
+                          json_object_new_string (account->service.data));
+  json_object_object_add (row, "region",
+                          json_object_new_string (account->region.data));
+  json_object_object_add (row, "window_s", json_object_new_int64 (window_s));
+  json_object_object_add (row, "good",
+                          json_object_new_int64 (counts[BURN_GOOD]));
+  json_object_object_add (row, "bad", json_object_new_int64 (bad));
+  json_object_object_add (row, "causes", causes);
+  return row;
+}
+
+static bool
+same_row (json_object *a, json_object *b)
+{
+  return number (a, "window_s") == number (b, "window_s")
+         && strcmp (json_object_get_string (member (a, "service")),
+                    json_object_get_string (member (b, "service")))
+                == 0
+         && strcmp (json_object_get_string (member (a, "region")),
+                    json_object_get_string (member (b, "region")))
+                == 0;
+}
+
+static void
+add_number (json_object *to, json_object *from, const char *name)
+{
+  json_object_object_add (
+      to, name,
+      json_object_new_int64 (number (to, name) + number (from, name)));
+}
+
+static void
+add_row (json_object *to, json_object *from)
+{
+  add_number (to, from, "good");
+  add_number (to, from, "bad");
+  for (int cause = 1; cause < BURN_CAUSES; cause++)
+    add_number (member (to, "causes"), member (from, "causes"),
+                cause_names[cause]);
+}
+
+/* public functions */
+
+struct burn_ledger *
+burn_create (apr_pool_t *pool)
+{
+  struct burn_ledger *ledger = apr_pcalloc (pool, sizeof *ledger);
+  apr_pool_create (&ledger->pool, pool);
+  apr_thread_mutex_create (&ledger->mutex, APR_THREAD_MUTEX_DEFAULT, pool);
+  return ledger;
+}
+
+void
+burn_record (struct burn_ledger *ledger, struct str service, struct str region,
+             enum burn_cause cause, apr_time_t now)
+{
+  int64_t minute = now / MINUTE_US;
+  apr_thread_mutex_lock (ledger->mutex);
+  struct account *account = account_of (ledger, service, region);
+  struct minute *m = &account->minutes[minute % MINUTES];
+  if (m->number != minute)
+    {
+      memset (m, 0, sizeof *m);
+      m->number = minute;
+    }
+  m->counts[cause]++;
+  apr_thread_mutex_unlock (ledger->mutex);
+}
+
+const char *
+burn_cause_name (enum burn_cause cause)
+{
+  return cause_names[cause];
+}
+
+json_object *
+burn_counts (struct burn_ledger *ledger, apr_time_t now)
+{
+  json_object *list = json_object_new_array ();
+  apr_thread_mutex_lock (ledger->mutex);
+  for (const struct account *a = ledger->accounts; a; a = a->next)
+    for (int w = 0; w < WINDOWS; w++)
+      json_object_array_add (list, row_of (a, windows_s[w], now / MINUTE_US));
+  apr_thread_mutex_unlock (ledger->mutex);
+  return list;
+}
+
+void
+burn_merge (json_object *total, json_object *source)
+{
+  size_t n = json_object_array_length (source);
+  for (size_t i = 0; i < n; i++)
+    {
+      json_object *row = json_object_array_get_idx (source, i);
+      json_object *found = NULL;
+      for (size_t j = 0; j < json_object_array_length (total) && !found; j++)
+        if (same_row (json_object_array_get_idx (total, j), row))
+          found = json_object_array_get_idx (total, j);
+      if (found)
+        add_row (found, row);
+      else
+        {
+          json_object *copy = NULL;
+          json_object_deep_copy (row, &copy, NULL);
+          json_object_array_add (total, copy);
+        }
+    }
+}
+
+json_object *
+burn_report (json_object *counts, const struct snapshot *snapshot)
+{
+  json_object *report = json_object_new_array ();
+  for (size_t i = 0; i < json_object_array_length (counts); i++)
+    {
+      json_object *row = json_object_array_get_idx (counts, i);
+      const struct service *service = snapshot_find (
+          snapshot, KIND_SERVICE,
+          str_from (json_object_get_string (member (row, "service"))));
+      if (!service)
+        continue;
+      json_object *out = NULL;
+      json_object_deep_copy (row, &out, NULL);
+      int64_t bad = number (row, "bad");
+      int64_t calls = bad + number (row, "good");
+      double allowed = (double)(1000000 - service->objective.target_ppm) / 1e6;
+      double rate = calls > 0 ? (double)bad / (double)calls / allowed : 0.0;
+      double left = 100.0 * (1.0 - rate);
+      json_object_object_add (out, "calls", json_object_new_int64 (calls));
+      json_object_object_add (out, "burn_rate", json_object_new_double (rate));
+      json_object_object_add (out, "budget_left_percent",
+                              json_object_new_double (left > 0 ? left : 0));
+      json_object_array_add (report, out);
+    }
+  return report;
+}
--- /dev/null
+++ b/src/call/answer.c
@@ -0,0 +1,158 @@
+#include "call/call.h"
+
+#include <apr_strings.h>
+#include <string.h>
+
+/* constants */
+
+enum
+{
+  STREAM_BLOCK_BYTES = 16384,
+  HTTP_NO_CONTENT = 204,
+  HTTP_NOT_MODIFIED = 304,
+  HTTP_UNAVAILABLE = 503
+};
+
+static const char *const outcome_names[]
+    = { "?", "complete", "not-run", "unknown" };
+
+/* private functions */
+
+/* Gives the caller's side bytes of a streamed answer.  */
+static ssize_t
+read_answer (void *part, uint64_t position, char *out, size_t size)
+{
+  (void)position;
+  struct call *call = part;
+  struct attempt *attempt = call->attempt;
+  if (call->gone || !attempt)
+    return MHD_CONTENT_READER_END_WITH_ERROR;
+  size_t n = body_read (&attempt->answer, out, size);
+  if (n > 0)
+    {
+      attempt_continue (attempt);
+      return (ssize_t)n;
+    }
+  if (attempt->done)
+    return attempt->result == CURLE_OK ? MHD_CONTENT_READER_END_OF_STREAM
+                                       : MHD_CONTENT_READER_END_WITH_ERROR;
+  call->suspended = true;
+  httpd_suspend (call->context->httpd, call->connection);
+  return 0;
+}
+
+static bool
+has_no_body (long status)
+{
+  return status == HTTP_NO_CONTENT || status == HTTP_NOT_MODIFIED;
+}
+
+static struct MHD_Response *
+make_response (struct call *call)
+{
+  struct attempt *attempt = call->attempt;
+  if (has_no_body (attempt->status))
+    return MHD_create_response_from_buffer (0, NULL, MHD_RESPMEM_PERSISTENT);
+  if (call->is_head && attempt->answer_size >= 0)
+    return MHD_create_response_from_callback ((uint64_t)attempt->answer_size,
+                                              STREAM_BLOCK_BYTES, read_answer,
+                                              call, NULL);
+  size_t held = body_unread (&attempt->answer);
+  if (attempt->done)
+    return MHD_create_response_from_buffer (
+        held, attempt->answer.data + attempt->answer.read,
+        MHD_RESPMEM_MUST_COPY);
+  uint64_t size = attempt->answer_size >= 0 ? (uint64_t)attempt->answer_size
+                                            : MHD_SIZE_UNKNOWN;
+  return MHD_create_response_from_callback (size, STREAM_BLOCK_BYTES,
+                                            read_answer, call, NULL);
+}
+
+static void
+add_headers (const struct call *call, struct MHD_Response *response)
+{
+  const struct headers *headers = &call->attempt->headers;
+  struct str via = headers_get (headers, "Via");
+  for (size_t i = 0; i < headers->count; i++)
+    {
+      const struct header *h = &headers->items[i];
+      if (!headers_is_hop_by_hop (headers, h->name)
+          && !str_equal_nocase (h->name, STR ("Request-Id"))
+          && !str_equal_nocase (h->name, STR ("Via")))
+        MHD_add_response_header (response, h->name.data, h->value.data);
+    }
+  MHD_add_response_header (response, "Via",
+                           str_printf (call->pool, "%.*s%s1.1 citroncleat",
+                                       STR_ARGS (via), via.size ? ", " : "")
+                               .data);
+}
+
+static json_object *
+error_body (const struct call *call)
+{
+  json_object *body = json_object_new_object ();
+  const struct err *err = &call->err;
+  json_object_object_add (
+      body, "outcome",
+      json_object_new_string (call_outcome_name (call->outcome)));
+  json_object_object_add (body, "error",
+                          json_object_new_string (err_name (err->code)));
+  json_object_object_add (body, "step", json_object_new_string (err->step));
+  json_object_object_add (body, "peer", json_object_new_string (err->peer));
+  json_object_object_add (body, "detail",
+                          json_object_new_string (err->detail));
+  json_object_object_add (body, "request_id",
+                          json_object_new_string (call->id.data));
+  return body;
+}
+
+static struct MHD_Response *
+make_error (const struct call *call)
+{
+  json_object *body = error_body (call);
+  const char *text = json_object_to_json_string_ext (
+      body, JSON_C_TO_STRING_PLAIN | JSON_C_TO_STRING_NOSLASHESCAPE);
+  struct MHD_Response *response = MHD_create_response_from_buffer (
+      strlen (text), (void *)text, MHD_RESPMEM_MUST_COPY);
+  json_object_put (body);
+  MHD_add_response_header (response, "Content-Type", "application/json");
+  if (call->status == HTTP_UNAVAILABLE)
+    {
+      int64_t seconds = (call->retry_after_ms + 999) / 1000;
+      MHD_add_response_header (response, "Retry-After",
+                               str_format (call->pool, "%" APR_INT64_T_FMT,
+                                           seconds > 0 ? seconds : 1));
+    }
+  return response;
+}
+
+/* public functions */
+
+enum MHD_Result
+call_answer (struct call *call)
+{
+  bool failed = call->err.code != ERR_NONE;
+  struct MHD_Response *response
+      = failed ? make_error (call) : make_response (call);
+  if (!failed)
+    {
+      call->status = (unsigned int)call->attempt->status;
+      add_headers (call, response);
+    }
+  MHD_add_response_header (response, "Request-Id", call->id.data);
+  MHD_add_response_header (response, "Citroncleat-Outcome",
+                           call_outcome_name (call->outcome));
+  if (call->context->leaving)
+    MHD_add_response_header (response, "Connection", "close");
+  enum MHD_Result result
+      = MHD_queue_response (call->connection, call->status, response);
+  MHD_destroy_response (response);
+  call->answered = true;
+  return result;
+}
+
+const char *
+call_outcome_name (enum call_outcome outcome)
+{
+  return outcome_names[outcome];
+}
--- /dev/null
+++ b/src/call/attempt.c
@@ -0,0 +1,283 @@
+#include "call/attempt.h"
+
+#include <apr_strings.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* constants */
+
+enum
+{
+  EXPECT_FROM_BYTES = 65536, /* larger bodies wait for "100 Continue" */
+  EXPECT_TIMEOUT_MS = 1000,
+  HEADERS_MAX = 256,
+  HTTP_CONTINUE = 100,
+  HTTP_OK = 200
+};
+
+/* private functions */
+
+static int
+on_request (void *owner, char *peer, char *self, int peer_port, int self_port)
+{
+  (void)peer;
+  (void)self;
+  (void)peer_port;
+  (void)self_port;
+  struct attempt *attempt = owner;
+  if (attempt->sent)
+    return CURL_PREREQFUNC_ABORT;
+  attempt->sent = true;
+  return CURL_PREREQFUNC_OK;
+}
+
+static size_t
+on_read (char *out, size_t one, size_t size, void *owner)
+{
+  struct attempt *attempt = owner;
+  size_t n = body_read (attempt->desc.body, out, one * size);
+  if (n > 0)
+    {
+      attempt->desc.event (attempt->desc.part, attempt, ATTEMPT_SPACE);
+      return n;
+    }
+  if (*attempt->desc.body_ended)
+    return 0;
+  attempt->paused_read = true;
+  return CURL_READFUNC_PAUSE;
+}
+
+/* Takes the end of the head: decides whose answer this is.  */
+static bool
+take_head (struct attempt *attempt)
+{
+  curl_off_t length = -1;
+  curl_easy_getinfo (attempt->transfer.easy, CURLINFO_RESPONSE_CODE,
+                     &attempt->status);
+  if (attempt->status >= HTTP_CONTINUE && attempt->status < HTTP_OK)
+    {
+      attempt->headers.count = 0;
+      return true;
+    }
+  if (attempt->desc.must_echo
+      && !str_equal (headers_get (&attempt->headers, "Request-Id"),
+                     attempt->desc.request_id))
+    {
+      attempt->bad_echo = true;
+      return false;
+    }
+  struct str text = headers_get (&attempt->headers, "Content-Length");
+  if (text.size > 0)
+    length = strtoll (text.data, NULL, 10);
+  attempt->answer_size = length;
+  attempt->has_head = true;
+  attempt->head_at = timer_clock ();
+  attempt->desc.event (attempt->desc.part, attempt, ATTEMPT_HEAD);
+  return true;
+}
+
+static size_t
+on_header (char *data, size_t one, size_t size, void *owner)
+{
+  struct attempt *attempt = owner;
+  size *= one;
+  /* Lines after the body are trailers, which are not passed on.  */
+  if (attempt->has_head)
+    return size;
+  if (size >= 5 && memcmp (data, "HTTP/", 5) == 0)
+    {
+      attempt->headers.count = 0;
+      return size;
+    }
+  if (size <= 2)
+    return take_head (attempt) ? size : 0;
+  if (attempt->headers.count >= HEADERS_MAX
+      || !headers_add_line (&attempt->headers, str_view (data, size)))
+    return 0;
+  return size;
+}
+
+static size_t
+on_write (char *data, size_t one, size_t size, void *owner)
+{
+  struct attempt *attempt = owner;
+  size *= one;
+  if (body_space (&attempt->answer) < size)
+    {
+      attempt->paused_write = true;
+      return CURL_WRITEFUNC_PAUSE;
+    }
+  body_write (&attempt->answer, data, size);
+  attempt->desc.event (attempt->desc.part, attempt, ATTEMPT_DATA);
+  return size;
+}
+
+static void
+on_done (void *owner, CURLcode result)
+{
+  struct attempt *attempt = owner;
+  attempt->done = true;
+  attempt->result = result;
+  /* An answer without a head is none, whatever libcurl makes of it.  */
+  if (result == CURLE_OK && !attempt->has_head)
+    attempt->result = CURLE_GOT_NOTHING;
+  attempt->desc.event (attempt->desc.part, attempt, ATTEMPT_DONE);
+}
+
+static void
+add_header (struct attempt *attempt, struct str name, struct str value)
+{
+  /* libcurl writes a field without a value only if it ends in ";".  */
+  char *line = value.size > 0
+                   ? str_format (attempt->desc.pool, "%.*s: %.*s",
+                                 STR_ARGS (name), STR_ARGS (value))
+                   : str_format (attempt->desc.pool, "%.*s;", STR_ARGS (name));
+  attempt->header_list = curl_slist_append (attempt->header_list, line);
+}
+
+static bool
+is_replaced (struct str name)
+{
+  static const char *const names[]
+      = { "Request-Id", "Via", "Request-Timeout-Ms", "Citroncleat-Region",
+          NULL };
+  for (int i = 0; names[i]; i++)
+    if (str_equal_nocase (name, str_from (names[i])))
+      return true;
+  return false;
+}
+
+static void
+set_headers (struct attempt *attempt)
+{
+  const struct attempt_desc *desc = &attempt->desc;
+  struct str via = headers_get (desc->headers, "Via");
+  for (size_t i = 0; i < desc->headers->count; i++)
+    {
+      const struct header *h = &desc->headers->items[i];
+      if (!headers_is_hop_by_hop (desc->headers, h->name)
+          && !is_replaced (h->name))
+        add_header (attempt, h->name, h->value);
+    }
+  add_header (attempt, STR ("Request-Id"), desc->request_id);
+  add_header (attempt, STR ("Via"),
+              str_printf (desc->pool, "%.*s%s1.1 citroncleat", STR_ARGS (via),
+                          via.size ? ", " : ""));
+  add_header (attempt, STR ("Request-Timeout-Ms"),
+              str_printf (desc->pool, "%lld", (long long)desc->deadline_ms));
+  add_header (attempt, STR ("Citroncleat-Region"), desc->region);
+  /* These suppress fields that libcurl would add by itself.  */
+  attempt->header_list
+      = curl_slist_append (attempt->header_list, "Accept-Encoding:");
+  if (headers_get (desc->headers, "Accept").size == 0)
+    attempt->header_list = curl_slist_append (attempt->header_list, "Accept:");
+  bool expects = desc->body_size < 0 || desc->body_size > EXPECT_FROM_BYTES;
+  attempt->header_list = curl_slist_append (
+      attempt->header_list, expects ? "Expect: 100-continue" : "Expect:");
+  if (desc->body_size == 0 && !str_equal (desc->method, STR ("GET"))
+      && !desc->is_head)
+    attempt->header_list
+        = curl_slist_append (attempt->header_list, "Content-Length: 0");
+}
+
+static void
+set_body (struct attempt *attempt)
+{
+  CURL *easy = attempt->transfer.easy;
+  const struct attempt_desc *desc = &attempt->desc;
+  if (desc->is_head)
+    curl_easy_setopt (easy, CURLOPT_NOBODY, 1L);
+  if (desc->body_size != 0)
+    {
+      curl_easy_setopt (easy, CURLOPT_UPLOAD, 1L);
+      curl_easy_setopt (easy, CURLOPT_READFUNCTION, on_read);
+      curl_easy_setopt (easy, CURLOPT_READDATA, attempt);
+      curl_easy_setopt (easy, CURLOPT_INFILESIZE_LARGE,
+                        (curl_off_t)desc->body_size);
+      curl_easy_setopt (easy, CURLOPT_EXPECT_100_TIMEOUT_MS,
+                        (long)EXPECT_TIMEOUT_MS);
+    }
+  curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, desc->method.data);
+}
+
+/* public functions */
+
+struct attempt *
+attempt_start (const struct attempt_desc *desc)
+{
+  struct attempt *attempt = apr_pcalloc (desc->pool, sizeof *attempt);
+  CURL *easy = curl_easy_init ();
+  if (!easy)
+    abort ();
+  attempt->desc = *desc;
+  attempt->transfer = (struct curl_transfer){ easy, on_done, attempt };
+  attempt->answer_size = -1;
+  attempt->started_at = timer_clock ();
+  headers_init (&attempt->headers, desc->pool);
+  body_init (&attempt->answer, desc->answer_limit);
+  set_headers (attempt);
+  curl_easy_setopt (easy, CURLOPT_URL,
+                    str_format (desc->pool, "http://%s/", desc->address.data));
+  curl_easy_setopt (easy, CURLOPT_REQUEST_TARGET, desc->target.data);
+  curl_easy_setopt (easy, CURLOPT_HTTPHEADER, attempt->header_list);
+  set_body (attempt);
+  curl_easy_setopt (easy, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
+  curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (easy, CURLOPT_PROXY, "");
+  curl_easy_setopt (easy, CURLOPT_TCP_NODELAY, 1L);
+  curl_easy_setopt (easy, CURLOPT_ERRORBUFFER, attempt->error);
+  curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, on_header);
+  curl_easy_setopt (easy, CURLOPT_HEADERDATA, attempt);
+  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, on_write);
+  curl_easy_setopt (easy, CURLOPT_WRITEDATA, attempt);
+  curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, on_request);
+  curl_easy_setopt (easy, CURLOPT_PREREQDATA, attempt);
+  curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS,
+                    (long)desc->connect_timeout_ms);
+  if (desc->new_connection)
+    {
+      curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, 1L);
+      curl_easy_setopt (easy, CURLOPT_FORBID_REUSE, 1L);
+    }
+  if (curl_loop_add (desc->curl_loop, &attempt->transfer) != ERR_NONE)
+    abort ();
+  return attempt;
+}
+
+void
+attempt_destroy (struct attempt *attempt)
+{
+  if (!attempt)
+    return;
+  if (!attempt->done)
+    curl_loop_remove (attempt->desc.curl_loop, &attempt->transfer);
+  curl_easy_cleanup (attempt->transfer.easy);
+  curl_slist_free_all (attempt->header_list);
+  body_free (&attempt->answer);
+}
+
+void
+attempt_continue (struct attempt *attempt)
+{
+  bool can_read
+      = attempt->paused_read
+        && (body_unread (attempt->desc.body) > 0 || *attempt->desc.body_ended);
+  bool can_write
+      = attempt->paused_write
+        && body_unread (&attempt->answer) < attempt->desc.answer_limit / 2;
+  if (attempt->done || (!can_read && !can_write))
+    return;
+  attempt->paused_read = false;
+  attempt->paused_write = false;
+  curl_loop_unpause (attempt->desc.curl_loop, &attempt->transfer);
+}
+
+const char *
+attempt_reason (const struct attempt *attempt)
+{
+  if (attempt->bad_echo)
+    return "the answer belongs to another request";
+  if (attempt->error[0])
+    return attempt->error;
+  return curl_easy_strerror (attempt->result);
+}
--- /dev/null
+++ b/src/call/body.c
@@ -0,0 +1,96 @@
+#include "call/body.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* private functions */
+
+static void
+grow (struct body *body, size_t size)
+{
+  size_t room = body->room ? body->room : 1024;
+  while (room < size)
+    room *= 2;
+  if (room > body->limit)
+    room = body->limit;
+  if (room <= body->room)
+    return;
+  char *data = realloc (body->data, room);
+  if (!data)
+    abort ();
+  body->data = data;
+  body->room = room;
+}
+
+/* Drops the bytes that were read, to make space.  */
+static void
+compact (struct body *body)
+{
+  if (body->read == 0)
+    return;
+  body->size -= body->read;
+  memmove (body->data, body->data + body->read, body->size);
+  body->read = 0;
+  body->dropped = true;
+}
+
+/* public functions */
+
+void
+body_init (struct body *body, size_t limit)
+{
+  memset (body, 0, sizeof *body);
+  body->limit = limit;
+}
+
+void
+body_free (struct body *body)
+{
+  free (body->data);
+  memset (body, 0, sizeof *body);
+}
+
+size_t
+body_write (struct body *body, const char *data, size_t size)
+{
+  if (body->size + size > body->limit)
+    compact (body);
+  if (body->size + size > body->limit)
+    size = body->limit - body->size;
+  grow (body, body->size + size);
+  memcpy (body->data + body->size, data, size);
+  body->size += size;
+  return size;
+}
+
+size_t
+body_read (struct body *body, char *out, size_t size)
+{
+  size_t unread = body->size - body->read;
+  if (size > unread)
+    size = unread;
+  memcpy (out, body->data + body->read, size);
+  body->read += size;
+  return size;
+}
+
+size_t
+body_unread (const struct body *body)
+{
+  return body->size - body->read;
+}
+
+size_t
+body_space (const struct body *body)
+{
+  return body->limit - (body->size - body->read);
+}
+
+bool
+body_rewind (struct body *body)
+{
+  if (body->dropped)
+    return false;
+  body->read = 0;
+  return true;
+}
--- /dev/null
+++ b/src/call/headers.c
@@ -0,0 +1,122 @@
+#include "call/headers.h"
+
+#include <ctype.h>
+#include <string.h>
+
+/* constants */
+
+static const char *const hop_by_hop[] = { "Connection",
+                                          "Keep-Alive",
+                                          "Proxy-Connection",
+                                          "Proxy-Authenticate",
+                                          "Proxy-Authorization",
+                                          "TE",
+                                          "Trailer",
+                                          "Transfer-Encoding",
+                                          "Upgrade",
+                                          "Expect",
+                                          "Content-Length",
+                                          NULL };
+
+/* private functions */
+
+static struct str
+trim (struct str s)
+{
+  while (s.size > 0 && isspace ((unsigned char)s.data[0]))
+    {
+      s.data++;
+      s.size--;
+    }
+  while (s.size > 0 && isspace ((unsigned char)s.data[s.size - 1]))
+    s.size--;
+  return s;
+}
+
+/* Returns whether the comma-separated LIST has NAME.  */
+static bool
+list_has (struct str list, struct str name)
+{
+  while (list.size > 0)
+    {
+      const char *comma = memchr (list.data, ',', list.size);
+      size_t size = comma ? (size_t)(comma - list.data) : list.size;
+      if (str_equal_nocase (trim (str_view (list.data, size)), name))
+        return true;
+      if (!comma)
+        return false;
+      list = str_view (comma + 1, list.size - size - 1);
+    }
+  return false;
+}
+
+/* public functions */
+
+void
+headers_init (struct headers *headers, apr_pool_t *pool)
+{
+  memset (headers, 0, sizeof *headers);
+  headers->pool = pool;
+}
+
+void
+headers_add (struct headers *headers, struct str name, struct str value)
+{
+  if (headers->count == headers->room)
+    {
+      size_t room = headers->room ? 2 * headers->room : 16;
+      struct header *items = apr_palloc (headers->pool, room * sizeof *items);
+      if (headers->count > 0)
+        memcpy (items, headers->items, headers->count * sizeof *items);
+      headers->items = items;
+      headers->room = room;
+    }
+  headers->items[headers->count++]
+      = (struct header){ str_dup (headers->pool, name),
+                         str_dup (headers->pool, value) };
+}
+
+struct str
+headers_get (const struct headers *headers, const char *name)
+{
+  for (size_t i = 0; i < headers->count; i++)
+    if (str_equal_nocase (headers->items[i].name, str_from (name)))
+      return headers->items[i].value;
+  return STR ("");
+}
+
+bool
+headers_add_line (struct headers *headers, struct str line)
+{
+  const char *colon = memchr (line.data, ':', line.size);
+  if (!colon || colon == line.data)
+    return false;
+  size_t size = (size_t)(colon - line.data);
+  headers_add (headers, str_view (line.data, size),
+               trim (str_view (colon + 1, line.size - size - 1)));
+  return true;
+}
+
+bool
+headers_is_hop_by_hop (const struct headers *headers, struct str name)
+{
+  for (int i = 0; hop_by_hop[i]; i++)
+    if (str_equal_nocase (name, str_from (hop_by_hop[i])))
+      return true;
+  for (size_t i = 0; i < headers->count; i++)
+    if (str_equal_nocase (headers->items[i].name, STR ("Connection"))
+        && list_has (headers->items[i].value, name))
+      return true;
+  return false;
+}
+
+bool
+headers_is_token (struct str text)
+{
+  if (text.size == 0 || text.size > 128)
+    return false;
+  for (size_t i = 0; i < text.size; i++)
+    if (!isgraph ((unsigned char)text.data[i]))
+      return false;
+  return true;
+}
--- /dev/null
+++ b/src/call/lookup.c
@@ -0,0 +1,147 @@
+#include "call/lookup.h"
+
+#include <xxhash.h>
+
+/* types */
+
+struct candidate
+{
+  const struct beat *beat;
+  int64_t distance_ms;
+  uint64_t rank;
+};
+
+/* constants */
+
+enum
+{
+  DEFAULT_LIFETIME_MS = 2000,
+  CANDIDATES_MAX = 64,
+  UNKNOWN_DISTANCE_MS = 1000
+};
+
+/* private functions */
+
+static bool
+is_usable (const struct snapshot *snapshot, const struct roster_member *m)
+{
+  return m->alive && m->beat.state == ENTRY_SERVING
+         && !snapshot_drained (snapshot, DRAIN_ENTRY, m->beat.name)
+         && !snapshot_drained (snapshot, DRAIN_ZONE, m->beat.zone)
+         && !snapshot_drained (snapshot, DRAIN_REGION, m->beat.region);
+}
+
+static int64_t
+distance (const struct snapshot *snapshot, struct str a, struct str b)
+{
+  if (str_equal (a, b))
+    return 0;
+  const struct region *from = snapshot_find (snapshot, KIND_REGION, a);
+  const struct region *to = snapshot_find (snapshot, KIND_REGION, b);
+  const struct link_spec *link
+      = from && to ? snapshot_link (snapshot, from, to) : NULL;
+  return link ? link->latency_ms : UNKNOWN_DISTANCE_MS;
+}
+
+static bool
+comes_before (const struct candidate *a, const struct candidate *b)
+{
+  if (a->distance_ms != b->distance_ms)
+    return a->distance_ms < b->distance_ms;
+  return a->rank > b->rank;
+}
+
+/* Keeps the CANDIDATES_MAX best, in order.  */
+static void
+insert (struct candidate *list, size_t *count, struct candidate candidate)
+{
+  size_t at = *count;
+  if (at == CANDIDATES_MAX)
+    {
+      if (!comes_before (&candidate, &list[at - 1]))
+        return;
+      at--;
+    }
+  else
+    (*count)++;
+  while (at > 0 && comes_before (&candidate, &list[at - 1]))
+    {
+      list[at] = list[at - 1];
+      at--;
+    }
+  list[at] = candidate;
+}
+
+/* Makes the second entry one of another zone than the first, if there is
+   any.  */
+static void
+spread_zones (struct candidate *list, size_t count)
+{
+  for (size_t i = 1; i < count; i++)
+    if (!str_equal (list[i].beat->zone, list[0].beat->zone))
+      {
+        struct candidate other = list[i];
+        for (size_t j = i; j > 1; j--)
+          list[j] = list[j - 1];
+        list[1] = other;
+        return;
+      }
+}
+
+/* public functions */
+
+struct lookup_answer
+lookup_find (const struct snapshot *snapshot, const struct roster *roster,
+             const struct lookup_request *request)
+{
+  struct lookup_answer answer = { .lifetime_ms = DEFAULT_LIFETIME_MS };
+  struct candidate list[CANDIDATES_MAX];
+  size_t count = 0;
+  uint64_t seed = XXH3_64bits (request->caller.data, request->caller.size);
+  if (request->service && request->service->policy)
+    answer.lifetime_ms = request->service->policy->lookup_lifetime_ms;
+  for (size_t i = 0; i < roster->count; i++)
+    {
+      const struct roster_member *m = &roster->members[i];
+      if (!is_usable (snapshot, m))
+        continue;
+      struct candidate candidate
+          = { &m->beat, distance (snapshot, request->region, m->beat.region),
+              XXH3_64bits_withSeed (m->beat.name.data, m->beat.name.size,
+                                    seed) };
+      insert (list, &count, candidate);
+    }
+  spread_zones (list, count);
+  for (size_t i = 0; i < count && i < LOOKUP_ENTRIES_MAX; i++)
+    answer.entries[answer.count++] = list[i].beat;
+  return answer;
+}
+
+json_object *
+lookup_to_json (const struct lookup_answer *answer,
+                const struct service *service)
+{
+  json_object *object = json_object_new_object ();
+  json_object *entries = json_object_new_array ();
+  if (service)
+    json_object_object_add (object, "service",
+                            json_object_new_string (service->head.name.data));
+  json_object_object_add (object, "lifetime_ms",
+                          json_object_new_int64 (answer->lifetime_ms));
+  for (size_t i = 0; i < answer->count; i++)
+    {
+      const struct beat *beat = answer->entries[i];
+      json_object *entry = json_object_new_object ();
+      json_object_object_add (entry, "name",
+                              json_object_new_string (beat->name.data));
+      json_object_object_add (entry, "address",
+                              json_object_new_string (beat->callers.data));
+      json_object_object_add (entry, "zone",
+                              json_object_new_string (beat->zone.data));
+      json_object_object_add (entry, "region",
+                              json_object_new_string (beat->region.data));
+      json_object_array_add (entries, entry);
+    }
+  json_object_object_add (object, "entries", entries);
+  return object;
+}
--- /dev/null
+++ b/src/call/worker.c
@@ -0,0 +1,603 @@
+#include "call/worker.h"
+
+#include "call/call.h"
+#include "call/lookup.h"
+
+#include <apr_strings.h>
+#include <apr_thread_proc.h>
+#include <pthread.h>
+#include <signal.h>
+#include <sodium.h>
+#include <stdatomic.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* types */
+
+struct worker
+{
+  struct worker_desc desc;
+  apr_pool_t *pool;
+  apr_thread_t *thread;
+  struct call_context context;
+  struct timer sweep;
+  _Atomic int64_t in_flight;
+  _Atomic int64_t queued;
+  _Atomic int64_t open;
+  struct counter *lookups;
+};
+
+/* What another thread hands to the worker's thread.  */
+struct order
+{
+  struct worker *worker;
+  struct snapshot *snapshot;
+  struct roster *roster;
+  char upstream[64];
+  int source;
+  bool flag;
+  int64_t number;
+  void (*done) (void *part, json_object *view);
+  void *part;
+  json_object *view;
+};
+
+/* constants */
+
+enum
+{
+  SWEEP_MS = 200,
+  IDLE_CONNECTIONS = 4096,
+  HTTP_OK = 200,
+  HTTP_NOT_FOUND = 404,
+  HTTP_NOT_ALLOWED = 405
+};
+
+static const char lookup_path[] = "/.well-known/citroncleat/lookup";
+static const char health_path[] = "/.well-known/citroncleat/health";
+
+/* private functions */
+
+/* Callers' requests.  */
+
+static void *
+on_begin (void *part, const char *target, struct MHD_Connection *connection)
+{
+  (void)connection;
+  struct worker *worker = part;
+  return call_create (&worker->context, target);
+}
+
+static enum MHD_Result
+answer_lookup (struct worker *worker, struct MHD_Connection *connection)
+{
+  struct call_context *context = &worker->context;
+  struct str name = httpd_argument (connection, "service");
+  struct str region = httpd_argument (connection, "region");
+  struct str caller = httpd_argument (connection, "caller");
+  const struct service *service
+      = snapshot_find (context->snapshot, KIND_SERVICE, name);
+  counter_add (worker->lookups, 1);
+  if (name.size > 0 && !service)
+    {
+      json_object *error = json_object_new_object ();
+      json_object_object_add (error, "error",
+                              json_object_new_string ("not-found"));
+      json_object_object_add (
+          error, "detail",
+          json_object_new_string ("no service has this name"));
+      return httpd_answer_json (connection, HTTP_NOT_FOUND, error);
+    }
+  struct lookup_request request
+      = { service, region.size > 0 ? region : worker->desc.settings->region,
+          caller };
+  struct lookup_answer answer
+      = lookup_find (context->snapshot, context->roster, &request);
+  return httpd_answer_json (connection, HTTP_OK,
+                            lookup_to_json (&answer, service));
+}
+
+static enum MHD_Result
+answer_health (struct worker *worker, struct MHD_Connection *connection)
+{
+  json_object *object = json_object_new_object ();
+  json_object_object_add (object, "state",
+                          json_object_new_string (worker->context.leaving
+                                                      ? "leaving"
+                                                      : "serving"));
+  return httpd_answer_json (connection, HTTP_OK, object);
+}
+
+/* Answers the entry's own paths; returns false for a call to pass on.  */
+static bool
+answer_own (struct worker *worker, struct MHD_Connection *connection,
+            const char *url, const char *method, enum MHD_Result *result)
+{
+  bool is_lookup = strcmp (url, lookup_path) == 0;
+  if (!is_lookup && strcmp (url, health_path) != 0)
+    return false;
+  if (strcmp (method, "GET") != 0)
+    {
+      json_object *error = json_object_new_object ();
+      json_object_object_add (error, "error",
+                              json_object_new_string ("invalid"));
+      json_object_object_add (error, "detail",
+                              json_object_new_string ("use GET"));
+      *result = httpd_answer_json (connection, HTTP_NOT_ALLOWED, error);
+    }
+  else
+    *result = is_lookup ? answer_lookup (worker, connection)
+                        : answer_health (worker, connection);
+  return true;
+}
+
+static enum MHD_Result
+take_upload (struct call *call, const char *data, size_t *size)
+{
+  *size -= call_take_body (call, data, *size);
+  if (*size > 0)
+    {
+      call->suspended = true;
+      httpd_suspend (call->context->httpd, call->connection);
+    }
+  return MHD_YES;
+}
+
+static enum MHD_Result
+on_request (void *part, struct MHD_Connection *connection, const char *url,
+            const char *method, const char *version, const char *upload_data,
+            size_t *upload_data_size, void **request)
+{
+  (void)version;
+  struct worker *worker = part;
+  struct call *call = *request;
+  enum MHD_Result result;
+  if (!call->opened)
+    {
+      if (answer_own (worker, connection, url, method, &result))
+        return result;
+      call_open (call, connection, method, url);
+      return call->answer_ready ? call_answer (call) : MHD_YES;
+    }
+  if (call->gone)
+    return MHD_NO;
+  if (*upload_data_size > 0)
+    return take_upload (call, upload_data, upload_data_size);
+  call_end_body (call);
+  if (call->answer_ready)
+    return call_answer (call);
+  call->suspended = true;
+  httpd_suspend (call->context->httpd, connection);
+  return MHD_YES;
+}
+
+static void
+on_completed (void *part, struct MHD_Connection *connection, void **request,
+              enum MHD_RequestTerminationCode code)
+{
+  (void)part;
+  (void)connection;
+  (void)code;
+  if (*request)
+    call_destroy (*request);
+  *request = NULL;
+}
+
+/* The worker's round of events.  */
+
+static bool
+resume_ready (struct call_context *context)
+{
+  bool any = false;
+  while (context->ready)
+    {
+      struct call *call = context->ready;
+      context->ready = call->next_ready;
+      if (context->ready)
+        context->ready->ready_link = &context->ready;
+      call->ready_link = NULL;
+      call->suspended = false;
+      httpd_resume (context->httpd, call->connection);
+      any = true;
+    }
+  return any;
+}
+
+static bool
+place_call (void *part, void *call)
+{
+  (void)part;
+  return call_place (call);
+}
+
+static void
+on_round_end (void *part)
+{
+  struct worker *worker = part;
+  struct call_context *context = &worker->context;
+  do
+    {
+      if (context->slot_freed)
+        {
+          context->slot_freed = false;
+          queue_offer (context->queue, place_call, NULL);
+        }
+      if (resume_ready (context))
+        httpd_run (context->httpd);
+    }
+  while (context->ready || context->slot_freed);
+  atomic_store (&worker->in_flight, context->in_flight);
+  atomic_store (&worker->queued, (int64_t)queue_length (context->queue));
+  atomic_store (&worker->open, context->open);
+}
+
+/* Looks for callers that left while their connection was suspended, and for
+   slots that time alone has opened (ramps, ejections).  */
+static void
+on_sweep (void *part, apr_time_t now)
+{
+  struct worker *worker = part;
+  struct call_context *context = &worker->context;
+  for (struct call *call = context->calls; call; call = call->next)
+    if (call->suspended && !call->gone && httpd_is_gone (call->connection))
+      {
+        call->gone = true;
+        call_wake (call);
+      }
+  context->slot_freed = true;
+  timer_start (loop_timers (context->loop), &worker->sweep,
+               now + TIMER_MS (SWEEP_MS), on_sweep, worker);
+}
+
+static void *APR_THREAD_FUNC
+run_thread (apr_thread_t *thread, void *part)
+{
+  (void)thread;
+  struct worker *worker = part;
+  sigset_t all;
+  sigfillset (&all);
+  pthread_sigmask (SIG_BLOCK, &all, NULL);
+  loop_run (worker->context.loop);
+  return NULL;
+}
+
+/* Orders from the control thread.  */
+
+static struct order *
+order_create (struct worker *worker)
+{
+  struct order *order = calloc (1, sizeof *order);
+  if (!order)
+    abort ();
+  order->worker = worker;
+  return order;
+}
+
+static void
+post (struct order *order, loop_task_fn *run)
+{
+  loop_post (order->worker->context.loop, run, order);
+}
+
+static void
+take_snapshot (void *part)
+{
+  struct order *order = part;
+  struct call_context *context = &order->worker->context;
+  struct snapshot *old = context->snapshot;
+  context->snapshot = order->snapshot;
+  steer_apply (context->steer, context->snapshot, timer_clock ());
+  struct call *next;
+  for (struct call *call = context->calls; call; call = next)
+    {
+      next = call->next;
+      call_rebind (call);
+    }
+  snapshot_unref (old);
+  context->slot_freed = true;
+  free (order);
+}
+
+static void
+take_roster (void *part)
+{
+  struct order *order = part;
+  struct call_context *context = &order->worker->context;
+  roster_unref (context->roster);
+  context->roster = order->roster;
+  for (size_t i = 0; i < context->roster->count; i++)
+    if (context->roster->members[i].is_self)
+      steer_set_share (context->steer, i, context->roster->count);
+  context->slot_freed = true;
+  free (order);
+}
+
+static void
+take_leaving (void *part)
+{
+  struct order *order = part;
+  order->worker->context.leaving = true;
+  free (order);
+}
+
+static void
+take_close (void *part)
+{
+  struct order *order = part;
+  httpd_close_listener (order->worker->context.httpd);
+  free (order);
+}
+
+static void
+take_stop (void *part)
+{
+  struct order *order = part;
+  loop_stop (order->worker->context.loop);
+  free (order);
+}
+
+static void
+take_upstream_leaving (void *part)
+{
+  struct order *order = part;
+  struct call_context *context = &order->worker->context;
+  steer_set_leaving (context->steer, str_from (order->upstream),
+                     (enum leaving_source)order->source, order->flag,
+                     timer_clock ());
+  context->slot_freed = true;
+  free (order);
+}
+
+static void
+take_load (void *part)
+{
+  struct order *order = part;
+  steer_report (order->worker->context.steer, str_from (order->upstream),
+                order->number, timer_clock ());
+  free (order);
+}
+
+static json_object *
+view_upstream (struct call_context *context, const struct upstream *upstream)
+{
+  struct steer_view view
+      = steer_query (context->steer, upstream->head.name, timer_clock ());
+  json_object *item = json_object_new_object ();
+  json_object_object_add (item, "in_flight",
+                          json_object_new_int64 (view.in_flight));
+  json_object_object_add (item, "limit", json_object_new_int64 (view.limit));
+  json_object_object_add (item, "response_us",
+                          json_object_new_int64 (view.response_us));
+  json_object_object_add (item, "leaving",
+                          json_object_new_boolean (view.leaving != 0));
+  json_object_object_add (item, "ejected",
+                          json_object_new_boolean (view.ejected));
+  return item;
+}
+
+static json_object *
+view_service (struct call_context *context, const struct service *service)
+{
+  struct str name = service->head.name;
+  size_t waiting = queue_line_length (context->queue, name, CLASS_SHORT)
+                   + queue_line_length (context->queue, name, CLASS_LONG);
+  json_object *item = json_object_new_object ();
+  json_object_object_add (item, "queued",
+                          json_object_new_int64 ((int64_t)waiting));
+  json_object_object_add (
+      item, "expected_wait_us",
+      json_object_new_int64 (steer_expected_wait (context->steer, service,
+                                                  waiting, timer_clock ())));
+  json_object_object_add (item, "saturated",
+                          json_object_new_boolean (waiting > 0));
+  return item;
+}
+
+static void
+deliver_view (void *part)
+{
+  struct order *order = part;
+  order->done (order->part, order->view);
+  free (order);
+}
+
+static void
+take_query (void *part)
+{
+  struct order *order = part;
+  struct call_context *context = &order->worker->context;
+  json_object *upstreams = json_object_new_object ();
+  json_object *services = json_object_new_object ();
+  SNAPSHOT_EACH (context->snapshot, KIND_UPSTREAM, const struct upstream, u)
+  {
+    json_object_object_add (upstreams, u->head.name.data,
+                            view_upstream (context, u));
+  }
+  SNAPSHOT_EACH (context->snapshot, KIND_SERVICE, const struct service, s)
+  {
+    json_object_object_add (services, s->head.name.data,
+                            view_service (context, s));
+  }
+  order->view = json_object_new_object ();
+  json_object_object_add (order->view, "upstreams", upstreams);
+  json_object_object_add (order->view, "services", services);
+  loop_post (order->worker->desc.control, deliver_view, order);
+}
+
+static void
+set_upstream (struct order *order, struct str upstream)
+{
+  snprintf (order->upstream, sizeof order->upstream, "%.*s",
+            STR_ARGS (upstream));
+}
+
+/* public functions */
+
+enum err_code
+worker_create (apr_pool_t *pool, const struct worker_desc *desc,
+               struct worker **result, struct err *err)
+{
+  struct worker *worker = apr_pcalloc (pool, sizeof *worker);
+  struct call_context *context = &worker->context;
+  worker->desc = *desc;
+  worker->pool = pool;
+  context->settings = desc->settings;
+  context->counters = desc->counters;
+  context->burn = desc->burn;
+  enum err_code code = loop_create (pool, &context->loop, err);
+  if (code != ERR_NONE)
+    return code;
+  code = curl_loop_create (pool, context->loop, IDLE_CONNECTIONS,
+                           &context->curl_loop, err);
+  if (code != ERR_NONE)
+    return code;
+  randombytes_buf (&context->id_base, sizeof context->id_base);
+  struct steer_desc steer_desc = { desc->settings->region, context->id_base };
+  context->steer = steer_create (pool, &steer_desc);
+  context->queue = queue_create (pool);
+  context->snapshot = snapshot_create (0);
+  context->roster = roster_create (NULL, 0);
+  steer_apply (context->steer, context->snapshot, timer_clock ());
+  worker->lookups = counter_get (desc->counters, "citroncleat_lookups_total",
+                                 "", "Look-ups answered.");
+  loop_at_round_end (context->loop, on_round_end, worker);
+  *result = worker;
+  return ERR_NONE;
+}
+
+enum err_code
+worker_start (struct worker *worker, struct err *err)
+{
+  const struct settings_limits *limits = &worker->desc.settings->limits;
+  struct httpd_desc desc = { .loop = worker->context.loop,
+                             .address = worker->desc.settings->listen.callers,
+                             .handler = on_request,
+                             .begin = on_begin,
+                             .completed = on_completed,
+                             .part = worker,
+                             .connections = limits->caller_connections,
+                             .header_bytes = limits->header_bytes,
+                             .header_timeout_s = limits->header_timeout_s,
+                             .idle_timeout_s = limits->idle_timeout_s };
+  enum err_code code
+      = httpd_create (worker->pool, &desc, &worker->context.httpd, err);
+  if (code != ERR_NONE)
+    return code;
+  on_sweep (worker, timer_clock ());
+  if (apr_thread_create (&worker->thread, NULL, run_thread, worker,
+                         worker->pool)
+      != APR_SUCCESS)
+    return err_set (err, ERR_IO, "start worker", NULL, "no thread");
+  return ERR_NONE;
+}
+
+void
+worker_stop (struct worker *worker)
+{
+  if (!worker || !worker->thread)
+    return;
+  apr_status_t status;
+  post (order_create (worker), take_stop);
+  apr_thread_join (&status, worker->thread);
+  worker->thread = NULL;
+}
+
+void
+worker_destroy (struct worker *worker)
+{
+  if (!worker)
+    return;
+  struct call_context *context = &worker->context;
+  worker_stop (worker);
+  timer_stop (loop_timers (context->loop), &worker->sweep);
+  for (struct call *call = context->calls; call; call = call->next)
+    if (call->suspended)
+      {
+        call->suspended = false;
+        call->gone = true;
+        httpd_resume (context->httpd, call->connection);
+      }
+  httpd_destroy (context->httpd);
+  curl_loop_destroy (context->curl_loop);
+  steer_destroy (context->steer);
+  snapshot_unref (context->snapshot);
+  roster_unref (context->roster);
+  loop_destroy (context->loop);
+}
+
+void
+worker_set_snapshot (struct worker *worker, struct snapshot *snapshot)
+{
+  struct order *order = order_create (worker);
+  order->snapshot = snapshot_ref (snapshot);
+  post (order, take_snapshot);
+}
+
+void
+worker_set_roster (struct worker *worker, struct roster *roster)
+{
+  struct order *order = order_create (worker);
+  order->roster = roster_ref (roster);
+  post (order, take_roster);
+}
+
+void
+worker_set_leaving (struct worker *worker)
+{
+  post (order_create (worker), take_leaving);
+}
+
+void
+worker_close_listener (struct worker *worker)
+{
+  post (order_create (worker), take_close);
+}
+
+void
+worker_set_upstream_leaving (struct worker *worker, struct str upstream,
+                             enum leaving_source source, bool leaving)
+{
+  struct order *order = order_create (worker);
+  set_upstream (order, upstream);
+  order->source = (int)source;
+  order->flag = leaving;
+  post (order, take_upstream_leaving);
+}
+
+void
+worker_report_load (struct worker *worker, struct str upstream,
+                    int64_t percent)
+{
+  struct order *order = order_create (worker);
+  set_upstream (order, upstream);
+  order->number = percent;
+  post (order, take_load);
+}
+
+int64_t
+worker_in_flight (const struct worker *worker)
+{
+  return atomic_load (&worker->in_flight);
+}
+
+int64_t
+worker_queued (const struct worker *worker)
+{
+  return atomic_load (&worker->queued);
+}
+
+int64_t
+worker_open (const struct worker *worker)
+{
+  return atomic_load (&worker->open);
+}
+
+void
+worker_query (struct worker *worker,
+              void (*done) (void *part, json_object *view), void *part)
+{
+  struct order *order = order_create (worker);
+  order->done = done;
+  order->part = part;
+  post (order, take_query);
+}
--- /dev/null
+++ b/src/config/store_kv.c
@@ -0,0 +1,139 @@
+#include "config/store.h"
+
+#include <apr_strings.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+/* types */
+
+struct store_kv
+{
+  struct store store; /* first */
+  struct store_kv_desc desc;
+  apr_pool_t *pool;
+  struct counter *reads;
+  struct counter *writes;
+  struct counter *failures;
+};
+
+struct request
+{
+  struct store_kv *kv;
+  store_fn *done;
+  void *part;
+  bool is_write;
+};
+
+/* constants */
+
+enum
+{
+  URL_MAX_BYTES = 512,
+  HTTP_OK = 200,
+  HTTP_NOT_FOUND = 404
+};
+
+/* private functions */
+
+static enum err_code
+code_of (const struct request *request, const struct http_answer *http)
+{
+  if (http->status == 0)
+    return http->sent && request->is_write ? ERR_UNKNOWN : ERR_UNAVAILABLE;
+  if (http->status == HTTP_NOT_FOUND)
+    return ERR_NOT_FOUND;
+  if (http->status != HTTP_OK)
+    /* An error answer does not say whether a write took effect.  */
+    return request->is_write ? ERR_UNKNOWN : ERR_UNAVAILABLE;
+  if (!request->is_write)
+    return ERR_NONE;
+  return str_starts (http->body, STR ("true")) ? ERR_NONE : ERR_CONFLICT;
+}
+
+static void
+on_answer (void *part, const struct http_answer *http)
+{
+  struct request *request = part;
+  struct store_answer answer
+      = { code_of (request, http), http->index, http->body };
+  if (answer.code == ERR_UNAVAILABLE || answer.code == ERR_UNKNOWN)
+    counter_add (request->kv->failures, 1);
+  request->done (request->part, &answer);
+  free (request);
+}
+
+static void
+send_request (struct store *store, struct http_request *http, bool is_write,
+              store_fn *done, void *part)
+{
+  struct store_kv *kv = (struct store_kv *)store;
+  struct request *request = malloc (sizeof *request);
+  if (!request)
+    abort ();
+  *request = (struct request){ kv, done, part, is_write };
+  counter_add (is_write ? kv->writes : kv->reads, 1);
+  http->drop = free;
+  http_client_send (kv->desc.client, http, on_answer, request);
+}
+
+static void
+kv_get (struct store *store, const char *key, store_fn *done, void *part)
+{
+  struct store_kv *kv = (struct store_kv *)store;
+  char url[URL_MAX_BYTES];
+  snprintf (url, sizeof url, "%s/v1/kv/%s?raw", kv->desc.url.data, key);
+  struct http_request http = { .url = url, .timeout_ms = kv->desc.timeout_ms };
+  send_request (store, &http, false, done, part);
+}
+
+static void
+kv_compare_and_swap (struct store *store, const char *key, int64_t index,
+                     struct str value, store_fn *done, void *part)
+{
+  struct store_kv *kv = (struct store_kv *)store;
+  char url[URL_MAX_BYTES];
+  snprintf (url, sizeof url, "%s/v1/kv/%s?cas=%" APR_INT64_T_FMT,
+            kv->desc.url.data, key, index);
+  struct http_request http = { .method = "PUT",
+                               .url = url,
+                               .body = value,
+                               .timeout_ms = kv->desc.timeout_ms };
+  send_request (store, &http, true, done, part);
+}
+
+static void
+kv_watch (struct store *store, const char *key, int64_t index, int64_t wait_ms,
+          store_fn *done, void *part)
+{
+  struct store_kv *kv = (struct store_kv *)store;
+  char url[URL_MAX_BYTES];
+  snprintf (url, sizeof url,
+            "%s/v1/kv/%s?raw&index=%" APR_INT64_T_FMT "&wait=%" APR_INT64_T_FMT
+            "ms",
+            kv->desc.url.data, key, index, wait_ms);
+  struct http_request http
+      = { .url = url, .timeout_ms = wait_ms + kv->desc.timeout_ms };
+  send_request (store, &http, false, done, part);
+}
+
+static const struct store_ops kv_ops
+    = { kv_get, kv_compare_and_swap, kv_watch };
+
+/* public functions */
+
+struct store *
+store_kv_create (apr_pool_t *pool, const struct store_kv_desc *desc)
+{
+  struct store_kv *kv = apr_pcalloc (pool, sizeof *kv);
+  kv->store.ops = &kv_ops;
+  kv->desc = *desc;
+  kv->pool = pool;
+  kv->reads = counter_get (desc->counters, "citroncleat_store_reads_total", "",
+                           "Reads and watches sent to the store.");
+  kv->writes = counter_get (desc->counters, "citroncleat_store_writes_total",
+                            "", "Writes sent to the store.");
+  kv->failures
+      = counter_get (desc->counters, "citroncleat_store_failures_total", "",
+                     "Store calls without a whole answer.");
+  return &kv->store;
+}
--- /dev/null
+++ b/src/entry/entry.c
@@ -0,0 +1,381 @@
+#include "entry/entry.h"
+
+#include "call/worker.h"
+#include "config/keeper.h"
+#include "operator/api.h"
+#include "peer/peers.h"
+#include "platform/health.h"
+#include "platform/vm_list.h"
+
+#include <curl/curl.h>
+#include <signal.h>
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/signalfd.h>
+#include <unistd.h>
+
+/* types */
+
+struct entry
+{
+  const struct settings *settings;
+  apr_pool_t *pool;
+  struct loop *loop;
+  struct counters *counters;
+  struct burn_ledger *burn;
+  struct http_client *client;
+  struct store *store;
+  struct keeper *keeper;
+  struct peers *peers;
+  struct worker *worker;
+  struct api *api;
+  struct health *health;
+  struct vm_list *vm_list;
+  struct snapshot *snapshot; /* of the keeper's document */
+  int signals;
+  bool stopping;
+  bool listener_closed;
+  apr_time_t stop_began;
+  struct timer stop_timer;
+};
+
+/* constants */
+
+enum
+{
+  RELAYS_A_ZONE = 2,
+  STOP_STEP_MS = 50,
+  LOOKUP_DEFAULT_MS = 2000,
+  /* Time for the other entries to hear that this one leaves, and for a
+     caller that asked just before to use its answer.  */
+  LOOKUP_MARGIN_MS = 500
+};
+
+/* private functions */
+
+/* What the parts ask of each other.  */
+
+static int64_t
+config_version (void *part)
+{
+  struct entry *entry = part;
+  return keeper_document (entry->keeper)->version;
+}
+
+static struct str
+config_text (void *part, apr_pool_t *pool)
+{
+  struct entry *entry = part;
+  return document_text (keeper_document (entry->keeper), pool);
+}
+
+static void
+config_offer (void *part, struct str text, const char *source)
+{
+  struct entry *entry = part;
+  keeper_offer (entry->keeper, text, source);
+}
+
+static void
+fill_load (void *part, struct beat *beat)
+{
+  struct entry *entry = part;
+  beat->in_flight = worker_in_flight (entry->worker);
+  beat->queued = worker_queued (entry->worker);
+}
+
+static void
+on_roster (void *part, struct roster *roster)
+{
+  struct entry *entry = part;
+  worker_set_roster (entry->worker, roster);
+  keeper_set_relay (
+      entry->keeper,
+      roster_is_relay (roster, entry->settings->name, RELAYS_A_ZONE));
+  vm_list_set_fleet (entry->vm_list, roster->count);
+}
+
+static void
+on_adopted (void *part, const struct document *document)
+{
+  struct entry *entry = part;
+  snapshot_unref (entry->snapshot);
+  entry->snapshot = snapshot_ref (document->snapshot);
+  worker_set_snapshot (entry->worker, document->snapshot);
+  health_apply (entry->health, document->snapshot);
+  peers_announce (entry->peers);
+}
+
+static void
+on_upstream_leaving (void *part, struct str upstream, bool leaving)
+{
+  struct entry *entry = part;
+  worker_set_upstream_leaving (entry->worker, upstream, LEAVING_HEALTH,
+                               leaving);
+}
+
+static void
+on_upstream_load (void *part, struct str upstream, int64_t percent)
+{
+  struct entry *entry = part;
+  worker_report_load (entry->worker, upstream, percent);
+}
+
+static void
+on_vms (void *part, const struct vm *vms, size_t count)
+{
+  struct entry *entry = part;
+  for (size_t i = 0; i < count; i++)
+    {
+      if (vms[i].peers.size > 0)
+        {
+          if (!vms[i].leaving)
+            peers_learn (entry->peers, vms[i].peers);
+          continue;
+        }
+      SNAPSHOT_EACH (entry->snapshot, KIND_UPSTREAM, const struct upstream, u)
+      {
+        if (str_equal (u->address, vms[i].address))
+          worker_set_upstream_leaving (entry->worker, u->head.name,
+                                       LEAVING_PLATFORM, vms[i].leaving);
+      }
+    }
+}
+
+/* Planned stop.  */
+
+static int64_t
+longest_lookup_ms (const struct snapshot *snapshot)
+{
+  int64_t longest = LOOKUP_DEFAULT_MS;
+  SNAPSHOT_EACH (snapshot, KIND_POLICY, const struct policy, policy)
+  {
+    if (policy->lookup_lifetime_ms > longest)
+      longest = policy->lookup_lifetime_ms;
+  }
+  return longest;
+}
+
+static void
+on_stop_step (void *part, apr_time_t now)
+{
+  struct entry *entry = part;
+  apr_time_t age = now - entry->stop_began;
+  apr_time_t serve_on
+      = TIMER_MS (longest_lookup_ms (entry->snapshot) + LOOKUP_MARGIN_MS);
+  if (!entry->listener_closed && age >= serve_on)
+    {
+      worker_close_listener (entry->worker);
+      entry->listener_closed = true;
+      LOG (LOG_INFO, "listener-closed",
+           LOG_INT ("open", worker_open (entry->worker)));
+    }
+  else if (entry->listener_closed && worker_open (entry->worker) == 0)
+    {
+      loop_stop (entry->loop);
+      return;
+    }
+  if (age >= TIMER_SEC (entry->settings->stop.timeout_s))
+    {
+      LOG (LOG_WARN, "stop-timeout",
+           LOG_INT ("open", worker_open (entry->worker)));
+      loop_stop (entry->loop);
+      return;
+    }
+  timer_start (loop_timers (entry->loop), &entry->stop_timer,
+               now + TIMER_MS (STOP_STEP_MS), on_stop_step, entry);
+}
+
+static void
+on_signal (void *part, int fd, int events)
+{
+  (void)events;
+  struct entry *entry = part;
+  struct signalfd_siginfo info;
+  if (read (fd, &info, sizeof info) != sizeof info)
+    return;
+  if (entry->stopping)
+    {
+      loop_stop (entry->loop);
+      return;
+    }
+  entry->stopping = true;
+  entry->stop_began = timer_clock ();
+  LOG (LOG_INFO, "stopping", LOG_INT ("open", worker_open (entry->worker)));
+  peers_set_state (entry->peers, ENTRY_LEAVING);
+  worker_set_leaving (entry->worker);
+  on_stop_step (entry, entry->stop_began);
+}
+
+static enum err_code
+watch_signals (struct entry *entry, struct err *err)
+{
+  sigset_t set;
+  sigemptyset (&set);
+  sigaddset (&set, SIGTERM);
+  sigaddset (&set, SIGINT);
+  sigprocmask (SIG_BLOCK, &set, NULL);
+  signal (SIGPIPE, SIG_IGN);
+  entry->signals = signalfd (-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
+  if (entry->signals < 0)
+    return err_set (err, ERR_IO, "watch signals", NULL, "signalfd failed");
+  loop_watch (entry->loop, entry->signals, LOOP_READ, on_signal, entry);
+  return ERR_NONE;
+}
+
+/* Construction.  */
+
+static struct beat
+self_of (const struct settings *settings)
+{
+  return (struct beat){ .name = settings->name,
+                        .zone = settings->zone,
+                        .region = settings->region,
+                        .callers = settings->listen.callers,
+                        .operators = settings->listen.operators,
+                        .peers = settings->listen.peers,
+                        .incarnation = (int64_t)apr_time_now (),
+                        .state = ENTRY_SERVING };
+}
+
+static void
+create_platform (struct entry *entry)
+{
+  const struct settings *settings = entry->settings;
+  struct store_kv_desc store = { .client = entry->client,
+                                 .counters = entry->counters,
+                                 .url = settings->store.url,
+                                 .timeout_ms = settings->store.timeout_ms };
+  struct health_desc health = { .loop = entry->loop,
+                                .client = entry->client,
+                                .leaving = on_upstream_leaving,
+                                .load = on_upstream_load,
+                                .part = entry };
+  struct vm_list_desc vm_list = { .loop = entry->loop,
+                                  .client = entry->client,
+                                  .url = settings->vm_list.url,
+                                  .poll_ms = settings->vm_list.poll_ms,
+                                  .seen = on_vms,
+                                  .part = entry };
+  entry->store = store_kv_create (entry->pool, &store);
+  entry->health = health_create (entry->pool, &health);
+  entry->vm_list = vm_list_create (entry->pool, &vm_list);
+}
+
+static enum err_code
+create_parts (struct entry *entry, struct err *err)
+{
+  const struct settings *settings = entry->settings;
+  enum err_code code = loop_create (entry->pool, &entry->loop, err);
+  if (code != ERR_NONE)
+    return code;
+  entry->counters = counters_create (entry->pool);
+  entry->burn = burn_create (entry->pool);
+  code = http_client_create (entry->pool, entry->loop, &entry->client, err);
+  if (code != ERR_NONE)
+    return code;
+  create_platform (entry);
+  struct keeper_desc keeper = { .loop = entry->loop,
+                                .store = entry->store,
+                                .counters = entry->counters,
+                                .prefix = settings->store.prefix };
+  code = keeper_create (entry->pool, &keeper, &entry->keeper, err);
+  if (code != ERR_NONE)
+    return code;
+  struct worker_desc worker = { .settings = settings,
+                                .counters = entry->counters,
+                                .burn = entry->burn,
+                                .control = entry->loop };
+  code = worker_create (entry->pool, &worker, &entry->worker, err);
+  if (code != ERR_NONE)
+    return code;
+  struct peers_desc peers
+      = { .loop = entry->loop,
+          .counters = entry->counters,
+          .self = self_of (settings),
+          .key = settings->peers.key,
+          .seeds = settings->peers.seeds,
+          .heartbeat_ms = settings->peers.heartbeat_ms,
+          .silent_ms = settings->peers.silent_ms,
+          .config = { config_version, config_text, config_offer },
+          .load = fill_load,
+          .changed = on_roster,
+          .part = entry };
+  return peers_create (entry->pool, &peers, &entry->peers, err);
+}
+
+static enum err_code
+start_parts (struct entry *entry, struct err *err)
+{
+  struct api_desc api = { .settings = entry->settings,
+                          .loop = entry->loop,
+                          .counters = entry->counters,
+                          .keeper = entry->keeper,
+                          .peers = entry->peers,
+                          .worker = entry->worker,
+                          .burn = entry->burn };
+  entry->snapshot = snapshot_ref (keeper_document (entry->keeper)->snapshot);
+  keeper_subscribe (entry->keeper, on_adopted, entry);
+  enum err_code code = watch_signals (entry, err);
+  if (code != ERR_NONE)
+    return code;
+  code = peers_start (entry->peers, err);
+  if (code != ERR_NONE)
+    return code;
+  code = api_create (entry->pool, &api, &entry->api, err);
+  if (code != ERR_NONE)
+    return code;
+  code = worker_start (entry->worker, err);
+  if (code != ERR_NONE)
+    return code;
+  keeper_start (entry->keeper);
+  vm_list_start (entry->vm_list);
+  return ERR_NONE;
+}
+
+static void
+destroy_parts (struct entry *entry)
+{
+  api_destroy (entry->api);
+  worker_destroy (entry->worker);
+  peers_destroy (entry->peers);
+  vm_list_destroy (entry->vm_list);
+  health_destroy (entry->health);
+  keeper_destroy (entry->keeper);
+  http_client_destroy (entry->client);
+  snapshot_unref (entry->snapshot);
+  if (entry->signals > 0)
+    close (entry->signals);
+  loop_destroy (entry->loop);
+}
+
+/* public functions */
+
+int
+entry_run (const struct settings *settings, apr_pool_t *pool)
+{
+  struct entry entry = { .settings = settings, .pool = pool };
+  struct err err = { 0 };
+  int status = EXIT_FAILURE;
+  log_start ((enum log_format)settings->log.format,
+             (enum log_level)settings->log.level, settings->name.data);
+  srand ((unsigned int)randombytes_random ());
+  if (create_parts (&entry, &err) != ERR_NONE
+      || start_parts (&entry, &err) != ERR_NONE)
+    {
+      LOG_ERR (LOG_ERROR, "start-failed", &err);
+      goto out;
+    }
+  LOG (LOG_INFO, "started", LOG_TEXT ("zone", settings->zone.data),
+       LOG_TEXT ("callers", settings->listen.callers.data),
+       LOG_TEXT ("operators", settings->listen.operators.data),
+       LOG_TEXT ("peers", settings->listen.peers.data));
+  loop_run (entry.loop);
+  LOG (LOG_INFO, "stopped", LOG_INT ("open", worker_open (entry.worker)));
+  status = EXIT_SUCCESS;
+out:
+  destroy_parts (&entry);
+  log_stop ();
+  return status;
+}
--- /dev/null
+++ b/src/operator/api.c
@@ -0,0 +1,360 @@
+#include "operator/request.h"
+
+#include <apr_strings.h>
+#include <sodium.h>
+#include <stdarg.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* types */
+
+struct handler
+{
+  const char *path; /* first part after /v1/ */
+  void (*handle) (struct request *request);
+};
+
+struct query
+{
+  struct request *request;
+  void (*done) (struct request *request, json_object *view);
+};
+
+/* constants */
+
+static const char prefix[] = "/v1/";
+
+/* private functions */
+
+static void
+handle_version (struct request *request)
+{
+  json_object *answer = json_object_new_object ();
+  json_add_text (answer, "version", CITRONCLEAT_VERSION);
+  json_add_text (answer, "entry", request->api->desc.settings->name.data);
+  request_finish (request, STATUS_OK, answer);
+}
+
+static const struct handler handlers[] = { { "apply", handle_apply },
+                                           { "operations", handle_operation },
+                                           { "watch", handle_watch },
+                                           { "status", handle_status },
+                                           { "burn", handle_burn },
+                                           { "version", handle_version },
+                                           { NULL, NULL } };
+
+static void
+split_path (struct request *request, const char *url)
+{
+  const char *at = url + sizeof prefix - 1;
+  while (*at && request->part_count < 3)
+    {
+      size_t size = strcspn (at, "/");
+      request->parts[request->part_count++]
+          = str_dup (request->pool, str_view (at, size));
+      at += size;
+      if (*at == '/')
+        at++;
+    }
+}
+
+static bool
+token_is_good (const struct request *request)
+{
+  struct str given = httpd_header (request->connection, "Authorization");
+  struct str token = request->api->desc.settings->operators.token;
+  struct str scheme = STR ("Bearer ");
+  return str_starts (given, scheme) && given.size - scheme.size == token.size
+         && sodium_memcmp (given.data + scheme.size, token.data, token.size)
+                == 0;
+}
+
+static void
+handle_metrics (struct request *request)
+{
+  request->text = counters_render (request->api->desc.counters, request->pool);
+  request_finish (request, STATUS_OK, NULL);
+}
+
+static void
+route (struct request *request, const char *url)
+{
+  if (strcmp (url, "/healthz") == 0)
+    {
+      json_object *answer = json_object_new_object ();
+      json_add_text (answer, "status", "ok");
+      request_finish (request, STATUS_OK, answer);
+      return;
+    }
+  if (!token_is_good (request))
+    {
+      request_fail (request, STATUS_UNAUTHORIZED, "denied",
+                    "give the operators' token as 'Authorization: Bearer "
+                    "TOKEN'");
+      return;
+    }
+  if (request->too_large)
+    {
+      request_fail (
+          request, STATUS_TOO_LARGE, "limit",
+          "a request body has at most %lld bytes",
+          (long long)request->api->desc.settings->limits.resource_body_bytes);
+      return;
+    }
+  if (strcmp (url, "/metrics") == 0)
+    {
+      handle_metrics (request);
+      return;
+    }
+  if (strncmp (url, prefix, sizeof prefix - 1) != 0)
+    {
+      request_fail (request, STATUS_NOT_FOUND, "not-found",
+                    "paths start with /v1/");
+      return;
+    }
+  split_path (request, url);
+  for (const struct handler *h = handlers; h->path; h++)
+    if (request->part_count > 0
+        && str_equal (request->parts[0], str_from (h->path)))
+      {
+        h->handle (request);
+        return;
+      }
+  handle_resources (request);
+}
+
+static enum MHD_Result
+send_answer (struct request *request)
+{
+  json_object *answer = request->answer;
+  request->answer = NULL;
+  if (answer)
+    return httpd_answer_json (request->connection, request->status, answer);
+  struct MHD_Response *response = MHD_create_response_from_buffer (
+      request->text.size, (void *)request->text.data, MHD_RESPMEM_MUST_COPY);
+  MHD_add_response_header (response, "Content-Type",
+                           "text/plain; version=0.0.4");
+  enum MHD_Result result
+      = MHD_queue_response (request->connection, request->status, response);
+  MHD_destroy_response (response);
+  return result;
+}
+
+static struct request *
+request_create (struct api *api, struct MHD_Connection *connection,
+                const char *method)
+{
+  apr_pool_t *pool;
+  apr_pool_create (&pool, NULL);
+  struct request *request = apr_pcalloc (pool, sizeof *request);
+  request->api = api;
+  request->pool = pool;
+  request->connection = connection;
+  request->method = str_dup (pool, str_from (method));
+  request->next = api->requests;
+  request->link = &api->requests;
+  if (request->next)
+    request->next->link = &request->next;
+  api->requests = request;
+  return request;
+}
+
+static void
+request_destroy (struct request *request)
+{
+  json_object_put (request->answer);
+  free (request->body);
+  apr_pool_destroy (request->pool);
+}
+
+static void
+take_body (struct request *request, const char *data, size_t size)
+{
+  size_t limit
+      = (size_t)request->api->desc.settings->limits.resource_body_bytes;
+  if (request->too_large || request->body_size + size > limit)
+    {
+      request->too_large = true;
+      return;
+    }
+  request->body = realloc (request->body, request->body_size + size + 1);
+  if (!request->body)
+    abort ();
+  memcpy (request->body + request->body_size, data, size);
+  request->body_size += size;
+  request->body[request->body_size] = 0;
+}
+
+static enum MHD_Result
+on_request (void *part, struct MHD_Connection *connection, const char *url,
+            const char *method, const char *version, const char *upload_data,
+            size_t *upload_data_size, void **context)
+{
+  (void)version;
+  struct api *api = part;
+  if (!*context)
+    {
+      *context = request_create (api, connection, method);
+      return MHD_YES;
+    }
+  struct request *request = *context;
+  if (*upload_data_size > 0)
+    {
+      take_body (request, upload_data, *upload_data_size);
+      *upload_data_size = 0;
+      return MHD_YES;
+    }
+  if (!request->started)
+    {
+      request->started = true;
+      route (request, url);
+    }
+  if (request->handled)
+    return send_answer (request);
+  request->suspended = true;
+  httpd_suspend (api->httpd, connection);
+  return MHD_YES;
+}
+
+static void
+on_completed (void *part, struct MHD_Connection *connection, void **context,
+              enum MHD_RequestTerminationCode code)
+{
+  (void)part;
+  (void)connection;
+  (void)code;
+  struct request *request = *context;
+  if (!request)
+    return;
+  *context = NULL;
+  *request->link = request->next;
+  if (request->next)
+    request->next->link = request->link;
+  watch_forget (request);
+  keeper_forget (request->api->desc.keeper, request);
+  if (request->waiting_for_worker)
+    request->abandoned = true;
+  else
+    request_destroy (request);
+}
+
+static void
+on_view (void *part, json_object *view)
+{
+  struct query *query = part;
+  struct request *request = query->request;
+  void (*done) (struct request *, json_object *) = query->done;
+  request->waiting_for_worker = false;
+  if (request->abandoned)
+    request_destroy (request);
+  else
+    done (request, view);
+  json_object_put (view);
+}
+
+static void
+on_adopted (void *part, const struct document *document)
+{
+  watch_adopted (part, document);
+}
+
+/* public functions */
+
+void
+request_finish (struct request *request, unsigned int status,
+                json_object *answer)
+{
+  request->answer = answer;
+  request->status = status;
+  request->handled = true;
+  if (!request->suspended)
+    return;
+  request->suspended = false;
+  httpd_resume (request->api->httpd, request->connection);
+}
+
+void
+request_fail (struct request *request, unsigned int status, const char *error,
+              const char *detail, ...)
+{
+  va_list args;
+  va_start (args, detail);
+  json_object *answer = json_object_new_object ();
+  json_add_text (answer, "error", error);
+  json_add_text (answer, "detail", str_vformat (request->pool, detail, args));
+  va_end (args);
+  request_finish (request, status, answer);
+}
+
+void
+request_query (struct request *request,
+               void (*done) (struct request *request, json_object *view))
+{
+  struct query *query = apr_palloc (request->pool, sizeof *query);
+  *query = (struct query){ request, done };
+  request->waiting_for_worker = true;
+  worker_query (request->api->desc.worker, on_view, query);
+}
+
+void
+json_add_text (json_object *object, const char *name, const char *text)
+{
+  json_object_object_add (object, name, json_object_new_string (text));
+}
+
+void
+json_add_number (json_object *object, const char *name, int64_t number)
+{
+  json_object_object_add (object, name, json_object_new_int64 (number));
+}
+
+json_object *
+json_member (json_object *object, const char *name)
+{
+  json_object *value = NULL;
+  json_object_object_get_ex (object, name, &value);
+  return value;
+}
+
+enum err_code
+api_create (apr_pool_t *pool, const struct api_desc *desc, struct api **result,
+            struct err *err)
+{
+  struct api *api = apr_pcalloc (pool, sizeof *api);
+  const struct settings_limits *limits = &desc->settings->limits;
+  api->desc = *desc;
+  api->last = snapshot_ref (keeper_document (desc->keeper)->snapshot);
+  struct httpd_desc httpd = { .loop = desc->loop,
+                              .address = desc->settings->listen.operators,
+                              .handler = on_request,
+                              .completed = on_completed,
+                              .part = api,
+                              .connections = limits->operator_connections,
+                              .header_bytes = limits->header_bytes,
+                              .header_timeout_s = limits->header_timeout_s,
+                              .idle_timeout_s = limits->idle_timeout_s };
+  enum err_code code = httpd_create (pool, &httpd, &api->httpd, err);
+  if (code != ERR_NONE)
+    return code;
+  keeper_subscribe (desc->keeper, on_adopted, api);
+  *result = api;
+  return ERR_NONE;
+}
+
+void
+api_destroy (struct api *api)
+{
+  if (!api)
+    return;
+  for (struct request *request = api->requests; request;
+       request = request->next)
+    if (request->suspended)
+      {
+        watch_forget (request);
+        request_fail (request, STATUS_UNAVAILABLE, "unavailable",
+                      "the entry is stopping");
+      }
+  httpd_run (api->httpd);
+  httpd_destroy (api->httpd);
+  snapshot_unref (api->last);
+}
--- /dev/null
+++ b/src/operator/status.c
@@ -0,0 +1,108 @@
+#include "operator/request.h"
+
+/* private functions */
+
+static json_object *
+entry_of (const struct roster_member *member)
+{
+  const struct beat *beat = &member->beat;
+  json_object *entry = json_object_new_object ();
+  json_add_text (entry, "name", beat->name.data);
+  json_add_text (entry, "zone", beat->zone.data);
+  json_add_text (entry, "region", beat->region.data);
+  json_add_text (entry, "state",
+                 member->alive ? entry_state_name (beat->state) : "silent");
+  json_add_number (entry, "version", beat->config_version);
+  json_add_number (entry, "in_flight", beat->in_flight);
+  json_add_number (entry, "queued", beat->queued);
+  json_add_text (entry, "callers", beat->callers.data);
+  json_add_text (entry, "operators", beat->operators.data);
+  return entry;
+}
+
+/* Adds the names of VIEW's items whose FLAG is set to the list NAME.  */
+static void
+add_flagged (json_object *answer, const char *name, json_object *view,
+             const char *flag)
+{
+  json_object *list = json_object_new_array ();
+  if (view)
+    {
+      json_object_object_foreach (view, key, item)
+      {
+        if (json_object_get_boolean (json_member (item, flag)))
+          json_object_array_add (list, json_object_new_string (key));
+      }
+    }
+  json_object_object_add (answer, name, list);
+}
+
+static json_object *
+drains_of (const struct snapshot *snapshot)
+{
+  json_object *drains = json_object_new_array ();
+  SNAPSHOT_EACH (snapshot, KIND_DRAIN, const struct drain, drain)
+  {
+    static const char *const kinds[]
+        = { "upstream", "zone", "region", "entry" };
+    json_object *item = json_object_new_object ();
+    json_add_text (item, "kind", kinds[drain->kind]);
+    json_add_text (item, "target", drain->target.data);
+    json_add_text (item, "reason", drain->reason.data);
+    json_object_array_add (drains, item);
+  }
+  return drains;
+}
+
+static void
+status_done (struct request *request, json_object *view)
+{
+  const struct roster *roster = peers_roster (request->api->desc.peers);
+  const struct document *document
+      = keeper_document (request->api->desc.keeper);
+  json_object *answer = json_object_new_object ();
+  json_object *entries = json_object_new_array ();
+  json_object *behind = json_object_new_array ();
+  for (size_t i = 0; i < roster->count; i++)
+    {
+      struct roster_member member = roster->members[i];
+      if (member.is_self)
+        member.beat.config_version = document->version;
+      json_object_array_add (entries, entry_of (&member));
+      if (member.beat.config_version < document->version)
+        json_object_array_add (behind,
+                               json_object_new_string (member.beat.name.data));
+    }
+  json_add_text (answer, "entry", request->api->desc.settings->name.data);
+  json_add_number (answer, "version", document->version);
+  json_object_object_add (answer, "entries", entries);
+  json_object_object_add (answer, "behind", behind);
+  add_flagged (answer, "saturated", json_member (view, "services"),
+               "saturated");
+  add_flagged (answer, "leaving", json_member (view, "upstreams"), "leaving");
+  add_flagged (answer, "ejected", json_member (view, "upstreams"), "ejected");
+  json_object_object_add (answer, "drains", drains_of (document->snapshot));
+  request_finish (request, STATUS_OK, answer);
+}
+
+/* public functions */
+
+void
+handle_status (struct request *request)
+{
+  request_query (request, status_done);
+}
+
+void
+handle_burn (struct request *request)
+{
+  const struct document *document
+      = keeper_document (request->api->desc.keeper);
+  json_object *counts = burn_counts (request->api->desc.burn, timer_clock ());
+  json_object *answer = json_object_new_object ();
+  json_add_text (answer, "entry", request->api->desc.settings->name.data);
+  json_object_object_add (answer, "rows",
+                          burn_report (counts, document->snapshot));
+  json_object_put (counts);
+  request_finish (request, STATUS_OK, answer);
+}
--- /dev/null
+++ b/src/peer/message.c
@@ -0,0 +1,182 @@
+#include "peer/message.h"
+
+#include <msgpack.h>
+#include <string.h>
+
+/* types */
+
+/* A reader of the items of one array, in order.  */
+struct reader
+{
+  const msgpack_object *items;
+  size_t count;
+  size_t next;
+  bool good;
+  apr_pool_t *pool;
+};
+
+/* private functions */
+
+static void
+pack_text (msgpack_packer *packer, struct str s)
+{
+  msgpack_pack_str (packer, s.size);
+  msgpack_pack_str_body (packer, s.data, s.size);
+}
+
+static void
+pack_beat (msgpack_packer *packer, const struct beat *beat)
+{
+  const struct str texts[] = { beat->name,    beat->zone,      beat->region,
+                               beat->callers, beat->operators, beat->peers };
+  const int64_t numbers[]
+      = { beat->incarnation, beat->state, beat->config_version,
+          beat->in_flight, beat->queued };
+  size_t text_count = sizeof texts / sizeof *texts;
+  size_t number_count = sizeof numbers / sizeof *numbers;
+  msgpack_pack_array (packer, 1 + text_count + number_count);
+  msgpack_pack_int64 (packer, MESSAGE_BEAT);
+  for (size_t i = 0; i < text_count; i++)
+    pack_text (packer, texts[i]);
+  for (size_t i = 0; i < number_count; i++)
+    msgpack_pack_int64 (packer, numbers[i]);
+}
+
+static const msgpack_object *
+next_item (struct reader *reader)
+{
+  if (reader->next >= reader->count)
+    {
+      reader->good = false;
+      return NULL;
+    }
+  return &reader->items[reader->next++];
+}
+
+static int64_t
+read_number (struct reader *reader)
+{
+  const msgpack_object *item = next_item (reader);
+  if (item && item->type == MSGPACK_OBJECT_POSITIVE_INTEGER
+      && item->via.u64 <= INT64_MAX)
+    return (int64_t)item->via.u64;
+  reader->good = false;
+  return 0;
+}
+
+static struct str
+read_text (struct reader *reader)
+{
+  const msgpack_object *item = next_item (reader);
+  if (item && item->type == MSGPACK_OBJECT_STR
+      && !memchr (item->via.str.ptr, 0, item->via.str.size))
+    return str_dup (reader->pool,
+                    str_view (item->via.str.ptr, item->via.str.size));
+  reader->good = false;
+  return STR ("");
+}
+
+static void
+read_beat (struct reader *reader, struct beat *beat)
+{
+  struct str *texts[] = { &beat->name,    &beat->zone,      &beat->region,
+                          &beat->callers, &beat->operators, &beat->peers };
+  int64_t *numbers[]
+      = { &beat->incarnation, &beat->state, &beat->config_version,
+          &beat->in_flight, &beat->queued };
+  for (size_t i = 0; i < sizeof texts / sizeof *texts; i++)
+    *texts[i] = read_text (reader);
+  for (size_t i = 0; i < sizeof numbers / sizeof *numbers; i++)
+    *numbers[i] = read_number (reader);
+  if (beat->state != ENTRY_SERVING && beat->state != ENTRY_LEAVING)
+    reader->good = false;
+  if (beat->name.size == 0 || beat->name.size > 63)
+    reader->good = false;
+}
+
+static void
+read_message (struct reader *reader, struct message *message)
+{
+  message->type = read_number (reader);
+  switch (message->type)
+    {
+    case MESSAGE_BEAT:
+      read_beat (reader, &message->beat);
+      break;
+    case MESSAGE_ACK:
+    case MESSAGE_FETCH:
+      message->version = read_number (reader);
+      break;
+    case MESSAGE_CONFIG:
+      message->version = read_number (reader);
+      message->document = read_text (reader);
+      break;
+    default:
+      reader->good = false;
+    }
+}
+
+/* public functions */
+
+struct str
+message_pack (const struct message *message, apr_pool_t *pool)
+{
+  msgpack_sbuffer buffer;
+  msgpack_packer packer;
+  msgpack_sbuffer_init (&buffer);
+  msgpack_packer_init (&packer, &buffer, msgpack_sbuffer_write);
+  if (message->type == MESSAGE_BEAT)
+    pack_beat (&packer, &message->beat);
+  else
+    {
+      bool has_document = message->type == MESSAGE_CONFIG;
+      msgpack_pack_array (&packer, has_document ? 3 : 2);
+      msgpack_pack_int64 (&packer, message->type);
+      msgpack_pack_int64 (&packer, message->version);
+      if (has_document)
+        pack_text (&packer, message->document);
+    }
+  struct str packed = str_dup (pool, str_view (buffer.data, buffer.size));
+  msgpack_sbuffer_destroy (&buffer);
+  return packed;
+}
+
+bool
+message_unpack (struct str data, apr_pool_t *pool, struct message *message)
+{
+  msgpack_unpacked unpacked;
+  size_t used = 0;
+  bool good = false;
+  memset (message, 0, sizeof *message);
+  msgpack_unpacked_init (&unpacked);
+  if (msgpack_unpack_next (&unpacked, data.data, data.size, &used)
+          == MSGPACK_UNPACK_SUCCESS
+      && unpacked.data.type == MSGPACK_OBJECT_ARRAY && used == data.size)
+    {
+      struct reader reader = { unpacked.data.via.array.ptr,
+                               unpacked.data.via.array.size, 0, true, pool };
+      read_message (&reader, message);
+      good = reader.good;
+    }
+  msgpack_unpacked_destroy (&unpacked);
+  return good;
+}
+
+const char *
+entry_state_name (int64_t state)
+{
+  return state == ENTRY_LEAVING ? "leaving" : "serving";
+}
+
+struct beat
+beat_copy (apr_pool_t *pool, const struct beat *beat)
+{
+  struct beat copy = *beat;
+  copy.name = str_dup (pool, beat->name);
+  copy.zone = str_dup (pool, beat->zone);
+  copy.region = str_dup (pool, beat->region);
+  copy.callers = str_dup (pool, beat->callers);
+  copy.operators = str_dup (pool, beat->operators);
+  copy.peers = str_dup (pool, beat->peers);
+  return copy;
+}
--- /dev/null
+++ b/src/peer/message.h
@@ -0,0 +1,62 @@
+/* Messages between entries, and their msgpack form.
+
+   Every message is a msgpack array whose first item is its type.  Later
+   items of an array that a reader does not know are ignored, so that items
+   can be added at the end.
+
+   Threads: pure functions; decoded strings are views into the input.  */
+#ifndef PEER_MESSAGE_H
+#define PEER_MESSAGE_H
+
+#include "base/str.h"
+
+#include <stdint.h>
+
+enum message_type
+{
+  MESSAGE_BEAT = 1, /* heartbeat of the sender */
+  MESSAGE_ACK,      /* answers a heartbeat on the same connection */
+  MESSAGE_FETCH,    /* asks for a configuration above a version */
+  MESSAGE_CONFIG    /* a whole configuration document */
+};
+
+enum entry_state
+{
+  ENTRY_SERVING = 1,
+  ENTRY_LEAVING /* serves on, but takes no part in look-up answers */
+};
+
+/* What an entry tells about itself.  */
+struct beat
+{
+  struct str name;
+  struct str zone;
+  struct str region;
+  struct str callers; /* listeners' addresses */
+  struct str operators;
+  struct str peers;
+  int64_t incarnation; /* grows at each start of the process */
+  int64_t state;       /* enum entry_state */
+  int64_t config_version;
+  int64_t in_flight; /* calls at upstreams */
+  int64_t queued;    /* calls waiting for a slot */
+};
+
+struct message
+{
+  int64_t type; /* enum message_type */
+  struct beat beat;
+  int64_t version;     /* FETCH: held; CONFIG, ACK: the sender's */
+  struct str document; /* CONFIG */
+};
+
+/* Encodes MESSAGE into POOL.  */
+struct str message_pack (const struct message *message, apr_pool_t *pool);
+/* Decodes DATA; the result's strings point into memory of POOL.  */
+bool message_unpack (struct str data, apr_pool_t *pool,
+                     struct message *message);
+/* Copies BEAT and its strings into POOL.  */
+struct beat beat_copy (apr_pool_t *pool, const struct beat *beat);
+const char *entry_state_name (int64_t state);
+
+#endif
--- /dev/null
+++ b/src/peer/peers.h
@@ -0,0 +1,56 @@
+/* The other entries: connections, heartbeats and configuration exchange.
+
+   Every entry dials every other whose address it knows (from settings, the
+   platform's list, or a heartbeat) and sends its heartbeat there; the other
+   acknowledges on the same connection.  A heartbeat carries the version of
+   the configuration in force; whoever hears of a higher one fetches it.
+
+   Call order: peers_create, peers_start; peers_learn for each address that
+   the platform names; peers_announce after any change worth telling at once.
+
+   Threads: the control loop's thread only.  */
+#ifndef PEER_PEERS_H
+#define PEER_PEERS_H
+
+#include "base/counter.h"
+#include "base/loop.h"
+#include "peer/roster.h"
+
+struct peers;
+
+/* What the exchange of configuration needs from its owner.  */
+struct peers_config
+{
+  int64_t (*version) (void *part);
+  struct str (*text) (void *part, apr_pool_t *pool);
+  void (*offer) (void *part, struct str text, const char *source);
+};
+
+struct peers_desc
+{
+  struct loop *loop;
+  struct counters *counters;
+  struct beat self; /* identity and addresses */
+  const unsigned char *key;
+  struct str_list seeds;
+  int64_t heartbeat_ms;
+  int64_t silent_ms;
+  struct peers_config config;
+  void (*load) (void *part, struct beat *beat); /* fills in_flight, queued */
+  void (*changed) (void *part, struct roster *roster); /* borrowed */
+  void *part; /* passed to all of the above */
+};
+
+enum err_code peers_create (apr_pool_t *pool, const struct peers_desc *desc,
+                            struct peers **result, struct err *err);
+enum err_code peers_start (struct peers *peers, struct err *err);
+void peers_destroy (struct peers *peers);
+/* Dials ADDRESS from now on.  */
+void peers_learn (struct peers *peers, struct str address);
+/* Sets the state told in heartbeats and tells it at once.  */
+void peers_set_state (struct peers *peers, enum entry_state state);
+/* Sends a heartbeat now.  */
+void peers_announce (struct peers *peers);
+const struct roster *peers_roster (const struct peers *peers);
+
+#endif
--- /dev/null
+++ b/src/steer/steer.c
@@ -0,0 +1,581 @@
+#include "steer/steer.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+/* types */
+
+/* States outlive configurations, so that tickets stay valid; `spec' is the
+   resource in the snapshot last applied, or NULL once that is gone.  */
+
+struct upstream_state
+{
+  const struct upstream *spec;
+  struct service_state *service;
+  struct region_state *region;
+  struct str name;
+  struct str address;
+  int64_t in_flight;
+  int64_t slots;        /* this entry's part */
+  double response_us;   /* moving average; 0 before the first answer */
+  apr_time_t seen_at;   /* of the last answer */
+  apr_time_t warm_from; /* the ramp starts here */
+  apr_time_t ejected_until;
+  int failures; /* in a row */
+  int leaving;
+  int64_t reported_percent;
+  apr_time_t reported_at;
+};
+
+struct service_state
+{
+  const struct service *spec;
+  struct upstream_state **upstreams;
+  size_t count;
+  int64_t in_flight;
+  int64_t in_flight_long;
+  int64_t cap; /* this entry's part; 0: none */
+  double service_us;
+};
+
+struct region_state
+{
+  const struct region *spec;
+  int64_t in_flight;
+  int64_t cap;
+  apr_time_t distance_us; /* there and back */
+};
+
+struct steer
+{
+  struct steer_desc desc;
+  apr_pool_t *pool;
+  apr_pool_t *lists; /* of the services' lists of upstreams */
+  struct snapshot *snapshot;
+  apr_hash_t *upstreams; /* states by name */
+  apr_hash_t *services;
+  apr_hash_t *regions;
+  size_t share_index;
+  size_t share_count;
+  uint64_t random;
+};
+
+/* constants */
+
+enum
+{
+  EJECT_AFTER_FAILURES = 3,
+  EJECT_FIRST_MS = 500,
+  EJECT_LONGEST_MS = 15000,
+  DISTANCE_DEFAULT_US = 20000
+};
+
+#define REPORT_VALID_US INT64_C (10000000)
+/* Age given to upstreams of the first configuration: they are not cold.  */
+#define WARM_ALREADY_US INT64_C (86400000000)
+
+/* Weight of a new response time in the moving average.  */
+static const double RESPONSE_GAIN = 0.3;
+/* The same for the average of a whole service.  */
+static const double SERVICE_GAIN = 0.05;
+/* A slow response time is forgotten with this half-life, so that an upstream
+   that has recovered is tried again.  */
+static const double FORGET_HALF_LIFE_US = 1e6;
+/* A refusal or failure counts as an answer this many times as slow.  */
+static const double FAILURE_PENALTY = 4.0;
+
+/* private functions */
+
+static uint64_t
+next_random (struct steer *steer)
+{
+  uint64_t x = steer->random;
+  x ^= x << 13;
+  x ^= x >> 7;
+  x ^= x << 17;
+  return steer->random = x;
+}
+
+static uint64_t
+salt_of (struct str name)
+{
+  return XXH3_64bits (name.data, name.size);
+}
+
+static int64_t
+weight_of (const struct service *service, const struct region *region,
+           int64_t *most)
+{
+  *most = 1;
+  if (!service->policy || service->policy->regions.count == 0)
+    return 1;
+  int64_t weight = 0;
+  const struct region_weight *w = service->policy->regions.items;
+  for (size_t i = 0; i < service->policy->regions.count; i++)
+    {
+      if (w[i].weight > *most)
+        *most = w[i].weight;
+      if (str_equal (w[i].region, region->head.name))
+        weight = w[i].weight;
+    }
+  return weight;
+}
+
+/* Returns this entry's part of UPSTREAM's slots under the policy.  */
+static int64_t
+slots_of (const struct steer *steer, const struct upstream *upstream)
+{
+  int64_t most;
+  int64_t weight
+      = weight_of (upstream->group->service, upstream->zone->region, &most);
+  int64_t slots = (upstream->group->slots * weight + most - 1) / most;
+  return steer_share_of (slots, steer->share_index, steer->share_count,
+                         salt_of (upstream->head.name));
+}
+
+static void *
+find (apr_hash_t *states, struct str name)
+{
+  return apr_hash_get (states, name.data, (apr_ssize_t)name.size);
+}
+
+/* Returns the state called NAME, a new one of SIZE zero bytes at need.  */
+static void *
+find_or_add (struct steer *steer, apr_hash_t *states, struct str name,
+             size_t size)
+{
+  void *state = find (states, name);
+  if (state)
+    return state;
+  state = apr_pcalloc (steer->pool, size);
+  struct str key = str_dup (steer->pool, name);
+  apr_hash_set (states, key.data, (apr_ssize_t)key.size, state);
+  return state;
+}
+
+static struct service_state *
+service_state (const struct steer *steer, const struct service *service)
+{
+  return find (steer->services, service->head.name);
+}
+
+static int64_t
+share_of (const struct steer *steer, int64_t cap, struct str name)
+{
+  return steer_share_of (cap, steer->share_index, steer->share_count,
+                         salt_of (name));
+}
+
+static void
+set_limits (struct steer *steer)
+{
+  SNAPSHOT_EACH (steer->snapshot, KIND_UPSTREAM, const struct upstream, u)
+  {
+    struct upstream_state *state = find (steer->upstreams, u->head.name);
+    state->slots = slots_of (steer, u);
+  }
+  SNAPSHOT_EACH (steer->snapshot, KIND_SERVICE, const struct service, s)
+  {
+    service_state (steer, s)->cap
+        = share_of (steer, s->call_cap, s->head.name);
+  }
+  SNAPSHOT_EACH (steer->snapshot, KIND_REGION, const struct region, r)
+  {
+    struct region_state *state = find (steer->regions, r->head.name);
+    state->cap = share_of (steer, r->call_cap, r->head.name);
+  }
+}
+
+static void
+forget_specs (struct steer *steer)
+{
+  void *state;
+  for (apr_hash_index_t *at = apr_hash_first (NULL, steer->upstreams); at;
+       at = apr_hash_next (at))
+    {
+      apr_hash_this (at, NULL, NULL, &state);
+      ((struct upstream_state *)state)->spec = NULL;
+    }
+}
+
+static void
+take_regions (struct steer *steer)
+{
+  const struct region *self
+      = snapshot_find (steer->snapshot, KIND_REGION, steer->desc.region);
+  SNAPSHOT_EACH (steer->snapshot, KIND_REGION, const struct region, r)
+  {
+    struct region_state *state
+        = find_or_add (steer, steer->regions, r->head.name, sizeof *state);
+    const struct link_spec *link
+        = self ? snapshot_link (steer->snapshot, self, r) : NULL;
+    state->spec = r;
+    if (r == self)
+      state->distance_us = 0;
+    else
+      state->distance_us
+          = link ? 2000 * link->latency_ms : DISTANCE_DEFAULT_US;
+  }
+}
+
+static void
+take_services (struct steer *steer)
+{
+  size_t most = steer->snapshot->lists[KIND_UPSTREAM].count;
+  SNAPSHOT_EACH (steer->snapshot, KIND_SERVICE, const struct service, s)
+  {
+    struct service_state *state
+        = find_or_add (steer, steer->services, s->head.name, sizeof *state);
+    state->spec = s;
+    state->count = 0;
+    state->upstreams = apr_palloc (steer->lists, (most + 1) * sizeof (void *));
+  }
+}
+
+static void
+take_upstreams (struct steer *steer, bool is_first, apr_time_t now)
+{
+  SNAPSHOT_EACH (steer->snapshot, KIND_UPSTREAM, const struct upstream, u)
+  {
+    struct upstream_state *state
+        = find_or_add (steer, steer->upstreams, u->head.name, sizeof *state);
+    struct service_state *service = service_state (steer, u->group->service);
+    if (!str_equal (state->address, u->address))
+      {
+        int64_t in_flight = state->in_flight;
+        memset (state, 0, sizeof *state);
+        state->in_flight = in_flight;
+        state->warm_from = is_first ? now - WARM_ALREADY_US : now;
+        state->reported_at = now - REPORT_VALID_US;
+        state->name = str_dup (steer->pool, u->head.name);
+        state->address = str_dup (steer->pool, u->address);
+      }
+    state->spec = u;
+    state->service = service;
+    state->region = find (steer->regions, u->zone->region->head.name);
+    service->upstreams[service->count++] = state;
+  }
+}
+
+/* Returns the calls that the upstream may have now: its slots, less while it
+   warms up, none while it leaves or is ejected.  */
+static int64_t
+limit_of (const struct upstream_state *state, apr_time_t now)
+{
+  if (state->leaving || now < state->ejected_until || !state->spec)
+    return 0;
+  int64_t ramp_us = state->spec->group->ramp_ms * 1000;
+  apr_time_t age = now - state->warm_from;
+  if (age >= ramp_us || state->slots == 0)
+    return state->slots;
+  int64_t limit = state->slots * age / ramp_us;
+  return limit > 0 ? limit : 1;
+}
+
+static int64_t
+total_limit (const struct service_state *service, apr_time_t now)
+{
+  int64_t slots = 0;
+  for (size_t i = 0; i < service->count; i++)
+    slots += limit_of (service->upstreams[i], now);
+  return slots;
+}
+
+static double
+expected_response (const struct service_state *service,
+                   const struct upstream_state *state, apr_time_t now)
+{
+  double usual = service->service_us > 0 ? service->service_us : 1000;
+  if (state->response_us <= 0)
+    return usual;
+  double half_lives = (double)(now - state->seen_at) / FORGET_HALF_LIFE_US;
+  double kept = half_lives > 30 ? 0 : 1.0 / (1.0 + half_lives * half_lives);
+  return usual + (state->response_us - usual) * kept;
+}
+
+/* Returns the cost of sending a call there; lower is better.  */
+static double
+cost_of (struct steer *steer, const struct upstream_state *state,
+         apr_time_t now)
+{
+  double cost = expected_response (state->service, state, now);
+  if (now - state->reported_at < REPORT_VALID_US
+      && state->reported_percent > 100)
+    cost *= (double)state->reported_percent / 100.0;
+  /* Spreads calls over upstreams that are alike.  */
+  cost *= 1.0 + 0.1 * (double)(next_random (steer) & 1023) / 1024.0;
+  return cost + (double)state->region->distance_us;
+}
+
+static bool
+is_excluded (const struct steer_request *request, struct str upstream)
+{
+  for (size_t i = 0; i < request->excluded_count; i++)
+    if (str_equal (request->excluded[i], upstream))
+      return true;
+  return false;
+}
+
+static bool
+long_slots_used (const struct service_state *service,
+                 const struct steer_request *request)
+{
+  if (request->call_class != CLASS_LONG)
+    return false;
+  int64_t limit = total_limit (service, request->now)
+                  * request->service->long_slots_percent / 100;
+  return service->in_flight_long >= (limit > 0 ? limit : 1);
+}
+
+static bool
+service_is_capped (const struct service_state *service)
+{
+  return service->spec->call_cap > 0 && service->in_flight >= service->cap;
+}
+
+static bool
+region_is_capped (const struct region_state *region)
+{
+  return region->spec->call_cap > 0 && region->in_flight >= region->cap;
+}
+
+/* Returns whether an upstream at DISTANCE is worth it while nearer ones are
+   full: only if waiting for those would take longer.  */
+static bool
+worth_spilling (const struct steer *steer, const struct service *service,
+                apr_time_t distance_us, apr_time_t now)
+{
+  if (service->policy && service->policy->spill == SPILL_NONE)
+    return false;
+  apr_time_t wait = steer_expected_wait (steer, service, 0, now);
+  return wait == 0 || wait >= distance_us;
+}
+
+static void
+eject (struct upstream_state *state, apr_time_t now)
+{
+  int doublings = state->failures - EJECT_AFTER_FAILURES;
+  int64_t ms = EJECT_FIRST_MS;
+  while (doublings-- > 0 && ms < EJECT_LONGEST_MS)
+    ms *= 2;
+  state->ejected_until = now + ms * 1000;
+}
+
+/* Takes one response time into the averages.  */
+static void
+learn (const struct steer_ticket *ticket, enum steer_result result,
+       apr_time_t elapsed_us, apr_time_t now)
+{
+  struct upstream_state *state = ticket->upstream;
+  struct service_state *service = ticket->service;
+  double before = expected_response (service, state, now);
+  double sample = (double)(elapsed_us - ticket->region->distance_us);
+  if (sample < 1)
+    sample = 1;
+  if (result != RESULT_ANSWERED)
+    sample = FAILURE_PENALTY * (sample > before ? sample : before);
+  else if (ticket->call_class == CLASS_LONG)
+    return;
+  state->response_us = state->response_us <= 0
+                           ? sample
+                           : before + RESPONSE_GAIN * (sample - before);
+  state->seen_at = now;
+  if (result != RESULT_ANSWERED)
+    return;
+  double gain = service->service_us > 0 ? SERVICE_GAIN : 1.0;
+  service->service_us += gain * (sample - service->service_us);
+}
+
+/* public functions */
+
+struct steer *
+steer_create (apr_pool_t *pool, const struct steer_desc *desc)
+{
+  struct steer *steer = apr_pcalloc (pool, sizeof *steer);
+  steer->pool = pool;
+  steer->desc = *desc;
+  steer->random = desc->seed ? desc->seed : 88172645463325252ULL;
+  steer->share_count = 1;
+  steer->upstreams = apr_hash_make (pool);
+  steer->services = apr_hash_make (pool);
+  steer->regions = apr_hash_make (pool);
+  return steer;
+}
+
+void
+steer_destroy (struct steer *steer)
+{
+  if (!steer)
+    return;
+  snapshot_unref (steer->snapshot);
+  if (steer->lists)
+    apr_pool_destroy (steer->lists);
+}
+
+void
+steer_apply (struct steer *steer, struct snapshot *snapshot, apr_time_t now)
+{
+  struct snapshot *old = steer->snapshot;
+  if (steer->lists)
+    apr_pool_destroy (steer->lists);
+  apr_pool_create (&steer->lists, steer->pool);
+  steer->snapshot = snapshot_ref (snapshot);
+  forget_specs (steer);
+  take_regions (steer);
+  take_services (steer);
+  take_upstreams (steer, old == NULL || old->version == 0, now);
+  set_limits (steer);
+  SNAPSHOT_EACH (snapshot, KIND_UPSTREAM, const struct upstream, u)
+  {
+    steer_set_leaving (steer, u->head.name, LEAVING_DRAIN, u->drained, now);
+  }
+  snapshot_unref (old);
+}
+
+void
+steer_set_share (struct steer *steer, size_t index, size_t count)
+{
+  steer->share_index = index;
+  steer->share_count = count > 0 ? count : 1;
+  if (steer->snapshot)
+    set_limits (steer);
+}
+
+struct steer_choice
+steer_choose (struct steer *steer, const struct steer_request *request)
+{
+  struct steer_choice choice = { STEER_NOWHERE, NULL };
+  struct service_state *service = service_state (steer, request->service);
+  apr_time_t now = request->now;
+  double best = 0;
+  double best_full = 0; /* of those without a free slot */
+  apr_time_t distance = 0;
+  bool capped = service_is_capped (service);
+  bool long_full = long_slots_used (service, request);
+  for (size_t i = 0; i < service->count; i++)
+    {
+      const struct upstream_state *u = service->upstreams[i];
+      int64_t limit = limit_of (u, now);
+      if (limit == 0 || is_excluded (request, u->name))
+        continue;
+      if (choice.verdict == STEER_NOWHERE)
+        choice.verdict = STEER_WAIT;
+      if (capped || region_is_capped (u->region))
+        {
+          if (choice.verdict != STEER_CHOSEN)
+            choice.verdict = STEER_CAPPED;
+          continue;
+        }
+      double cost = cost_of (steer, u, now);
+      bool full = long_full || u->in_flight >= limit;
+      if (full && (best_full == 0 || cost < best_full))
+        best_full = cost;
+      if (full || (choice.verdict == STEER_CHOSEN && cost >= best))
+        continue;
+      best = cost;
+      distance = u->region->distance_us;
+      choice.verdict = STEER_CHOSEN;
+      choice.upstream = u->spec;
+    }
+  if (choice.verdict == STEER_CHOSEN && best_full > 0 && distance > 0
+      && best > best_full
+      && !worth_spilling (steer, request->service, distance, now))
+    choice.verdict = STEER_WAIT;
+  return choice;
+}
+
+struct steer_ticket
+steer_begin (struct steer *steer, const struct upstream *upstream,
+             enum call_class call_class)
+{
+  struct upstream_state *state = find (steer->upstreams, upstream->head.name);
+  state->in_flight++;
+  state->region->in_flight++;
+  state->service->in_flight++;
+  if (call_class == CLASS_LONG)
+    state->service->in_flight_long++;
+  return (struct steer_ticket){ state, state->service, state->region,
+                                call_class };
+}
+
+void
+steer_end (struct steer *steer, struct steer_ticket *ticket,
+           enum steer_result result, apr_time_t elapsed_us, apr_time_t now)
+{
+  (void)steer;
+  struct upstream_state *state = ticket->upstream;
+  state->in_flight--;
+  ticket->region->in_flight--;
+  ticket->service->in_flight--;
+  if (ticket->call_class == CLASS_LONG)
+    ticket->service->in_flight_long--;
+  if (result != RESULT_CANCELLED)
+    learn (ticket, result, elapsed_us, now);
+  if (result == RESULT_FAILED && ++state->failures >= EJECT_AFTER_FAILURES)
+    eject (state, now);
+  if (result == RESULT_ANSWERED)
+    state->failures = 0;
+  ticket->upstream = NULL;
+}
+
+void
+steer_set_leaving (struct steer *steer, struct str upstream,
+                   enum leaving_source source, bool leaving, apr_time_t now)
+{
+  struct upstream_state *state = find (steer->upstreams, upstream);
+  if (!state)
+    return;
+  bool was_leaving = state->leaving != 0;
+  if (leaving)
+    state->leaving |= (int)source;
+  else
+    state->leaving &= ~(int)source;
+  if (was_leaving && !state->leaving)
+    state->warm_from = now;
+}
+
+void
+steer_report (struct steer *steer, struct str upstream, int64_t percent,
+              apr_time_t now)
+{
+  struct upstream_state *state = find (steer->upstreams, upstream);
+  if (!state)
+    return;
+  state->reported_percent = percent;
+  state->reported_at = now;
+}
+
+struct steer_view
+steer_query (const struct steer *steer, struct str upstream, apr_time_t now)
+{
+  const struct upstream_state *state = find (steer->upstreams, upstream);
+  if (!state)
+    return (struct steer_view){ 0 };
+  return (struct steer_view){
+    .in_flight = state->in_flight,
+    .limit = limit_of (state, now),
+    .response_us = (int64_t)state->response_us,
+    .leaving = state->leaving,
+    .ejected = now < state->ejected_until,
+  };
+}
+
+apr_time_t
+steer_expected_wait (const struct steer *steer, const struct service *service,
+                     size_t ahead, apr_time_t now)
+{
+  const struct service_state *state = service_state (steer, service);
+  int64_t slots = total_limit (state, now);
+  if (slots == 0)
+    return 0;
+  return (apr_time_t)(state->service_us * (double)(ahead + 1) / (double)slots);
+}
+
+int64_t
+steer_share_of (int64_t cap, size_t index, size_t count, uint64_t salt)
+{
+  int64_t n = (int64_t)count;
+  int64_t rest = cap % n;
+  int64_t place = (int64_t)((index + salt % count) % count);
+  return cap / n + (place < rest ? 1 : 0);
+}
--- /dev/null
+++ b/tests/standin/main.c
@@ -0,0 +1,105 @@
+#include "tests/standin/standin.h"
+
+#include <apr_general.h>
+#include <signal.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/signalfd.h>
+
+static const struct
+{
+  const char *name;
+  int (*run) (int argc, char **argv, apr_pool_t *pool);
+} roles[] = { { "platform", run_platform }, { "upstreams", run_upstreams },
+              { "rude", run_rude },         { "callers", run_callers },
+              { "load", run_load },         { NULL, NULL } };
+
+const char *
+option (int argc, char **argv, const char *name, const char *fallback)
+{
+  for (int i = 1; i + 1 < argc; i++)
+    if (strcmp (argv[i], name) == 0)
+      return argv[i + 1];
+  return fallback;
+}
+
+struct snapshot *
+load_resources (const char *path, apr_pool_t *pool)
+{
+  struct faults *faults = faults_create (pool);
+  json_object *file = field_parse_file (path, pool, faults);
+  struct snapshot *snapshot = snapshot_create (1);
+  json_object *list = NULL;
+  if (file)
+    json_object_object_get_ex (file, "resources", &list);
+  for (size_t i = 0; list && i < json_object_array_length (list); i++)
+    {
+      json_object *item = json_object_array_get_idx (list, i);
+      json_object *kind, *name, *spec;
+      if (json_object_object_get_ex (item, "kind", &kind)
+          && json_object_object_get_ex (item, "name", &name)
+          && json_object_object_get_ex (item, "spec", &spec))
+        snapshot_add (
+            snapshot,
+            resource_kind_of (str_from (json_object_get_string (kind))),
+            str_from (json_object_get_string (name)), 1, spec, faults);
+    }
+  json_object_put (file);
+  snapshot_finish (snapshot, faults);
+  for (size_t i = 0; i < faults_count (faults); i++)
+    fprintf (stderr, "%s: %s\n", faults_at (faults, i)->path.data,
+             faults_at (faults, i)->expected.data);
+  if (faults_count (faults) > 0)
+    exit (2);
+  return snapshot;
+}
+
+static void
+on_signal (void *part, int fd, int events)
+{
+  (void)fd;
+  (void)events;
+  loop_stop (part);
+}
+
+void
+stop_on_signal (struct loop *loop)
+{
+  sigset_t set;
+  sigemptyset (&set);
+  sigaddset (&set, SIGTERM);
+  sigaddset (&set, SIGINT);
+  sigprocmask (SIG_BLOCK, &set, NULL);
+  signal (SIGPIPE, SIG_IGN);
+  loop_watch (loop, signalfd (-1, &set, SFD_NONBLOCK), LOOP_READ, on_signal,
+              loop);
+}
+
+void
+fill_pattern (char *out, size_t size, uint64_t position, uint64_t seed)
+{
+  for (size_t i = 0; i < size; i++)
+    {
+      uint64_t x = (position + i) / 8 * 0x9E3779B97F4A7C15ULL ^ seed;
+      x ^= x >> 29;
+      out[i] = (char)(x >> 8 * ((position + i) % 8));
+    }
+}
+
+int
+main (int argc, char **argv)
+{
+  apr_pool_t *pool;
+  apr_initialize ();
+  if (sodium_init () < 0)
+    return 1;
+  curl_global_init (CURL_GLOBAL_DEFAULT);
+  apr_pool_create (&pool, NULL);
+  for (int i = 0; argc > 1 && roles[i].name; i++)
+    if (strcmp (argv[1], roles[i].name) == 0)
+      return roles[i].run (argc - 1, argv + 1, pool);
+  fputs ("usage: standin platform|upstreams|rude|callers|load ...\n", stderr);
+  return 2;
+}
