Unit and session tests, demo, set-up, fuzzers

Cause of the faults found while writing the sessions and mended here: - a request with two Host headers was served (RFC 9112 wants 400); - apply printed 'created' for batches that were refused; - a bad name hid all other faults of a batch; - with both regions drained look-ups answered nothing, though entries served; - a fresh entry had no retry budget, so its first safe calls were not repeated. Each has its lines in a golden session.

--- a/Makefile
+++ b/Makefile
@@ -34,9 +34,83 @@
 $(STANDIN): $(STANDIN_OBJECTS) $(OBJECTS)
 	$(CC) $(CFLAGS) $^ -o $@ $(LIBS)
 
+UNIT         = $(BUILD)/unit
+UNIT_SOURCES = $(sort $(wildcard tests/unit/*.c))
+UNIT_OBJECTS = $(UNIT_SOURCES:%.c=$(BUILD)/%.o)
+
+$(UNIT): $(UNIT_OBJECTS) $(OBJECTS)
+	$(CC) $(CFLAGS) $^ -o $@ $(LIBS) -lcunit
+
+# Tests and tools.
+
+setup:
+	@sh scripts/setup.sh
+
+check: setup
+	@$(MAKE) -s -j$$(nproc) $(BINARY) $(STANDIN) $(UNIT)
+	@BUILD=$(BUILD) bash tests/run.sh
+
+# The same tests under the address and undefined-behaviour sanitizers.
+check-sanitized: setup
+	@$(MAKE) -s check BUILD=build-sanitized \
+	  CFLAGS="-O1 -g -fsanitize=address,undefined -fno-sanitize-recover=all"
+
+demo: setup
+	@$(MAKE) -s -j$$(nproc) $(BINARY) $(STANDIN)
+	@BUILD=$(BUILD) bash demo/run.sh $(or $(DEPLOYMENT),pryce)
+
+lint:
+	@EXTRA_PACKAGES="clang-format clang-tidy" sh scripts/setup.sh
+	@sh scripts/lint.sh
+
+bench: bench-path
+
+bench-path: setup
+	@$(MAKE) -s -j$$(nproc) $(BINARY) $(STANDIN)
+	@BUILD=$(BUILD) bash bench/path.sh
+
+# Fuzzers need clang; FUZZ_SECONDS bounds each.
+FUZZ_SECONDS ?= 20
+FUZZERS = frame resource
+fuzz:
+	@EXTRA_PACKAGES="clang libclang-rt-14-dev" sh scripts/setup.sh
+	@mkdir -p build-fuzz
+	@for f in $(FUZZERS); do \
+	  clang -O1 -g -fsanitize=fuzzer,address,undefined \
+	    $(filter-out -MMD -MP,$(STANDARD)) tests/fuzz/$${f}_fuzz.c \
+	    $(filter src/base/% src/peer/% src/resource/%,$(SOURCES)) \
+	    -o build-fuzz/$$f $(LIBS) || exit 1; \
+	  mkdir -p build-fuzz/found-$$f; \
+	  build-fuzz/$$f -max_total_time=$(FUZZ_SECONDS) -max_len=16384 \
+	    -artifact_prefix=build-fuzz/ -print_final_stats=1 \
+	    build-fuzz/found-$$f tests/fuzz/corpus/$$f >build-fuzz/$$f.log 2>&1 \
+	    || { tail -40 build-fuzz/$$f.log; exit 1; }; \
+	  echo "fuzz: $$f: $$(sed -n 's/stat::number_of_executed_units: *//p' build-fuzz/$$f.log) runs, no crash"; \
+	done
+
+install: $(BINARY)
+	install -D -m 755 $(BINARY) $(DESTDIR)$(PREFIX)/bin/citroncleat
+	install -D -m 644 share/citroncleat.1 \
+	  $(DESTDIR)$(PREFIX)/share/man/man1/citroncleat.1
+	install -D -m 644 share/citroncleat.bash \
+	  $(DESTDIR)$(PREFIX)/share/bash-completion/completions/citroncleat
+
+help:
+	@echo "make             build build/citroncleat"
+	@echo "make demo        run a whole deployment and check its promises"
+	@echo "                 (DEPLOYMENT=holzgleis, DEMO_KEEP=1)"
+	@echo "make check       run all tests"
+	@echo "make check-sanitized  the same under ASan and UBSan"
+	@echo "make lint        clang-format and clang-tidy"
+	@echo "make bench       measure; 'figure' lines"
+	@echo "make fuzz        fuzz the decoders (FUZZ_SECONDS=N each)"
+	@echo "make install     DESTDIR= PREFIX=/usr/local"
+
 clean:
-	rm -rf $(BUILD)
+	rm -rf build build-sanitized build-fuzz
 
--include $(OBJECTS:.o=.d) $(MAIN:.o=.d) $(STANDIN_OBJECTS:.o=.d)
+-include $(OBJECTS:.o=.d) $(MAIN:.o=.d) $(STANDIN_OBJECTS:.o=.d) \
+         $(UNIT_OBJECTS:.o=.d)
 
-.PHONY: all clean
+.PHONY: all setup check check-sanitized demo lint bench bench-path fuzz \
+        install help clean
--- a/src/base/field.c
+++ b/src/base/field.c
@@ -48,8 +48,8 @@
 {
   if (!value)
     return STR ("null");
-  const char *text
-      = json_object_to_json_string_ext (value, JSON_C_TO_STRING_PLAIN);
+  const char *text = json_object_to_json_string_ext (
+      value, JSON_C_TO_STRING_PLAIN | JSON_C_TO_STRING_NOSLASHESCAPE);
   struct str s = str_from (text);
   if (s.size > FOUND_MAX_BYTES)
     s.size = FOUND_MAX_BYTES;
--- a/src/call/call.c
+++ b/src/call/call.c
@@ -20,7 +20,6 @@
 
 /* Every new call earns this many retries; a retry costs one.  */
 static const double RETRY_EARNED = 0.2;
-static const double RETRY_TOKENS_MAX = 20.0;
 
 /* private functions */
 
@@ -343,6 +342,16 @@
   return true;
 }
 
+/* A request with more than one Host, or none, is refused (RFC 9112).  */
+static bool
+has_one_host (const struct headers *headers)
+{
+  int hosts = 0;
+  for (size_t i = 0; i < headers->count; i++)
+    hosts += str_equal_nocase (headers->items[i].name, STR ("Host"));
+  return hosts == 1;
+}
+
 static bool
 is_good_method (struct str method)
 {
@@ -383,9 +392,8 @@
 {
   static const char *const classes[] = { "short", "long" };
   char labels[160];
-  struct call_counters *found
-      = apr_hash_get (context->service_counters, service.data,
-                      (apr_ssize_t)service.size);
+  struct call_counters *found = apr_hash_get (
+      context->service_counters, service.data, (apr_ssize_t)service.size);
   if (found)
     return found;
   found = apr_pcalloc (context->pool, sizeof *found);
@@ -399,16 +407,16 @@
           = counter_get (context->counters, "citroncleat_calls_total", labels,
                          "Calls ended, by outcome.");
     }
-  for (int class = 0; class < CLASS_COUNT; class++)
+  for (int class = 0; class < CLASS_COUNT; class ++)
     {
       snprintf (labels, sizeof labels, "service=\"%.*s\",class=\"%s\"",
                 STR_ARGS (service), classes[class]);
       found->dispatches[class]
           = counter_get (context->counters, "citroncleat_dispatches_total",
                          labels, "Attempts at upstreams.");
-      found->seconds[class] = histogram_get (
-          context->counters, "citroncleat_call_seconds", labels,
-          "Time from a call's head to its end.");
+      found->seconds[class]
+          = histogram_get (context->counters, "citroncleat_call_seconds",
+                           labels, "Time from a call's head to its end.");
     }
   struct str key = str_dup (context->pool, service);
   apr_hash_set (context->service_counters, key.data, (apr_ssize_t)key.size,
@@ -471,11 +479,12 @@
   take_id (call);
   take_body_size (call);
   context->retry_tokens += RETRY_EARNED;
-  if (context->retry_tokens > RETRY_TOKENS_MAX)
-    context->retry_tokens = RETRY_TOKENS_MAX;
-  if (!is_good_target (call->target) || !is_good_method (call->method))
+  if (context->retry_tokens > CALL_RETRY_TOKENS_MAX)
+    context->retry_tokens = CALL_RETRY_TOKENS_MAX;
+  if (!is_good_target (call->target) || !is_good_method (call->method)
+      || !has_one_host (&call->headers))
     refuse (call, HTTP_BAD_REQUEST, ERR_INVALID, "read head",
-            "the method or target is malformed");
+            "the method, target or Host is malformed");
   else
     take_service (call);
 }
--- a/src/call/call.h
+++ b/src/call/call.h
@@ -25,7 +25,8 @@
 
 enum
 {
-  CALL_ATTEMPTS_MAX = 4
+  CALL_ATTEMPTS_MAX = 4,
+  CALL_RETRY_TOKENS_MAX = 20 /* retries saved up at most */
 };
 
 /* The counters of one service, kept by the worker.  */
--- a/src/call/lookup.c
+++ b/src/call/lookup.c
@@ -22,10 +22,16 @@
 
 /* private functions */
 
+static bool
+is_serving (const struct roster_member *m)
+{
+  return m->alive && m->beat.state == ENTRY_SERVING;
+}
+
 static bool
 is_usable (const struct snapshot *snapshot, const struct roster_member *m)
 {
-  return m->alive && m->beat.state == ENTRY_SERVING
+  return is_serving (m)
          && !snapshot_drained (snapshot, DRAIN_ENTRY, m->beat.name)
          && !snapshot_drained (snapshot, DRAIN_ZONE, m->beat.zone)
          && !snapshot_drained (snapshot, DRAIN_REGION, m->beat.region);
@@ -100,10 +106,14 @@
   uint64_t seed = XXH3_64bits (request->caller.data, request->caller.size);
   if (request->service && request->service->policy)
     answer.lifetime_ms = request->service->policy->lookup_lifetime_ms;
+  bool any_usable = false;
+  for (size_t i = 0; i < roster->count; i++)
+    any_usable |= is_usable (snapshot, &roster->members[i]);
   for (size_t i = 0; i < roster->count; i++)
     {
       const struct roster_member *m = &roster->members[i];
-      if (!is_usable (snapshot, m))
+      /* A drained entry is better than none.  */
+      if (any_usable ? !is_usable (snapshot, m) : !is_serving (m))
         continue;
       struct candidate candidate
           = { &m->beat, distance (snapshot, request->region, m->beat.region),
--- a/src/call/lookup.h
+++ b/src/call/lookup.h
@@ -2,9 +2,10 @@
 
    An answer is a short ordered list of entries in at least two availability
    zones where the fleet allows it, and a lifetime for which the caller may
-   keep it.  Entries that are silent, leaving or drained are not in it.  Near
-   entries come first; among equally near ones the order is a stable hash of
-   the caller, so that callers spread and keep their entry.
+   keep it.  Entries that are silent or leaving are not in it, nor are drained
+   ones while others serve.  Near entries come first; among equally near ones
+   the order is a stable hash of the caller, so that callers spread and keep
+   their entry.
 
    Threads: pure functions.  */
 #ifndef CALL_LOOKUP_H
--- a/src/call/worker.c
+++ b/src/call/worker.c
@@ -446,6 +446,7 @@
   context->burn = desc->burn;
   context->pool = pool;
   context->service_counters = apr_hash_make (pool);
+  context->retry_tokens = CALL_RETRY_TOKENS_MAX;
   enum err_code code = loop_create (pool, &context->loop, err);
   if (code != ERR_NONE)
     return code;
--- a/src/client/commands.c
+++ b/src/client/commands.c
@@ -242,10 +242,7 @@
   if (current
       && json_object_equal (member (current, "spec"),
                             member (resource, "spec")))
-    {
-      printf ("%s/%s unchanged\n", resource_kinds[kind].kind, name);
-      return EXIT_DONE;
-    }
+    return EXIT_DONE;
   json_object *change = NULL;
   json_object_deep_copy (resource, &change, NULL);
   if (!member (resource, "version"))
@@ -253,11 +250,31 @@
         change, "version",
         json_object_new_int64 (client_number (current, "version")));
   json_object_array_add (changes, change);
-  printf ("%s/%s %s\n", resource_kinds[kind].kind, name,
-          current ? "changed" : "created");
   return EXIT_DONE;
 }
 
+/* Says of each resource of LIST whether it is in CHANGES.  */
+static void
+print_changed (json_object *list, json_object *changes)
+{
+  for (size_t i = 0; i < json_object_array_length (list); i++)
+    {
+      json_object *resource = json_object_array_get_idx (list, i);
+      const char *kind = client_text (resource, "kind");
+      const char *name = client_text (resource, "name");
+      const char *how = "unchanged";
+      for (size_t j = 0; j < json_object_array_length (changes); j++)
+        {
+          json_object *change = json_object_array_get_idx (changes, j);
+          if (strcmp (client_text (change, "kind"), kind) == 0
+              && strcmp (client_text (change, "name"), name) == 0)
+            how = client_number (change, "version") > 0 ? "changed"
+                                                        : "created";
+        }
+      printf ("%s/%s %s\n", kind, name, how);
+    }
+}
+
 static int
 apply_list (const struct client_options *options, json_object *list,
             const char *operation)
@@ -271,6 +288,8 @@
                          changes);
   if (status == EXIT_DONE && json_object_array_length (changes) > 0)
     status = send_changes (options, json_object_get (changes), operation);
+  if (status == EXIT_DONE && !options->as_json)
+    print_changed (list, changes);
   for (int kind = 0; kind < KIND_COUNT; kind++)
     json_object_put (lists[kind]);
   json_object_put (changes);
--- a/src/resource/document.c
+++ b/src/resource/document.c
@@ -145,9 +145,6 @@
   size_t before = faults_count (faults);
   for (size_t i = 0; i < count; i++)
     {
-      if (!field_is_name (changes[i].name))
-        faults_add (faults, STR ("name"), changes[i].name,
-                    "a name of 1 to 63 letters, digits, '-', '_' or '.'");
       for (size_t j = 0; j < i; j++)
         if (changes[i].kind == changes[j].kind
             && str_equal (changes[i].name, changes[j].name))
@@ -240,9 +237,8 @@
                  struct document **next, struct change_conflict *conflict,
                  struct faults *faults)
 {
-  if (!check_changes (changes, count, faults))
-    return ERR_INVALID;
-  if (find_conflict (document, changes, count, conflict))
+  bool well_formed = check_changes (changes, count, faults);
+  if (well_formed && find_conflict (document, changes, count, conflict))
     return ERR_CONFLICT;
   json_object *root = NULL;
   if (json_object_deep_copy (document->root, &root, NULL) != 0)
--- a/src/resource/resource.c
+++ b/src/resource/resource.c
@@ -215,7 +215,7 @@
   void *found = snapshot_find (r->snapshot, kind, name);
   if (!found)
     fault_at (r, field, name,
-              str_format (r->snapshot->pool, "the name of a %s",
+              str_format (r->snapshot->pool, "the name of an existing %s",
                           resource_kinds[kind].kind));
   return found;
 }
--- /dev/null
+++ b/tests/fuzz/resource_fuzz.c
@@ -0,0 +1,32 @@
+/* Feeds arbitrary text to the validation of stored documents; whatever is
+   accepted must be accepted again after it was written out.  */
+#include "resource/document.h"
+
+#include <apr_general.h>
+#include <stdlib.h>
+
+int LLVMFuzzerTestOneInput (const uint8_t *data, size_t size);
+
+int
+LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
+{
+  static apr_pool_t *pool;
+  if (!pool)
+    {
+      apr_initialize ();
+      apr_pool_create (&pool, NULL);
+    }
+  struct document *document = document_parse (
+      str_view ((const char *)data, size), faults_create (pool));
+  if (document)
+    {
+      struct str text = document_text (document, pool);
+      struct document *again = document_parse (text, faults_create (pool));
+      if (!again || again->version != document->version)
+        abort ();
+      document_destroy (again);
+    }
+  document_destroy (document);
+  apr_pool_clear (pool);
+  return 0;
+}
--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -37,3 +37,9 @@
 }
 
 client () { "$BUILD/citroncleat" "$@"; }
+
+# all_alive N: N entries serve, as the first one sees it.
+all_alive () { [ "$(client status | grep -c ' serving ')" = "$1" ]; }
+
+# in_force: every entry has the version that the first one has.
+in_force () { client status >"$WORK/status.txt" && ! grep -q '^behind' "$WORK/status.txt"; }
--- /dev/null
+++ b/tests/session/caller.sh
@@ -0,0 +1,39 @@
+# A caller's session: look-ups, calls, and every kind of refusal.
+. tests/session/deployment.sh
+start_platform
+start_upstreams
+start_entries
+client apply -f tests/session/resources.json >/dev/null
+wait_for 5 in_force
+wait_for 5 curl -sf -o /dev/null -H 'Host: shop.example' http://127.23.0.1:7600/
+
+lookup () {
+  echo "> lookup $1"
+  curl -s -m 5 "http://127.23.0.1:7600/.well-known/citroncleat/lookup?$1"
+  echo
+}
+lookup 'service=shop&region=north&caller=a'
+lookup 'service=shop&region=south&caller=a'
+lookup 'service=none'
+call GET /orders/1
+call GET '/orders/1?a=%2F&b=c+d'
+call HEAD /orders/1
+call POST /jobs -d 'hem and fall'
+call POST /jobs -H 'Transfer-Encoding: chunked' -d 'in chunks'
+call PUT /orders/1 -H 'Content-Length: 0'
+call GET /orders/1 -H 'Request-Id: my-own-id'
+HOST=none.example call GET /orders/1
+call GET /orders/1 -H 'Host: other.example'
+head -c 1000001 /dev/zero >"$WORK/large"
+call POST /photos -H 'Expect:' --data-binary "@$WORK/large"
+call POST /photos -H 'Expect:' -H 'Transfer-Encoding: chunked' --data-binary "@$WORK/large"
+call GET /slow -H 'X-Service-Ms: 2000' -H 'Request-Timeout-Ms: 200'
+call DELETE /.well-known/citroncleat/lookup
+call GET /.well-known/citroncleat/health
+echo "# every upstream drained"
+client drain region north >/dev/null
+client drain region south >/dev/null
+wait_for 5 in_force
+sleep 0.2
+call GET /orders/1
+lookup 'service=shop&region=north&caller=a'
--- /dev/null
+++ b/tests/session/outcome.sh
@@ -0,0 +1,52 @@
+# What a caller is told when an upstream breaks its protocol, and how often
+# the job then ran.
+. tests/session/deployment.sh
+start_platform
+start rude "$BUILD/standin" rude --listen 127.33.9.1:9000
+cat >"$WORK/rude.json" <<EOF
+{ "resources": [
+  { "kind": "region", "name": "north", "spec": {} },
+  { "kind": "zone", "name": "north-a", "spec": { "region": "north" } },
+  { "kind": "service", "name": "shop", "spec": { "hosts": ["shop.example"], "deadline_ms": 1000 } },
+  { "kind": "upstream-group", "name": "rude", "spec": { "service": "shop", "zone": "north-a", "slots": 9, "connections": 9 } },
+  { "kind": "upstream", "name": "rude-1", "spec": { "group": "rude", "address": "127.33.9.1:9000" } },
+  { "kind": "service", "name": "fresh", "spec": { "hosts": ["fresh.example"], "answer_check": "new-connection" } },
+  { "kind": "upstream-group", "name": "gone", "spec": { "service": "fresh", "zone": "north-a", "slots": 9, "connections": 9 } },
+  { "kind": "upstream", "name": "gone-1", "spec": { "group": "gone", "address": "127.33.9.2:9000" } }
+] }
+EOF
+start_entry 1 north-a north
+wait_for 5 client apply -f "$WORK/rude.json"
+wait_for 5 curl -sf -o /dev/null -H 'Host: shop.example' -H 'X-Caller-Token: warm' http://127.23.0.1:7600/
+
+runs () {
+  echo "runs of $1: $(curl -s -H 'Request-Id: r' "http://127.33.9.1:9000/_runs/$1" | sed 's/.*token":"\([0-9]*\)".*/\1/')"
+}
+echo "# the kept connection is closed after the request was read: a job is not sent again"
+TOKEN=job1 call POST /jobs -H 'X-Fault: close' -d x
+runs job1
+echo "# a safe call is sent again, within bounds"
+TOKEN=get1 call GET /orders -H 'X-Fault: close'
+runs get1
+sleep 1
+echo "# an answer sent twice is not taken for the next call's"
+TOKEN=job2 call POST /jobs -H 'X-Fault: twice' -d x
+for i in 3 4 5; do
+  TOKEN=job$i call POST /jobs -d x
+  runs job$i
+  sleep 0.03
+done
+echo "# the answer of the call before is refused"
+TOKEN=job6 call POST /jobs -H 'X-Fault: crossed' -d x
+runs job6
+echo "# a late answer reaches nobody"
+TOKEN=job7 call POST /jobs -H 'X-Fault: late' -d x
+TOKEN=job8 call POST /jobs -d x
+runs job7
+sleep 1
+echo "# half an answer is not passed on as whole"
+curl -s -i -m 5 -H 'Host: shop.example' -H 'X-Caller-Token: job9' -H 'X-Fault: half' -X POST -d x \
+  http://127.23.0.1:7600/jobs | tr -d '\r' | normalise
+echo "curl exit ${PIPESTATUS[0]}"
+echo "# nothing listens there: not run"
+HOST=fresh.example call POST /jobs -d x
--- /dev/null
+++ b/tests/unit/base_test.c
@@ -0,0 +1,219 @@
+#include "base/counter.h"
+#include "base/field.h"
+#include "base/net.h"
+#include "base/timer.h"
+#include "tests/unit/unit.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+static void
+test_addresses (void)
+{
+  static const struct
+  {
+    const char *text;
+    bool good;
+    int port;
+  } cases[] = {
+    { "127.0.0.1:80", true, 80 },  { "[::1]:65535", true, 65535 },
+    { "127.0.0.1:0", false, 0 },   { "127.0.0.1:65536", false, 0 },
+    { "127.0.0.1", false, 0 },     { "localhost:80", false, 0 },
+    { "[::1:80", false, 0 },       { "::1:80", false, 0 },
+    { "256.0.0.1:80", false, 0 },  { "127.0.0.1:80x", false, 0 },
+    { "127.0.0.1: 80", false, 0 }, { ":80", false, 0 },
+  };
+  for (size_t i = 0; i < COUNT (cases); i++)
+    {
+      struct str host;
+      int port = 0;
+      bool good = net_split_address (str_from (cases[i].text), &host, &port);
+      CU_ASSERT_EQUAL (good, cases[i].good);
+      if (good)
+        CU_ASSERT_EQUAL (port, cases[i].port);
+    }
+}
+
+static void
+test_distance (void)
+{
+  static const struct
+  {
+    const char *a, *b;
+    size_t edits;
+  } cases[] = { { "", "", 0 },
+                { "zone", "zoned", 1 },
+                { "hosts", "host", 1 },
+                { "kitten", "sitting", 3 },
+                { "", "abc", 3 } };
+  for (size_t i = 0; i < COUNT (cases); i++)
+    CU_ASSERT_EQUAL (
+        str_distance (str_from (cases[i].a), str_from (cases[i].b)),
+        cases[i].edits);
+}
+
+struct sample
+{
+  struct str name;
+  int64_t number;
+  bool flag;
+  int choice;
+  struct str_list list;
+};
+
+static const char *const colours[] = { "red", "green", NULL };
+
+static const struct field sample_fields[]
+    = { { .name = "name",
+          .type = FIELD_NAME,
+          FIELD_AT (sample, name),
+          .required = true },
+        FIELD_NUMBER (sample, number, 1, 10, 5, "apples"),
+        { .name = "flag", .type = FIELD_BOOL, FIELD_AT (sample, flag) },
+        { .name = "choice",
+          .type = FIELD_CHOICE,
+          FIELD_AT (sample, choice),
+          .choices = colours },
+        { .name = "list", .type = FIELD_NAME_LIST, FIELD_AT (sample, list) },
+        { 0 } };
+
+static void
+test_fields (void)
+{
+  static const struct
+  {
+    const char *json;
+    size_t faults;
+    const char *path; /* of the first fault */
+  } cases[] = {
+    { "{\"name\":\"a\"}", 0, NULL },
+    { "{\"name\":\"a\",\"number\":10,\"choice\":\"green\"}", 0, NULL },
+    { "{}", 1, "x.name" },
+    { "[]", 1, "x" },
+    { "null", 1, "x" },
+    { "{\"name\":\"a b\"}", 1, "x.name" },
+    { "{\"name\":\"\"}", 1, "x.name" },
+    { "{\"name\":\"a\\u0000b\"}", 1, "x.name" },
+    { "{\"name\":7,\"number\":0}", 2, "x.name" },
+    { "{\"name\":\"a\",\"number\":11}", 1, "x.number" },
+    { "{\"name\":\"a\",\"number\":1.5}", 1, "x.number" },
+    { "{\"name\":\"a\",\"number\":\"5\"}", 1, "x.number" },
+    { "{\"name\":\"a\",\"number\":99999999999999999999}", 1, "x.number" },
+    { "{\"name\":\"a\",\"flag\":1}", 1, "x.flag" },
+    { "{\"name\":\"a\",\"choice\":\"blue\"}", 1, "x.choice" },
+    { "{\"name\":\"a\",\"list\":[\"b\",\"c d\",3]}", 2, "x.list[1]" },
+    { "{\"name\":\"a\",\"numbr\":3,\"q\":1}", 2, "x.numbr" },
+  };
+  for (size_t i = 0; i < COUNT (cases); i++)
+    {
+      struct sample sample = { 0 };
+      struct faults *faults = faults_create (test_pool);
+      json_object *object = json_tokener_parse (cases[i].json);
+      field_read (sample_fields, object, STR ("x"), &sample, test_pool,
+                  faults);
+      json_object_put (object);
+      CU_ASSERT_EQUAL (faults_count (faults), cases[i].faults);
+      if (cases[i].path && faults_count (faults) > 0)
+        CU_ASSERT_STRING_EQUAL (faults_at (faults, 0)->path.data,
+                                cases[i].path);
+      if (cases[i].faults == 0)
+        CU_ASSERT (sample.number == 5 || sample.number == 10);
+    }
+}
+
+static void
+test_parse (void)
+{
+  static const struct
+  {
+    const char *text;
+    bool good;
+    const char *path;
+  } cases[] = {
+    { "{ /* a */ \"a\": 1 // b\n}\n", true, NULL },
+    { "7", true, NULL },
+    { "{\n\n\"a\" 1 }", false, "f:3" },
+    { "{\"a\": 1", false, "f:1" },
+    { "{} {}", false, "f:1" },
+    { "", false, "f" },
+  };
+  for (size_t i = 0; i < COUNT (cases); i++)
+    {
+      struct faults *faults = faults_create (test_pool);
+      json_object *object = field_parse (cases[i].text, strlen (cases[i].text),
+                                         STR ("f"), faults);
+      CU_ASSERT_EQUAL (object != NULL, cases[i].good);
+      CU_ASSERT_EQUAL (faults_count (faults) == 0, cases[i].good);
+      if (!cases[i].good)
+        CU_ASSERT_STRING_EQUAL (faults_at (faults, 0)->path.data,
+                                cases[i].path);
+      json_object_put (object);
+    }
+}
+
+static apr_time_t fired[256];
+static size_t fired_count;
+
+static void
+on_fire (void *subscriber, apr_time_t now)
+{
+  (void)now;
+  fired[fired_count++] = ((struct timer *)subscriber)->due;
+}
+
+static void
+test_timers (void)
+{
+  enum
+  {
+    TIMERS = 200
+  };
+  struct timer timers[TIMERS] = { 0 };
+  struct timer_service *service = timer_service_create (test_pool);
+  fired_count = 0;
+  srand (7);
+  for (int i = 0; i < TIMERS; i++)
+    timer_start (service, &timers[i], rand () % 1000, on_fire, &timers[i]);
+  for (int i = 0; i < TIMERS; i += 3)
+    timer_stop (service, &timers[i]);
+  for (int i = 1; i < TIMERS; i += 3)
+    timer_start (service, &timers[i], rand () % 1000, on_fire, &timers[i]);
+  timer_service_run (service, 500);
+  for (size_t i = 0; i < fired_count; i++)
+    CU_ASSERT (fired[i] <= 500);
+  CU_ASSERT (timer_service_next (service) > 500);
+  timer_service_run (service, 1000);
+  CU_ASSERT_EQUAL (fired_count, TIMERS - (TIMERS + 2) / 3);
+  for (size_t i = 1; i < fired_count; i++)
+    CU_ASSERT (fired[i - 1] <= fired[i]);
+  CU_ASSERT_EQUAL (timer_service_next (service), -1);
+  timer_service_destroy (service);
+}
+
+static void
+test_counters (void)
+{
+  struct counters *counters = counters_create (test_pool);
+  struct counter *a = counter_get (counters, "b_total", "k=\"1\"", "B.");
+  struct counter *b = counter_get (counters, "b_total", "k=\"2\"", "B.");
+  CU_ASSERT (a != b);
+  CU_ASSERT (a == counter_get (counters, "b_total", "k=\"1\"", "B."));
+  counter_add (a, 3);
+  counter_set (gauge_get (counters, "a", "", "A."), 9);
+  histogram_add (histogram_get (counters, "c_seconds", "", "C."), 1500);
+  const char *text = counters_render (counters, test_pool).data;
+  CU_ASSERT (strstr (text, "# HELP a A.\n# TYPE a gauge\na 9\n") == text);
+  CU_ASSERT_PTR_NOT_NULL (strstr (text, "b_total{k=\"1\"} 3\n"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (text, "b_total{k=\"2\"} 0\n"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (text, "c_seconds_bucket{le=\"0.002\"} 1\n"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (text, "c_seconds_bucket{le=\"0.001\"} 0\n"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (text, "c_seconds_count{} 1\n"));
+}
+
+const struct unit_test base_tests[] = { { "addresses", test_addresses },
+                                        { "distance", test_distance },
+                                        { "fields", test_fields },
+                                        { "parse", test_parse },
+                                        { "timers", test_timers },
+                                        { "counters", test_counters },
+                                        { NULL, NULL } };
--- /dev/null
+++ b/tests/unit/burn_test.c
@@ -0,0 +1,54 @@
+#include "base/timer.h"
+#include "burn/burn.h"
+#include "tests/unit/fixture.h"
+#include "tests/unit/unit.h"
+
+#include <string.h>
+
+static double
+rate_of (json_object *report, int64_t window_s)
+{
+  for (size_t i = 0; i < json_object_array_length (report); i++)
+    {
+      json_object *row = json_object_array_get_idx (report, i);
+      json_object *window, *rate;
+      json_object_object_get_ex (row, "window_s", &window);
+      json_object_object_get_ex (row, "burn_rate", &rate);
+      if (json_object_get_int64 (window) == window_s)
+        return json_object_get_double (rate);
+    }
+  return -1;
+}
+
+/* With 1 of 1000 calls allowed to be bad: 10 bad calls of 1000 in the last
+   five minutes burn at 10; older calls count in longer windows only.  */
+static void
+test_rates (void)
+{
+  struct burn_ledger *ledger = burn_create (test_pool);
+  struct snapshot *snapshot = fixture_shop (1, 1, "");
+  apr_time_t now = TIMER_SEC (100000);
+  for (int i = 0; i < 1000; i++)
+    burn_record (ledger, STR ("shop"), STR ("north"), BURN_GOOD,
+                 now - TIMER_SEC (1800));
+  for (int i = 0; i < 1000; i++)
+    burn_record (ledger, STR ("shop"), STR ("north"),
+                 i < 10 ? BURN_SLOW : BURN_GOOD, now);
+  json_object *counts = burn_counts (ledger, now);
+  json_object *total = json_object_new_array ();
+  burn_merge (total, counts);
+  json_object *report = burn_report (total, snapshot);
+  CU_ASSERT_DOUBLE_EQUAL (rate_of (report, 300), 10.0, 0.01);
+  CU_ASSERT_DOUBLE_EQUAL (rate_of (report, 3600), 5.0, 0.01);
+  json_object_put (report);
+  burn_merge (total, counts);
+  report = burn_report (total, snapshot);
+  CU_ASSERT_DOUBLE_EQUAL (rate_of (report, 300), 10.0, 0.01);
+  json_object_put (report);
+  json_object_put (total);
+  json_object_put (counts);
+  snapshot_unref (snapshot);
+}
+
+const struct unit_test burn_tests[]
+    = { { "rates", test_rates }, { NULL, NULL } };
--- /dev/null
+++ b/tests/unit/call_test.c
@@ -0,0 +1,180 @@
+#include "call/body.h"
+#include "call/headers.h"
+#include "call/lookup.h"
+#include "call/queue.h"
+#include "tests/unit/fixture.h"
+#include "tests/unit/unit.h"
+
+#include <string.h>
+
+static void
+test_body (void)
+{
+  struct body body;
+  char out[64];
+  body_init (&body, 16);
+  CU_ASSERT_EQUAL (body_write (&body, "0123456789", 10), 10);
+  CU_ASSERT_EQUAL (body_read (&body, out, 4), 4);
+  CU_ASSERT_TRUE (body_rewind (&body));
+  CU_ASSERT_EQUAL (body_unread (&body), 10);
+  CU_ASSERT_EQUAL (body_read (&body, out, 8), 8);
+  /* More than fits beside the read bytes drops them.  */
+  CU_ASSERT_EQUAL (body_write (&body, "abcdefghijklmnop", 16), 14);
+  CU_ASSERT_EQUAL (body_space (&body), 0);
+  CU_ASSERT_FALSE (body_rewind (&body));
+  CU_ASSERT_EQUAL (body_read (&body, out, 64), 16);
+  CU_ASSERT (memcmp (out, "89abcdefghijklmn", 16) == 0);
+  CU_ASSERT_EQUAL (body_read (&body, out, 64), 0);
+  body_free (&body);
+}
+
+static void
+test_hop_by_hop (void)
+{
+  static const struct
+  {
+    const char *name;
+    bool hop;
+  } cases[] = { { "Connection", true },
+                { "keep-alive", true },
+                { "X-Secret", true },
+                { "x-other", true },
+                { "X-Secrets", false },
+                { "Content-Type", false },
+                { "TE", true },
+                { "Transfer-Encoding", true },
+                { "Upgrade", true },
+                { "Trailer", true },
+                { "Authorization", false } };
+  struct headers headers;
+  headers_init (&headers, test_pool);
+  CU_ASSERT_TRUE (
+      headers_add_line (&headers, STR ("Connection: close , X-Secret\r\n")));
+  CU_ASSERT_TRUE (headers_add_line (&headers, STR ("connection:x-other")));
+  CU_ASSERT_TRUE (headers_add_line (&headers, STR ("X-Empty:\r\n")));
+  CU_ASSERT_FALSE (headers_add_line (&headers, STR ("no colon")));
+  CU_ASSERT_FALSE (headers_add_line (&headers, STR (": no name")));
+  CU_ASSERT_EQUAL (headers_get (&headers, "x-empty").size, 0);
+  for (size_t i = 0; i < COUNT (cases); i++)
+    CU_ASSERT_EQUAL (
+        headers_is_hop_by_hop (&headers, str_from (cases[i].name)),
+        cases[i].hop);
+}
+
+struct waiting
+{
+  struct queue_item item;
+  const char *name;
+};
+
+struct placing
+{
+  struct queue *queue;
+  int free_slots;
+  char order[64];
+};
+
+static bool
+place (void *part, void *call)
+{
+  struct placing *placing = part;
+  struct waiting *waiting = call;
+  if (placing->free_slots == 0)
+    return false;
+  placing->free_slots--;
+  strcat (placing->order, waiting->name);
+  queue_remove (placing->queue, &waiting->item);
+  return true;
+}
+
+/* Calls are taken in order, short ones before long ones.  */
+static void
+test_queue (void)
+{
+  struct waiting w[] = { { { 0 }, "A" },
+                         { { 0 }, "b" },
+                         { { 0 }, "c" },
+                         { { 0 }, "D" },
+                         { { 0 }, "e" } };
+  struct placing placing = { queue_create (test_pool), 3, "" };
+  for (size_t i = 0; i < COUNT (w); i++)
+    queue_add (placing.queue, STR ("s"),
+               w[i].name[0] < 'a' ? CLASS_LONG : CLASS_SHORT, &w[i].item,
+               &w[i]);
+  queue_remove (placing.queue, &w[2].item);
+  queue_remove (placing.queue, &w[2].item);
+  CU_ASSERT_EQUAL (queue_length (placing.queue), 4);
+  CU_ASSERT_EQUAL (queue_line_length (placing.queue, STR ("s"), CLASS_LONG),
+                   2);
+  queue_offer (placing.queue, place, &placing);
+  CU_ASSERT_STRING_EQUAL (placing.order, "beA");
+  placing.free_slots = 9;
+  queue_offer (placing.queue, place, &placing);
+  CU_ASSERT_STRING_EQUAL (placing.order, "beAD");
+  CU_ASSERT_EQUAL (queue_length (placing.queue), 0);
+}
+
+static struct roster *
+make_roster (const char *states)
+{
+  static const char *const zones[] = { "north-a", "north-b", "south-a" };
+  static const char *const regions[] = { "north", "north", "south" };
+  struct roster_member members[9] = { 0 };
+  size_t n = strlen (states);
+  for (size_t i = 0; i < n; i++)
+    members[i] = (struct roster_member){
+      .beat = { .name = str_printf (test_pool, "e%zu", i),
+                .zone = str_from (zones[i % 3]),
+                .region = str_from (regions[i % 3]),
+                .state = states[i] == 'l' ? ENTRY_LEAVING : ENTRY_SERVING },
+      .alive = states[i] != 'd'
+    };
+  return roster_create (members, n);
+}
+
+static void
+test_lookup (void)
+{
+  static const struct
+  {
+    const char *states; /* s: serving, l: leaving, d: dead */
+    const char *region;
+    size_t count;
+    const char *first_region; /* NULL: not checked */
+  } cases[] = {
+    { "sssssssss", "north", 4, "north" }, { "sssssssss", "south", 4, "south" },
+    { "ldl", "north", 0, NULL },          { "dds", "north", 1, "south" },
+    { "lsd", "north", 1, "north" },       { "", "north", 0, NULL },
+  };
+  struct snapshot *snapshot = fixture_shop (1, 1, "");
+  for (size_t i = 0; i < COUNT (cases); i++)
+    for (int caller = 0; caller < 20; caller++)
+      {
+        struct roster *roster = make_roster (cases[i].states);
+        struct lookup_request request
+            = { NULL, str_from (cases[i].region),
+                str_printf (test_pool, "c%d", caller) };
+        struct lookup_answer answer = lookup_find (snapshot, roster, &request);
+        struct lookup_answer again = lookup_find (snapshot, roster, &request);
+        CU_ASSERT_EQUAL (answer.count, cases[i].count);
+        for (size_t e = 0; e < answer.count; e++)
+          {
+            CU_ASSERT_EQUAL (answer.entries[e]->state, ENTRY_SERVING);
+            CU_ASSERT (answer.entries[e] == again.entries[e]);
+          }
+        if (cases[i].first_region && answer.count > 0)
+          CU_ASSERT (str_equal (answer.entries[0]->region,
+                                str_from (cases[i].first_region)));
+        if (answer.count > 1)
+          CU_ASSERT_FALSE (
+              str_equal (answer.entries[0]->zone, answer.entries[1]->zone));
+        roster_unref (roster);
+      }
+  snapshot_unref (snapshot);
+}
+
+const struct unit_test call_tests[] = { { "body", test_body },
+                                        { "hop by hop", test_hop_by_hop },
+                                        { "queue", test_queue },
+                                        { "lookup", test_lookup },
+                                        { NULL, NULL } };
--- /dev/null
+++ b/tests/unit/peer_test.c
@@ -0,0 +1,166 @@
+#include "peer/frame.h"
+#include "peer/message.h"
+#include "peer/roster.h"
+#include "tests/unit/unit.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+static unsigned char key[FRAME_KEY_BYTES] = { 1, 2, 3 };
+
+static void
+open_pair (struct frame_cipher *dialer, struct frame_cipher *acceptor,
+           const unsigned char *acceptor_key)
+{
+  unsigned char a[FRAME_PREAMBLE_BYTES];
+  unsigned char b[FRAME_PREAMBLE_BYTES];
+  frame_preamble_make (a);
+  frame_preamble_make (b);
+  CU_ASSERT_TRUE (frame_cipher_start (dialer, key, a, b, true));
+  CU_ASSERT_TRUE (frame_cipher_start (acceptor, acceptor_key, b, a, false));
+  CU_ASSERT_FALSE (frame_cipher_start (dialer, key, a, a, true));
+  CU_ASSERT_TRUE (frame_cipher_start (dialer, key, a, b, true));
+  b[0] ^= 1;
+  struct frame_cipher other;
+  CU_ASSERT_FALSE (frame_cipher_start (&other, key, a, b, true));
+}
+
+static void
+test_frames (void)
+{
+  static const size_t sizes[] = { 0, 1, 17, 1000, 70000 };
+  struct frame_cipher dialer, acceptor;
+  open_pair (&dialer, &acceptor, key);
+  for (size_t i = 0; i < COUNT (sizes); i++)
+    {
+      unsigned char *text = calloc (1, sizes[i] + 1);
+      unsigned char *sealed = malloc (frame_size (sizes[i]));
+      struct str payload;
+      size_t used = 0;
+      memset (text, (int)i + 1, sizes[i]);
+      frame_seal (&dialer, str_view ((char *)text, sizes[i]), sealed);
+      CU_ASSERT_EQUAL (frame_open (&acceptor, sealed,
+                                   frame_size (sizes[i]) - 1, &payload, &used),
+                       FRAME_PARTIAL);
+      CU_ASSERT_EQUAL (frame_open (&acceptor, sealed, frame_size (sizes[i]),
+                                   &payload, &used),
+                       FRAME_WHOLE);
+      CU_ASSERT (str_equal (payload, str_view ((char *)text, sizes[i])));
+      free (text);
+      free (sealed);
+    }
+}
+
+static void
+test_forged_frames (void)
+{
+  enum
+  {
+    REPLAYED,
+    FLIPPED,
+    HUGE_LENGTH,
+    SHORT_LENGTH,
+    OTHER_KEY,
+    REFLECTED,
+    CASES
+  };
+  for (int c = 0; c < CASES; c++)
+    {
+      unsigned char other_key[FRAME_KEY_BYTES] = { 9 };
+      struct frame_cipher dialer, acceptor;
+      unsigned char sealed[64], again[64];
+      struct str payload;
+      size_t used;
+      open_pair (&dialer, &acceptor, c == OTHER_KEY ? other_key : key);
+      frame_seal (&dialer, STR ("hello"), sealed);
+      memcpy (again, sealed, sizeof again);
+      if (c == REPLAYED)
+        CU_ASSERT_EQUAL (
+            frame_open (&acceptor, sealed, frame_size (5), &payload, &used),
+            FRAME_WHOLE);
+      if (c == FLIPPED)
+        again[9] ^= 1;
+      if (c == HUGE_LENGTH)
+        memset (again, 0xff, 4);
+      if (c == SHORT_LENGTH)
+        memset (again, 0, 4);
+      CU_ASSERT_EQUAL (frame_open (c == REFLECTED ? &dialer : &acceptor, again,
+                                   frame_size (5), &payload, &used),
+                       FRAME_BAD);
+    }
+}
+
+static void
+test_messages (void)
+{
+  struct message cases[] = {
+    { .type = MESSAGE_BEAT,
+      .beat
+      = { STR ("e1"), STR ("z"), STR ("r"), STR ("1.1.1.1:1"),
+          STR ("1.1.1.1:2"), STR ("1.1.1.1:3"), 7, ENTRY_LEAVING, 9, 3, 2 } },
+    { .type = MESSAGE_ACK, .version = 5 },
+    { .type = MESSAGE_FETCH, .version = 0 },
+    { .type = MESSAGE_CONFIG, .version = 12, .document = STR ("{}") },
+  };
+  for (size_t i = 0; i < COUNT (cases); i++)
+    {
+      struct message got;
+      struct str packed = message_pack (&cases[i], test_pool);
+      CU_ASSERT_TRUE (message_unpack (packed, test_pool, &got));
+      CU_ASSERT_EQUAL (got.type, cases[i].type);
+      CU_ASSERT_EQUAL (got.version, cases[i].version);
+      CU_ASSERT (str_equal (got.document, cases[i].document)
+                 || got.document.size == 0);
+      CU_ASSERT (got.beat.incarnation == cases[i].beat.incarnation);
+      for (size_t n = 0; n < packed.size; n++)
+        CU_ASSERT_FALSE (
+            message_unpack (str_view (packed.data, n), test_pool, &got));
+    }
+}
+
+static void
+test_bad_messages (void)
+{
+  static const struct str cases[]
+      = { { "\x07", 1 },          { "\x90", 1 },         { "\x91\x01", 2 },
+          { "\x92\x63\x01", 3 },  { "\x92\x03", 2 },     { "\x92\x03\xff", 3 },
+          { "\x92\x03\xa1x", 4 }, { "\x92\x02\x01z", 4 } };
+  struct message got;
+  for (size_t i = 0; i < COUNT (cases); i++)
+    CU_ASSERT_FALSE (message_unpack (cases[i], test_pool, &got));
+}
+
+static void
+test_relays (void)
+{
+  struct roster_member members[12] = { 0 };
+  for (int i = 0; i < 12; i++)
+    members[i]
+        = (struct roster_member){ .beat
+                                  = { .name = str_printf (test_pool, "e%d", i),
+                                      .zone = i % 2 ? STR ("a") : STR ("b") },
+                                  .alive = true };
+  for (int dead = 0; dead < 4; dead++)
+    {
+      struct roster *roster = roster_create (members, 12);
+      int relays = 0;
+      for (size_t i = 0; i < roster->count; i++)
+        relays += roster->members[i].alive
+                  && roster_is_relay (roster, roster->members[i].beat.name, 2);
+      CU_ASSERT_EQUAL (relays, 4);
+      /* The first relay of zone "b" dies: another takes over.  */
+      for (int i = 0; i < 12; i += 2)
+        if (members[i].alive
+            && roster_is_relay (roster, members[i].beat.name, 1))
+          {
+            members[i].alive = false;
+            break;
+          }
+      roster_unref (roster);
+    }
+}
+
+const struct unit_test peer_tests[]
+    = { { "frames", test_frames },     { "forged frames", test_forged_frames },
+        { "messages", test_messages }, { "bad messages", test_bad_messages },
+        { "relays", test_relays },     { NULL, NULL } };
--- /dev/null
+++ b/tests/unit/steer_test.c
@@ -0,0 +1,255 @@
+/* Steering decisions on a virtual clock, with seeds.  */
+#include "base/timer.h"
+#include "steer/steer.h"
+#include "tests/unit/fixture.h"
+#include "tests/unit/unit.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+static struct snapshot *snapshot;
+static struct steer *steer;
+static const struct service *shop;
+static apr_time_t now;
+
+static void
+open_steer (int upstreams, int slots, const char *fields)
+{
+  struct steer_desc desc = { STR ("north"), 42 };
+  snapshot = fixture_shop (upstreams, slots, fields);
+  steer = steer_create (test_pool, &desc);
+  now = TIMER_SEC (1000);
+  steer_apply (steer, snapshot, now);
+  shop = snapshot_find (snapshot, KIND_SERVICE, STR ("shop"));
+}
+
+static void
+close_steer (void)
+{
+  steer_destroy (steer);
+  snapshot_unref (snapshot);
+}
+
+static struct steer_choice
+choose (enum call_class call_class)
+{
+  struct steer_request request
+      = { .service = shop, .call_class = call_class, .now = now };
+  return steer_choose (steer, &request);
+}
+
+/* Begins calls until none can be placed; returns how many.  */
+static int
+fill (enum call_class call_class, struct steer_ticket *tickets, int most)
+{
+  int n = 0;
+  while (n < most)
+    {
+      struct steer_choice choice = choose (call_class);
+      if (choice.verdict != STEER_CHOSEN)
+        break;
+      tickets[n++] = steer_begin (steer, choice.upstream, call_class);
+    }
+  return n;
+}
+
+static void
+test_shares (void)
+{
+  static const struct
+  {
+    int64_t cap;
+    size_t entries;
+  } cases[] = { { 9, 11 }, { 240, 11 }, { 36, 11 },
+                { 0, 5 },  { 1, 200 },  { 1000003, 3500 } };
+  for (size_t i = 0; i < COUNT (cases); i++)
+    for (uint64_t salt = 0; salt < 50; salt += 7)
+      {
+        int64_t sum = 0;
+        int64_t most = 0, least = INT64_MAX;
+        for (size_t e = 0; e < cases[i].entries; e++)
+          {
+            int64_t share
+                = steer_share_of (cases[i].cap, e, cases[i].entries, salt);
+            sum += share;
+            most = share > most ? share : most;
+            least = share < least ? share : least;
+          }
+        CU_ASSERT_EQUAL (sum, cases[i].cap);
+        CU_ASSERT (most - least <= 1);
+      }
+}
+
+static void
+test_limits (void)
+{
+  static const struct
+  {
+    const char *fields;
+    enum call_class call_class;
+    int placed; /* with 2 x 2 upstreams of 3 slots */
+    enum steer_verdict then;
+  } cases[] = {
+    { "", CLASS_SHORT, 12, STEER_WAIT },
+    { ",'call_cap':5", CLASS_SHORT, 5, STEER_CAPPED },
+    { ",'long_slots_percent':50", CLASS_LONG, 6, STEER_WAIT },
+    { ",'long_slots_percent':1", CLASS_LONG, 1, STEER_WAIT },
+  };
+  for (size_t i = 0; i < COUNT (cases); i++)
+    {
+      struct steer_ticket tickets[64];
+      open_steer (2, 3, cases[i].fields);
+      int placed = fill (cases[i].call_class, tickets, 64);
+      CU_ASSERT_EQUAL (placed, cases[i].placed);
+      CU_ASSERT_EQUAL (choose (cases[i].call_class).verdict, cases[i].then);
+      if (cases[i].call_class == CLASS_LONG)
+        CU_ASSERT_EQUAL (choose (CLASS_SHORT).verdict, STEER_CHOSEN);
+      for (int t = 0; t < placed; t++)
+        steer_end (steer, &tickets[t], RESULT_ANSWERED, 1000, now);
+      CU_ASSERT_EQUAL (choose (cases[i].call_class).verdict, STEER_CHOSEN);
+      close_steer ();
+    }
+}
+
+static void
+test_leaving (void)
+{
+  static const enum leaving_source sources[]
+      = { LEAVING_DRAIN, LEAVING_HEALTH, LEAVING_PLATFORM };
+  open_steer (1, 2, "");
+  for (size_t i = 0; i < COUNT (sources); i++)
+    {
+      steer_set_leaving (steer, STR ("n0"), sources[i], true, now);
+      /* Another source's word does not end it.  */
+      steer_set_leaving (steer, STR ("n0"), sources[(i + 1) % 3], false, now);
+      struct steer_choice choice = choose (CLASS_SHORT);
+      CU_ASSERT_EQUAL (choice.verdict, STEER_CHOSEN);
+      CU_ASSERT (str_equal (choice.upstream->head.name, STR ("s0")));
+      steer_set_leaving (steer, STR ("s0"), LEAVING_DRAIN, true, now);
+      CU_ASSERT_EQUAL (choose (CLASS_SHORT).verdict, STEER_NOWHERE);
+      steer_set_leaving (steer, STR ("s0"), LEAVING_DRAIN, false, now);
+      steer_set_leaving (steer, STR ("n0"), sources[i], false, now);
+      CU_ASSERT_EQUAL (choose (CLASS_SHORT).verdict, STEER_CHOSEN);
+    }
+  close_steer ();
+}
+
+/* A returning upstream reaches its slots over its ramp, in steps.  */
+static void
+test_ramp (void)
+{
+  open_steer (1, 10, "");
+  steer_set_leaving (steer, STR ("n0"), LEAVING_HEALTH, true, now);
+  steer_set_leaving (steer, STR ("n0"), LEAVING_HEALTH, false, now);
+  static const struct
+  {
+    int after_ms;
+    int64_t limit;
+  } cases[] = { { 0, 1 },   { 100, 1 }, { 200, 2 },
+                { 550, 5 }, { 999, 9 }, { 1000, 10 } };
+  for (size_t i = 0; i < COUNT (cases); i++)
+    CU_ASSERT_EQUAL (
+        steer_query (steer, STR ("n0"), now + TIMER_MS (cases[i].after_ms))
+            .limit,
+        cases[i].limit);
+  close_steer ();
+}
+
+static void
+test_ejection (void)
+{
+  open_steer (2, 5, "");
+  const struct upstream *n0
+      = snapshot_find (snapshot, KIND_UPSTREAM, STR ("n0"));
+  for (int i = 0; i < 3; i++)
+    {
+      CU_ASSERT_FALSE (steer_query (steer, STR ("n0"), now).ejected);
+      struct steer_ticket ticket = steer_begin (steer, n0, CLASS_SHORT);
+      steer_end (steer, &ticket, RESULT_FAILED, 100, now);
+    }
+  CU_ASSERT_TRUE (steer_query (steer, STR ("n0"), now).ejected);
+  now += TIMER_SEC (1);
+  CU_ASSERT_FALSE (steer_query (steer, STR ("n0"), now).ejected);
+  close_steer ();
+}
+
+/* A slow upstream gets few calls, and is found again once it is fast.  */
+static void
+test_slow_upstream (void)
+{
+  open_steer (6, 3, "");
+  int to_slow[2] = { 0, 0 };
+  for (int i = 0; i < 20000; i++)
+    {
+      bool slow_now = i < 10000;
+      struct steer_choice choice = choose (CLASS_SHORT);
+      CU_ASSERT_EQUAL_FATAL (choice.verdict, STEER_CHOSEN);
+      bool is_slow = str_equal (choice.upstream->head.name, STR ("n0"));
+      to_slow[i / 10000] += is_slow;
+      struct steer_ticket ticket
+          = steer_begin (steer, choice.upstream, CLASS_SHORT);
+      apr_time_t took = is_slow && slow_now ? 100000 : 10000;
+      if (str_starts (choice.upstream->head.name, STR ("s")))
+        took += 20000;
+      now += 1000;
+      steer_end (steer, &ticket, RESULT_ANSWERED, took, now);
+    }
+  CU_ASSERT (to_slow[0] < 100);
+  CU_ASSERT (to_slow[1] > 500);
+  close_steer ();
+}
+
+/* Reports can lower an upstream's rank, never raise it.  */
+static void
+test_lying_reports (void)
+{
+  open_steer (4, 3, "");
+  int to_liar = 0;
+  for (int i = 0; i < 2000; i++)
+    {
+      steer_report (steer, STR ("n0"), 0, now);
+      steer_report (steer, STR ("n1"), 90, now);
+      struct steer_choice choice = choose (CLASS_SHORT);
+      bool liar = str_equal (choice.upstream->head.name, STR ("n0"));
+      to_liar += liar;
+      struct steer_ticket ticket
+          = steer_begin (steer, choice.upstream, CLASS_SHORT);
+      now += 1000;
+      steer_end (steer, &ticket, RESULT_ANSWERED, liar ? 80000 : 10000, now);
+    }
+  CU_ASSERT (to_liar < 40);
+  close_steer ();
+}
+
+/* Tickets stay good over configurations, and counts come back to zero.  */
+static void
+test_reconfiguration (void)
+{
+  struct steer_ticket tickets[64];
+  open_steer (2, 3, "");
+  int placed = fill (CLASS_SHORT, tickets, 64);
+  struct snapshot *smaller = fixture_shop (1, 3, "");
+  steer_apply (steer, smaller, now);
+  CU_ASSERT_EQUAL (steer_query (steer, STR ("n1"), now).limit, 0);
+  CU_ASSERT_EQUAL (steer_query (steer, STR ("n0"), now).in_flight, 3);
+  for (int i = 0; i < placed; i++)
+    steer_end (steer, &tickets[i], RESULT_ANSWERED, 1000, now);
+  CU_ASSERT_EQUAL (steer_query (steer, STR ("n0"), now).in_flight, 0);
+  struct snapshot *again = fixture_shop (2, 3, "");
+  steer_apply (steer, again, now);
+  CU_ASSERT_EQUAL (steer_query (steer, STR ("n1"), now).in_flight, 0);
+  snapshot_unref (smaller);
+  snapshot_unref (again);
+  close_steer ();
+}
+
+const struct unit_test steer_tests[]
+    = { { "shares", test_shares },
+        { "limits", test_limits },
+        { "leaving", test_leaving },
+        { "ramp", test_ramp },
+        { "ejection", test_ejection },
+        { "slow upstream", test_slow_upstream },
+        { "lying reports", test_lying_reports },
+        { "reconfiguration", test_reconfiguration },
+        { NULL, NULL } };
