--- a/src/base/http_client.c
+++ b/src/base/http_client.c
@@ -44,11 +44,16 @@
 /* private functions */
 
 static void
-destroy (struct exchange *ex)
+unlink_exchange (struct exchange *ex)
 {
   *ex->link = ex->next;
   if (ex->next)
     ex->next->link = ex->link;
+}
+
+static void
+destroy (struct exchange *ex)
+{
   curl_easy_cleanup (ex->transfer.easy);
   curl_slist_free_all (ex->headers);
   free (ex->body);
@@ -68,6 +73,7 @@
     answer.reason = curl_easy_strerror (result);
   answer.body = str_view (ex->answer ? ex->answer : "", ex->size);
   ex->done (ex->part, &answer);
+  unlink_exchange (ex);
   destroy (ex);
 }
 
@@ -147,14 +153,16 @@
 {
   if (!client)
     return;
-  while (client->first)
+  struct exchange *next;
+  for (struct exchange *ex = client->first; ex; ex = next)
     {
-      struct exchange *ex = client->first;
+      next = ex->next;
       curl_loop_remove (client->curl_loop, &ex->transfer);
       if (ex->drop)
         ex->drop (ex->part);
       destroy (ex);
     }
+  client->first = NULL;
   curl_loop_destroy (client->curl_loop);
 }
 
--- a/src/call/call.c
+++ b/src/call/call.c
@@ -19,7 +19,7 @@
 };
 
 /* Every new call earns this many retries; a retry costs one.  */
-static const double RETRY_EARNED = 0.2;
+#define RETRY_EARNED 0.2
 
 /* private functions */
 
--- a/src/peer/message.c
+++ b/src/peer/message.c
@@ -17,6 +17,55 @@
 
 /* private functions */
 
+/* Returns the bytes of the msgpack item at DATA if it is an integer or a
+   string that ends within SIZE bytes, otherwise 0.  */
+static size_t
+flat_item_size (const unsigned char *data, size_t size)
+{
+  static const unsigned char int_bytes[]
+      = { 1, 2, 4, 8, 1, 2, 4, 8 }; /* of types 0xcc to 0xd3 */
+  unsigned char type = data[0];
+  size_t head = 1;
+  size_t body = 0;
+  if (type <= 0x7f || type >= 0xe0)
+    return 1;
+  if (type >= 0xcc && type <= 0xd3)
+    head += int_bytes[type - 0xcc];
+  else if (type >= 0xa0 && type <= 0xbf)
+    body = type & 0x1f;
+  else if (type >= 0xd9 && type <= 0xdb)
+    {
+      size_t length_bytes = (size_t)1 << (type - 0xd9);
+      head += length_bytes;
+      for (size_t i = 0; i < length_bytes && 1 + i < size; i++)
+        body = body << 8 | data[1 + i];
+    }
+  else
+    return 0;
+  return head <= size && body <= size - head ? head + body : 0;
+}
+
+/* Returns whether DATA is one small array of integers and strings.  The
+   library allocates nested containers by their claimed size, so a message
+   of a few bytes could ask for gigabytes.  */
+static bool
+is_flat_array (struct str data)
+{
+  const unsigned char *bytes = (const unsigned char *)data.data;
+  if (data.size == 0 || (bytes[0] & 0xf0) != 0x90)
+    return false;
+  size_t at = 1;
+  for (int left = bytes[0] & 0x0f; left > 0; left--)
+    {
+      size_t size
+          = at < data.size ? flat_item_size (bytes + at, data.size - at) : 0;
+      if (size == 0)
+        return false;
+      at += size;
+    }
+  return at == data.size;
+}
+
 static void
 pack_text (msgpack_packer *packer, struct str s)
 {
@@ -148,6 +197,8 @@
   size_t used = 0;
   bool good = false;
   memset (message, 0, sizeof *message);
+  if (!is_flat_array (data))
+    return false;
   msgpack_unpacked_init (&unpacked);
   if (msgpack_unpack_next (&unpacked, data.data, data.size, &used)
           == MSGPACK_UNPACK_SUCCESS
--- a/src/peer/message.h
+++ b/src/peer/message.h
@@ -1,7 +1,7 @@
 /* Messages between entries, and their msgpack form.
 
-   Every message is a msgpack array whose first item is its type.  Later
-   items of an array that a reader does not know are ignored, so that items
+   Every message is a msgpack array of at most 15 integers and strings whose
+   first item is its type.  Later items of an array that a reader does not know are ignored, so that items
    can be added at the end.
 
    Threads: pure functions; decoded strings are views into the input.  */
--- a/src/peer/peers.c
+++ b/src/peer/peers.c
@@ -4,6 +4,7 @@
 #include "base/net.h"
 #include "peer/link.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -16,7 +17,8 @@
 {
   struct target *next;
   struct peers *peers;
-  struct str address;
+  char address_text[64];
+  struct str address;     /* of `address_text' */
   struct peer_link *link; /* NULL between tries */
   apr_time_t heard_at;    /* last acknowledgement */
   apr_time_t useful_at;   /* last time the connection was open */
@@ -477,7 +479,6 @@
           *at = t->next;
           timer_stop (timers (peers), &t->retry);
           peer_link_destroy (t->link);
-          free ((char *)t->address.data);
           free (t);
           continue;
         }
@@ -555,7 +556,6 @@
       peers->targets = t->next;
       timer_stop (timers (peers), &t->retry);
       peer_link_destroy (t->link);
-      free ((char *)t->address.data);
       free (t);
     }
   while (peers->guests)
@@ -591,7 +591,9 @@
   if (!t)
     abort ();
   t->peers = peers;
-  t->address = str_view (strndup (address.data, address.size), address.size);
+  snprintf (t->address_text, sizeof t->address_text, "%.*s",
+            STR_ARGS (address));
+  t->address = str_from (t->address_text);
   t->retry_ms = FIRST_RETRY_MS;
   t->useful_at = timer_clock ();
   t->next = peers->targets;
--- a/src/steer/steer.c
+++ b/src/steer/steer.c
@@ -75,14 +75,14 @@
 #define WARM_ALREADY_US INT64_C (86400000000)
 
 /* Weight of a new response time in the moving average.  */
-static const double RESPONSE_GAIN = 0.3;
+#define RESPONSE_GAIN 0.3
 /* The same for the average of a whole service.  */
-static const double SERVICE_GAIN = 0.05;
+#define SERVICE_GAIN 0.05
 /* A slow response time is forgotten with this half-life, so that an upstream
    that has recovered is tried again.  */
-static const double FORGET_HALF_LIFE_US = 1e6;
+#define FORGET_HALF_LIFE_US 1e6
 /* A refusal or failure counts as an answer this many times as slow.  */
-static const double FAILURE_PENALTY = 4.0;
+#define FAILURE_PENALTY 4.0
 
 /* private functions */
 
--- a/tests/unit/peer_test.c
+++ b/tests/unit/peer_test.c
@@ -122,9 +122,16 @@
 test_bad_messages (void)
 {
   static const struct str cases[]
-      = { { "\x07", 1 },          { "\x90", 1 },         { "\x91\x01", 2 },
-          { "\x92\x63\x01", 3 },  { "\x92\x03", 2 },     { "\x92\x03\xff", 3 },
-          { "\x92\x03\xa1x", 4 }, { "\x92\x02\x01z", 4 } };
+      = { { "\x07", 1 },
+          { "\x90", 1 },
+          { "\x91\x01", 2 },
+          { "\x92\x63\x01", 3 },
+          { "\x92\x03", 2 },
+          { "\x92\x03\xff", 3 },
+          /* a nested map that claims 3.7 billion items */
+          { "\x93\x04\x0c\xdf\xdf\xdf\xdf\xdf", 8 },
+          { "\x92\x03\xa1x", 4 },
+          { "\x92\x02\x01z", 4 } };
   struct message got;
   for (size_t i = 0; i < COUNT (cases); i++)
     CU_ASSERT_FALSE (message_unpack (cases[i], test_pool, &got));
--- a/tests/unit/resource_test.c
+++ b/tests/unit/resource_test.c
@@ -3,18 +3,19 @@
 
 #include <string.h>
 
-#define BASE                                                                  \
-  "{\"kind\":\"region\",\"name\":\"r\",\"spec\":{}},"                         \
-  "{\"kind\":\"region\",\"name\":\"q\",\"spec\":{}},"                         \
-  "{\"kind\":\"zone\",\"name\":\"z\",\"spec\":{\"region\":\"r\"}},"           \
-  "{\"kind\":\"service\",\"name\":\"s\",\"spec\":{\"hosts\":[\"s.x\"]}},"     \
-  "{\"kind\":\"upstream-group\",\"name\":\"g\",\"spec\":{\"service\":\"s\","  \
-  "\"zone\":\"z\",\"slots\":2}},"                                             \
-  "{\"kind\":\"upstream\",\"name\":\"u\",\"spec\":{\"group\":\"g\","          \
-  "\"address\":\"127.0.0.1:9\"}}"
-#define MORE(kind, name, spec)                                                \
-  "[" BASE ",{\"kind\":\"" kind "\",\"name\":\"" name "\",\"spec\":" spec "}" \
-                                                                          "]"
+/* clang-format off */
+#define BASE \
+  "{\"kind\":\"region\",\"name\":\"r\",\"spec\":{}}," \
+  "{\"kind\":\"region\",\"name\":\"q\",\"spec\":{}}," \
+  "{\"kind\":\"zone\",\"name\":\"z\",\"spec\":{\"region\":\"r\"}}," \
+  "{\"kind\":\"service\",\"name\":\"s\",\"spec\":{\"hosts\":[\"s.x\"]}}," \
+  "{\"kind\":\"upstream-group\",\"name\":\"g\"," \
+  "\"spec\":{\"service\":\"s\",\"zone\":\"z\",\"slots\":2}}," \
+  "{\"kind\":\"upstream\",\"name\":\"u\"," \
+  "\"spec\":{\"group\":\"g\",\"address\":\"127.0.0.1:9\"}}"
+#define MORE(kind, name, spec) \
+  "[" BASE ",{\"kind\":\"" kind "\",\"name\":\"" name "\",\"spec\":" spec "}]"
+/* clang-format on */
 
 static void
 test_validation (void)
