No leaks in the client; empty views may have no data

Cause: the tests under ASan and UBSan showed argument tables never freed and memcmp called with NULL for empty strings.

--- a/src/base/str.c
+++ b/src/base/str.c
@@ -61,20 +61,24 @@
 bool
 str_equal (struct str a, struct str b)
 {
-  return a.size == b.size && memcmp (a.data, b.data, a.size) == 0;
+  /* An empty view may have no data.  */
+  return a.size == b.size
+         && (a.size == 0 || memcmp (a.data, b.data, a.size) == 0);
 }
 
 bool
 str_equal_nocase (struct str a, struct str b)
 {
-  return a.size == b.size && strncasecmp (a.data, b.data, a.size) == 0;
+  return a.size == b.size
+         && (a.size == 0 || strncasecmp (a.data, b.data, a.size) == 0);
 }
 
 bool
 str_starts (struct str s, struct str prefix)
 {
   return s.size >= prefix.size
-         && memcmp (s.data, prefix.data, prefix.size) == 0;
+         && (prefix.size == 0
+             || memcmp (s.data, prefix.data, prefix.size) == 0);
 }
 
 bool
@@ -90,7 +94,7 @@
 str_compare (struct str a, struct str b)
 {
   size_t n = a.size < b.size ? a.size : b.size;
-  int order = memcmp (a.data, b.data, n);
+  int order = n > 0 ? memcmp (a.data, b.data, n) : 0;
   if (order != 0)
     return order;
   return (a.size > b.size) - (a.size < b.size);
--- a/src/client/commands.c
+++ b/src/client/commands.c
@@ -31,7 +31,7 @@
 enum
 {
   ERRORS_SHOWN = 10,
-  COMMON_ARGS = 4,
+  ARGS_MAX = 4 + 4 + 1, /* own, common, end */
   ENTRIES_MAX = 16
 };
 
@@ -59,13 +59,24 @@
       = line->output->count > 0 && strcmp (line->output->sval[0], "json") == 0;
 }
 
+static apr_status_t
+free_arguments (void *table)
+{
+  arg_freetable (table, ARGS_MAX);
+  return APR_SUCCESS;
+}
+
 /* Parses the arguments; returns false, with STATUS set, if the command is to
    end at once.  */
 static bool
 parse (struct command_line *line, int argc, char **argv, int *status)
 {
-  void *table[COMMON_ARGS + 4 + 1];
+  void **table;
   int n = 0;
+  apr_pool_create (&line->options.pool, NULL);
+  table = apr_pcalloc (line->options.pool, ARGS_MAX * sizeof *table);
+  apr_pool_cleanup_register (line->options.pool, table, free_arguments,
+                             apr_pool_cleanup_null);
   line->help_option = arg_lit0 (NULL, "help", "show this help and exit");
   line->entry = arg_strn (NULL, "entry", "IP:PORT", 0, ENTRIES_MAX,
                           "operators' address of an entry; may be repeated");
@@ -82,7 +93,6 @@
   table[n++] = line->help_option;
   table[n++] = line->end;
   int errors = arg_parse (argc, argv, table);
-  apr_pool_create (&line->options.pool, NULL);
   if (line->help_option->count > 0)
     {
       printf ("Usage: citroncleat %s", line->name);
