--- a/src/call/attempt.c
+++ b/src/call/attempt.c
@@ -25,7 +25,9 @@
   (void)peer_port;
   (void)self_port;
   struct attempt *attempt = owner;
-  if (attempt->sent)
+  /* A process that was paused must not start a call whose time is over: its
+     slot may belong to another entry by now.  */
+  if (attempt->sent || timer_clock () >= attempt->desc.deadline)
     return CURL_PREREQFUNC_ABORT;
   attempt->sent = true;
   return CURL_PREREQFUNC_OK;
@@ -163,8 +165,10 @@
   add_header (attempt, STR ("Via"),
               str_printf (desc->pool, "%.*s%s1.1 citroncleat", STR_ARGS (via),
                           via.size ? ", " : ""));
-  add_header (attempt, STR ("Request-Timeout-Ms"),
-              str_printf (desc->pool, "%lld", (long long)desc->deadline_ms));
+  add_header (
+      attempt, STR ("Request-Timeout-Ms"),
+      str_printf (desc->pool, "%lld",
+                  (long long)((desc->deadline - timer_clock ()) / 1000)));
   add_header (attempt, STR ("Citroncleat-Region"), desc->region);
   /* These suppress fields that libcurl would add by itself.  */
   attempt->header_list
--- a/src/call/attempt.h
+++ b/src/call/attempt.h
@@ -48,7 +48,7 @@
   const struct headers *headers;
   bool is_head;
   int64_t body_size; /* -1: unknown, 0: none */
-  int64_t deadline_ms;
+  apr_time_t deadline;
   int64_t connect_timeout_ms;
   bool new_connection;
   bool must_echo;
--- a/src/call/call.c
+++ b/src/call/call.c
@@ -164,7 +164,6 @@
 dispatch (struct call *call, const struct upstream *upstream)
 {
   struct call_context *context = call->context;
-  apr_time_t now = timer_clock ();
   struct attempt_desc desc = {
     .curl_loop = context->curl_loop,
     .pool = call->pool,
@@ -177,7 +176,7 @@
     .headers = &call->headers,
     .is_head = call->is_head,
     .body_size = call->body_size,
-    .deadline_ms = (call->deadline - now) / 1000,
+    .deadline = call->deadline,
     .connect_timeout_ms = CONNECT_TIMEOUT_MS,
     .new_connection = call->service->answer_check == ANSWER_NEW_CONNECTION,
     .must_echo = call->service->answer_check == ANSWER_ECHO,
--- a/src/call/lookup.c
+++ b/src/call/lookup.c
@@ -37,18 +37,6 @@
          && !snapshot_drained (snapshot, DRAIN_REGION, m->beat.region);
 }
 
-static int64_t
-distance (const struct snapshot *snapshot, struct str a, struct str b)
-{
-  if (str_equal (a, b))
-    return 0;
-  const struct region *from = snapshot_find (snapshot, KIND_REGION, a);
-  const struct region *to = snapshot_find (snapshot, KIND_REGION, b);
-  const struct link_spec *link
-      = from && to ? snapshot_link (snapshot, from, to) : NULL;
-  return link ? link->latency_ms : UNKNOWN_DISTANCE_MS;
-}
-
 static bool
 comes_before (const struct candidate *a, const struct candidate *b)
 {
@@ -96,6 +84,19 @@
 
 /* public functions */
 
+int64_t
+lookup_distance_ms (const struct snapshot *snapshot, struct str a,
+                    struct str b)
+{
+  if (str_equal (a, b))
+    return 0;
+  const struct region *from = snapshot_find (snapshot, KIND_REGION, a);
+  const struct region *to = snapshot_find (snapshot, KIND_REGION, b);
+  const struct link_spec *link
+      = from && to ? snapshot_link (snapshot, from, to) : NULL;
+  return link ? link->latency_ms : UNKNOWN_DISTANCE_MS;
+}
+
 struct lookup_answer
 lookup_find (const struct snapshot *snapshot, const struct roster *roster,
              const struct lookup_request *request)
@@ -116,7 +117,8 @@
       if (any_usable ? !is_usable (snapshot, m) : !is_serving (m))
         continue;
       struct candidate candidate
-          = { &m->beat, distance (snapshot, request->region, m->beat.region),
+          = { &m->beat,
+              lookup_distance_ms (snapshot, request->region, m->beat.region),
               XXH3_64bits_withSeed (m->beat.name.data, m->beat.name.size,
                                     seed) };
       insert (list, &count, candidate);
--- a/src/call/lookup.h
+++ b/src/call/lookup.h
@@ -36,6 +36,9 @@
 struct lookup_answer lookup_find (const struct snapshot *snapshot,
                                   const struct roster *roster,
                                   const struct lookup_request *request);
+/* Returns the one-way latency between two regions.  */
+int64_t lookup_distance_ms (const struct snapshot *snapshot, struct str a,
+                            struct str b);
 /* Returns the answer as a new JSON object.  */
 json_object *lookup_to_json (const struct lookup_answer *answer,
                              const struct service *service);
--- a/src/call/worker.c
+++ b/src/call/worker.c
@@ -21,6 +21,7 @@
   apr_thread_t *thread;
   struct call_context context;
   struct timer sweep;
+  struct timer share_timer;
   _Atomic int64_t in_flight;
   _Atomic int64_t queued;
   _Atomic int64_t open;
@@ -42,11 +43,24 @@
   json_object *view;
 };
 
+/* A message about shares on its way between the two threads; the names of
+   its items are held here.  */
+struct share_order
+{
+  struct worker *worker;
+  char peer[64];
+  char names[SHARE_ITEMS_MAX][64];
+  struct share_message message;
+};
+
 /* constants */
 
 enum
 {
   SWEEP_MS = 200,
+  SHARE_TICK_MS = 10,
+  HOLD_MARGIN_MS = 1000, /* for an upstream to see its deadline pass */
+  DISTANCE_DEFAULT_MS = 10,
   IDLE_CONNECTIONS = 4096,
   HTTP_OK = 200,
   HTTP_NOT_FOUND = 404,
@@ -279,6 +293,114 @@
   loop_post (order->worker->context.loop, run, order);
 }
 
+/* Shares.  */
+
+static struct share_order *
+share_order_create (struct worker *worker, struct str peer,
+                    const struct share_message *message)
+{
+  struct share_order *order = calloc (1, sizeof *order);
+  if (!order)
+    abort ();
+  order->worker = worker;
+  order->message = *message;
+  snprintf (order->peer, sizeof order->peer, "%.*s", STR_ARGS (peer));
+  for (size_t i = 0; i < message->count; i++)
+    {
+      snprintf (order->names[i], sizeof order->names[i], "%.*s",
+                STR_ARGS (message->items[i].name));
+      order->message.items[i].name = str_from (order->names[i]);
+    }
+  return order;
+}
+
+static void
+deliver_share (void *part)
+{
+  struct share_order *order = part;
+  const struct worker_desc *desc = &order->worker->desc;
+  desc->send_share (desc->part, str_from (order->peer), &order->message);
+  free (order);
+}
+
+static void
+send_share (void *part, struct str to, const struct share_message *message)
+{
+  struct worker *worker = part;
+  loop_post (worker->desc.control, deliver_share,
+             share_order_create (worker, to, message));
+}
+
+static void
+take_share (void *part)
+{
+  struct share_order *order = part;
+  struct call_context *context = &order->worker->context;
+  share_receive (steer_share (context->steer), str_from (order->peer),
+                 &order->message, timer_clock ());
+  context->slot_freed = true;
+  free (order);
+}
+
+static void
+on_share_tick (void *part, apr_time_t now)
+{
+  struct worker *worker = part;
+  struct call_context *context = &worker->context;
+  SNAPSHOT_EACH (context->snapshot, KIND_SERVICE, const struct service, s)
+  {
+    struct str name = s->head.name;
+    steer_want (context->steer, s,
+                queue_line_length (context->queue, name, CLASS_SHORT)
+                    + queue_line_length (context->queue, name, CLASS_LONG),
+                now);
+  }
+  share_tick (steer_share (context->steer), now);
+  timer_start (loop_timers (context->loop), &worker->share_timer,
+               now + TIMER_MS (SHARE_TICK_MS), on_share_tick, worker);
+}
+
+/* Tells the shares which entries may lend, and how far they are.  */
+static void
+set_share_peers (struct worker *worker)
+{
+  struct call_context *context = &worker->context;
+  const struct roster *roster = context->roster;
+  struct share_peer *peers = calloc (roster->count + 1, sizeof *peers);
+  size_t count = 0;
+  if (!peers)
+    abort ();
+  for (size_t i = 0; i < roster->count; i++)
+    {
+      const struct roster_member *m = &roster->members[i];
+      if (m->is_self || !m->alive)
+        continue;
+      int64_t distance_ms = lookup_distance_ms (
+          context->snapshot, worker->desc.settings->region, m->beat.region);
+      peers[count++] = (struct share_peer){ m->beat.name, 2000 * distance_ms };
+    }
+  share_set_peers (steer_share (context->steer), peers, count);
+  free (peers);
+}
+
+/* Sets how long a call may last, which loans outlive.  */
+static void
+set_share_hold (struct call_context *context)
+{
+  int64_t longest = 0;
+  SNAPSHOT_EACH (context->snapshot, KIND_SERVICE, const struct service, s)
+  {
+    const struct route *routes = s->routes.items;
+    if (s->deadline_ms > longest)
+      longest = s->deadline_ms;
+    for (size_t i = 0; i < s->routes.count; i++)
+      if (routes[i].deadline_ms > longest)
+        longest = routes[i].deadline_ms;
+  }
+  share_set_hold (steer_share (context->steer),
+                  TIMER_MS (longest + HOLD_MARGIN_MS));
+}
+
 static void
 take_snapshot (void *part)
 {
@@ -294,6 +416,8 @@
       call_rebind (call);
     }
   snapshot_unref (old);
+  set_share_hold (context);
+  set_share_peers (order->worker);
   context->slot_freed = true;
   free (order);
 }
@@ -308,6 +432,7 @@
   for (size_t i = 0; i < context->roster->count; i++)
     if (context->roster->members[i].is_self)
       steer_set_share (context->steer, i, context->roster->count);
+  set_share_peers (order->worker);
   context->slot_freed = true;
   free (order);
 }
@@ -455,7 +580,12 @@
   if (code != ERR_NONE)
     return code;
   randombytes_buf (&context->id_base, sizeof context->id_base);
-  struct steer_desc steer_desc = { desc->settings->region, context->id_base };
+  struct steer_desc steer_desc = { .region = desc->settings->region,
+                                   .share = { .entry = desc->settings->name,
+                                              .seed = context->id_base,
+                                              .send = send_share,
+                                              .part = worker },
+                                   .seed = context->id_base };
   context->steer = steer_create (pool, &steer_desc);
   context->queue = queue_create (pool);
   context->snapshot = snapshot_create (0);
@@ -487,6 +617,7 @@
   if (code != ERR_NONE)
     return code;
   on_sweep (worker, timer_clock ());
+  on_share_tick (worker, timer_clock ());
   if (apr_thread_create (&worker->thread, NULL, run_thread, worker,
                          worker->pool)
       != APR_SUCCESS)
@@ -513,6 +644,7 @@
   struct call_context *context = &worker->context;
   worker_stop (worker);
   timer_stop (loop_timers (context->loop), &worker->sweep);
+  timer_stop (loop_timers (context->loop), &worker->share_timer);
   for (struct call *call = context->calls; call; call = call->next)
     if (call->suspended)
       {
@@ -577,6 +709,14 @@
   post (order, take_load);
 }
 
+void
+worker_receive_share (struct worker *worker, struct str from,
+                      const struct share_message *message)
+{
+  loop_post (worker->context.loop, take_share,
+             share_order_create (worker, from, message));
+}
+
 int64_t
 worker_in_flight (const struct worker *worker)
 {
--- a/src/call/worker.h
+++ b/src/call/worker.h
@@ -26,6 +26,10 @@
   struct counters *counters;
   struct burn_ledger *burn;
   struct loop *control; /* where answers of worker_query are delivered */
+  /* Called on the control loop: sends MESSAGE to the entry TO.  */
+  void (*send_share) (void *part, struct str to,
+                      const struct share_message *message);
+  void *part;
 };
 
 enum err_code worker_create (apr_pool_t *pool, const struct worker_desc *desc,
@@ -46,6 +50,9 @@
                                   enum leaving_source source, bool leaving);
 void worker_report_load (struct worker *worker, struct str upstream,
                          int64_t percent);
+/* Hands over a message about shares that FROM sent.  */
+void worker_receive_share (struct worker *worker, struct str from,
+                           const struct share_message *message);
 /* Returns calls at upstreams, calls waiting, and requests not ended.  */
 int64_t worker_in_flight (const struct worker *worker);
 int64_t worker_queued (const struct worker *worker);
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -85,6 +85,21 @@
   beat->queued = worker_queued (entry->worker);
 }
 
+static void
+send_share (void *part, struct str to, const struct share_message *message)
+{
+  struct entry *entry = part;
+  peers_send_share (entry->peers, to, message);
+}
+
+static void
+receive_share (void *part, struct str from,
+               const struct share_message *message)
+{
+  struct entry *entry = part;
+  worker_receive_share (entry->worker, from, message);
+}
+
 static void
 on_roster (void *part, struct roster *roster)
 {
@@ -286,7 +301,9 @@
   struct worker_desc worker = { .settings = settings,
                                 .counters = entry->counters,
                                 .burn = entry->burn,
-                                .control = entry->loop };
+                                .control = entry->loop,
+                                .send_share = send_share,
+                                .part = entry };
   code = worker_create (entry->pool, &worker, &entry->worker, err);
   if (code != ERR_NONE)
     return code;
@@ -301,6 +318,7 @@
           .config = { config_version, config_text, config_offer },
           .load = fill_load,
           .changed = on_roster,
+          .share = receive_share,
           .part = entry };
   return peers_create (entry->pool, &peers, &entry->peers, err);
 }
--- a/src/peer/message.c
+++ b/src/peer/message.c
@@ -52,10 +52,18 @@
 is_flat_array (struct str data)
 {
   const unsigned char *bytes = (const unsigned char *)data.data;
-  if (data.size == 0 || (bytes[0] & 0xf0) != 0x90)
-    return false;
   size_t at = 1;
-  for (int left = bytes[0] & 0x0f; left > 0; left--)
+  int left = 0;
+  if (data.size > 0 && (bytes[0] & 0xf0) == 0x90)
+    left = bytes[0] & 0x0f;
+  else if (data.size > 3 && bytes[0] == 0xdc)
+    {
+      left = bytes[1] << 8 | bytes[2];
+      at = 3;
+    }
+  else
+    return false;
+  for (; left > 0; left--)
     {
       size_t size
           = at < data.size ? flat_item_size (bytes + at, data.size - at) : 0;
@@ -91,6 +99,25 @@
     msgpack_pack_int64 (packer, numbers[i]);
 }
 
+static void
+pack_share (msgpack_packer *packer, const struct message *message)
+{
+  const struct share_message *share = &message->share;
+  msgpack_pack_array (packer, 6 + 3 * share->count);
+  msgpack_pack_int64 (packer, MESSAGE_SHARE);
+  pack_text (packer, message->from);
+  msgpack_pack_int64 (packer, share->type);
+  msgpack_pack_int64 (packer, share->id);
+  msgpack_pack_int64 (packer, share->duration);
+  msgpack_pack_int64 (packer, share->spare);
+  for (size_t i = 0; i < share->count; i++)
+    {
+      msgpack_pack_int64 (packer, share->items[i].kind);
+      pack_text (packer, share->items[i].name);
+      msgpack_pack_int64 (packer, share->items[i].amount);
+    }
+}
+
 static const msgpack_object *
 next_item (struct reader *reader)
 {
@@ -143,6 +170,31 @@
     reader->good = false;
 }
 
+static void
+read_share (struct reader *reader, struct message *message)
+{
+  struct share_message *share = &message->share;
+  message->from = read_text (reader);
+  share->type = read_number (reader);
+  share->id = read_number (reader);
+  share->duration = read_number (reader);
+  share->spare = read_number (reader);
+  while (reader->good && reader->next < reader->count)
+    {
+      if (share->count == SHARE_ITEMS_MAX)
+        {
+          reader->good = false;
+          return;
+        }
+      struct share_item *item = &share->items[share->count++];
+      item->kind = read_number (reader);
+      item->name = read_text (reader);
+      item->amount = read_number (reader);
+      if (item->kind <= 0 || item->kind >= SHARE_KINDS)
+        reader->good = false;
+    }
+}
+
 static void
 read_message (struct reader *reader, struct message *message)
 {
@@ -160,6 +212,9 @@
       message->version = read_number (reader);
       message->document = read_text (reader);
       break;
+    case MESSAGE_SHARE:
+      read_share (reader, message);
+      break;
     default:
       reader->good = false;
     }
@@ -176,6 +231,8 @@
   msgpack_packer_init (&packer, &buffer, msgpack_sbuffer_write);
   if (message->type == MESSAGE_BEAT)
     pack_beat (&packer, &message->beat);
+  else if (message->type == MESSAGE_SHARE)
+    pack_share (&packer, message);
   else
     {
       bool has_document = message->type == MESSAGE_CONFIG;
--- a/src/peer/message.h
+++ b/src/peer/message.h
@@ -1,14 +1,15 @@
 /* Messages between entries, and their msgpack form.
 
-   Every message is a msgpack array of at most 15 integers and strings whose
-   first item is its type.  Later items of an array that a reader does not know are ignored, so that items
-   can be added at the end.
+   Every message is a msgpack array of integers and strings whose
+   first item is its type.  Later items of an array that a reader does not know
+   are ignored, so that items can be added at the end.
 
    Threads: pure functions; decoded strings are views into the input.  */
 #ifndef PEER_MESSAGE_H
 #define PEER_MESSAGE_H
 
 #include "base/str.h"
+#include "share/share.h"
 
 #include <stdint.h>
 
@@ -17,7 +18,8 @@
   MESSAGE_BEAT = 1, /* heartbeat of the sender */
   MESSAGE_ACK,      /* answers a heartbeat on the same connection */
   MESSAGE_FETCH,    /* asks for a configuration above a version */
-  MESSAGE_CONFIG    /* a whole configuration document */
+  MESSAGE_CONFIG,   /* a whole configuration document */
+  MESSAGE_SHARE     /* about loans of shares */
 };
 
 enum entry_state
@@ -48,6 +50,8 @@
   struct beat beat;
   int64_t version;     /* FETCH: held; CONFIG, ACK: the sender's */
   struct str document; /* CONFIG */
+  struct str from;     /* SHARE: the sender */
+  struct share_message share;
 };
 
 /* Encodes MESSAGE into POOL.  */
--- a/src/peer/peers.c
+++ b/src/peer/peers.c
@@ -58,6 +58,8 @@
   struct counter *beats_sent;
   struct counter *beats_received;
   struct counter *fetches;
+  struct counter *shares_sent;
+  struct counter *shares_received;
   struct counter *bytes;
   struct counter *alive_gauge;
   int64_t closed_bytes;
@@ -259,6 +261,10 @@
         peers->fetch_until = 0;
         peers->desc.config.offer (peers->desc.part, message.document, "peer");
         break;
+      case MESSAGE_SHARE:
+        counter_add (peers->shares_received, 1);
+        peers->desc.share (peers->desc.part, message.from, &message.share);
+        break;
       default:
         break;
       }
@@ -521,6 +527,12 @@
   peers->fetches = counter_get (counters, "citroncleat_peer_messages_total",
                                 "type=\"fetch\",way=\"sent\"",
                                 "Messages between entries.");
+  peers->shares_sent = counter_get (
+      counters, "citroncleat_peer_messages_total",
+      "type=\"share\",way=\"sent\"", "Messages between entries.");
+  peers->shares_received = counter_get (
+      counters, "citroncleat_peer_messages_total",
+      "type=\"share\",way=\"received\"", "Messages between entries.");
   peers->bytes = counter_get (counters, "citroncleat_peer_bytes_total", "",
                               "Bytes sent to and received from entries.");
   peers->alive_gauge = gauge_get (counters, "citroncleat_peers_alive", "",
@@ -609,6 +621,25 @@
   peers_announce (peers);
 }
 
+void
+peers_send_share (struct peers *peers, struct str to,
+                  const struct share_message *share)
+{
+  struct member *m = find_member (peers, to);
+  if (!m)
+    return;
+  struct message message = { .type = MESSAGE_SHARE,
+                             .from = peers->desc.self.name,
+                             .share = *share };
+  for (struct target *t = peers->targets; t; t = t->next)
+    if (t->link && str_equal (t->address, m->beat.peers))
+      {
+        send_message (t->link, &message);
+        counter_add (peers->shares_sent, 1);
+        return;
+      }
+}
+
 void
 peers_announce (struct peers *peers)
 {
--- a/src/peer/peers.h
+++ b/src/peer/peers.h
@@ -38,6 +38,8 @@
   struct peers_config config;
   void (*load) (void *part, struct beat *beat); /* fills in_flight, queued */
   void (*changed) (void *part, struct roster *roster); /* borrowed */
+  void (*share) (void *part, struct str from,
+                 const struct share_message *message);
   void *part; /* passed to all of the above */
 };
 
@@ -49,6 +51,9 @@
 void peers_learn (struct peers *peers, struct str address);
 /* Sets the state told in heartbeats and tells it at once.  */
 void peers_set_state (struct peers *peers, enum entry_state state);
+/* Sends MESSAGE to the entry TO, if it is connected.  */
+void peers_send_share (struct peers *peers, struct str to,
+                       const struct share_message *message);
 /* Sends a heartbeat now.  */
 void peers_announce (struct peers *peers);
 const struct roster *peers_roster (const struct peers *peers);
--- /dev/null
+++ b/src/share/share.c
@@ -0,0 +1,694 @@
+#include "share/share.h"
+
+#include <apr_hash.h>
+#include <apr_strings.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* types */
+
+struct share_pool
+{
+  struct share_pool *next;
+  struct share *share;
+  struct group *group;
+  enum share_kind kind;
+  struct str name;
+  int64_t base;
+  int64_t used;
+  int64_t lent;
+  int64_t borrowed;    /* by loans that have not run out */
+  int64_t ended;       /* by loans that have, and are to be returned */
+  apr_time_t next_end; /* the first of them runs out */
+};
+
+/* The pools that are asked for together: the slots of one service, or one
+   pool of another kind.  */
+struct group
+{
+  struct group *next;
+  struct str name;
+  enum share_kind kind;
+  struct share_pool *pools;
+  struct share_pool *cursor; /* where lending goes on */
+  int64_t wanted;
+  int64_t peak_used; /* decays; what this entry needs itself */
+  int asking;        /* requests in progress */
+};
+
+/* Something that this entry has lent.  */
+struct lending
+{
+  struct lending *next;
+  struct share_pool *pool;
+  char borrower[64];
+  int64_t id;
+  int64_t amount;
+  apr_time_t until; /* the borrower starts nothing on it after this */
+};
+
+/* Something that this entry has borrowed.  */
+struct borrowing
+{
+  struct borrowing *next;
+  struct share_pool *pool;
+  char lender[64];
+  int64_t id;
+  int64_t amount;
+  apr_time_t until;
+  bool ended;
+};
+
+/* A request whose answer has not come.  */
+struct asking
+{
+  struct asking *next;
+  struct group *group;
+  char lender[64];
+  int64_t id;
+  apr_time_t asked_at;
+};
+
+struct peer
+{
+  char name[64];
+  apr_time_t distance_us;
+  apr_time_t empty_until[SHARE_KINDS]; /* it had nothing to spare */
+};
+
+struct share
+{
+  struct share_desc desc;
+  apr_pool_t *pool;
+  apr_hash_t *pools; /* by kind and name */
+  struct group *groups;
+  struct lending *lendings;
+  struct borrowing *borrowings;
+  struct asking *askings;
+  struct peer *peers;
+  size_t peer_count;
+  int64_t last_id;
+  uint64_t random;
+};
+
+/* constants */
+
+#define DEFAULT_DURATION_US INT64_C (1000000)
+#define DEFAULT_HOLD_US INT64_C (30000000)
+/* A request is given up after this and its peer's distance.  */
+#define ASK_TIMEOUT_US INT64_C (100000)
+/* A peer that had nothing to spare is not asked for this long.  */
+#define EMPTY_US INT64_C (20000)
+
+enum
+{
+  ASKING_MAX = 3,       /* requests at a time for one group */
+  DRIFT_PER_MILLE = 5,  /* by which clocks may run unevenly */
+  PEAK_DECAY_SHIFT = 5, /* a 32nd at each tick */
+  RESERVE_SHIFT = 3,    /* an 8th above the peak is not lent */
+  KEY_MAX_BYTES = 80
+};
+
+/* private functions */
+
+static uint64_t
+next_random (struct share *share)
+{
+  uint64_t x = share->random;
+  x ^= x << 13;
+  x ^= x >> 7;
+  x ^= x << 17;
+  return share->random = x;
+}
+
+static struct group *
+group_get (struct share *share, enum share_kind kind, struct str name)
+{
+  struct group *g = share->groups;
+  while (g && !(g->kind == kind && str_equal (g->name, name)))
+    g = g->next;
+  if (g)
+    return g;
+  g = apr_pcalloc (share->pool, sizeof *g);
+  g->kind = kind;
+  g->name = str_dup (share->pool, name);
+  g->next = share->groups;
+  share->groups = g;
+  return g;
+}
+
+static struct share_pool *
+pool_find (struct share *share, int64_t kind, struct str name)
+{
+  char key[KEY_MAX_BYTES];
+  int size = snprintf (key, sizeof key, "%d/%.*s", (int)kind, STR_ARGS (name));
+  return apr_hash_get (share->pools, key, size);
+}
+
+/* Loans that ran out.  */
+
+static void
+end_borrowings (struct share_pool *pool, apr_time_t now)
+{
+  pool->next_end = APR_INT64_MAX;
+  for (struct borrowing *b = pool->share->borrowings; b; b = b->next)
+    {
+      if (b->pool != pool || b->ended)
+        continue;
+      if (now >= b->until)
+        {
+          b->ended = true;
+          pool->borrowed -= b->amount;
+          pool->ended += b->amount;
+        }
+      else if (b->until < pool->next_end)
+        pool->next_end = b->until;
+    }
+}
+
+/* Returns what is used beyond what may be used: uses that began on loans
+   that have since run out.  */
+static int64_t
+overdue (struct share_pool *pool, apr_time_t now)
+{
+  int64_t over = pool->used - share_pool_limit (pool, now);
+  return over > 0 ? over : 0;
+}
+
+static void
+send_return (struct share *share, struct str lender, int64_t id,
+             struct share_item item)
+{
+  struct share_message message
+      = { .type = SHARE_RETURN, .id = id, .count = 1, .items = { item } };
+  share->desc.send (share->desc.part, lender, &message);
+}
+
+/* Gives back what has run out and is no longer used.  */
+static void
+return_ended (struct share *share, apr_time_t now)
+{
+  struct borrowing **at = &share->borrowings;
+  while (*at)
+    {
+      struct borrowing *b = *at;
+      if (!b->ended && now >= b->pool->next_end)
+        end_borrowings (b->pool, now);
+      int64_t idle = b->ended ? b->pool->ended - overdue (b->pool, now) : 0;
+      int64_t amount = idle < b->amount ? idle : b->amount;
+      if (amount > 0)
+        {
+          struct share_item item = { b->pool->kind, b->pool->name, amount };
+          send_return (share, str_from (b->lender), b->id, item);
+          b->amount -= amount;
+          b->pool->ended -= amount;
+        }
+      if (b->amount == 0)
+        {
+          *at = b->next;
+          free (b);
+          continue;
+        }
+      at = &b->next;
+    }
+}
+
+/* Takes back what was lent so long ago that nothing can be left of it.  */
+static void
+end_lendings (struct share *share, apr_time_t now)
+{
+  struct lending **at = &share->lendings;
+  while (*at)
+    {
+      struct lending *l = *at;
+      apr_time_t hold = l->pool->kind == SHARE_LINK ? 0 : share->desc.hold_us;
+      if (l->amount > 0 && now < l->until + hold)
+        {
+          at = &l->next;
+          continue;
+        }
+      l->pool->lent -= l->amount;
+      *at = l->next;
+      free (l);
+    }
+}
+
+/* What this entry needs itself.  */
+
+static int64_t
+group_used (const struct group *group)
+{
+  int64_t used = 0;
+  for (const struct share_pool *p = group->pools; p; p = p->next)
+    used += p->used;
+  return used;
+}
+
+static int64_t
+group_limit (struct group *group, apr_time_t now)
+{
+  int64_t limit = 0;
+  for (struct share_pool *p = group->pools; p; p = p->next)
+    limit += share_pool_limit (p, now);
+  return limit;
+}
+
+static void
+note_use (struct group *group)
+{
+  int64_t used = group_used (group);
+  group->peak_used
+      -= (group->peak_used + (1 << PEAK_DECAY_SHIFT) - 1) >> PEAK_DECAY_SHIFT;
+  if (used > group->peak_used)
+    group->peak_used = used;
+}
+
+/* Returns what this entry can do without.  */
+static int64_t
+group_spare (struct group *group, apr_time_t now)
+{
+  int64_t need
+      = group->peak_used + (group->peak_used >> RESERVE_SHIFT) + group->wanted;
+  int64_t spare = group_limit (group, now) - need;
+  return spare > 0 ? spare : 0;
+}
+
+/* Asking.  */
+
+static struct peer *
+pick_peer (struct share *share, const struct group *group, apr_time_t now)
+{
+  struct peer *best = NULL;
+  uint64_t best_rank = 0;
+  for (size_t i = 0; i < share->peer_count; i++)
+    {
+      struct peer *p = &share->peers[i];
+      bool asked = false;
+      for (const struct asking *a = share->askings; a; a = a->next)
+        asked |= a->group == group && strcmp (a->lender, p->name) == 0;
+      if (asked || now < p->empty_until[group->kind])
+        continue;
+      /* Nearest first, at random among those as near.  */
+      uint64_t rank
+          = (uint64_t)p->distance_us << 16 | (next_random (share) & 0xffff);
+      if (!best || rank < best_rank)
+        {
+          best = p;
+          best_rank = rank;
+        }
+    }
+  return best;
+}
+
+static void
+ask (struct share *share, struct group *group, apr_time_t now)
+{
+  struct peer *peer = pick_peer (share, group, now);
+  if (!peer)
+    return;
+  struct asking *a = calloc (1, sizeof *a);
+  if (!a)
+    abort ();
+  a->group = group;
+  a->id = ++share->last_id;
+  a->asked_at = now;
+  apr_cpystrn (a->lender, peer->name, sizeof a->lender);
+  a->next = share->askings;
+  share->askings = a;
+  group->asking++;
+  struct share_message message
+      = { .type = SHARE_BORROW,
+          .id = a->id,
+          .duration = share->desc.duration_us,
+          .count = 1,
+          .items = { { (int64_t)group->kind, group->name, group->wanted } } };
+  share->desc.send (share->desc.part, str_from (peer->name), &message);
+}
+
+static void
+drop_asking (struct share *share, struct asking *asking)
+{
+  struct asking **at = &share->askings;
+  while (*at != asking)
+    at = &(*at)->next;
+  *at = asking->next;
+  asking->group->asking--;
+  free (asking);
+}
+
+static struct peer *
+find_peer (struct share *share, struct str name)
+{
+  for (size_t i = 0; i < share->peer_count; i++)
+    if (str_equal (str_from (share->peers[i].name), name))
+      return &share->peers[i];
+  return NULL;
+}
+
+static void
+give_up_askings (struct share *share, apr_time_t now)
+{
+  struct asking *next;
+  for (struct asking *a = share->askings; a; a = next)
+    {
+      next = a->next;
+      struct peer *peer = find_peer (share, str_from (a->lender));
+      apr_time_t limit = ASK_TIMEOUT_US + (peer ? 2 * peer->distance_us : 0);
+      if (now - a->asked_at < limit)
+        continue;
+      if (peer)
+        peer->empty_until[a->group->kind] = now + limit;
+      drop_asking (share, a);
+    }
+}
+
+/* Lending.  */
+
+static void
+lend (struct share_pool *pool, int64_t amount, struct str borrower,
+      const struct share_message *request, apr_time_t now)
+{
+  struct lending *l = calloc (1, sizeof *l);
+  if (!l)
+    abort ();
+  l->pool = pool;
+  l->id = request->id;
+  l->amount = amount;
+  l->until
+      = now + request->duration + request->duration * DRIFT_PER_MILLE / 1000;
+  snprintf (l->borrower, sizeof l->borrower, "%.*s", STR_ARGS (borrower));
+  l->next = pool->share->lendings;
+  pool->share->lendings = l;
+  pool->lent += amount;
+}
+
+/* Returns what POOL can lend: free, and its own.  What is borrowed is not
+   lent on, since the second loan would outlive the first.  */
+static int64_t
+lendable (struct share_pool *pool, apr_time_t now)
+{
+  int64_t left = share_pool_free (pool, now);
+  int64_t own = pool->base - pool->lent;
+  if (own < left)
+    left = own;
+  return left > 0 ? left : 0;
+}
+
+static void
+take_borrow (struct share *share, struct str from,
+             const struct share_message *request, apr_time_t now)
+{
+  struct share_message answer = { .type = SHARE_LEND,
+                                  .id = request->id,
+                                  .duration = request->duration };
+  if (request->count != 1 || request->duration <= 0
+      || request->duration > 60 * DEFAULT_DURATION_US)
+    return;
+  struct group *group = group_get (
+      share, (enum share_kind)request->items[0].kind, request->items[0].name);
+  note_use (group);
+  int64_t left = group_spare (group, now);
+  /* A borrower gets at most half, so that several can be served.  */
+  int64_t most = (left + 1) / 2;
+  int64_t wanted = request->items[0].amount;
+  if (wanted > most)
+    wanted = most;
+  struct share_pool *start = group->cursor ? group->cursor : group->pools;
+  struct share_pool *p = start;
+  while (p && wanted > 0 && answer.count < SHARE_ITEMS_MAX)
+    {
+      int64_t amount = lendable (p, now);
+      if (amount > wanted)
+        amount = wanted;
+      if (amount > 0)
+        {
+          lend (p, amount, from, request, now);
+          answer.items[answer.count++]
+              = (struct share_item){ p->kind, p->name, amount };
+          wanted -= amount;
+          left -= amount;
+        }
+      p = p->next ? p->next : group->pools;
+      if (p == start)
+        break;
+    }
+  group->cursor = p;
+  answer.spare = left;
+  share->desc.send (share->desc.part, from, &answer);
+}
+
+static struct asking *
+find_asking (struct share *share, struct str lender, int64_t id)
+{
+  struct asking *a = share->askings;
+  while (a && !(a->id == id && str_equal (str_from (a->lender), lender)))
+    a = a->next;
+  return a;
+}
+
+static void
+borrow (struct share *share, const struct asking *asking,
+        const struct share_item *item, int64_t duration)
+{
+  struct share_pool *pool = pool_find (share, item->kind, item->name);
+  if (!pool || item->amount <= 0)
+    return;
+  struct borrowing *b = calloc (1, sizeof *b);
+  if (!b)
+    abort ();
+  b->pool = pool;
+  b->id = asking->id;
+  b->amount = item->amount;
+  b->until = asking->asked_at + duration;
+  apr_cpystrn (b->lender, asking->lender, sizeof b->lender);
+  b->next = share->borrowings;
+  share->borrowings = b;
+  pool->borrowed += b->amount;
+  if (b->until < pool->next_end)
+    pool->next_end = b->until;
+}
+
+static void
+take_lend (struct share *share, struct str from,
+           const struct share_message *answer, apr_time_t now)
+{
+  struct asking *asking = find_asking (share, from, answer->id);
+  struct peer *peer = find_peer (share, from);
+  if (!asking)
+    {
+      /* The request was given up; nothing was started on its answer.  */
+      for (size_t i = 0; i < answer->count; i++)
+        send_return (share, from, answer->id, answer->items[i]);
+      return;
+    }
+  for (size_t i = 0; i < answer->count; i++)
+    borrow (share, asking, &answer->items[i], answer->duration);
+  if (peer && answer->spare <= 0)
+    peer->empty_until[asking->group->kind]
+        = now + EMPTY_US + peer->distance_us;
+  drop_asking (share, asking);
+}
+
+static void
+take_return (struct share *share, struct str from,
+             const struct share_message *message)
+{
+  const struct share_item *item = &message->items[0];
+  for (struct lending *l = share->lendings; l; l = l->next)
+    if (message->count == 1 && l->id == message->id
+        && l->pool == pool_find (share, item->kind, item->name)
+        && str_equal (str_from (l->borrower), from) && item->amount > 0)
+      {
+        int64_t amount = item->amount < l->amount ? item->amount : l->amount;
+        l->amount -= amount;
+        l->pool->lent -= amount;
+        return;
+      }
+}
+
+/* public functions */
+
+struct share *
+share_create (apr_pool_t *pool, const struct share_desc *desc)
+{
+  struct share *share = apr_pcalloc (pool, sizeof *share);
+  share->pool = pool;
+  share->desc = *desc;
+  share->pools = apr_hash_make (pool);
+  share->random = desc->seed ? desc->seed : 88172645463325252ULL;
+  if (!share->desc.duration_us)
+    share->desc.duration_us = DEFAULT_DURATION_US;
+  if (!share->desc.hold_us)
+    share->desc.hold_us = DEFAULT_HOLD_US;
+  return share;
+}
+
+void
+share_destroy (struct share *share)
+{
+  if (!share)
+    return;
+  while (share->askings)
+    drop_asking (share, share->askings);
+  while (share->lendings)
+    {
+      struct lending *l = share->lendings;
+      share->lendings = l->next;
+      free (l);
+    }
+  while (share->borrowings)
+    {
+      struct borrowing *b = share->borrowings;
+      share->borrowings = b->next;
+      free (b);
+    }
+  free (share->peers);
+}
+
+struct share_pool *
+share_pool_get (struct share *share, enum share_kind kind, struct str name,
+                struct str owner)
+{
+  struct share_pool *pool = pool_find (share, kind, name);
+  if (pool)
+    return pool;
+  char *key = str_format (share->pool, "%d/%.*s", (int)kind, STR_ARGS (name));
+  pool = apr_pcalloc (share->pool, sizeof *pool);
+  pool->share = share;
+  pool->kind = kind;
+  pool->name = str_dup (share->pool, name);
+  pool->next_end = APR_INT64_MAX;
+  pool->group = group_get (share, kind, kind == SHARE_SLOTS ? owner : name);
+  pool->next = pool->group->pools;
+  pool->group->pools = pool;
+  apr_hash_set (share->pools, key, APR_HASH_KEY_STRING, pool);
+  return pool;
+}
+
+void
+share_pool_set_base (struct share_pool *pool, int64_t base)
+{
+  pool->base = base;
+}
+
+int64_t
+share_pool_limit (struct share_pool *pool, apr_time_t now)
+{
+  if (now >= pool->next_end)
+    end_borrowings (pool, now);
+  return pool->base - pool->lent + pool->borrowed;
+}
+
+int64_t
+share_pool_free (struct share_pool *pool, apr_time_t now)
+{
+  int64_t left = share_pool_limit (pool, now) - pool->used;
+  return left > 0 ? left : 0;
+}
+
+int64_t
+share_pool_used (const struct share_pool *pool)
+{
+  return pool->used;
+}
+
+void
+share_pool_use (struct share_pool *pool, int64_t amount)
+{
+  pool->used += amount;
+}
+
+void
+share_pool_release (struct share_pool *pool, int64_t amount)
+{
+  pool->used -= amount;
+}
+
+int64_t
+share_pool_lent (const struct share_pool *pool)
+{
+  return pool->lent;
+}
+
+void
+share_set_peers (struct share *share, const struct share_peer *peers,
+                 size_t count)
+{
+  struct peer *list = calloc (count + 1, sizeof *list);
+  if (!list)
+    abort ();
+  for (size_t i = 0; i < count; i++)
+    {
+      const struct peer *old = find_peer (share, peers[i].name);
+      if (old)
+        list[i] = *old;
+      snprintf (list[i].name, sizeof list[i].name, "%.*s",
+                STR_ARGS (peers[i].name));
+      list[i].distance_us = peers[i].distance_us;
+    }
+  free (share->peers);
+  share->peers = list;
+  share->peer_count = count;
+}
+
+void
+share_want (struct share *share, enum share_kind kind, struct str name,
+            int64_t amount)
+{
+  struct group *group = group_get (share, kind, name);
+  if (amount > group->wanted)
+    group->wanted = amount;
+}
+
+void
+share_tick (struct share *share, apr_time_t now)
+{
+  return_ended (share, now);
+  end_lendings (share, now);
+  give_up_askings (share, now);
+  for (struct group *g = share->groups; g; g = g->next)
+    {
+      note_use (g);
+      if (g->wanted > 0 && g->asking < ASKING_MAX)
+        ask (share, g, now);
+      g->wanted = 0;
+    }
+}
+
+void
+share_receive (struct share *share, struct str from,
+               const struct share_message *message, apr_time_t now)
+{
+  switch (message->type)
+    {
+    case SHARE_BORROW:
+      take_borrow (share, from, message, now);
+      break;
+    case SHARE_LEND:
+      take_lend (share, from, message, now);
+      break;
+    case SHARE_RETURN:
+      take_return (share, from, message);
+      break;
+    default:
+      break;
+    }
+}
+
+void
+share_set_hold (struct share *share, apr_time_t hold_us)
+{
+  share->desc.hold_us = hold_us;
+}
+
+void
+share_forget (struct share *share, struct str from)
+{
+  for (struct lending *l = share->lendings; l; l = l->next)
+    if (str_equal (str_from (l->borrower), from))
+      {
+        l->pool->lent -= l->amount;
+        l->amount = 0;
+      }
+}
--- /dev/null
+++ b/src/share/share.h
@@ -0,0 +1,132 @@
+/* Shares of caps, and loans of them between entries.
+
+   A cap (slots of an upstream, concurrent calls of a service or a region,
+   bytes a second of a link) is divided into base shares, one an entry, whose
+   sum never exceeds it.  An entry that has more than it needs lends part of
+   its share to one that has less, for a short time.
+
+   Safety rests on clocks that only measure durations:
+   - the lender stops using what it lends before it answers;
+   - the borrower counts the duration from before it asked, the lender from
+     when it answered, so the borrower always stops first;
+   - after its loan has run out the borrower starts nothing on it; the lender
+     takes it back when the borrower says that nothing started on it is left,
+     or after the longest time that anything may last (`hold_us').
+   So calls in progress, over all entries, never exceed the cap, whatever is
+   lost, delayed, paused or killed.
+
+   All functions take the time as an argument and send through a function of
+   the description, so that tests run many entries on one virtual clock.
+
+   Call order: share_create; share_pool_get for every cap;
+   share_pool_set_base when the division changes; share_pool_free before and
+   share_pool_use / share_pool_release around each use; share_want for what
+   is short; share_tick every few milliseconds; share_receive for each message.
+
+   Units: microseconds; calls, or bytes a second.  Threads: one thread.  */
+#ifndef SHARE_SHARE_H
+#define SHARE_SHARE_H
+
+#include "base/str.h"
+
+#include <apr_time.h>
+#include <stdint.h>
+
+enum share_kind
+{
+  SHARE_SLOTS = 1, /* of one upstream; the pool's owner is its service */
+  SHARE_SERVICE,
+  SHARE_REGION,
+  SHARE_LINK, /* bytes a second, one way */
+  SHARE_KINDS
+};
+
+enum share_message_type
+{
+  SHARE_BORROW = 1, /* asks for `amount' of `kind' of `name' */
+  SHARE_LEND,       /* answers with what was lent */
+  SHARE_RETURN      /* gives back `amount' of a loan */
+};
+
+enum
+{
+  SHARE_ITEMS_MAX = 16
+};
+
+/* An amount of one cap.  */
+struct share_item
+{
+  int64_t kind; /* enum share_kind */
+  struct str name;
+  int64_t amount;
+};
+
+/* One message between two entries.  In SHARE_BORROW an item of SHARE_SLOTS
+   names a service; in SHARE_LEND it names an upstream of it.  */
+struct share_message
+{
+  int64_t type;     /* enum share_message_type */
+  int64_t id;       /* the borrower's number of the loan */
+  int64_t duration; /* of the loan, microseconds */
+  int64_t spare;    /* SHARE_LEND: what could still be lent of the first */
+  size_t count;
+  struct share_item items[SHARE_ITEMS_MAX];
+};
+
+struct share;
+struct share_pool;
+
+struct share_desc
+{
+  struct str entry;
+  apr_time_t duration_us; /* of loans; default 1 s */
+  apr_time_t hold_us;     /* longest life of a use; default 30 s */
+  uint64_t seed;
+  /* Sends MESSAGE to the entry TO; it may be lost.  */
+  void (*send) (void *part, struct str to,
+                const struct share_message *message);
+  void *part;
+};
+
+/* An entry that may lend.  */
+struct share_peer
+{
+  struct str name;
+  apr_time_t distance_us; /* there and back */
+};
+
+struct share *share_create (apr_pool_t *pool, const struct share_desc *desc);
+void share_destroy (struct share *share);
+/* Returns the pool of a cap; OWNER groups the pools of SHARE_SLOTS by
+   service.  Pools live as long as SHARE.  */
+struct share_pool *share_pool_get (struct share *share, enum share_kind kind,
+                                   struct str name, struct str owner);
+/* Sets this entry's base share.  A larger one must be set only when no other
+   entry uses the difference any more.  */
+void share_pool_set_base (struct share_pool *pool, int64_t base);
+/* Returns what this entry may use of the cap at NOW, used or not.  */
+int64_t share_pool_limit (struct share_pool *pool, apr_time_t now);
+/* Returns what is left of it.  */
+int64_t share_pool_free (struct share_pool *pool, apr_time_t now);
+int64_t share_pool_used (const struct share_pool *pool);
+void share_pool_use (struct share_pool *pool, int64_t amount);
+void share_pool_release (struct share_pool *pool, int64_t amount);
+/* Returns what is lent to other entries now.  */
+int64_t share_pool_lent (const struct share_pool *pool);
+/* Sets the entries that may be asked, without this one.  */
+void share_set_peers (struct share *share, const struct share_peer *peers,
+                      size_t count);
+/* Says that AMOUNT more of KIND (SHARE_SLOTS: of the service NAME) could be
+   used at once; lasts until the next tick.  */
+void share_want (struct share *share, enum share_kind kind, struct str name,
+                 int64_t amount);
+/* Ends and returns what has run out, asks for what is wanted.  */
+void share_tick (struct share *share, apr_time_t now);
+void share_receive (struct share *share, struct str from,
+                    const struct share_message *message, apr_time_t now);
+/* Sets the longest life of a use, as `hold_us' in the description.  */
+void share_set_hold (struct share *share, apr_time_t hold_us);
+/* The entry FROM is known to be gone: what it borrowed comes back.  */
+void share_forget (struct share *share, struct str from);
+
+#endif
--- a/src/steer/steer.c
+++ b/src/steer/steer.c
@@ -15,8 +15,8 @@
   struct region_state *region;
   struct str name;
   struct str address;
-  int64_t in_flight;
-  int64_t slots;        /* this entry's part */
+  struct share_pool *slots;
+  int64_t slot_count;   /* of the whole upstream, under the policy */
   double response_us;   /* moving average; 0 before the first answer */
   apr_time_t seen_at;   /* of the last answer */
   apr_time_t warm_from; /* the ramp starts here */
@@ -32,17 +32,15 @@
   const struct service *spec;
   struct upstream_state **upstreams;
   size_t count;
-  int64_t in_flight;
+  struct share_pool *calls;
   int64_t in_flight_long;
-  int64_t cap; /* this entry's part; 0: none */
   double service_us;
 };
 
 struct region_state
 {
   const struct region *spec;
-  int64_t in_flight;
-  int64_t cap;
+  struct share_pool *calls;
   apr_time_t distance_us; /* there and back */
 };
 
@@ -55,6 +53,7 @@
   apr_hash_t *upstreams; /* states by name */
   apr_hash_t *services;
   apr_hash_t *regions;
+  struct share *share;
   size_t share_index;
   size_t share_count;
   uint64_t random;
@@ -67,6 +66,7 @@
   EJECT_AFTER_FAILURES = 3,
   EJECT_FIRST_MS = 500,
   EJECT_LONGEST_MS = 15000,
+  WANT_HEADROOM_SHIFT = 3, /* an 8th of what is used */
   DISTANCE_DEFAULT_US = 20000
 };
 
@@ -121,16 +121,14 @@
   return weight;
 }
 
-/* Returns this entry's part of UPSTREAM's slots under the policy.  */
+/* Returns UPSTREAM's slots under the policy.  */
 static int64_t
-slots_of (const struct steer *steer, const struct upstream *upstream)
+slots_of (const struct upstream *upstream)
 {
   int64_t most;
   int64_t weight
       = weight_of (upstream->group->service, upstream->zone->region, &most);
-  int64_t slots = (upstream->group->slots * weight + most - 1) / most;
-  return steer_share_of (slots, steer->share_index, steer->share_count,
-                         salt_of (upstream->head.name));
+  return (upstream->group->slots * weight + most - 1) / most;
 }
 
 static void *
@@ -159,11 +157,15 @@
   return find (steer->services, service->head.name);
 }
 
-static int64_t
-share_of (const struct steer *steer, int64_t cap, struct str name)
+static void
+set_base (const struct steer *steer, struct share_pool *pool, int64_t cap,
+          struct str name)
 {
-  return steer_share_of (cap, steer->share_index, steer->share_count,
-                         salt_of (name));
+  int64_t base = steer->share_count > 0
+                     ? steer_share_of (cap, steer->share_index,
+                                       steer->share_count, salt_of (name))
+                     : 0;
+  share_pool_set_base (pool, base);
 }
 
 static void
@@ -172,17 +174,18 @@
   SNAPSHOT_EACH (steer->snapshot, KIND_UPSTREAM, const struct upstream, u)
   {
     struct upstream_state *state = find (steer->upstreams, u->head.name);
-    state->slots = slots_of (steer, u);
+    state->slot_count = slots_of (u);
+    set_base (steer, state->slots, state->slot_count, u->head.name);
   }
   SNAPSHOT_EACH (steer->snapshot, KIND_SERVICE, const struct service, s)
   {
-    service_state (steer, s)->cap
-        = share_of (steer, s->call_cap, s->head.name);
+    set_base (steer, service_state (steer, s)->calls, s->call_cap,
+              s->head.name);
   }
   SNAPSHOT_EACH (steer->snapshot, KIND_REGION, const struct region, r)
   {
     struct region_state *state = find (steer->regions, r->head.name);
-    state->cap = share_of (steer, r->call_cap, r->head.name);
+    set_base (steer, state->calls, r->call_cap, r->head.name);
   }
 }
 
@@ -194,7 +197,9 @@
        at = apr_hash_next (at))
     {
       apr_hash_this (at, NULL, NULL, &state);
-      ((struct upstream_state *)state)->spec = NULL;
+      struct upstream_state *upstream = state;
+      upstream->spec = NULL;
+      share_pool_set_base (upstream->slots, 0);
     }
 }
 
@@ -210,6 +215,8 @@
     const struct link_spec *link
         = self ? snapshot_link (steer->snapshot, self, r) : NULL;
     state->spec = r;
+    state->calls
+        = share_pool_get (steer->share, SHARE_REGION, r->head.name, STR (""));
     if (r == self)
       state->distance_us = 0;
     else
@@ -227,6 +234,8 @@
     struct service_state *state
         = find_or_add (steer, steer->services, s->head.name, sizeof *state);
     state->spec = s;
+    state->calls
+        = share_pool_get (steer->share, SHARE_SERVICE, s->head.name, STR (""));
     state->count = 0;
     state->upstreams = apr_palloc (steer->lists, (most + 1) * sizeof (void *));
   }
@@ -242,42 +251,66 @@
     struct service_state *service = service_state (steer, u->group->service);
     if (!str_equal (state->address, u->address))
       {
-        int64_t in_flight = state->in_flight;
         memset (state, 0, sizeof *state);
-        state->in_flight = in_flight;
         state->warm_from = is_first ? now - WARM_ALREADY_US : now;
         state->reported_at = now - REPORT_VALID_US;
         state->name = str_dup (steer->pool, u->head.name);
         state->address = str_dup (steer->pool, u->address);
       }
     state->spec = u;
+    state->slots = share_pool_get (steer->share, SHARE_SLOTS, u->head.name,
+                                   u->group->service->head.name);
     state->service = service;
     state->region = find (steer->regions, u->zone->region->head.name);
     service->upstreams[service->count++] = state;
   }
 }
 
-/* Returns the calls that the upstream may have now: its slots, less while it
-   warms up, none while it leaves or is ejected.  */
+/* Returns how many of this entry's own slots a warming upstream may use when
+   it is AGE old: over all entries, the slots in use grow with its age, at
+   least one.  */
+static int64_t
+ramp_limit (const struct steer *steer, const struct upstream_state *state,
+            apr_time_t age, apr_time_t ramp_us)
+{
+  int64_t open = state->slot_count * age / ramp_us;
+  int64_t own = steer_share_of (state->slot_count, steer->share_index,
+                                steer->share_count, salt_of (state->name));
+  int64_t first
+      = steer_share_start (state->slot_count, steer->share_index,
+                           steer->share_count, salt_of (state->name));
+  int64_t usable = (open > 0 ? open : 1) - first;
+  if (usable < 0)
+    return 0;
+  return usable < own ? usable : own;
+}
+
+/* Returns the calls that the upstream may have from this entry now: its
+   share of the slots, less while it warms up, none while it leaves or is
+   ejected.  */
 static int64_t
-limit_of (const struct upstream_state *state, apr_time_t now)
+limit_of (const struct steer *steer, const struct upstream_state *state,
+          apr_time_t now)
 {
-  if (state->leaving || now < state->ejected_until || !state->spec)
+  if (state->leaving || now < state->ejected_until || !state->spec
+      || steer->share_count == 0)
     return 0;
+  int64_t limit = share_pool_limit (state->slots, now);
   int64_t ramp_us = state->spec->group->ramp_ms * 1000;
   apr_time_t age = now - state->warm_from;
-  if (age >= ramp_us || state->slots == 0)
-    return state->slots;
-  int64_t limit = state->slots * age / ramp_us;
-  return limit > 0 ? limit : 1;
+  if (age >= ramp_us)
+    return limit;
+  int64_t ramp = ramp_limit (steer, state, age, ramp_us);
+  return ramp < limit ? ramp : limit;
 }
 
 static int64_t
-total_limit (const struct service_state *service, apr_time_t now)
+total_limit (const struct steer *steer, const struct service_state *service,
+             apr_time_t now)
 {
   int64_t slots = 0;
   for (size_t i = 0; i < service->count; i++)
-    slots += limit_of (service->upstreams[i], now);
+    slots += limit_of (steer, service->upstreams[i], now);
   return slots;
 }
 
@@ -317,26 +350,29 @@
 }
 
 static bool
-long_slots_used (const struct service_state *service,
+long_slots_used (const struct steer *steer,
+                 const struct service_state *service,
                  const struct steer_request *request)
 {
   if (request->call_class != CLASS_LONG)
     return false;
-  int64_t limit = total_limit (service, request->now)
+  int64_t limit = total_limit (steer, service, request->now)
                   * request->service->long_slots_percent / 100;
   return service->in_flight_long >= (limit > 0 ? limit : 1);
 }
 
 static bool
-service_is_capped (const struct service_state *service)
+service_is_capped (const struct service_state *service, apr_time_t now)
 {
-  return service->spec->call_cap > 0 && service->in_flight >= service->cap;
+  return service->spec->call_cap > 0
+         && share_pool_free (service->calls, now) == 0;
 }
 
 static bool
-region_is_capped (const struct region_state *region)
+region_is_capped (const struct region_state *region, apr_time_t now)
 {
-  return region->spec->call_cap > 0 && region->in_flight >= region->cap;
+  return region->spec->call_cap > 0
+         && share_pool_free (region->calls, now) == 0;
 }
 
 /* Returns whether an upstream at DISTANCE is worth it while nearer ones are
@@ -396,6 +432,7 @@
   steer->desc = *desc;
   steer->random = desc->seed ? desc->seed : 88172645463325252ULL;
   steer->share_count = 1;
+  steer->share = share_create (pool, &desc->share);
   steer->upstreams = apr_hash_make (pool);
   steer->services = apr_hash_make (pool);
   steer->regions = apr_hash_make (pool);
@@ -408,6 +445,7 @@
   if (!steer)
     return;
   snapshot_unref (steer->snapshot);
+  share_destroy (steer->share);
   if (steer->lists)
     apr_pool_destroy (steer->lists);
 }
@@ -436,7 +474,7 @@
 steer_set_share (struct steer *steer, size_t index, size_t count)
 {
   steer->share_index = index;
-  steer->share_count = count > 0 ? count : 1;
+  steer->share_count = count;
   if (steer->snapshot)
     set_limits (steer);
 }
@@ -450,24 +488,24 @@
   double best = 0;
   double best_full = 0; /* of those without a free slot */
   apr_time_t distance = 0;
-  bool capped = service_is_capped (service);
-  bool long_full = long_slots_used (service, request);
+  bool capped = service_is_capped (service, now);
+  bool long_full = long_slots_used (steer, service, request);
   for (size_t i = 0; i < service->count; i++)
     {
       const struct upstream_state *u = service->upstreams[i];
-      int64_t limit = limit_of (u, now);
+      int64_t limit = limit_of (steer, u, now);
       if (limit == 0 || is_excluded (request, u->name))
         continue;
       if (choice.verdict == STEER_NOWHERE)
         choice.verdict = STEER_WAIT;
-      if (capped || region_is_capped (u->region))
+      if (capped || region_is_capped (u->region, now))
         {
           if (choice.verdict != STEER_CHOSEN)
             choice.verdict = STEER_CAPPED;
           continue;
         }
       double cost = cost_of (steer, u, now);
-      bool full = long_full || u->in_flight >= limit;
+      bool full = long_full || share_pool_used (u->slots) >= limit;
       if (full && (best_full == 0 || cost < best_full))
         best_full = cost;
       if (full || (choice.verdict == STEER_CHOSEN && cost >= best))
@@ -489,9 +527,9 @@
              enum call_class call_class)
 {
   struct upstream_state *state = find (steer->upstreams, upstream->head.name);
-  state->in_flight++;
-  state->region->in_flight++;
-  state->service->in_flight++;
+  share_pool_use (state->slots, 1);
+  share_pool_use (state->region->calls, 1);
+  share_pool_use (state->service->calls, 1);
   if (call_class == CLASS_LONG)
     state->service->in_flight_long++;
   return (struct steer_ticket){ state, state->service, state->region,
@@ -504,9 +542,9 @@
 {
   (void)steer;
   struct upstream_state *state = ticket->upstream;
-  state->in_flight--;
-  ticket->region->in_flight--;
-  ticket->service->in_flight--;
+  share_pool_release (state->slots, 1);
+  share_pool_release (ticket->region->calls, 1);
+  share_pool_release (ticket->service->calls, 1);
   if (ticket->call_class == CLASS_LONG)
     ticket->service->in_flight_long--;
   if (result != RESULT_CANCELLED)
@@ -552,8 +590,8 @@
   if (!state)
     return (struct steer_view){ 0 };
   return (struct steer_view){
-    .in_flight = state->in_flight,
-    .limit = limit_of (state, now),
+    .in_flight = share_pool_used (state->slots),
+    .limit = limit_of (steer, state, now),
     .response_us = (int64_t)state->response_us,
     .leaving = state->leaving,
     .ejected = now < state->ejected_until,
@@ -565,12 +603,59 @@
                      size_t ahead, apr_time_t now)
 {
   const struct service_state *state = service_state (steer, service);
-  int64_t slots = total_limit (state, now);
+  int64_t slots = total_limit (steer, state, now);
   if (slots == 0)
     return 0;
   return (apr_time_t)(state->service_us * (double)(ahead + 1) / (double)slots);
 }
 
+struct share *
+steer_share (struct steer *steer)
+{
+  return steer->share;
+}
+
+void
+steer_want (struct steer *steer, const struct service *service, size_t waiting,
+            apr_time_t now)
+{
+  struct service_state *state = service_state (steer, service);
+  int64_t used = 0;
+  for (size_t i = 0; i < state->count; i++)
+    used += share_pool_used (state->upstreams[i]->slots);
+  int64_t headroom = (used >> WANT_HEADROOM_SHIFT) + 1;
+  int64_t missing
+      = (int64_t)waiting + used + headroom - total_limit (steer, state, now);
+  if (missing > 0 && (waiting > 0 || used > 0))
+    share_want (steer->share, SHARE_SLOTS, service->head.name, missing);
+  if (service->call_cap > 0)
+    {
+      missing
+          = (int64_t)waiting + headroom - share_pool_free (state->calls, now);
+      if (missing > 0 && (waiting > 0 || used > 0))
+        share_want (steer->share, SHARE_SERVICE, service->head.name, missing);
+    }
+  if (waiting == 0)
+    return;
+  for (size_t i = 0; i < state->count; i++)
+    {
+      struct region_state *region = state->upstreams[i]->region;
+      if (region->spec->call_cap > 0
+          && share_pool_free (region->calls, now) == 0)
+        share_want (steer->share, SHARE_REGION, region->spec->head.name,
+                    (int64_t)waiting);
+    }
+}
+
+int64_t
+steer_share_start (int64_t cap, size_t index, size_t count, uint64_t salt)
+{
+  int64_t n = (int64_t)count;
+  int64_t rest = cap % n;
+  int64_t place = (int64_t)((index + salt % count) % count);
+  return cap / n * place + (place < rest ? place : rest);
+}
+
 int64_t
 steer_share_of (int64_t cap, size_t index, size_t count, uint64_t salt)
 {
--- a/src/steer/steer.h
+++ b/src/steer/steer.h
@@ -18,6 +18,7 @@
 #define STEER_STEER_H
 
 #include "resource/resource.h"
+#include "share/share.h"
 
 #include <apr_time.h>
 
@@ -55,7 +56,8 @@
 
 struct steer_desc
 {
-  struct str region; /* of this entry */
+  struct str region;       /* of this entry */
+  struct share_desc share; /* of the caps; see share.h */
   uint64_t seed;
 };
 
@@ -99,8 +101,15 @@
    stay.  */
 void steer_apply (struct steer *steer, struct snapshot *snapshot,
                   apr_time_t now);
-/* Sets this entry's part of every cap: the INDEX-th of COUNT entries.  */
+/* Sets this entry's part of every cap: the INDEX-th of COUNT entries; COUNT
+   0: none.  */
 void steer_set_share (struct steer *steer, size_t index, size_t count);
+/* Returns the shares of all caps, to tick and to hand messages to.  */
+struct share *steer_share (struct steer *steer);
+/* Says that WAITING calls of SERVICE wait for a slot, so that shares are
+   borrowed.  Call before each share_tick, also with 0.  */
+void steer_want (struct steer *steer, const struct service *service,
+                 size_t waiting, apr_time_t now);
 struct steer_choice steer_choose (struct steer *steer,
                                   const struct steer_request *request);
 struct steer_ticket steer_begin (struct steer *steer,
@@ -129,5 +138,9 @@
    of all add up to CAP.  SALT spreads remainders.  */
 int64_t steer_share_of (int64_t cap, size_t index, size_t count,
                         uint64_t salt);
+/* Returns where that part starts, when the parts of all are laid end to
+   end.  */
+int64_t steer_share_start (int64_t cap, size_t index, size_t count,
+                           uint64_t salt);
 
 #endif
--- a/tests/unit/peer_test.c
+++ b/tests/unit/peer_test.c
@@ -101,6 +101,18 @@
     { .type = MESSAGE_ACK, .version = 5 },
     { .type = MESSAGE_FETCH, .version = 0 },
     { .type = MESSAGE_CONFIG, .version = 12, .document = STR ("{}") },
+    { .type = MESSAGE_SHARE,
+      .from = STR ("e1"),
+      .share = { SHARE_LEND,
+                 7,
+                 1000000,
+                 3,
+                 2,
+                 { { SHARE_SLOTS, STR ("u1"), 2 },
+                   { SHARE_LINK, STR ("a.b"), 500000000 } } } },
+    { .type = MESSAGE_SHARE,
+      .from = STR ("e1"),
+      .share = { .type = SHARE_LEND, .id = 1 } },
   };
   for (size_t i = 0; i < COUNT (cases); i++)
     {
@@ -112,6 +124,10 @@
       CU_ASSERT (str_equal (got.document, cases[i].document)
                  || got.document.size == 0);
       CU_ASSERT (got.beat.incarnation == cases[i].beat.incarnation);
+      CU_ASSERT_EQUAL (got.share.count, cases[i].share.count);
+      for (size_t item = 0; item < got.share.count; item++)
+        CU_ASSERT_EQUAL (got.share.items[item].amount,
+                         cases[i].share.items[item].amount);
       for (size_t n = 0; n < packed.size; n++)
         CU_ASSERT_FALSE (
             message_unpack (str_view (packed.data, n), test_pool, &got));
--- a/tests/unit/steer_test.c
+++ b/tests/unit/steer_test.c
@@ -12,10 +12,20 @@
 static const struct service *shop;
 static apr_time_t now;
 
+static void
+send_nothing (void *part, struct str to, const struct share_message *message)
+{
+  (void)part;
+  (void)to;
+  (void)message;
+}
+
 static void
 open_steer (int upstreams, int slots, const char *fields)
 {
-  struct steer_desc desc = { STR ("north"), 42 };
+  struct steer_desc desc = { .region = STR ("north"),
+                             .share = { .send = send_nothing },
+                             .seed = 42 };
   snapshot = fixture_shop (upstreams, slots, fields);
   steer = steer_create (test_pool, &desc);
   now = TIMER_SEC (1000);
