--- a/Makefile
+++ b/Makefile
@@ -63,7 +63,11 @@
 	@EXTRA_PACKAGES="clang-format clang-tidy" sh scripts/setup.sh
 	@sh scripts/lint.sh
 
-bench: bench-path
+bench: bench-path bench-steer
+
+bench-steer: setup
+	@$(MAKE) -s -j$$(nproc) $(BENCH_STEER)
+	@$(BENCH_STEER)
 
 bench-path: setup
 	@$(MAKE) -s -j$$(nproc) $(BINARY) $(STANDIN)
@@ -106,11 +110,19 @@
 	@echo "make fuzz        fuzz the decoders (FUZZ_SECONDS=N each)"
 	@echo "make install     DESTDIR= PREFIX=/usr/local"
 
+BENCH_STEER         = $(BUILD)/bench-steer
+BENCH_STEER_SOURCES = $(sort $(wildcard bench/steer/*.c))
+BENCH_STEER_OBJECTS = $(BENCH_STEER_SOURCES:%.c=$(BUILD)/%.o)
+
+$(BENCH_STEER): $(BENCH_STEER_OBJECTS) $(OBJECTS)
+	$(CC) $(CFLAGS) $^ -o $@ $(LIBS)
+
 clean:
 	rm -rf build build-sanitized build-fuzz
 
 -include $(OBJECTS:.o=.d) $(MAIN:.o=.d) $(STANDIN_OBJECTS:.o=.d) \
-         $(UNIT_OBJECTS:.o=.d)
+         $(UNIT_OBJECTS:.o=.d) $(BENCH_STEER_OBJECTS:.o=.d)
 
-.PHONY: all setup check check-sanitized demo lint bench bench-path fuzz \
+.PHONY: all setup check check-sanitized demo lint bench bench-path bench-steer \
+        fuzz \
         install help clean
--- /dev/null
+++ b/bench/steer/main.c
@@ -0,0 +1,215 @@
+/* Steering decisions under load and faults, in figures.
+
+     bench-steer [--quick]
+
+   Each row runs the own policy and its baselines with the same seed.  Prints
+   "figure NAME VALUE UNIT baseline=... target=... ok|short"; counted facts
+   that must be zero make the exit status 1.  */
+#include "base/timer.h"
+#include "bench/steer/testbed.h"
+#include "steer/steer.h"
+
+#include <apr_general.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+static apr_time_t length = TIMER_SEC (30);
+static int broken;
+
+static const struct
+{
+  enum testbed_policy policy;
+  const char *name;
+} baselines[] = { { POLICY_RANDOM, "random" },
+                  { POLICY_ROUND_ROBIN, "round-robin" },
+                  { POLICY_LEAST_REPORTED, "least-reported" },
+                  { POLICY_POWER_OF_TWO, "power-of-two" } };
+
+enum
+{
+  BASELINES = sizeof baselines / sizeof *baselines
+};
+
+static void
+figure (const char *name, double value, const char *unit, const char *baseline,
+        double target, bool at_least)
+{
+  bool good = at_least ? value >= target : value <= target;
+  printf ("figure %s %.4g %s baseline=%s target=%s%g %s\n", name, value, unit,
+          baseline, at_least ? ">=" : "<=", target, good ? "ok" : "short");
+  fflush (stdout);
+}
+
+static void
+must_be_zero (const char *name, int64_t value)
+{
+  figure (name, (double)value, "count", "-", 0, false);
+  broken |= value != 0;
+}
+
+static struct testbed_plan
+plan_of (enum testbed_policy policy)
+{
+  return (struct testbed_plan){ .policy = policy,
+                                .seed = 11,
+                                .load = 0.7,
+                                .warm_up_us = TIMER_SEC (5),
+                                .length_us = length };
+}
+
+/* Runs PLAN under every baseline; writes "name=p99,..." to TEXT and returns
+   the lowest p99.  */
+static double
+run_baselines (struct testbed_plan plan, char *text, size_t size)
+{
+  double least = 1e9;
+  size_t n = 0;
+  for (int i = 0; i < BASELINES; i++)
+    {
+      plan.policy = baselines[i].policy;
+      double p99 = testbed_run (&plan).p99_ms;
+      n += (size_t)snprintf (text + n, size - n, "%s%s:%.0fms", i ? "," : "",
+                             baselines[i].name, p99);
+      least = p99 < least ? p99 : least;
+    }
+  return least;
+}
+
+static void
+bench_slowed (void)
+{
+  char text[256];
+  struct testbed_plan plan = plan_of (POLICY_OWN);
+  struct testbed_result calm = testbed_run (&plan);
+  must_be_zero ("calm_calls_over_slots", calm.over_slots);
+  plan.slowed = true;
+  struct testbed_result slowed = testbed_run (&plan);
+  double least = run_baselines (plan, text, sizeof text);
+  printf ("# calm p99 %.1f ms; slowed p99 %.1f ms; %ld hedges of %ld calls\n",
+          calm.p99_ms, slowed.p99_ms, (long)slowed.hedges, (long)slowed.calls);
+  figure ("slowed_p99", slowed.p99_ms / calm.p99_ms, "of-calm", text, 1.5,
+          false);
+  figure ("slowed_p99_of_best_baseline", slowed.p99_ms / least, "ratio", text,
+          1.0, false);
+  figure ("hedging_extra_load",
+          100.0 * (double)slowed.hedges / (double)slowed.calls, "percent", "-",
+          5, false);
+  must_be_zero ("slowed_calls_over_slots", slowed.over_slots);
+  plan.lying = true;
+  struct testbed_result lying = testbed_run (&plan);
+  run_baselines (plan, text, sizeof text);
+  figure ("lying_p99", lying.p99_ms / calm.p99_ms, "of-calm", text, 1.5,
+          false);
+}
+
+static void
+bench_long_calls (void)
+{
+  char text[256];
+  struct testbed_plan plan = plan_of (POLICY_OWN);
+  struct testbed_result without = testbed_run (&plan);
+  plan.long_share = 0.05;
+  struct testbed_result with = testbed_run (&plan);
+  run_baselines (plan, text, sizeof text);
+  figure ("long_calls_short_p99", with.p99_ms / without.p99_ms, "of-without",
+          text, 1.3, false);
+  plan.long_share = 1.0;
+  plan.load = 0.7 * 0.05 * 50 / (0.95 + 0.05 * 50);
+  struct testbed_result alone = testbed_run (&plan);
+  figure ("long_calls_throughput",
+          100.0 * (double)with.long_answered / (double)alone.long_answered,
+          "percent-of-alone", "-", 95, true);
+}
+
+static void
+bench_shed (void)
+{
+  struct testbed_plan plan = plan_of (POLICY_OWN);
+  plan.load = 0.3;
+  plan.shed = 0.5;
+  struct testbed_result shed = testbed_run (&plan);
+  figure ("shed_dispatches", (double)shed.dispatches / (double)shed.calls,
+          "per-call", "-", 1.2, false);
+}
+
+static void
+bench_shift (void)
+{
+  struct testbed_plan plan = plan_of (POLICY_OWN);
+  plan.shift = true;
+  plan.load = 0.25; /* three quarters of one region, all from there */
+  plan.deadline_us = TIMER_SEC (5);
+  plan.length_us = TIMER_SEC (10);
+  struct testbed_result shift = testbed_run (&plan);
+  figure ("shift_goodput",
+          100.0 * (double)shift.answered / (double)shift.calls, "percent", "-",
+          90, true);
+  must_be_zero ("shift_calls_over_ramp", shift.over_ramp);
+  must_be_zero ("shift_calls_over_slots", shift.over_slots);
+}
+
+static void
+bench_skew (void)
+{
+  char text[64];
+  struct testbed_plan plan = plan_of (POLICY_OWN);
+  plan.busy_entries = 3;
+  plan.load = 0.7;
+  plan.deadline_us = TIMER_SEC (1);
+  struct testbed_result own = testbed_run (&plan);
+  plan.policy = POLICY_STATIC;
+  struct testbed_result fixed = testbed_run (&plan);
+  snprintf (text, sizeof text, "static:%.1f%%",
+            100.0 * (double)(fixed.refused + fixed.late)
+                / (double)fixed.calls);
+  figure ("refused_with_headroom",
+          100.0 * (double)(own.refused + own.late) / (double)own.calls,
+          "percent", text, 0.5, false);
+  must_be_zero ("skew_calls_over_slots", own.over_slots);
+}
+
+static void
+bench_cap (void)
+{
+  char text[64];
+  struct testbed_plan plan = plan_of (POLICY_OWN);
+  plan.call_cap = 100;
+  plan.load = 1.5;
+  plan.busy_entries = 3;
+  plan.deadline_us = TIMER_SEC (1);
+  struct testbed_result own = testbed_run (&plan);
+  plan.policy = POLICY_STATIC;
+  struct testbed_result fixed = testbed_run (&plan);
+  snprintf (text, sizeof text, "static:%.0f%%", 100 * fixed.cap_use);
+  figure ("call_cap_use_3_of_11", 100 * own.cap_use, "percent", text, 90,
+          true);
+  must_be_zero ("call_cap_overrun", own.over_cap);
+  plan.policy = POLICY_OWN;
+  plan.disturbed = true;
+  plan.busy_entries = 0;
+  for (uint64_t seed = 1; seed <= 10; seed++)
+    {
+      char name[64];
+      plan.seed = seed;
+      struct testbed_result r = testbed_run (&plan);
+      snprintf (name, sizeof name, "disturbed_over_cap_and_slots_seed_%d",
+                (int)seed);
+      must_be_zero (name, r.over_cap + r.over_slots);
+    }
+}
+
+int
+main (int argc, char **argv)
+{
+  apr_initialize ();
+  if (argc > 1 && strcmp (argv[1], "--quick") == 0)
+    length = TIMER_SEC (10);
+  bench_slowed ();
+  bench_long_calls ();
+  bench_shed ();
+  bench_skew ();
+  bench_shift ();
+  bench_cap ();
+  return broken;
+}
--- a/src/call/call.c
+++ b/src/call/call.c
@@ -18,9 +18,6 @@
   HTTP_TIMEOUT = 504
 };
 
-/* Every new call earns this many retries; a retry costs one.  */
-#define RETRY_EARNED 0.2
-
 /* private functions */
 
 static void admit (struct call *call);
@@ -71,10 +68,7 @@
     return false;
   if (!not_run && !call->repeatable)
     return false;
-  if (context->retry_tokens < 1.0 || !body_rewind (&call->body))
-    return false;
-  context->retry_tokens -= 1.0;
-  return true;
+  return body_rewind (&call->body) && budget_take (&context->retries);
 }
 
 static void
@@ -477,9 +471,7 @@
                              &call->headers);
   take_id (call);
   take_body_size (call);
-  context->retry_tokens += RETRY_EARNED;
-  if (context->retry_tokens > CALL_RETRY_TOKENS_MAX)
-    context->retry_tokens = CALL_RETRY_TOKENS_MAX;
+  budget_earn (&context->retries);
   if (!is_good_target (call->target) || !is_good_method (call->method)
       || !has_one_host (&call->headers))
     refuse (call, HTTP_BAD_REQUEST, ERR_INVALID, "read head",
--- a/src/call/call.h
+++ b/src/call/call.h
@@ -15,6 +15,7 @@
 #include "call/attempt.h"
 #include "call/queue.h"
 #include "call/worker.h"
+#include "steer/budget.h"
 
 enum call_outcome
 {
@@ -25,8 +26,7 @@
 
 enum
 {
-  CALL_ATTEMPTS_MAX = 4,
-  CALL_RETRY_TOKENS_MAX = 20 /* retries saved up at most */
+  CALL_ATTEMPTS_MAX = 4
 };
 
 /* The counters of one service, kept by the worker.  */
@@ -56,7 +56,7 @@
   struct call *ready; /* to be resumed at the end of the round */
   bool slot_freed;    /* waiting calls may be placed */
   bool leaving;
-  double retry_tokens;
+  struct budget retries;
   int64_t open;
   int64_t in_flight;
   uint64_t last_id;
--- a/src/call/worker.c
+++ b/src/call/worker.c
@@ -67,6 +67,10 @@
   HTTP_NOT_ALLOWED = 405
 };
 
+/* Retries that each call earns, and that can be saved up.  */
+#define RETRY_EARNED 0.2
+#define RETRIES_SAVED 20.0
+
 static const char lookup_path[] = "/.well-known/citroncleat/lookup";
 static const char health_path[] = "/.well-known/citroncleat/health";
 
@@ -383,6 +387,25 @@
   free (peers);
 }
 
+static void
+set_members (struct call_context *context)
+{
+  const struct roster *roster = context->roster;
+  struct steer_member *members = calloc (roster->count + 1, sizeof *members);
+  size_t self = roster->count;
+  if (!members)
+    abort ();
+  for (size_t i = 0; i < roster->count; i++)
+    {
+      const struct beat *beat = &roster->members[i].beat;
+      members[i] = (struct steer_member){ beat->name, beat->region };
+      if (roster->members[i].is_self)
+        self = i;
+    }
+  steer_set_members (context->steer, members, roster->count, self);
+  free (members);
+}
+
 /* Sets how long a call may last, which loans outlive.  */
 static void
 set_share_hold (struct call_context *context)
@@ -429,9 +452,7 @@
   struct call_context *context = &order->worker->context;
   roster_unref (context->roster);
   context->roster = order->roster;
-  for (size_t i = 0; i < context->roster->count; i++)
-    if (context->roster->members[i].is_self)
-      steer_set_share (context->steer, i, context->roster->count);
+  set_members (context);
   set_share_peers (order->worker);
   context->slot_freed = true;
   free (order);
@@ -571,7 +592,7 @@
   context->burn = desc->burn;
   context->pool = pool;
   context->service_counters = apr_hash_make (pool);
-  context->retry_tokens = CALL_RETRY_TOKENS_MAX;
+  budget_init (&context->retries, RETRY_EARNED, RETRIES_SAVED);
   enum err_code code = loop_create (pool, &context->loop, err);
   if (code != ERR_NONE)
     return code;
--- a/src/steer/steer.c
+++ b/src/steer/steer.c
@@ -5,6 +5,13 @@
 
 /* types */
 
+/* This entry's place in a division: the INDEX-th of COUNT; COUNT 0: none.  */
+struct seat
+{
+  size_t index;
+  size_t count;
+};
+
 /* States outlive configurations, so that tickets stay valid; `spec' is the
    resource in the snapshot last applied, or NULL once that is gone.  */
 
@@ -34,13 +41,17 @@
   size_t count;
   struct share_pool *calls;
   int64_t in_flight_long;
+  int64_t in_flight_short;
+  double short_peak; /* decays with each short call that ends */
   double service_us;
+  double tail_us; /* HEDGE_QUANTILE of the response times */
 };
 
 struct region_state
 {
   const struct region *spec;
   struct share_pool *calls;
+  struct seat seat;       /* for what lies in this region */
   apr_time_t distance_us; /* there and back */
 };
 
@@ -54,8 +65,11 @@
   apr_hash_t *services;
   apr_hash_t *regions;
   struct share *share;
-  size_t share_index;
-  size_t share_count;
+  struct seat seat; /* among all entries */
+  apr_pool_t *member_pool;
+  struct steer_member *members;
+  size_t member_count;
+  size_t self;
   uint64_t random;
 };
 
@@ -70,6 +84,8 @@
   DISTANCE_DEFAULT_US = 20000
 };
 
+/* Delay of a hedge before any response time is known.  */
+#define HEDGE_FIRST_US INT64_C (1000000)
 #define REPORT_VALID_US INT64_C (10000000)
 /* Age given to upstreams of the first configuration: they are not cold.  */
 #define WARM_ALREADY_US INT64_C (86400000000)
@@ -78,6 +94,14 @@
 #define RESPONSE_GAIN 0.3
 /* The same for the average of a whole service.  */
 #define SERVICE_GAIN 0.05
+/* What short calls used at most of late, and so much more, is kept from long
+   calls; the peak decays by this part of the difference a call.  */
+#define SHORT_RESERVE 1.1
+#define PEAK_DECAY 0.01
+/* A call that takes longer than this part of the calls is hedged; the
+   estimate moves by steps of this part of the mean.  */
+#define HEDGE_QUANTILE 0.97
+#define TAIL_STEP 0.05
 /* A slow response time is forgotten with this half-life, so that an upstream
    that has recovered is tried again.  */
 #define FORGET_HALF_LIFE_US 1e6
@@ -158,34 +182,62 @@
 }
 
 static void
-set_base (const struct steer *steer, struct share_pool *pool, int64_t cap,
+set_base (struct share_pool *pool, int64_t cap, struct seat seat,
           struct str name)
 {
-  int64_t base = steer->share_count > 0
-                     ? steer_share_of (cap, steer->share_index,
-                                       steer->share_count, salt_of (name))
-                     : 0;
-  share_pool_set_base (pool, base);
+  share_pool_set_base (pool, seat.count > 0 ? steer_share_of (
+                                 cap, seat.index, seat.count, salt_of (name))
+                                            : 0);
+}
+
+/* Returns this entry's seat among the members of REGION; an empty name means
+   all members.  */
+static struct seat
+seat_in (const struct steer *steer, struct str region)
+{
+  struct seat seat = { 0, 0 };
+  bool is_member = false;
+  for (size_t i = 0; i < steer->member_count; i++)
+    {
+      if (region.size > 0 && !str_equal (steer->members[i].region, region))
+        continue;
+      if (i == steer->self)
+        {
+          is_member = true;
+          seat.index = seat.count;
+        }
+      seat.count++;
+    }
+  if (seat.count == 0 && region.size > 0)
+    return seat_in (steer, STR (""));
+  return is_member ? seat : (struct seat){ 0, 0 };
 }
 
 static void
 set_limits (struct steer *steer)
 {
+  steer->seat = seat_in (steer, STR (""));
+  SNAPSHOT_EACH (steer->snapshot, KIND_REGION, const struct region, r)
+  {
+    struct region_state *state = find (steer->regions, r->head.name);
+    state->seat = seat_in (steer, r->head.name);
+  }
   SNAPSHOT_EACH (steer->snapshot, KIND_UPSTREAM, const struct upstream, u)
   {
     struct upstream_state *state = find (steer->upstreams, u->head.name);
     state->slot_count = slots_of (u);
-    set_base (steer, state->slots, state->slot_count, u->head.name);
+    set_base (state->slots, state->slot_count, state->region->seat,
+              u->head.name);
   }
   SNAPSHOT_EACH (steer->snapshot, KIND_SERVICE, const struct service, s)
   {
-    set_base (steer, service_state (steer, s)->calls, s->call_cap,
+    set_base (service_state (steer, s)->calls, s->call_cap, steer->seat,
               s->head.name);
   }
   SNAPSHOT_EACH (steer->snapshot, KIND_REGION, const struct region, r)
   {
     struct region_state *state = find (steer->regions, r->head.name);
-    set_base (steer, state->calls, r->call_cap, r->head.name);
+    set_base (state->calls, r->call_cap, state->seat, r->head.name);
   }
 }
 
@@ -270,15 +322,18 @@
    it is AGE old: over all entries, the slots in use grow with its age, at
    least one.  */
 static int64_t
-ramp_limit (const struct steer *steer, const struct upstream_state *state,
-            apr_time_t age, apr_time_t ramp_us)
+ramp_limit (const struct upstream_state *state, apr_time_t age,
+            apr_time_t ramp_us)
 {
   int64_t open = state->slot_count * age / ramp_us;
-  int64_t own = steer_share_of (state->slot_count, steer->share_index,
-                                steer->share_count, salt_of (state->name));
+  struct seat seat = state->region->seat;
+  uint64_t salt = salt_of (state->name);
+  if (seat.count == 0)
+    return 0;
+  int64_t own
+      = steer_share_of (state->slot_count, seat.index, seat.count, salt);
   int64_t first
-      = steer_share_start (state->slot_count, steer->share_index,
-                           steer->share_count, salt_of (state->name));
+      = steer_share_start (state->slot_count, seat.index, seat.count, salt);
   int64_t usable = (open > 0 ? open : 1) - first;
   if (usable < 0)
     return 0;
@@ -289,28 +344,25 @@
    share of the slots, less while it warms up, none while it leaves or is
    ejected.  */
 static int64_t
-limit_of (const struct steer *steer, const struct upstream_state *state,
-          apr_time_t now)
+limit_of (const struct upstream_state *state, apr_time_t now)
 {
-  if (state->leaving || now < state->ejected_until || !state->spec
-      || steer->share_count == 0)
+  if (state->leaving || now < state->ejected_until || !state->spec)
     return 0;
   int64_t limit = share_pool_limit (state->slots, now);
   int64_t ramp_us = state->spec->group->ramp_ms * 1000;
   apr_time_t age = now - state->warm_from;
   if (age >= ramp_us)
     return limit;
-  int64_t ramp = ramp_limit (steer, state, age, ramp_us);
+  int64_t ramp = ramp_limit (state, age, ramp_us);
   return ramp < limit ? ramp : limit;
 }
 
 static int64_t
-total_limit (const struct steer *steer, const struct service_state *service,
-             apr_time_t now)
+total_limit (const struct service_state *service, apr_time_t now)
 {
   int64_t slots = 0;
   for (size_t i = 0; i < service->count; i++)
-    slots += limit_of (steer, service->upstreams[i], now);
+    slots += limit_of (service->upstreams[i], now);
   return slots;
 }
 
@@ -349,15 +401,19 @@
   return false;
 }
 
+/* Returns whether long calls hold as many slots as they may: the service's
+   percentage, and no slot that the short calls of late would need.  */
 static bool
-long_slots_used (const struct steer *steer,
-                 const struct service_state *service,
+long_slots_used (const struct service_state *service,
                  const struct steer_request *request)
 {
   if (request->call_class != CLASS_LONG)
     return false;
-  int64_t limit = total_limit (steer, service, request->now)
-                  * request->service->long_slots_percent / 100;
+  int64_t total = total_limit (service, request->now);
+  int64_t limit = total * request->service->long_slots_percent / 100;
+  int64_t reserve = (int64_t)(service->short_peak * SHORT_RESERVE) + 1;
+  if (total - reserve < limit)
+    limit = total - reserve;
   return service->in_flight_long >= (limit > 0 ? limit : 1);
 }
 
@@ -418,6 +474,13 @@
   state->seen_at = now;
   if (result != RESULT_ANSWERED)
     return;
+  double step = service->service_us * TAIL_STEP;
+  if (service->tail_us <= 0)
+    service->tail_us = 3 * sample;
+  else if (sample > service->tail_us)
+    service->tail_us += step * HEDGE_QUANTILE;
+  else
+    service->tail_us -= step * (1 - HEDGE_QUANTILE);
   double gain = service->service_us > 0 ? SERVICE_GAIN : 1.0;
   service->service_us += gain * (sample - service->service_us);
 }
@@ -431,8 +494,9 @@
   steer->pool = pool;
   steer->desc = *desc;
   steer->random = desc->seed ? desc->seed : 88172645463325252ULL;
-  steer->share_count = 1;
   steer->share = share_create (pool, &desc->share);
+  steer_set_members (steer, &(struct steer_member){ .region = desc->region },
+                     1, 0);
   steer->upstreams = apr_hash_make (pool);
   steer->services = apr_hash_make (pool);
   steer->regions = apr_hash_make (pool);
@@ -471,10 +535,21 @@
 }
 
 void
-steer_set_share (struct steer *steer, size_t index, size_t count)
-{
-  steer->share_index = index;
-  steer->share_count = count;
+steer_set_members (struct steer *steer, const struct steer_member *members,
+                   size_t count, size_t self)
+{
+  if (steer->member_pool)
+    apr_pool_destroy (steer->member_pool);
+  apr_pool_create (&steer->member_pool, steer->pool);
+  steer->members
+      = apr_palloc (steer->member_pool, (count + 1) * sizeof *members);
+  for (size_t i = 0; i < count; i++)
+    steer->members[i]
+        = (struct steer_member){ str_dup (steer->member_pool, members[i].name),
+                                 str_dup (steer->member_pool,
+                                          members[i].region) };
+  steer->member_count = count;
+  steer->self = self;
   if (steer->snapshot)
     set_limits (steer);
 }
@@ -489,11 +564,11 @@
   double best_full = 0; /* of those without a free slot */
   apr_time_t distance = 0;
   bool capped = service_is_capped (service, now);
-  bool long_full = long_slots_used (steer, service, request);
+  bool long_full = long_slots_used (service, request);
   for (size_t i = 0; i < service->count; i++)
     {
       const struct upstream_state *u = service->upstreams[i];
-      int64_t limit = limit_of (steer, u, now);
+      int64_t limit = limit_of (u, now);
       if (limit == 0 || is_excluded (request, u->name))
         continue;
       if (choice.verdict == STEER_NOWHERE)
@@ -530,8 +605,11 @@
   share_pool_use (state->slots, 1);
   share_pool_use (state->region->calls, 1);
   share_pool_use (state->service->calls, 1);
+  struct service_state *service = state->service;
   if (call_class == CLASS_LONG)
-    state->service->in_flight_long++;
+    service->in_flight_long++;
+  else if ((double)++service->in_flight_short > service->short_peak)
+    service->short_peak = (double)service->in_flight_short;
   return (struct steer_ticket){ state, state->service, state->region,
                                 call_class };
 }
@@ -547,6 +625,14 @@
   share_pool_release (ticket->service->calls, 1);
   if (ticket->call_class == CLASS_LONG)
     ticket->service->in_flight_long--;
+  else
+    {
+      ticket->service->in_flight_short--;
+      ticket->service->short_peak
+          -= PEAK_DECAY
+             * (ticket->service->short_peak
+                - (double)ticket->service->in_flight_short);
+    }
   if (result != RESULT_CANCELLED)
     learn (ticket, result, elapsed_us, now);
   if (result == RESULT_FAILED && ++state->failures >= EJECT_AFTER_FAILURES)
@@ -583,6 +669,18 @@
   state->reported_at = now;
 }
 
+apr_time_t
+steer_hedge_delay (const struct steer *steer, const struct service *service,
+                   const struct upstream *upstream)
+{
+  const struct service_state *state = service_state (steer, service);
+  const struct upstream_state *u
+      = find (steer->upstreams, upstream->head.name);
+  if (state->tail_us <= 0)
+    return HEDGE_FIRST_US;
+  return (apr_time_t)state->tail_us + (u ? u->region->distance_us : 0);
+}
+
 struct steer_view
 steer_query (const struct steer *steer, struct str upstream, apr_time_t now)
 {
@@ -591,7 +689,7 @@
     return (struct steer_view){ 0 };
   return (struct steer_view){
     .in_flight = share_pool_used (state->slots),
-    .limit = limit_of (steer, state, now),
+    .limit = limit_of (state, now),
     .response_us = (int64_t)state->response_us,
     .leaving = state->leaving,
     .ejected = now < state->ejected_until,
@@ -603,7 +701,7 @@
                      size_t ahead, apr_time_t now)
 {
   const struct service_state *state = service_state (steer, service);
-  int64_t slots = total_limit (steer, state, now);
+  int64_t slots = total_limit (state, now);
   if (slots == 0)
     return 0;
   return (apr_time_t)(state->service_us * (double)(ahead + 1) / (double)slots);
@@ -625,7 +723,7 @@
     used += share_pool_used (state->upstreams[i]->slots);
   int64_t headroom = (used >> WANT_HEADROOM_SHIFT) + 1;
   int64_t missing
-      = (int64_t)waiting + used + headroom - total_limit (steer, state, now);
+      = (int64_t)waiting + used + headroom - total_limit (state, now);
   if (missing > 0 && (waiting > 0 || used > 0))
     share_want (steer->share, SHARE_SLOTS, service->head.name, missing);
   if (service->call_cap > 0)
--- a/src/steer/steer.h
+++ b/src/steer/steer.h
@@ -61,6 +61,13 @@
   uint64_t seed;
 };
 
+/* An entry that has a part of every cap.  */
+struct steer_member
+{
+  struct str name;
+  struct str region;
+};
+
 struct steer_request
 {
   const struct service *service;
@@ -101,9 +108,13 @@
    stay.  */
 void steer_apply (struct steer *steer, struct snapshot *snapshot,
                   apr_time_t now);
-/* Sets this entry's part of every cap: the INDEX-th of COUNT entries; COUNT
-   0: none.  */
-void steer_set_share (struct steer *steer, size_t index, size_t count);
+/* Divides every cap among MEMBERS, of whom SELF is this entry; SELF COUNT:
+   it has no part.  What lies in a region (slots, the region's cap) is divided
+   among that region's entries if it has any, since a slot far away costs a
+   long way; a service's cap is divided among all.  */
+void steer_set_members (struct steer *steer,
+                        const struct steer_member *members, size_t count,
+                        size_t self);
 /* Returns the shares of all caps, to tick and to hand messages to.  */
 struct share *steer_share (struct steer *steer);
 /* Says that WAITING calls of SERVICE wait for a slot, so that shares are
@@ -128,6 +139,11 @@
 /* Takes the load that UPSTREAM reports, in percent of its slots.  */
 void steer_report (struct steer *steer, struct str upstream, int64_t percent,
                    apr_time_t now);
+/* Returns how long to wait for an answer of UPSTREAM before a second attempt
+   elsewhere is worth its cost.  */
+apr_time_t steer_hedge_delay (const struct steer *steer,
+                              const struct service *service,
+                              const struct upstream *upstream);
 struct steer_view steer_query (const struct steer *steer, struct str upstream,
                                apr_time_t now);
 /* Returns how long a call of SERVICE would wait behind AHEAD others.  */
