Shares asked for by region, only while calls wait; slow upstreams probed

Ruled out: hedging more (no free slots to hedge into). Change: loans are grouped by service and region and asked for while calls wait, what is asked is counted; idle loans go back early; a slow upstream is probed with one call every 250 ms and one answer at the usual pace ends the spell; two overdue calls at a time mark an upstream.

--- a/bench/steer/main.c
+++ b/bench/steer/main.c
@@ -138,7 +138,7 @@
 {
   struct testbed_plan plan = plan_of (POLICY_OWN);
   plan.shift = true;
-  plan.load = 0.25; /* three quarters of one region, all from there */
+  plan.load = 0.7 / 3; /* of all slots: one region at 70 % */
   plan.deadline_us = TIMER_SEC (5);
   plan.length_us = TIMER_SEC (10);
   struct testbed_result shift = testbed_run (&plan);
--- a/src/call/call.c
+++ b/src/call/call.c
@@ -218,10 +218,13 @@
 static struct steer_choice
 choose (struct call *call)
 {
-  struct steer_request request = { .service = call->service,
-                                   .call_class = call->call_class,
-                                   .now = timer_clock (),
-                                   .excluded_count = call->tried_count };
+  struct steer_request request
+      = { .service = call->service,
+          .call_class = call->call_class,
+          .now = timer_clock (),
+          .waiting = queue_service_length (call->context->queue,
+                                           call->service->head.name),
+          .excluded_count = call->tried_count };
   memcpy (request.excluded, call->tried, sizeof call->tried);
   struct steer_choice choice = steer_choose (call->context->steer, &request);
   if (choice.verdict != STEER_NOWHERE || call->tried_count == 0)
--- a/src/call/queue.c
+++ b/src/call/queue.c
@@ -103,6 +103,15 @@
   return lines ? lines->lines[call_class].length : 0;
 }
 
+size_t
+queue_service_length (const struct queue *queue, struct str service)
+{
+  size_t length = 0;
+  for (int class = 0; class < CLASS_COUNT; class ++)
+    length += queue_line_length (queue, service, (enum call_class) class);
+  return length;
+}
+
 void
 queue_offer (struct queue *queue, bool (*place) (void *part, void *call),
              void *part)
--- a/src/call/queue.h
+++ b/src/call/queue.h
@@ -33,6 +33,8 @@
 /* Returns the calls that wait in one line.  */
 size_t queue_line_length (const struct queue *queue, struct str service,
                           enum call_class call_class);
+/* Returns the calls of all classes that wait for SERVICE.  */
+size_t queue_service_length (const struct queue *queue, struct str service);
 /* Offers the first call of each line to PLACE until it returns false, short
    lines first.  PLACE must remove the call if it returns true.  */
 void queue_offer (struct queue *queue, bool (*place) (void *part, void *call),
--- a/src/call/worker.c
+++ b/src/call/worker.c
@@ -68,8 +68,8 @@
 };
 
 /* Retries that each call earns, and that can be saved up.  */
-#define RETRY_EARNED 0.2
-#define RETRIES_SAVED 20.0
+#define RETRY_EARNED 0.18
+#define RETRIES_SAVED 10.0
 
 static const char lookup_path[] = "/.well-known/citroncleat/lookup";
 static const char health_path[] = "/.well-known/citroncleat/health";
@@ -354,9 +354,7 @@
   SNAPSHOT_EACH (context->snapshot, KIND_SERVICE, const struct service, s)
   {
     struct str name = s->head.name;
-    steer_want (context->steer, s,
-                queue_line_length (context->queue, name, CLASS_SHORT)
-                    + queue_line_length (context->queue, name, CLASS_LONG),
+    steer_want (context->steer, s, queue_service_length (context->queue, name),
                 now);
   }
   share_tick (steer_share (context->steer), now);
@@ -381,7 +379,8 @@
         continue;
       int64_t distance_ms = lookup_distance_ms (
           context->snapshot, worker->desc.settings->region, m->beat.region);
-      peers[count++] = (struct share_peer){ m->beat.name, 2000 * distance_ms };
+      peers[count++] = (struct share_peer){ m->beat.name, m->beat.region,
+                                            2000 * distance_ms };
     }
   share_set_peers (steer_share (context->steer), peers, count);
   free (peers);
@@ -525,8 +524,7 @@
 view_service (struct call_context *context, const struct service *service)
 {
   struct str name = service->head.name;
-  size_t waiting = queue_line_length (context->queue, name, CLASS_SHORT)
-                   + queue_line_length (context->queue, name, CLASS_LONG);
+  size_t waiting = queue_service_length (context->queue, name);
   json_object *item = json_object_new_object ();
   json_object_object_add (item, "queued",
                           json_object_new_int64 ((int64_t)waiting));
--- a/src/share/share.c
+++ b/src/share/share.c
@@ -23,18 +23,20 @@
   apr_time_t next_end; /* the first of them runs out */
 };
 
-/* The pools that are asked for together: the slots of one service, or one
-   pool of another kind.  */
+/* The pools that are asked for together: the slots of one service in one
+   region, or one pool of another kind.  */
 struct group
 {
   struct group *next;
   struct str name;
+  struct str region; /* whose entries own it; empty: all */
   enum share_kind kind;
   struct share_pool *pools;
   struct share_pool *cursor; /* where lending goes on */
   int64_t wanted;
   int64_t peak_used; /* decays; what this entry needs itself */
   int asking;        /* requests in progress */
+  int64_t requested; /* by them */
 };
 
 /* Something that this entry has lent.  */
@@ -67,14 +69,17 @@
   struct group *group;
   char lender[64];
   int64_t id;
+  int64_t amount;
   apr_time_t asked_at;
 };
 
 struct peer
 {
   char name[64];
+  char region[64];
   apr_time_t distance_us;
   apr_time_t empty_until[SHARE_KINDS]; /* it had nothing to spare */
+  int empty_answers[SHARE_KINDS];      /* of late, in a row */
 };
 
 struct share
@@ -98,14 +103,16 @@
 #define DEFAULT_HOLD_US INT64_C (30000000)
 /* A request is given up after this and its peer's distance.  */
 #define ASK_TIMEOUT_US INT64_C (100000)
-/* A peer that had nothing to spare is not asked for this long.  */
+/* A peer that had nothing to spare is not asked for this long, doubled at
+   each such answer in a row.  */
 #define EMPTY_US INT64_C (20000)
 
 enum
 {
-  ASKING_MAX = 3,       /* requests at a time for one group */
+  EMPTY_DOUBLINGS = 5,
+  ASKING_MAX = 4,       /* requests at a time for one group */
   DRIFT_PER_MILLE = 5,  /* by which clocks may run unevenly */
-  PEAK_DECAY_SHIFT = 5, /* a 32nd at each tick */
+  PEAK_DECAY_SHIFT = 2, /* a quarter at each tick */
   RESERVE_SHIFT = 3,    /* an 8th above the peak is not lent */
   KEY_MAX_BYTES = 80
 };
@@ -146,6 +153,52 @@
   return apr_hash_get (share->pools, key, size);
 }
 
+/* What this entry needs itself.  */
+
+static int64_t
+group_used (const struct group *group)
+{
+  int64_t used = 0;
+  for (const struct share_pool *p = group->pools; p; p = p->next)
+    used += p->used;
+  return used;
+}
+
+static int64_t
+group_limit (struct group *group, apr_time_t now)
+{
+  int64_t limit = 0;
+  for (struct share_pool *p = group->pools; p; p = p->next)
+    limit += share_pool_limit (p, now);
+  return limit;
+}
+
+static void
+note_use (struct group *group)
+{
+  int64_t used = group_used (group);
+  if (used > group->peak_used)
+    group->peak_used = used;
+}
+
+static void
+decay_peak (struct group *group)
+{
+  int64_t part
+      = (group->peak_used + (1 << PEAK_DECAY_SHIFT) - 1) >> PEAK_DECAY_SHIFT;
+  group->peak_used -= part;
+}
+
+/* Returns what this entry can do without.  */
+static int64_t
+group_spare (struct group *group, apr_time_t now)
+{
+  int64_t need
+      = group->peak_used + (group->peak_used >> RESERVE_SHIFT) + group->wanted;
+  int64_t spare = group_limit (group, now) - need;
+  return spare > 0 ? spare : 0;
+}
+
 /* Loans that ran out.  */
 
 static void
@@ -214,6 +267,20 @@
     }
 }
 
+/* Ends loans early whose group has enough without them.  */
+static void
+end_idle_borrowings (struct share *share, apr_time_t now)
+{
+  for (struct borrowing *b = share->borrowings; b; b = b->next)
+    if (!b->ended && share_pool_free (b->pool, now) >= b->amount
+        && group_spare (b->pool->group, now)
+               > b->amount + b->pool->group->peak_used / 4)
+      {
+        b->until = now;
+        end_borrowings (b->pool, now);
+      }
+}
+
 /* Takes back what was lent so long ago that nothing can be left of it.  */
 static void
 end_lendings (struct share *share, apr_time_t now)
@@ -234,46 +301,6 @@
     }
 }
 
-/* What this entry needs itself.  */
-
-static int64_t
-group_used (const struct group *group)
-{
-  int64_t used = 0;
-  for (const struct share_pool *p = group->pools; p; p = p->next)
-    used += p->used;
-  return used;
-}
-
-static int64_t
-group_limit (struct group *group, apr_time_t now)
-{
-  int64_t limit = 0;
-  for (struct share_pool *p = group->pools; p; p = p->next)
-    limit += share_pool_limit (p, now);
-  return limit;
-}
-
-static void
-note_use (struct group *group)
-{
-  int64_t used = group_used (group);
-  group->peak_used
-      -= (group->peak_used + (1 << PEAK_DECAY_SHIFT) - 1) >> PEAK_DECAY_SHIFT;
-  if (used > group->peak_used)
-    group->peak_used = used;
-}
-
-/* Returns what this entry can do without.  */
-static int64_t
-group_spare (struct group *group, apr_time_t now)
-{
-  int64_t need
-      = group->peak_used + (group->peak_used >> RESERVE_SHIFT) + group->wanted;
-  int64_t spare = group_limit (group, now) - need;
-  return spare > 0 ? spare : 0;
-}
-
 /* Asking.  */
 
 static struct peer *
@@ -287,7 +314,9 @@
       bool asked = false;
       for (const struct asking *a = share->askings; a; a = a->next)
         asked |= a->group == group && strcmp (a->lender, p->name) == 0;
-      if (asked || now < p->empty_until[group->kind])
+      bool owns = group->region.size == 0
+                  || str_equal (group->region, str_from (p->region));
+      if (asked || !owns || now < p->empty_until[group->kind])
         continue;
       /* Nearest first, at random among those as near.  */
       uint64_t rank
@@ -301,29 +330,33 @@
   return best;
 }
 
-static void
+/* Asks one peer; returns false if there is none to ask.  */
+static bool
 ask (struct share *share, struct group *group, apr_time_t now)
 {
   struct peer *peer = pick_peer (share, group, now);
   if (!peer)
-    return;
+    return false;
   struct asking *a = calloc (1, sizeof *a);
   if (!a)
     abort ();
   a->group = group;
+  a->amount = group->wanted - group->requested;
   a->id = ++share->last_id;
   a->asked_at = now;
   apr_cpystrn (a->lender, peer->name, sizeof a->lender);
   a->next = share->askings;
   share->askings = a;
   group->asking++;
+  group->requested += a->amount;
   struct share_message message
       = { .type = SHARE_BORROW,
           .id = a->id,
           .duration = share->desc.duration_us,
           .count = 1,
-          .items = { { (int64_t)group->kind, group->name, group->wanted } } };
+          .items = { { (int64_t)group->kind, group->name, a->amount } } };
   share->desc.send (share->desc.part, str_from (peer->name), &message);
+  return true;
 }
 
 static void
@@ -334,6 +367,7 @@
     at = &(*at)->next;
   *at = asking->next;
   asking->group->asking--;
+  asking->group->requested -= asking->amount;
   free (asking);
 }
 
@@ -469,6 +503,23 @@
     pool->next_end = b->until;
 }
 
+/* Notes whether PEER had something to spare, and when to ask it again.  */
+static void
+note_spare (struct peer *peer, enum share_kind kind, bool has_spare,
+            apr_time_t now)
+{
+  if (has_spare)
+    {
+      peer->empty_answers[kind] = 0;
+      peer->empty_until[kind] = now;
+      return;
+    }
+  peer->empty_until[kind]
+      = now + (EMPTY_US << peer->empty_answers[kind]) + peer->distance_us;
+  if (peer->empty_answers[kind] < EMPTY_DOUBLINGS)
+    peer->empty_answers[kind]++;
+}
+
 static void
 take_lend (struct share *share, struct str from,
            const struct share_message *answer, apr_time_t now)
@@ -484,9 +535,9 @@
     }
   for (size_t i = 0; i < answer->count; i++)
     borrow (share, asking, &answer->items[i], answer->duration);
-  if (peer && answer->spare <= 0)
-    peer->empty_until[asking->group->kind]
-        = now + EMPTY_US + peer->distance_us;
+  if (peer)
+    note_spare (peer, asking->group->kind,
+                answer->count > 0 && answer->spare > 0, now);
   drop_asking (share, asking);
 }
 
@@ -547,19 +598,21 @@
 }
 
 struct share_pool *
-share_pool_get (struct share *share, enum share_kind kind, struct str name,
-                struct str owner)
+share_pool_get (struct share *share, const struct share_cap *cap)
 {
-  struct share_pool *pool = pool_find (share, kind, name);
+  struct share_pool *pool = pool_find (share, cap->kind, cap->name);
   if (pool)
     return pool;
-  char *key = str_format (share->pool, "%d/%.*s", (int)kind, STR_ARGS (name));
+  char *key = str_format (share->pool, "%d/%.*s", (int)cap->kind,
+                          STR_ARGS (cap->name));
   pool = apr_pcalloc (share->pool, sizeof *pool);
   pool->share = share;
-  pool->kind = kind;
-  pool->name = str_dup (share->pool, name);
+  pool->kind = cap->kind;
+  pool->name = str_dup (share->pool, cap->name);
   pool->next_end = APR_INT64_MAX;
-  pool->group = group_get (share, kind, kind == SHARE_SLOTS ? owner : name);
+  pool->group = group_get (share, cap->kind,
+                           cap->group.size > 0 ? cap->group : cap->name);
+  pool->group->region = str_dup (share->pool, cap->region);
   pool->next = pool->group->pools;
   pool->group->pools = pool;
   apr_hash_set (share->pools, key, APR_HASH_KEY_STRING, pool);
@@ -625,6 +678,8 @@
         list[i] = *old;
       snprintf (list[i].name, sizeof list[i].name, "%.*s",
                 STR_ARGS (peers[i].name));
+      snprintf (list[i].region, sizeof list[i].region, "%.*s",
+                STR_ARGS (peers[i].region));
       list[i].distance_us = peers[i].distance_us;
     }
   free (share->peers);
@@ -633,25 +688,28 @@
 }
 
 void
-share_want (struct share *share, enum share_kind kind, struct str name,
+share_want (struct share *share, enum share_kind kind, struct str group,
             int64_t amount)
 {
-  struct group *group = group_get (share, kind, name);
-  if (amount > group->wanted)
-    group->wanted = amount;
+  struct group *g = group_get (share, kind, group);
+  if (amount > g->wanted)
+    g->wanted = amount;
 }
 
 void
 share_tick (struct share *share, apr_time_t now)
 {
+  end_idle_borrowings (share, now);
   return_ended (share, now);
   end_lendings (share, now);
   give_up_askings (share, now);
   for (struct group *g = share->groups; g; g = g->next)
     {
+      decay_peak (g);
       note_use (g);
-      if (g->wanted > 0 && g->asking < ASKING_MAX)
-        ask (share, g, now);
+      while (g->wanted > g->requested && g->asking < ASKING_MAX
+             && ask (share, g, now))
+        ;
       g->wanted = 0;
     }
 }
--- a/src/share/share.h
+++ b/src/share/share.h
@@ -34,7 +34,7 @@
 
 enum share_kind
 {
-  SHARE_SLOTS = 1, /* of one upstream; the pool's owner is its service */
+  SHARE_SLOTS = 1, /* of one upstream; grouped by service and region */
   SHARE_SERVICE,
   SHARE_REGION,
   SHARE_LINK, /* bytes a second, one way */
@@ -61,8 +61,8 @@
   int64_t amount;
 };
 
-/* One message between two entries.  In SHARE_BORROW an item of SHARE_SLOTS
-   names a service; in SHARE_LEND it names an upstream of it.  */
+/* One message between two entries.  In SHARE_BORROW an item names a group of
+   pools, in SHARE_LEND and SHARE_RETURN one pool.  */
 struct share_message
 {
   int64_t type;     /* enum share_message_type */
@@ -92,15 +92,24 @@
 struct share_peer
 {
   struct str name;
+  struct str region;
   apr_time_t distance_us; /* there and back */
 };
 
+/* A cap, and the group of like caps in which loans of it are asked for.  */
+struct share_cap
+{
+  enum share_kind kind;
+  struct str name;
+  struct str group;  /* default: NAME */
+  struct str region; /* whose entries own it; empty: all entries */
+};
+
 struct share *share_create (apr_pool_t *pool, const struct share_desc *desc);
 void share_destroy (struct share *share);
-/* Returns the pool of a cap; OWNER groups the pools of SHARE_SLOTS by
-   service.  Pools live as long as SHARE.  */
-struct share_pool *share_pool_get (struct share *share, enum share_kind kind,
-                                   struct str name, struct str owner);
+/* Returns the pool of CAP, made at first.  Pools live as long as SHARE.  */
+struct share_pool *share_pool_get (struct share *share,
+                                   const struct share_cap *cap);
 /* Sets this entry's base share.  A larger one must be set only when no other
    entry uses the difference any more.  */
 void share_pool_set_base (struct share_pool *pool, int64_t base);
@@ -116,9 +125,9 @@
 /* Sets the entries that may be asked, without this one.  */
 void share_set_peers (struct share *share, const struct share_peer *peers,
                       size_t count);
-/* Says that AMOUNT more of KIND (SHARE_SLOTS: of the service NAME) could be
-   used at once; lasts until the next tick.  */
-void share_want (struct share *share, enum share_kind kind, struct str name,
+/* Says that AMOUNT more of GROUP could be used at once; lasts until the next
+   tick.  */
+void share_want (struct share *share, enum share_kind kind, struct str group,
                  int64_t amount);
 /* Ends and returns what has run out, asks for what is wanted.  */
 void share_tick (struct share *share, apr_time_t now);
--- a/src/steer/steer.c
+++ b/src/steer/steer.c
@@ -1,5 +1,6 @@
 #include "steer/steer.h"
 
+#include <stdio.h>
 #include <string.h>
 #include <xxhash.h>
 
@@ -25,10 +26,11 @@
   struct share_pool *slots;
   int64_t slot_count;   /* of the whole upstream, under the policy */
   double response_us;   /* moving average; 0 before the first answer */
-  apr_time_t seen_at;   /* of the last answer */
+  apr_time_t probe_at;  /* a slow one may be tried again */
   apr_time_t warm_from; /* the ramp starts here */
   apr_time_t ejected_until;
   int failures; /* in a row */
+  int overdue;  /* calls in progress that steer_overdue named */
   int leaving;
   int64_t reported_percent;
   apr_time_t reported_at;
@@ -80,10 +82,16 @@
   EJECT_AFTER_FAILURES = 3,
   EJECT_FIRST_MS = 500,
   EJECT_LONGEST_MS = 15000,
+  GROUP_MAX_BYTES = 160,
+  WANT_REGIONS_MAX = 64,
   WANT_HEADROOM_SHIFT = 3, /* an 8th of what is used */
   DISTANCE_DEFAULT_US = 20000
 };
 
+/* Response time assumed before any is known.  */
+#define USUAL_FIRST_US 1000.0
+/* A slow upstream is tried again with one call after this.  */
+#define PROBE_INTERVAL_US INT64_C (250000)
 /* Delay of a hedge before any response time is known.  */
 #define HEDGE_FIRST_US INT64_C (1000000)
 #define REPORT_VALID_US INT64_C (10000000)
@@ -94,6 +102,8 @@
 #define RESPONSE_GAIN 0.3
 /* The same for the average of a whole service.  */
 #define SERVICE_GAIN 0.05
+/* A free upstream is left alone if a busy one costs this many times less.  */
+#define WAIT_ADVANTAGE 2.0
 /* What short calls used at most of late, and so much more, is kept from long
    calls; the peak decays by this part of the difference a call.  */
 #define SHORT_RESERVE 1.1
@@ -102,9 +112,6 @@
    estimate moves by steps of this part of the mean.  */
 #define HEDGE_QUANTILE 0.97
 #define TAIL_STEP 0.05
-/* A slow response time is forgotten with this half-life, so that an upstream
-   that has recovered is tried again.  */
-#define FORGET_HALF_LIFE_US 1e6
 /* A refusal or failure counts as an answer this many times as slow.  */
 #define FAILURE_PENALTY 4.0
 
@@ -267,8 +274,10 @@
     const struct link_spec *link
         = self ? snapshot_link (steer->snapshot, self, r) : NULL;
     state->spec = r;
-    state->calls
-        = share_pool_get (steer->share, SHARE_REGION, r->head.name, STR (""));
+    state->calls = share_pool_get (
+        steer->share, &(struct share_cap){ .kind = SHARE_REGION,
+                                           .name = r->head.name,
+                                           .region = r->head.name });
     if (r == self)
       state->distance_us = 0;
     else
@@ -286,13 +295,38 @@
     struct service_state *state
         = find_or_add (steer, steer->services, s->head.name, sizeof *state);
     state->spec = s;
-    state->calls
-        = share_pool_get (steer->share, SHARE_SERVICE, s->head.name, STR (""));
+    state->calls = share_pool_get (
+        steer->share,
+        &(struct share_cap){ .kind = SHARE_SERVICE, .name = s->head.name });
     state->count = 0;
     state->upstreams = apr_palloc (steer->lists, (most + 1) * sizeof (void *));
   }
 }
 
+/* Returns the name of the group of SERVICE's slots in REGION.  */
+static struct str
+slot_group (char *buffer, size_t size, struct str service, struct str region)
+{
+  int n = snprintf (buffer, size, "%.*s@%.*s", STR_ARGS (service),
+                    STR_ARGS (region));
+  return str_view (buffer, (size_t)n);
+}
+
+static struct share_pool *
+slot_pool (struct steer *steer, const struct upstream *upstream)
+{
+  char group[GROUP_MAX_BYTES];
+  struct str region = upstream->zone->region->head.name;
+  return share_pool_get (
+      steer->share,
+      &(struct share_cap){
+          .kind = SHARE_SLOTS,
+          .name = upstream->head.name,
+          .group = slot_group (group, sizeof group,
+                               upstream->group->service->head.name, region),
+          .region = region });
+}
+
 static void
 take_upstreams (struct steer *steer, bool is_first, apr_time_t now)
 {
@@ -310,8 +344,7 @@
         state->address = str_dup (steer->pool, u->address);
       }
     state->spec = u;
-    state->slots = share_pool_get (steer->share, SHARE_SLOTS, u->head.name,
-                                   u->group->service->head.name);
+    state->slots = slot_pool (steer, u);
     state->service = service;
     state->region = find (steer->regions, u->zone->region->head.name);
     service->upstreams[service->count++] = state;
@@ -368,14 +401,28 @@
 
 static double
 expected_response (const struct service_state *service,
-                   const struct upstream_state *state, apr_time_t now)
+                   const struct upstream_state *state)
 {
-  double usual = service->service_us > 0 ? service->service_us : 1000;
-  if (state->response_us <= 0)
-    return usual;
-  double half_lives = (double)(now - state->seen_at) / FORGET_HALF_LIFE_US;
-  double kept = half_lives > 30 ? 0 : 1.0 / (1.0 + half_lives * half_lives);
-  return usual + (state->response_us - usual) * kept;
+  double usual
+      = service->service_us > 0 ? service->service_us : USUAL_FIRST_US;
+  return state->response_us > 0 ? state->response_us : usual;
+}
+
+/* Returns whether calls had better wait than go to UPSTREAM.  */
+static bool
+is_slow (const struct service_state *service,
+         const struct upstream_state *upstream)
+{
+  return service->service_us > 0
+         && expected_response (service, upstream)
+                > WAIT_ADVANTAGE * service->service_us;
+}
+
+/* Returns whether a slow upstream is to be tried again with one call.  */
+static bool
+is_probe_due (const struct upstream_state *upstream, apr_time_t now)
+{
+  return now >= upstream->probe_at && share_pool_used (upstream->slots) == 0;
 }
 
 /* Returns the cost of sending a call there; lower is better.  */
@@ -383,7 +430,9 @@
 cost_of (struct steer *steer, const struct upstream_state *state,
          apr_time_t now)
 {
-  double cost = expected_response (state->service, state, now);
+  double cost = expected_response (state->service, state);
+  if (is_slow (state->service, state) && is_probe_due (state, now))
+    cost = state->service->service_us;
   if (now - state->reported_at < REPORT_VALID_US
       && state->reported_percent > 100)
     cost *= (double)state->reported_percent / 100.0;
@@ -431,16 +480,18 @@
          && share_pool_free (region->calls, now) == 0;
 }
 
-/* Returns whether an upstream at DISTANCE is worth it while nearer ones are
-   full: only if waiting for those would take longer.  */
+/* Returns whether it is better to wait for an upstream of cost FULL than to
+   use a free one of cost FREE now.  The free one is slow, or far away.  */
 static bool
-worth_spilling (const struct steer *steer, const struct service *service,
-                apr_time_t distance_us, apr_time_t now)
+better_to_wait (const struct steer *steer, const struct steer_request *request,
+                double free_cost, double full_cost, apr_time_t distance_us)
 {
-  if (service->policy && service->policy->spill == SPILL_NONE)
-    return false;
-  apr_time_t wait = steer_expected_wait (steer, service, 0, now);
-  return wait == 0 || wait >= distance_us;
+  const struct policy *policy = request->service->policy;
+  if (distance_us > 0 && policy && policy->spill == SPILL_NONE)
+    return true;
+  apr_time_t wait = steer_expected_wait (steer, request->service,
+                                         request->waiting, request->now);
+  return wait > 0 && free_cost > WAIT_ADVANTAGE * full_cost + (double)wait;
 }
 
 static void
@@ -460,7 +511,7 @@
 {
   struct upstream_state *state = ticket->upstream;
   struct service_state *service = ticket->service;
-  double before = expected_response (service, state, now);
+  double before = expected_response (service, state);
   double sample = (double)(elapsed_us - ticket->region->distance_us);
   if (sample < 1)
     sample = 1;
@@ -468,10 +519,14 @@
     sample = FAILURE_PENALTY * (sample > before ? sample : before);
   else if (ticket->call_class == CLASS_LONG)
     return;
-  state->response_us = state->response_us <= 0
+  /* One answer at the usual pace ends a slow spell.  */
+  bool recovered = is_slow (service, state)
+                   && sample < WAIT_ADVANTAGE * service->service_us;
+  state->response_us = state->response_us <= 0 || recovered
                            ? sample
                            : before + RESPONSE_GAIN * (sample - before);
-  state->seen_at = now;
+  if (is_slow (service, state))
+    state->probe_at = now + PROBE_INTERVAL_US;
   if (result != RESULT_ANSWERED)
     return;
   double step = service->service_us * TAIL_STEP;
@@ -485,6 +540,42 @@
   service->service_us += gain * (sample - service->service_us);
 }
 
+/* Wants slots of SERVICE in one region: in its own region, so that a part of
+   what is used is always free; elsewhere, for the calls that would wait
+   longer here than the way there takes.  */
+static void
+want_slots (struct steer *steer, const struct service_state *service,
+            struct region_state *region, size_t waiting, apr_time_t now)
+{
+  char group[GROUP_MAX_BYTES];
+  int64_t used = 0;
+  int64_t useful = 0;
+  int64_t missing = 0;
+  apr_time_t wait = steer_expected_wait (steer, service->spec, waiting, now);
+  for (size_t i = 0; i < service->count; i++)
+    {
+      const struct upstream_state *u = service->upstreams[i];
+      if (u->region != region)
+        continue;
+      used += share_pool_used (u->slots);
+      useful += is_slow (service, u) ? share_pool_used (u->slots)
+                                     : limit_of (u, now);
+    }
+  if (region->distance_us == 0)
+    missing
+        = (int64_t)waiting + used + (used >> WANT_HEADROOM_SHIFT) + 1 - useful;
+  else if (wait > region->distance_us || (wait == 0 && waiting > 0))
+    missing = (int64_t)waiting + used - useful;
+  if (missing > 0 && (waiting > 0 || used > 0))
+    share_want (steer->share, SHARE_SLOTS,
+                slot_group (group, sizeof group, service->spec->head.name,
+                            region->spec->head.name),
+                missing);
+  if (waiting > 0 && region_is_capped (region, now))
+    share_want (steer->share, SHARE_REGION, region->spec->head.name,
+                (int64_t)waiting);
+}
+
 /* public functions */
 
 struct steer *
@@ -590,9 +681,8 @@
       choice.verdict = STEER_CHOSEN;
       choice.upstream = u->spec;
     }
-  if (choice.verdict == STEER_CHOSEN && best_full > 0 && distance > 0
-      && best > best_full
-      && !worth_spilling (steer, request->service, distance, now))
+  if (choice.verdict == STEER_CHOSEN && best_full > 0
+      && better_to_wait (steer, request, best, best_full, distance))
     choice.verdict = STEER_WAIT;
   return choice;
 }
@@ -611,7 +701,7 @@
   else if ((double)++service->in_flight_short > service->short_peak)
     service->short_peak = (double)service->in_flight_short;
   return (struct steer_ticket){ state, state->service, state->region,
-                                call_class };
+                                call_class, false };
 }
 
 void
@@ -620,6 +710,8 @@
 {
   (void)steer;
   struct upstream_state *state = ticket->upstream;
+  if (ticket->is_overdue)
+    state->overdue--;
   share_pool_release (state->slots, 1);
   share_pool_release (ticket->region->calls, 1);
   share_pool_release (ticket->service->calls, 1);
@@ -669,6 +761,24 @@
   state->reported_at = now;
 }
 
+void
+steer_overdue (struct steer *steer, struct steer_ticket *ticket,
+               apr_time_t elapsed_us, apr_time_t now)
+{
+  (void)steer;
+  struct upstream_state *state = ticket->upstream;
+  double least = 2.0 * (double)(elapsed_us - ticket->region->distance_us);
+  if (ticket->is_overdue)
+    return;
+  ticket->is_overdue = true;
+  /* One late answer is chance; two at a time are not.  */
+  if (++state->overdue < 2)
+    return;
+  if (state->response_us < least)
+    state->response_us = least;
+  state->probe_at = now + PROBE_INTERVAL_US;
+}
+
 apr_time_t
 steer_hedge_delay (const struct steer *steer, const struct service *service,
                    const struct upstream *upstream)
@@ -718,31 +828,24 @@
             apr_time_t now)
 {
   struct service_state *state = service_state (steer, service);
-  int64_t used = 0;
-  for (size_t i = 0; i < state->count; i++)
-    used += share_pool_used (state->upstreams[i]->slots);
-  int64_t headroom = (used >> WANT_HEADROOM_SHIFT) + 1;
-  int64_t missing
-      = (int64_t)waiting + used + headroom - total_limit (state, now);
-  if (missing > 0 && (waiting > 0 || used > 0))
-    share_want (steer->share, SHARE_SLOTS, service->head.name, missing);
-  if (service->call_cap > 0)
-    {
-      missing
-          = (int64_t)waiting + headroom - share_pool_free (state->calls, now);
-      if (missing > 0 && (waiting > 0 || used > 0))
-        share_want (steer->share, SHARE_SERVICE, service->head.name, missing);
-    }
-  if (waiting == 0)
-    return;
+  const struct region_state *done[WANT_REGIONS_MAX];
+  size_t done_count = 0;
   for (size_t i = 0; i < state->count; i++)
     {
       struct region_state *region = state->upstreams[i]->region;
-      if (region->spec->call_cap > 0
-          && share_pool_free (region->calls, now) == 0)
-        share_want (steer->share, SHARE_REGION, region->spec->head.name,
-                    (int64_t)waiting);
+      bool seen = false;
+      for (size_t d = 0; d < done_count; d++)
+        seen |= done[d] == region;
+      if (seen || done_count == WANT_REGIONS_MAX)
+        continue;
+      done[done_count++] = region;
+      want_slots (steer, state, region, waiting, now);
     }
+  int64_t used = share_pool_used (state->calls);
+  int64_t missing = (int64_t)waiting + (used >> WANT_HEADROOM_SHIFT) + 1
+                    - share_pool_free (state->calls, now);
+  if (service->call_cap > 0 && missing > 0 && (waiting > 0 || used > 0))
+    share_want (steer->share, SHARE_SERVICE, service->head.name, missing);
 }
 
 int64_t
--- a/src/steer/steer.h
+++ b/src/steer/steer.h
@@ -73,6 +73,7 @@
   const struct service *service;
   enum call_class call_class;
   apr_time_t now;
+  size_t waiting; /* calls of the service that wait for a slot */
   struct str excluded[STEER_EXCLUDED_MAX]; /* upstreams tried already */
   size_t excluded_count;
 };
@@ -84,6 +85,7 @@
   struct service_state *service;
   struct region_state *region;
   enum call_class call_class;
+  bool is_overdue;
 };
 
 struct steer_choice
@@ -139,6 +141,11 @@
 /* Takes the load that UPSTREAM reports, in percent of its slots.  */
 void steer_report (struct steer *steer, struct str upstream, int64_t percent,
                    apr_time_t now);
+/* Says that the call of TICKET has had no answer for ELAPSED_US, longer than
+   nearly all calls take.  An upstream with two such calls at a time is taken
+   for slow.  */
+void steer_overdue (struct steer *steer, struct steer_ticket *ticket,
+                    apr_time_t elapsed_us, apr_time_t now);
 /* Returns how long to wait for an answer of UPSTREAM before a second attempt
    elsewhere is worth its cost.  */
 apr_time_t steer_hedge_delay (const struct steer *steer,
