--- a/bench/steer/testbed.c
+++ b/bench/steer/testbed.c
@@ -106,6 +106,7 @@
   apr_time_t now;
   apr_time_t end;
   uint64_t random;
+  uint64_t world_random; /* of what happens, the same for every policy */
   struct snapshot *snapshot;
   struct snapshot *shifted; /* with one region drained */
   const struct service *service;
@@ -139,13 +140,19 @@
 
 /* private functions */
 
+static double
+next_uniform (uint64_t *random)
+{
+  *random ^= *random << 13;
+  *random ^= *random >> 7;
+  *random ^= *random << 17;
+  return ((double)(*random >> 11) + 0.5) / 9007199254740992.0;
+}
+
 static double
 uniform (struct testbed *f)
 {
-  f->random ^= f->random << 13;
-  f->random ^= f->random >> 7;
-  f->random ^= f->random << 17;
-  return ((double)(f->random >> 11) + 0.5) / 9007199254740992.0;
+  return next_uniform (&f->random);
 }
 
 static size_t
@@ -154,6 +161,12 @@
   return (size_t)(uniform (f) * (double)n);
 }
 
+static size_t
+pick_world (struct testbed *f, size_t n)
+{
+  return (size_t)(next_uniform (&f->world_random) * (double)n);
+}
+
 static void
 note_concurrency (struct testbed *f, int change)
 {
@@ -684,7 +697,7 @@
       share_tick (steer_share (e->steer), now);
       offer (e);
     }
-  timer_start (f->timers, &e->tick, now + TIMER_MS (10), on_tick, e);
+  timer_start (f->timers, &e->tick, now + TIMER_MS (5), on_tick, e);
 }
 
 /* What happens to the world.  */
@@ -696,9 +709,9 @@
   for (int i = 0; i < UPSTREAMS; i++)
     f->upstreams[i].slow = 1.0;
   for (int i = 0; i < 3; i++)
-    f->upstreams[pick (f, UPSTREAMS)].slow = SLOW_FACTOR;
+    f->upstreams[pick_world (f, UPSTREAMS)].slow = SLOW_FACTOR;
   timer_start (f->timers, &f->slow_timer,
-               now + TIMER_MS (200) + (apr_time_t)(uniform (f) * 1800000),
+               now + TIMER_MS (200) + (apr_time_t)pick_world (f, 1800000),
                on_slow, f);
 }
 
@@ -735,8 +748,8 @@
         }
       f->entries[i].cut_off = false;
     }
-  struct entry *e = &f->entries[2 + pick (f, TESTBED_ENTRIES - 2)];
-  switch (pick (f, 5))
+  struct entry *e = &f->entries[2 + pick_world (f, TESTBED_ENTRIES - 2)];
+  switch (pick_world (f, 5))
     {
     case 0:
       if (killed < 3)
@@ -915,6 +928,7 @@
   struct testbed *f = calloc (1, sizeof *f);
   f->plan = *plan;
   f->random = plan->seed * 0x9E3779B97F4A7C15ULL + 1;
+  f->world_random = plan->seed * 0xC2B2AE3D27D4EB4FULL + 1;
   apr_pool_create (&f->pool, NULL);
   f->timers = timer_service_create (f->pool);
   f->latencies = malloc (LATENCIES_MAX * sizeof *f->latencies);
--- a/src/call/worker.c
+++ b/src/call/worker.c
@@ -58,7 +58,7 @@
 enum
 {
   SWEEP_MS = 200,
-  SHARE_TICK_MS = 10,
+  SHARE_TICK_MS = 5,
   HOLD_MARGIN_MS = 1000, /* for an upstream to see its deadline pass */
   DISTANCE_DEFAULT_MS = 10,
   IDLE_CONNECTIONS = 4096,
--- a/src/share/share.c
+++ b/src/share/share.c
@@ -99,7 +99,8 @@
 
 /* constants */
 
-#define DEFAULT_DURATION_US INT64_C (1000000)
+#define DEFAULT_DURATION_US INT64_C (300000)
+#define LONGEST_DURATION_US INT64_C (60000000)
 #define DEFAULT_HOLD_US INT64_C (30000000)
 /* A request is given up after this and its peer's distance.  */
 #define ASK_TIMEOUT_US INT64_C (100000)
@@ -109,7 +110,7 @@
 
 enum
 {
-  EMPTY_DOUBLINGS = 5,
+  EMPTY_DOUBLINGS = 2,
   ASKING_MAX = 4,       /* requests at a time for one group */
   DRIFT_PER_MILLE = 5,  /* by which clocks may run unevenly */
   PEAK_DECAY_SHIFT = 2, /* a quarter at each tick */
@@ -437,7 +438,7 @@
                                   .id = request->id,
                                   .duration = request->duration };
   if (request->count != 1 || request->duration <= 0
-      || request->duration > 60 * DEFAULT_DURATION_US)
+      || request->duration > LONGEST_DURATION_US)
     return;
   struct group *group = group_get (
       share, (enum share_kind)request->items[0].kind, request->items[0].name);
--- a/src/share/share.h
+++ b/src/share/share.h
@@ -79,7 +79,7 @@
 struct share_desc
 {
   struct str entry;
-  apr_time_t duration_us; /* of loans; default 1 s */
+  apr_time_t duration_us; /* of loans; default 300 ms */
   apr_time_t hold_us;     /* longest life of a use; default 30 s */
   uint64_t seed;
   /* Sends MESSAGE to the entry TO; it may be lost.  */
--- a/src/steer/steer.c
+++ b/src/steer/steer.c
@@ -91,7 +91,7 @@
 /* Response time assumed before any is known.  */
 #define USUAL_FIRST_US 1000.0
 /* A slow upstream is tried again with one call after this.  */
-#define PROBE_INTERVAL_US INT64_C (250000)
+#define PROBE_INTERVAL_US INT64_C (100000)
 /* Delay of a hedge before any response time is known.  */
 #define HEDGE_FIRST_US INT64_C (1000000)
 #define REPORT_VALID_US INT64_C (10000000)
@@ -103,7 +103,7 @@
 /* The same for the average of a whole service.  */
 #define SERVICE_GAIN 0.05
 /* A free upstream is left alone if a busy one costs this many times less.  */
-#define WAIT_ADVANTAGE 2.0
+#define WAIT_ADVANTAGE 3.0
 /* What short calls used at most of late, and so much more, is kept from long
    calls; the peak decays by this part of the difference a call.  */
 #define SHORT_RESERVE 1.1
