Lenders keep what their own waiting calls need; ramps hold back shares

Change: what a group lacks counts against what it lends; slots that a ramp has not opened are held back from use and loans; loans from afar last longer.

--- a/src/share/share.c
+++ b/src/share/share.c
@@ -16,6 +16,7 @@
   enum share_kind kind;
   struct str name;
   int64_t base;
+  int64_t held; /* of the base: not to be used yet */
   int64_t used;
   int64_t lent;
   int64_t borrowed;    /* by loans that have not run out */
@@ -34,6 +35,7 @@
   struct share_pool *pools;
   struct share_pool *cursor; /* where lending goes on */
   int64_t wanted;
+  int64_t lacking;   /* what was wanted at the last tick */
   int64_t peak_used; /* decays; what this entry needs itself */
   int asking;        /* requests in progress */
   int64_t requested; /* by them */
@@ -110,6 +112,7 @@
 
 enum
 {
+  LOAN_PER_DISTANCE = 15, /* so that the way takes little of a loan */
   EMPTY_DOUBLINGS = 2,
   ASKING_MAX = 4,       /* requests at a time for one group */
   DRIFT_PER_MILLE = 5,  /* by which clocks may run unevenly */
@@ -194,8 +197,8 @@
 static int64_t
 group_spare (struct group *group, apr_time_t now)
 {
-  int64_t need
-      = group->peak_used + (group->peak_used >> RESERVE_SHIFT) + group->wanted;
+  int64_t need = group->peak_used + (group->peak_used >> RESERVE_SHIFT)
+                 + group->lacking;
   int64_t spare = group_limit (group, now) - need;
   return spare > 0 ? spare : 0;
 }
@@ -353,7 +356,8 @@
   struct share_message message
       = { .type = SHARE_BORROW,
           .id = a->id,
-          .duration = share->desc.duration_us,
+          .duration
+          = share->desc.duration_us + LOAN_PER_DISTANCE * peer->distance_us,
           .count = 1,
           .items = { { (int64_t)group->kind, group->name, a->amount } } };
   share->desc.send (share->desc.part, str_from (peer->name), &message);
@@ -424,7 +428,7 @@
 lendable (struct share_pool *pool, apr_time_t now)
 {
   int64_t left = share_pool_free (pool, now);
-  int64_t own = pool->base - pool->lent;
+  int64_t own = pool->base - pool->held - pool->lent;
   if (own < left)
     left = own;
   return left > 0 ? left : 0;
@@ -626,12 +630,18 @@
   pool->base = base;
 }
 
+void
+share_pool_set_held (struct share_pool *pool, int64_t held)
+{
+  pool->held = held;
+}
+
 int64_t
 share_pool_limit (struct share_pool *pool, apr_time_t now)
 {
   if (now >= pool->next_end)
     end_borrowings (pool, now);
-  return pool->base - pool->lent + pool->borrowed;
+  return pool->base - pool->held - pool->lent + pool->borrowed;
 }
 
 int64_t
@@ -711,6 +721,7 @@
       while (g->wanted > g->requested && g->asking < ASKING_MAX
              && ask (share, g, now))
         ;
+      g->lacking = g->wanted;
       g->wanted = 0;
     }
 }
--- a/src/share/share.h
+++ b/src/share/share.h
@@ -79,7 +79,7 @@
 struct share_desc
 {
   struct str entry;
-  apr_time_t duration_us; /* of loans; default 300 ms */
+  apr_time_t duration_us; /* of loans, longer from afar; default 300 ms */
   apr_time_t hold_us;     /* longest life of a use; default 30 s */
   uint64_t seed;
   /* Sends MESSAGE to the entry TO; it may be lost.  */
@@ -113,6 +113,9 @@
 /* Sets this entry's base share.  A larger one must be set only when no other
    entry uses the difference any more.  */
 void share_pool_set_base (struct share_pool *pool, int64_t base);
+/* Sets the part of the base share that is not to be used or lent yet, as
+   while an upstream warms up.  */
+void share_pool_set_held (struct share_pool *pool, int64_t held);
 /* Returns what this entry may use of the cap at NOW, used or not.  */
 int64_t share_pool_limit (struct share_pool *pool, apr_time_t now);
 /* Returns what is left of it.  */
--- a/src/steer/steer.c
+++ b/src/steer/steer.c
@@ -29,6 +29,7 @@
   apr_time_t probe_at;  /* a slow one may be tried again */
   apr_time_t warm_from; /* the ramp starts here */
   apr_time_t ejected_until;
+  bool is_ramping;
   int failures; /* in a row */
   int overdue;  /* calls in progress that steer_overdue named */
   int leaving;
@@ -95,8 +96,6 @@
 /* Delay of a hedge before any response time is known.  */
 #define HEDGE_FIRST_US INT64_C (1000000)
 #define REPORT_VALID_US INT64_C (10000000)
-/* Age given to upstreams of the first configuration: they are not cold.  */
-#define WARM_ALREADY_US INT64_C (86400000000)
 
 /* Weight of a new response time in the moving average.  */
 #define RESPONSE_GAIN 0.3
@@ -235,6 +234,10 @@
     state->slot_count = slots_of (u);
     set_base (state->slots, state->slot_count, state->region->seat,
               u->head.name);
+    /* Nothing is used until the next update of the ramp has counted what the
+       new division leaves open.  */
+    if (state->is_ramping)
+      share_pool_set_held (state->slots, state->slot_count);
   }
   SNAPSHOT_EACH (steer->snapshot, KIND_SERVICE, const struct service, s)
   {
@@ -303,6 +306,43 @@
   }
 }
 
+/* Sets what of this entry's own slots is held back while the upstream warms
+   up: over all entries, the slots in use grow with its age, at least one.
+   Called late it holds back more than it need.  */
+static void
+update_ramp (struct upstream_state *state, apr_time_t now)
+{
+  if (!state->is_ramping)
+    return;
+  struct seat seat = state->region->seat;
+  apr_time_t ramp_us = state->spec->group->ramp_ms * 1000;
+  apr_time_t age = now - state->warm_from;
+  if (age >= ramp_us || seat.count == 0)
+    {
+      state->is_ramping = age < ramp_us;
+      share_pool_set_held (state->slots, 0);
+      return;
+    }
+  uint64_t salt = salt_of (state->name);
+  int64_t open = state->slot_count * age / ramp_us;
+  int64_t own
+      = steer_share_of (state->slot_count, seat.index, seat.count, salt);
+  int64_t first
+      = steer_share_start (state->slot_count, seat.index, seat.count, salt);
+  int64_t usable = (open > 0 ? open : 1) - first;
+  if (usable < 0)
+    usable = 0;
+  share_pool_set_held (state->slots, usable < own ? own - usable : 0);
+}
+
+static void
+start_ramp (struct upstream_state *state, apr_time_t now)
+{
+  state->warm_from = now;
+  state->is_ramping = true;
+  update_ramp (state, now);
+}
+
 /* Returns the name of the group of SERVICE's slots in REGION.  */
 static struct str
 slot_group (char *buffer, size_t size, struct str service, struct str region)
@@ -335,10 +375,11 @@
     struct upstream_state *state
         = find_or_add (steer, steer->upstreams, u->head.name, sizeof *state);
     struct service_state *service = service_state (steer, u->group->service);
+    bool is_new = false;
     if (!str_equal (state->address, u->address))
       {
         memset (state, 0, sizeof *state);
-        state->warm_from = is_first ? now - WARM_ALREADY_US : now;
+        is_new = true;
         state->reported_at = now - REPORT_VALID_US;
         state->name = str_dup (steer->pool, u->head.name);
         state->address = str_dup (steer->pool, u->address);
@@ -348,46 +389,20 @@
     state->service = service;
     state->region = find (steer->regions, u->zone->region->head.name);
     service->upstreams[service->count++] = state;
+    /* Upstreams of the first configuration are not cold.  */
+    if (is_new && !is_first)
+      start_ramp (state, now);
   }
 }
 
-/* Returns how many of this entry's own slots a warming upstream may use when
-   it is AGE old: over all entries, the slots in use grow with its age, at
-   least one.  */
-static int64_t
-ramp_limit (const struct upstream_state *state, apr_time_t age,
-            apr_time_t ramp_us)
-{
-  int64_t open = state->slot_count * age / ramp_us;
-  struct seat seat = state->region->seat;
-  uint64_t salt = salt_of (state->name);
-  if (seat.count == 0)
-    return 0;
-  int64_t own
-      = steer_share_of (state->slot_count, seat.index, seat.count, salt);
-  int64_t first
-      = steer_share_start (state->slot_count, seat.index, seat.count, salt);
-  int64_t usable = (open > 0 ? open : 1) - first;
-  if (usable < 0)
-    return 0;
-  return usable < own ? usable : own;
-}
-
 /* Returns the calls that the upstream may have from this entry now: its
-   share of the slots, less while it warms up, none while it leaves or is
-   ejected.  */
+   share of the slots, none while it leaves or is ejected.  */
 static int64_t
 limit_of (const struct upstream_state *state, apr_time_t now)
 {
   if (state->leaving || now < state->ejected_until || !state->spec)
     return 0;
-  int64_t limit = share_pool_limit (state->slots, now);
-  int64_t ramp_us = state->spec->group->ramp_ms * 1000;
-  apr_time_t age = now - state->warm_from;
-  if (age >= ramp_us)
-    return limit;
-  int64_t ramp = ramp_limit (state, age, ramp_us);
-  return ramp < limit ? ramp : limit;
+  return share_pool_limit (state->slots, now);
 }
 
 static int64_t
@@ -746,8 +761,8 @@
     state->leaving |= (int)source;
   else
     state->leaving &= ~(int)source;
-  if (was_leaving && !state->leaving)
-    state->warm_from = now;
+  if (was_leaving && !state->leaving && state->spec)
+    start_ramp (state, now);
 }
 
 void
@@ -830,6 +845,8 @@
   struct service_state *state = service_state (steer, service);
   const struct region_state *done[WANT_REGIONS_MAX];
   size_t done_count = 0;
+  for (size_t i = 0; i < state->count; i++)
+    update_ramp (state->upstreams[i], now);
   for (size_t i = 0; i < state->count; i++)
     {
       struct region_state *region = state->upstreams[i]->region;
