--- a/src/peer/peers.c
+++ b/src/peer/peers.c
@@ -50,6 +50,7 @@
   apr_pool_t *pool;
   struct target *targets;
   struct guest *guests;
+  size_t guest_count;
   struct member *members;
   struct roster *roster;
   int listener;
@@ -73,7 +74,8 @@
   LONGEST_RETRY_MS = 2000,
   FETCH_TIMEOUT_MS = 500,
   FORGET_AFTER_MS = 60000,
-  LISTEN_BACKLOG = 512
+  LISTEN_BACKLOG = 512,
+  GUESTS_MAX = 8192 /* connections accepted at a time */
 };
 
 /* private functions */
@@ -356,6 +358,7 @@
   while (*at != guest)
     at = &(*at)->next;
   *at = guest->next;
+  peers->guest_count--;
   peers->closed_bytes += peer_link_bytes (guest->link);
   peer_link_destroy (guest->link);
   free (guest);
@@ -395,6 +398,11 @@
       int accepted = accept4 (fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
       if (accepted < 0)
         return;
+      if (peers->guest_count >= GUESTS_MAX)
+        {
+          close (accepted);
+          continue;
+        }
       struct peer_link_desc desc = { .loop = peers->desc.loop,
                                      .key = peers->desc.key,
                                      .silent_ms = peers->desc.silent_ms,
@@ -407,6 +415,7 @@
         abort ();
       guest->heard_at = timer_clock ();
       guest->link = peer_link_accept (&desc, accepted);
+      peers->guest_count++;
       guest->next = peers->guests;
       peers->guests = guest;
     }
--- a/tests/session/stop.sh
+++ b/tests/session/stop.sh
@@ -41,3 +41,9 @@
   curl -s -o /dev/null -H 'Host: shop.example' http://127.23.0.2:7600/orders/$i
 done
 echo "new calls there: $(($(served) - before))"
+echo "# a caller who leaves cancels the call at its upstream"
+cancelled () { curl -s "http://$REPORT/" | grep -o '"cancelled":[0-9]*' | awk -F: '{ n += $2 } END { print n }'; }
+before=$(cancelled)
+curl -s -m 0.4 -o /dev/null -H 'Host: shop.example' -H 'X-Service-Ms: 2500' http://127.23.0.2:7600/orders/1
+sleep 1
+echo "calls cancelled: $(($(cancelled) - before))"
