A share of zero means wait, not nowhere; pacing of link bytes; cost of a choice

Change: an upstream that takes calls but has no free share counts as full. Link bytes are paced per entry out of a share of the link's cap, both ways (src/steer/pace.c), 100 ms windows by construction; unit test steer/pace. Choosing looks at the own region first and stops after 32 free upstreams.

--- a/bench/steer/main.c
+++ b/bench/steer/main.c
@@ -36,7 +36,7 @@
         double target, bool at_least)
 {
   bool good = at_least ? value >= target : value <= target;
-  printf ("figure %s %.4g %s baseline=%s target=%s%g %s\n", name, value, unit,
+  printf ("figure %s %.5g %s baseline=%s target=%s%g %s\n", name, value, unit,
           baseline, at_least ? ">=" : "<=", target, good ? "ok" : "short");
   fflush (stdout);
 }
@@ -199,12 +199,94 @@
     }
 }
 
+static void
+send_nothing (void *part, struct str to, const struct share_message *message)
+{
+  (void)part;
+  (void)to;
+  (void)message;
+}
+
+/* Makes a snapshot of one service with COUNT upstreams.  */
+static struct snapshot *
+make_service (int count, apr_pool_t *pool)
+{
+  static const struct
+  {
+    enum resource_kind kind;
+    const char *name;
+    const char *spec;
+  } rows[] = {
+    { KIND_REGION, "r", "{}" },
+    { KIND_ZONE, "z", "{\"region\":\"r\"}" },
+    { KIND_SERVICE, "s", "{\"hosts\":[\"s.example\"]}" },
+    { KIND_GROUP, "g", "{\"service\":\"s\",\"zone\":\"z\",\"slots\":9}" },
+  };
+  struct faults *faults = faults_create (pool);
+  struct snapshot *snapshot = snapshot_create (1);
+  for (size_t i = 0; i < sizeof rows / sizeof *rows; i++)
+    {
+      json_object *spec = json_tokener_parse (rows[i].spec);
+      snapshot_add (snapshot, rows[i].kind, str_from (rows[i].name), 1, spec,
+                    faults);
+      json_object_put (spec);
+    }
+  for (int i = 0; i < count; i++)
+    {
+      json_object *spec = json_tokener_parse (
+          str_format (pool, "{\"group\":\"g\",\"address\":\"127.0.%d.%d:9\"}",
+                      i / 250, i % 250 + 1));
+      snapshot_add (snapshot, KIND_UPSTREAM, str_printf (pool, "u%d", i), 1,
+                    spec, faults);
+      json_object_put (spec);
+    }
+  snapshot_finish (snapshot, faults);
+  return snapshot;
+}
+
+/* Real time of one choice among COUNT upstreams, most of them busy.  */
+static void
+bench_choice (const char *name, int count, double target_us)
+{
+  enum
+  {
+    ROUNDS = 20000
+  };
+  apr_pool_t *pool;
+  apr_pool_create (&pool, NULL);
+  struct snapshot *snapshot = make_service (count, pool);
+  struct steer_desc desc
+      = { .region = STR ("r"), .share = { .send = send_nothing }, .seed = 5 };
+  struct steer *steer = steer_create (pool, &desc);
+  steer_apply (steer, snapshot, 1);
+  struct steer_request request
+      = { .service = snapshot_find (snapshot, KIND_SERVICE, STR ("s")),
+          .call_class = CLASS_SHORT,
+          .now = TIMER_SEC (1) };
+  for (int i = 0; i < count * 7; i++)
+    {
+      struct steer_choice choice = steer_choose (steer, &request);
+      steer_begin (steer, choice.upstream, CLASS_SHORT);
+    }
+  size_t chosen = 0;
+  apr_time_t began = timer_clock ();
+  for (int i = 0; i < ROUNDS; i++)
+    chosen += steer_choose (steer, &request).verdict == STEER_CHOSEN;
+  double each = (double)(timer_clock () - began) / ROUNDS;
+  figure (name, chosen == ROUNDS ? each : 1e9, "us", "-", target_us, false);
+  steer_destroy (steer);
+  snapshot_unref (snapshot);
+  apr_pool_destroy (pool);
+}
+
 int
 main (int argc, char **argv)
 {
   apr_initialize ();
   if (argc > 1 && strcmp (argv[1], "--quick") == 0)
     length = TIMER_SEC (10);
+  bench_choice ("choice_among_30", 30, 1);
+  bench_choice ("choice_among_1000", 1000, 5);
   bench_slowed ();
   bench_long_calls ();
   bench_shed ();
--- a/src/call/attempt.c
+++ b/src/call/attempt.c
@@ -3,6 +3,7 @@
 #include <apr_strings.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 
 /* constants */
 
@@ -11,6 +12,7 @@
   EXPECT_FROM_BYTES = 65536, /* larger bodies wait for "100 Continue" */
   EXPECT_TIMEOUT_MS = 1000,
   HEADERS_MAX = 256,
+  LINK_RECEIVE_BYTES = 65536,
   HTTP_CONTINUE = 100,
   HTTP_OK = 200
 };
@@ -37,7 +39,19 @@
 on_read (char *out, size_t one, size_t size, void *owner)
 {
   struct attempt *attempt = owner;
-  size_t n = body_read (attempt->desc.body, out, one * size);
+  size_t want = body_unread (attempt->desc.body);
+  if (want > one * size)
+    want = one * size;
+  if (want > 0 && attempt->desc.link_out)
+    {
+      want = steer_link_take (attempt->desc.link_out, want, timer_clock ());
+      if (want == 0)
+        {
+          attempt->paused_read = attempt->paused_by_link = true;
+          return CURL_READFUNC_PAUSE;
+        }
+    }
+  size_t n = body_read (attempt->desc.body, out, want);
   if (n > 0)
     {
       attempt->desc.event (attempt->desc.part, attempt, ATTEMPT_SPACE);
@@ -104,11 +118,20 @@
 {
   struct attempt *attempt = owner;
   size *= one;
-  if (body_space (&attempt->answer) < size)
+  bool link_is_full
+      = attempt->desc.link_in
+        && steer_link_take (attempt->desc.link_in, 1, timer_clock ()) == 0;
+  attempt->paused_by_link |= link_is_full;
+  if (link_is_full || body_space (&attempt->answer) < size)
     {
       attempt->paused_write = true;
       return CURL_WRITEFUNC_PAUSE;
     }
+  if (attempt->desc.link_in)
+    {
+      /* libcurl hands over what it has read; the next read waits instead. */
+      steer_link_debit (attempt->desc.link_in, size, timer_clock ());
+    }
   body_write (&attempt->answer, data, size);
   attempt->desc.event (attempt->desc.part, attempt, ATTEMPT_DATA);
   return size;
@@ -184,6 +207,16 @@
         = curl_slist_append (attempt->header_list, "Content-Length: 0");
 }
 
+static int
+set_receive_buffer (void *unused, curl_socket_t fd, curlsocktype purpose)
+{
+  (void)unused;
+  (void)purpose;
+  int size = LINK_RECEIVE_BYTES;
+  setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof size);
+  return CURL_SOCKOPT_OK;
+}
+
 static void
 set_body (struct attempt *attempt)
 {
@@ -236,6 +269,11 @@
   curl_easy_setopt (easy, CURLOPT_PREREQDATA, attempt);
   curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS,
                     (long)desc->connect_timeout_ms);
+  if (desc->link_in)
+    {
+      /* Bounds what the other side may send before it is read and paced. */
+      curl_easy_setopt (easy, CURLOPT_SOCKOPTFUNCTION, set_receive_buffer);
+    }
   if (desc->new_connection)
     {
       curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, 1L);
@@ -271,6 +309,7 @@
     return;
   attempt->paused_read = false;
   attempt->paused_write = false;
+  attempt->paused_by_link = false;
   curl_loop_unpause (attempt->desc.curl_loop, &attempt->transfer);
 }
 
--- a/src/call/attempt.h
+++ b/src/call/attempt.h
@@ -50,6 +50,8 @@
   int64_t body_size; /* -1: unknown, 0: none */
   apr_time_t deadline;
   int64_t connect_timeout_ms;
+  struct steer_link *link_out; /* NULL within the region */
+  struct steer_link *link_in;
   bool new_connection;
   bool must_echo;
   struct body *body;
@@ -77,6 +79,7 @@
   bool done;
   bool paused_read;
   bool paused_write;
+  bool paused_by_link;
   CURLcode result;
   struct steer_ticket ticket;
   struct str upstream; /* name */
--- a/src/call/worker.c
+++ b/src/call/worker.c
@@ -357,7 +357,11 @@
     steer_want (context->steer, s, queue_service_length (context->queue, name),
                 now);
   }
+  steer_want_links (context->steer, now);
   share_tick (steer_share (context->steer), now);
+  for (struct call *call = context->calls; call; call = call->next)
+    if (call->attempt && call->attempt->paused_by_link)
+      attempt_continue (call->attempt);
   timer_start (loop_timers (context->loop), &worker->share_timer,
                now + TIMER_MS (SHARE_TICK_MS), on_share_tick, worker);
 }
--- a/src/steer/steer.c
+++ b/src/steer/steer.c
@@ -1,5 +1,7 @@
 #include "steer/steer.h"
 
+#include "steer/pace.h"
+
 #include <stdio.h>
 #include <string.h>
 #include <xxhash.h>
@@ -40,8 +42,9 @@
 struct service_state
 {
   const struct service *spec;
-  struct upstream_state **upstreams;
+  struct upstream_state **upstreams; /* those of the own region first */
   size_t count;
+  size_t near_count;
   struct share_pool *calls;
   int64_t in_flight_long;
   int64_t in_flight_short;
@@ -50,6 +53,14 @@
   double tail_us; /* HEDGE_QUANTILE of the response times */
 };
 
+struct steer_link
+{
+  struct share_pool *bytes; /* a second */
+  struct pace pace;
+  bool is_wanted; /* bytes had to wait since the last tick */
+  struct str name;
+};
+
 struct region_state
 {
   const struct region *spec;
@@ -67,6 +78,7 @@
   apr_hash_t *upstreams; /* states by name */
   apr_hash_t *services;
   apr_hash_t *regions;
+  apr_hash_t *links; /* struct steer_link by "FROM>TO" */
   struct share *share;
   struct seat seat; /* among all entries */
   apr_pool_t *member_pool;
@@ -80,6 +92,8 @@
 
 enum
 {
+  LINK_STEP_BYTES = 100000, /* a second, asked for at least */
+  ENOUGH_FREE = 32, /* the best of so many free upstreams is good enough */
   EJECT_AFTER_FAILURES = 3,
   EJECT_FIRST_MS = 500,
   EJECT_LONGEST_MS = 15000,
@@ -219,9 +233,54 @@
   return is_member ? seat : (struct seat){ 0, 0 };
 }
 
+/* Returns this entry's seat among the members of either region.  */
+static struct seat
+seat_at_link (const struct steer *steer, const struct link_spec *link)
+{
+  struct seat seat = { 0, 0 };
+  bool is_member = false;
+  for (size_t i = 0; i < steer->member_count; i++)
+    {
+      if (!str_list_has (&link->between, steer->members[i].region))
+        continue;
+      if (i == steer->self)
+        {
+          is_member = true;
+          seat.index = seat.count;
+        }
+      seat.count++;
+    }
+  return is_member ? seat : (struct seat){ 0, 0 };
+}
+
+/* Divides both ways of every link among the entries of its two regions.  */
+static void
+set_links (struct steer *steer)
+{
+  SNAPSHOT_EACH (steer->snapshot, KIND_LINK, const struct link_spec, l)
+  {
+    struct seat seat = seat_at_link (steer, l);
+    for (int way = 0; way < 2; way++)
+      {
+        char name[GROUP_MAX_BYTES];
+        int size = snprintf (name, sizeof name, "%.*s>%.*s",
+                             STR_ARGS (l->between.items[way]),
+                             STR_ARGS (l->between.items[!way]));
+        struct steer_link *link = find_or_add (
+            steer, steer->links, str_view (name, (size_t)size), sizeof *link);
+        link->name = str_dup (steer->pool, str_view (name, (size_t)size));
+        link->bytes = share_pool_get (
+            steer->share,
+            &(struct share_cap){ .kind = SHARE_LINK, .name = link->name });
+        set_base (link->bytes, l->bytes_per_second, seat, link->name);
+      }
+  }
+}
+
 static void
 set_limits (struct steer *steer)
 {
+  set_links (steer);
   steer->seat = seat_in (steer, STR (""));
   SNAPSHOT_EACH (steer->snapshot, KIND_REGION, const struct region, r)
   {
@@ -302,6 +361,7 @@
         steer->share,
         &(struct share_cap){ .kind = SHARE_SERVICE, .name = s->head.name });
     state->count = 0;
+    state->near_count = 0;
     state->upstreams = apr_palloc (steer->lists, (most + 1) * sizeof (void *));
   }
 }
@@ -367,6 +427,18 @@
           .region = region });
 }
 
+static void
+add_candidate (struct service_state *service, struct upstream_state *upstream)
+{
+  size_t at = service->count++;
+  if (upstream->region->distance_us == 0)
+    {
+      service->upstreams[at] = service->upstreams[service->near_count];
+      at = service->near_count++;
+    }
+  service->upstreams[at] = upstream;
+}
+
 static void
 take_upstreams (struct steer *steer, bool is_first, apr_time_t now)
 {
@@ -388,21 +460,27 @@
     state->slots = slot_pool (steer, u);
     state->service = service;
     state->region = find (steer->regions, u->zone->region->head.name);
-    service->upstreams[service->count++] = state;
+    add_candidate (service, state);
     /* Upstreams of the first configuration are not cold.  */
     if (is_new && !is_first)
       start_ramp (state, now);
   }
 }
 
+/* Returns whether the upstream takes new calls at all.  */
+static bool
+is_available (const struct upstream_state *state, apr_time_t now)
+{
+  return !state->leaving && now >= state->ejected_until && state->spec
+         && state->slot_count > 0;
+}
+
 /* Returns the calls that the upstream may have from this entry now: its
    share of the slots, none while it leaves or is ejected.  */
 static int64_t
 limit_of (const struct upstream_state *state, apr_time_t now)
 {
-  if (state->leaving || now < state->ejected_until || !state->spec)
-    return 0;
-  return share_pool_limit (state->slots, now);
+  return is_available (state, now) ? share_pool_limit (state->slots, now) : 0;
 }
 
 static int64_t
@@ -519,6 +597,18 @@
   state->ejected_until = now + ms * 1000;
 }
 
+/* Returns the I-th upstream to look at: the own region's from START on, then
+   the others.  */
+static const struct upstream_state *
+candidate_at (const struct service_state *service, size_t start, size_t i)
+{
+  if (i >= service->near_count)
+    return service->upstreams[i];
+  size_t at = start + i;
+  return service
+      ->upstreams[at < service->near_count ? at : at - service->near_count];
+}
+
 /* Takes one response time into the averages.  */
 static void
 learn (const struct steer_ticket *ticket, enum steer_result result,
@@ -606,6 +696,7 @@
   steer->upstreams = apr_hash_make (pool);
   steer->services = apr_hash_make (pool);
   steer->regions = apr_hash_make (pool);
+  steer->links = apr_hash_make (pool);
   return steer;
 }
 
@@ -671,11 +762,14 @@
   apr_time_t distance = 0;
   bool capped = service_is_capped (service, now);
   bool long_full = long_slots_used (service, request);
-  for (size_t i = 0; i < service->count; i++)
+  size_t start = service->near_count > ENOUGH_FREE
+                     ? next_random (steer) % service->near_count
+                     : 0;
+  size_t free_seen = 0;
+  for (size_t i = 0; i < service->count && free_seen < ENOUGH_FREE; i++)
     {
-      const struct upstream_state *u = service->upstreams[i];
-      int64_t limit = limit_of (u, now);
-      if (limit == 0 || is_excluded (request, u->name))
+      const struct upstream_state *u = candidate_at (service, start, i);
+      if (!is_available (u, now) || is_excluded (request, u->name))
         continue;
       if (choice.verdict == STEER_NOWHERE)
         choice.verdict = STEER_WAIT;
@@ -686,9 +780,10 @@
           continue;
         }
       double cost = cost_of (steer, u, now);
-      bool full = long_full || share_pool_used (u->slots) >= limit;
+      bool full = long_full || share_pool_free (u->slots, now) == 0;
       if (full && (best_full == 0 || cost < best_full))
         best_full = cost;
+      free_seen += !full;
       if (full || (choice.verdict == STEER_CHOSEN && cost >= best))
         continue;
       best = cost;
@@ -832,6 +927,51 @@
   return (apr_time_t)(state->service_us * (double)(ahead + 1) / (double)slots);
 }
 
+struct steer_link *
+steer_link (struct steer *steer, struct str from, struct str to)
+{
+  char name[GROUP_MAX_BYTES];
+  int size = snprintf (name, sizeof name, "%.*s>%.*s", STR_ARGS (from),
+                       STR_ARGS (to));
+  return find (steer->links, str_view (name, (size_t)size));
+}
+
+size_t
+steer_link_take (struct steer_link *link, size_t want, apr_time_t now)
+{
+  int64_t rate = share_pool_limit (link->bytes, now);
+  size_t taken = pace_take (&link->pace, rate > 0 ? rate : 0, want, now);
+  link->is_wanted |= taken < want;
+  return taken;
+}
+
+void
+steer_link_debit (struct steer_link *link, size_t bytes, apr_time_t now)
+{
+  int64_t rate = share_pool_limit (link->bytes, now);
+  pace_debit (&link->pace, rate > 0 ? rate : 0, bytes, now);
+}
+
+void
+steer_want_links (struct steer *steer, apr_time_t now)
+{
+  for (apr_hash_index_t *at = apr_hash_first (NULL, steer->links); at;
+       at = apr_hash_next (at))
+    {
+      void *value;
+      apr_hash_this (at, NULL, NULL, &value);
+      struct steer_link *link = value;
+      int64_t limit = share_pool_limit (link->bytes, now);
+      /* What is in use is known only as all or little.  */
+      share_pool_use (link->bytes, (link->is_wanted ? limit : 0)
+                                       - share_pool_used (link->bytes));
+      if (link->is_wanted)
+        share_want (steer->share, SHARE_LINK, link->name,
+                    limit / 2 + LINK_STEP_BYTES);
+      link->is_wanted = false;
+    }
+}
+
 struct share *
 steer_share (struct steer *steer)
 {
--- a/src/steer/steer.h
+++ b/src/steer/steer.h
@@ -23,6 +23,7 @@
 #include <apr_time.h>
 
 struct steer;
+struct steer_link; /* one way between two regions, with its cap */
 
 enum steer_verdict
 {
@@ -117,6 +118,17 @@
 void steer_set_members (struct steer *steer,
                         const struct steer_member *members, size_t count,
                         size_t self);
+/* Returns the way from one region to another, or NULL if no link joins them
+   (within one region there is none).  Valid as long as STEER.  */
+struct steer_link *steer_link (struct steer *steer, struct str from,
+                               struct str to);
+/* Takes up to WANT bytes over LINK now.  */
+size_t steer_link_take (struct steer_link *link, size_t want, apr_time_t now);
+/* Counts BYTES that have passed over LINK.  */
+void steer_link_debit (struct steer_link *link, size_t bytes, apr_time_t now);
+/* Wants more of the links whose bytes had to wait; call before each
+   share_tick.  */
+void steer_want_links (struct steer *steer, apr_time_t now);
 /* Returns the shares of all caps, to tick and to hand messages to.  */
 struct share *steer_share (struct steer *steer);
 /* Says that WAITING calls of SERVICE wait for a slot, so that shares are
--- a/tests/unit/steer_test.c
+++ b/tests/unit/steer_test.c
@@ -1,5 +1,6 @@
 /* Steering decisions on a virtual clock, with seeds.  */
 #include "base/timer.h"
+#include "steer/pace.h"
 #include "steer/steer.h"
 #include "tests/unit/fixture.h"
 #include "tests/unit/unit.h"
@@ -255,6 +256,47 @@
   close_steer ();
 }
 
+/* Whatever is asked and when: no window of 100 ms sees more than a tenth of
+   the rate, and steady demand gets nine tenths of it.  */
+static void
+test_pace (void)
+{
+  static const int64_t rates[] = { 1000000, 45000000, 500000000 };
+  enum
+  {
+    STEPS = 20000,
+    STEP_US = 100
+  };
+  static size_t passed[STEPS];
+  for (size_t r = 0; r < COUNT (rates); r++)
+    for (unsigned int seed = 0; seed < 4; seed++)
+      {
+        struct pace pace = { 0, 0 };
+        size_t window = 0;
+        size_t total = 0;
+        int paused = 0;
+        srand (seed);
+        for (int i = 0; i < STEPS; i++)
+          {
+            /* Seed 0 always asks; the others pause at times.  */
+            if (seed > 0 && rand () % 500 == 0)
+              paused = rand () % 3000;
+            passed[i] = paused-- > 0
+                            ? 0
+                            : pace_take (&pace, rates[r], 16384,
+                                         TIMER_SEC (1) + i * STEP_US);
+            window += passed[i];
+            total += passed[i];
+            if (i >= 1000)
+              window -= passed[i - 1000];
+            CU_ASSERT_FATAL (window <= (size_t)rates[r] / 10);
+          }
+        if (seed == 0)
+          CU_ASSERT (total >= (size_t)(0.9 * 2.0 * (double)rates[r])
+                     || rates[r] / 10000 > 16384);
+      }
+}
+
 const struct unit_test steer_tests[]
     = { { "shares", test_shares },
         { "limits", test_limits },
@@ -264,4 +306,5 @@
         { "slow upstream", test_slow_upstream },
         { "lying reports", test_lying_reports },
         { "reconfiguration", test_reconfiguration },
+        { "pace", test_pace },
         { NULL, NULL } };
