--- a/tests/session/link.sh
+++ b/tests/session/link.sh
@@ -31,7 +31,6 @@
 for i in 1 2 3; do
   grep -q "\"token\":\"up$i\",\"bytes\":900000" "$WORK/up$i" && whole=$((whole + 1))
 done
-echo "ms $MS" >&2
 echo "uploads whole: $whole of 3"
 [ $MS -ge 1750 ] && echo "2.7 MB over a link of 1.5 MB a second took at least 1.75 s"
 [ $MS -le 15000 ] || echo "took $MS ms"
--- a/tests/unit/steer_test.c
+++ b/tests/unit/steer_test.c
@@ -281,10 +281,9 @@
             /* Seed 0 always asks; the others pause at times.  */
             if (seed > 0 && rand () % 500 == 0)
               paused = rand () % 3000;
-            passed[i] = paused-- > 0
-                            ? 0
-                            : pace_take (&pace, rates[r], 16384,
-                                         TIMER_SEC (1) + i * STEP_US);
+            passed[i] = paused-- > 0 ? 0
+                                     : pace_take (&pace, rates[r], 16384,
+                                                  TIMER_SEC (1) + i * STEP_US);
             window += passed[i];
             total += passed[i];
             if (i >= 1000)
