--- a/bench/steer/testbed.c
+++ b/bench/steer/testbed.c
@@ -1,5 +1,6 @@
 #include "bench/steer/testbed.h"
 
+#include "base/random.h"
 #include "base/timer.h"
 #include "call/queue.h"
 #include "steer/budget.h"
@@ -143,10 +144,7 @@
 static double
 next_uniform (uint64_t *random)
 {
-  *random ^= *random << 13;
-  *random ^= *random >> 7;
-  *random ^= *random << 17;
-  return ((double)(*random >> 11) + 0.5) / 9007199254740992.0;
+  return ((double)(random_next (random) >> 11) + 0.5) / 9007199254740992.0;
 }
 
 static double
--- a/src/burn/burn.c
+++ b/src/burn/burn.c
@@ -1,5 +1,7 @@
 #include "burn/burn.h"
 
+#include "base/json.h"
+
 #include <apr_strings.h>
 #include <apr_thread_mutex.h>
 #include <string.h>
@@ -66,20 +68,6 @@
   return a;
 }
 
-static json_object *
-member (json_object *object, const char *name)
-{
-  json_object *value = NULL;
-  json_object_object_get_ex (object, name, &value);
-  return value;
-}
-
-static int64_t
-number (json_object *object, const char *name)
-{
-  return json_object_get_int64 (member (object, name));
-}
-
 static json_object *
 row_of (const struct account *account, int64_t window_s, int64_t minute)
 {
@@ -115,12 +103,13 @@
 static bool
 same_row (json_object *a, json_object *b)
 {
-  return number (a, "window_s") == number (b, "window_s")
-         && strcmp (json_object_get_string (member (a, "service")),
-                    json_object_get_string (member (b, "service")))
+  return json_member_number (a, "window_s")
+             == json_member_number (b, "window_s")
+         && strcmp (json_object_get_string (json_member (a, "service")),
+                    json_object_get_string (json_member (b, "service")))
                 == 0
-         && strcmp (json_object_get_string (member (a, "region")),
-                    json_object_get_string (member (b, "region")))
+         && strcmp (json_object_get_string (json_member (a, "region")),
+                    json_object_get_string (json_member (b, "region")))
                 == 0;
 }
 
@@ -129,7 +118,8 @@
 {
   json_object_object_add (
       to, name,
-      json_object_new_int64 (number (to, name) + number (from, name)));
+      json_object_new_int64 (json_member_number (to, name)
+                             + json_member_number (from, name)));
 }
 
 static void
@@ -138,7 +128,7 @@
   add_number (to, from, "good");
   add_number (to, from, "bad");
   for (int cause = 1; cause < BURN_CAUSES; cause++)
-    add_number (member (to, "causes"), member (from, "causes"),
+    add_number (json_member (to, "causes"), json_member (from, "causes"),
                 cause_names[cause]);
 }
 
@@ -219,13 +209,13 @@
       json_object *row = json_object_array_get_idx (counts, i);
       const struct service *service = snapshot_find (
           snapshot, KIND_SERVICE,
-          str_from (json_object_get_string (member (row, "service"))));
+          str_from (json_object_get_string (json_member (row, "service"))));
       if (!service)
         continue;
       json_object *out = NULL;
       json_object_deep_copy (row, &out, NULL);
-      int64_t bad = number (row, "bad");
-      int64_t calls = bad + number (row, "good");
+      int64_t bad = json_member_number (row, "bad");
+      int64_t calls = bad + json_member_number (row, "good");
       double allowed = (double)(1000000 - service->objective.target_ppm) / 1e6;
       double rate = calls > 0 ? (double)bad / (double)calls / allowed : 0.0;
       double left = 100.0 * (1.0 - rate);
--- a/src/client/client.h
+++ b/src/client/client.h
@@ -10,10 +10,9 @@
 #ifndef CLIENT_CLIENT_H
 #define CLIENT_CLIENT_H
 
+#include "base/json.h"
 #include "base/str.h"
 
-#include <json-c/json.h>
-
 enum client_exit
 {
   EXIT_DONE,
@@ -64,7 +63,5 @@
 /* Prints the error in ANSWER and returns the exit status for STATUS.  */
 int client_report_error (json_object *answer, long status);
 void client_print_json (json_object *object);
-const char *client_text (json_object *object, const char *name);
-int64_t client_number (json_object *object, const char *name);
 
 #endif
--- a/src/client/commands.c
+++ b/src/client/commands.c
@@ -113,14 +113,6 @@
   return true;
 }
 
-static json_object *
-member (json_object *object, const char *name)
-{
-  json_object *value = NULL;
-  json_object_object_get_ex (object, name, &value);
-  return value;
-}
-
 static enum resource_kind
 kind_of (const char *text)
 {
@@ -194,7 +186,7 @@
         client_print_json (answer);
       else
         printf ("accepted as version %lld\n",
-                (long long)client_number (answer, "version"));
+                (long long)json_member_number (answer, "version"));
     }
   json_object_put (answer);
   json_object_put (body);
@@ -208,7 +200,7 @@
 {
   if (json_object_get_type (file) == json_type_array)
     return json_object_get (file);
-  json_object *resources = member (file, "resources");
+  json_object *resources = json_member (file, "resources");
   if (resources)
     return json_object_get (resources);
   json_object *list = json_object_new_array ();
@@ -227,11 +219,11 @@
         options,
         apr_pstrcat (options->pool, "/v1/", resource_kinds[kind].plural, NULL),
         status);
-  json_object *items = member (lists[kind], "items");
+  json_object *items = json_member (lists[kind], "items");
   for (size_t i = 0; items && i < json_object_array_length (items); i++)
     {
       json_object *item = json_object_array_get_idx (items, i);
-      if (strcmp (client_text (item, "name"), name) == 0)
+      if (strcmp (json_member_text (item, "name"), name) == 0)
         return item;
     }
   return NULL;
@@ -242,23 +234,23 @@
             json_object *resource, json_object *changes)
 {
   int status = EXIT_DONE;
-  enum resource_kind kind = kind_of (client_text (resource, "kind"));
-  const char *name = client_text (resource, "name");
+  enum resource_kind kind = kind_of (json_member_text (resource, "kind"));
+  const char *name = json_member_text (resource, "name");
   if (kind == KIND_COUNT)
     return EXIT_INVALID;
   json_object *current = find_current (options, lists, kind, name, &status);
   if (status != EXIT_DONE)
     return status;
   if (current
-      && json_object_equal (member (current, "spec"),
-                            member (resource, "spec")))
+      && json_object_equal (json_member (current, "spec"),
+                            json_member (resource, "spec")))
     return EXIT_DONE;
   json_object *change = NULL;
   json_object_deep_copy (resource, &change, NULL);
-  if (!member (resource, "version"))
+  if (!json_member (resource, "version"))
     json_object_object_add (
         change, "version",
-        json_object_new_int64 (client_number (current, "version")));
+        json_object_new_int64 (json_member_number (current, "version")));
   json_object_array_add (changes, change);
   return EXIT_DONE;
 }
@@ -270,16 +262,16 @@
   for (size_t i = 0; i < json_object_array_length (list); i++)
     {
       json_object *resource = json_object_array_get_idx (list, i);
-      const char *kind = client_text (resource, "kind");
-      const char *name = client_text (resource, "name");
+      const char *kind = json_member_text (resource, "kind");
+      const char *name = json_member_text (resource, "name");
       const char *how = "unchanged";
       for (size_t j = 0; j < json_object_array_length (changes); j++)
         {
           json_object *change = json_object_array_get_idx (changes, j);
-          if (strcmp (client_text (change, "kind"), kind) == 0
-              && strcmp (client_text (change, "name"), name) == 0)
-            how = client_number (change, "version") > 0 ? "changed"
-                                                        : "created";
+          if (strcmp (json_member_text (change, "kind"), kind) == 0
+              && strcmp (json_member_text (change, "name"), name) == 0)
+            how = json_member_number (change, "version") > 0 ? "changed"
+                                                             : "created";
         }
       printf ("%s/%s %s\n", kind, name, how);
     }
@@ -355,12 +347,12 @@
 static void
 print_row (json_object *item)
 {
-  json_object *status = member (item, "status");
+  json_object *status = json_member (item, "status");
   printf ("%-16s %-24s %8lld  in force on %lld of %lld\n",
-          client_text (item, "kind"), client_text (item, "name"),
-          (long long)client_number (item, "version"),
-          (long long)client_number (status, "in_force_on"),
-          (long long)client_number (status, "entries"));
+          json_member_text (item, "kind"), json_member_text (item, "name"),
+          (long long)json_member_number (item, "version"),
+          (long long)json_member_number (status, "in_force_on"),
+          (long long)json_member_number (status, "entries"));
 }
 
 static int
@@ -375,8 +367,8 @@
   if (options->as_json)
     client_print_json (answer);
   else
-    printf ("%s %s\n", id, client_text (answer, "state"));
-  if (strcmp (client_text (answer, "state"), "pending") == 0)
+    printf ("%s %s\n", id, json_member_text (answer, "state"));
+  if (strcmp (json_member_text (answer, "state"), "pending") == 0)
     status = EXIT_PENDING;
   json_object_put (answer);
   return status;
@@ -410,7 +402,7 @@
       &status);
   if (!answer)
     return status;
-  json_object *items = member (answer, "items");
+  json_object *items = json_member (answer, "items");
   if (line.options.as_json)
     client_print_json (answer);
   else if (items)
@@ -465,7 +457,7 @@
           &status);
       if (!current)
         return status;
-      version = client_number (current, "version");
+      version = json_member_number (current, "version");
       json_object_put (current);
     }
   json_object *change = json_object_new_object ();
@@ -579,33 +571,33 @@
 static void
 print_status (json_object *answer)
 {
-  json_object *entries = member (answer, "entries");
-  json_object *drains = member (answer, "drains");
+  json_object *entries = json_member (answer, "entries");
+  json_object *drains = json_member (answer, "drains");
   printf ("version %lld, as seen by %s\n",
-          (long long)client_number (answer, "version"),
-          client_text (answer, "entry"));
+          (long long)json_member_number (answer, "version"),
+          json_member_text (answer, "entry"));
   printf ("%-12s %-14s %-12s %-8s %8s %9s %6s\n", "ENTRY", "ZONE", "REGION",
           "STATE", "VERSION", "IN-FLIGHT", "QUEUED");
   for (size_t i = 0; i < json_object_array_length (entries); i++)
     {
       json_object *e = json_object_array_get_idx (entries, i);
       printf ("%-12s %-14s %-12s %-8s %8lld %9lld %6lld\n",
-              client_text (e, "name"), client_text (e, "zone"),
-              client_text (e, "region"), client_text (e, "state"),
-              (long long)client_number (e, "version"),
-              (long long)client_number (e, "in_flight"),
-              (long long)client_number (e, "queued"));
+              json_member_text (e, "name"), json_member_text (e, "zone"),
+              json_member_text (e, "region"), json_member_text (e, "state"),
+              (long long)json_member_number (e, "version"),
+              (long long)json_member_number (e, "in_flight"),
+              (long long)json_member_number (e, "queued"));
     }
   for (size_t i = 0; i < json_object_array_length (drains); i++)
     {
       json_object *d = json_object_array_get_idx (drains, i);
-      printf ("draining: %s %s (%s)\n", client_text (d, "kind"),
-              client_text (d, "target"), client_text (d, "reason"));
+      printf ("draining: %s %s (%s)\n", json_member_text (d, "kind"),
+              json_member_text (d, "target"), json_member_text (d, "reason"));
     }
-  print_names ("behind", member (answer, "behind"));
-  print_names ("saturated", member (answer, "saturated"));
-  print_names ("leaving", member (answer, "leaving"));
-  print_names ("ejected", member (answer, "ejected"));
+  print_names ("behind", json_member (answer, "behind"));
+  print_names ("saturated", json_member (answer, "saturated"));
+  print_names ("leaving", json_member (answer, "leaving"));
+  print_names ("ejected", json_member (answer, "ejected"));
 }
 
 static int
@@ -632,12 +624,14 @@
 static void
 print_changes (json_object *answer, const char *what)
 {
-  json_object *list = member (answer, what);
+  json_object *list = json_member (answer, what);
   for (size_t i = 0; i < json_object_array_length (list); i++)
     {
       json_object *item = json_object_array_get_idx (list, i);
-      printf ("%lld %s %s/%s\n", (long long)client_number (answer, "version"),
-              what, client_text (item, "kind"), client_text (item, "name"));
+      printf ("%lld %s %s/%s\n",
+              (long long)json_member_number (answer, "version"), what,
+              json_member_text (item, "kind"),
+              json_member_text (item, "name"));
     }
 }
 
@@ -668,9 +662,9 @@
                    &status);
       if (!answer)
         return status;
-      if (client_number (answer, "version") > version)
+      if (json_member_number (answer, "version") > version)
         {
-          version = client_number (answer, "version");
+          version = json_member_number (answer, "version");
           if (line.options.as_json)
             client_print_json (answer);
           else
@@ -695,14 +689,15 @@
   for (size_t i = 0; i < json_object_array_length (rows); i++)
     {
       json_object *row = json_object_array_get_idx (rows, i);
-      json_object *causes = member (row, "causes");
-      printf ("%-14s %-12s %7llds %9lld %7lld %9.2f %11.1f%% ",
-              client_text (row, "service"), client_text (row, "region"),
-              (long long)client_number (row, "window_s"),
-              (long long)client_number (row, "calls"),
-              (long long)client_number (row, "bad"),
-              json_object_get_double (member (row, "burn_rate")),
-              json_object_get_double (member (row, "budget_left_percent")));
+      json_object *causes = json_member (row, "causes");
+      printf (
+          "%-14s %-12s %7llds %9lld %7lld %9.2f %11.1f%% ",
+          json_member_text (row, "service"), json_member_text (row, "region"),
+          (long long)json_member_number (row, "window_s"),
+          (long long)json_member_number (row, "calls"),
+          (long long)json_member_number (row, "bad"),
+          json_object_get_double (json_member (row, "burn_rate")),
+          json_object_get_double (json_member (row, "budget_left_percent")));
       json_object_object_foreach (causes, cause, number)
       {
         if (json_object_get_int64 (number) > 0)
@@ -728,7 +723,7 @@
   if (line.options.as_json)
     client_print_json (answer);
   else
-    print_burn (member (answer, "rows"));
+    print_burn (json_member (answer, "rows"));
   json_object_put (answer);
   return status;
 }
@@ -763,7 +758,7 @@
   json_object *answer = client_send (&line.options, &request, &code);
   if (!answer)
     return EXIT_FAILED;
-  json_object *entries = member (answer, "entries");
+  json_object *entries = json_member (answer, "entries");
   if (code != 200)
     status = client_report_error (answer, code);
   else if (line.options.as_json)
@@ -772,9 +767,9 @@
     for (size_t i = 0; i < json_object_array_length (entries); i++)
       {
         json_object *e = json_object_array_get_idx (entries, i);
-        printf ("%-12s %-22s %-14s %s\n", client_text (e, "name"),
-                client_text (e, "address"), client_text (e, "zone"),
-                client_text (e, "region"));
+        printf ("%-12s %-22s %-14s %s\n", json_member_text (e, "name"),
+                json_member_text (e, "address"), json_member_text (e, "zone"),
+                json_member_text (e, "region"));
       }
   json_object_put (answer);
   return code == 200 ? EXIT_DONE : status;
--- a/src/client/http.c
+++ b/src/client/http.c
@@ -88,14 +88,6 @@
   return result;
 }
 
-static json_object *
-member (json_object *object, const char *name)
-{
-  json_object *value = NULL;
-  json_object_object_get_ex (object, name, &value);
-  return value;
-}
-
 /* public functions */
 
 json_object *
@@ -128,23 +120,25 @@
 int
 client_report_error (json_object *answer, long status)
 {
-  json_object *faults = member (answer, "faults");
-  fprintf (stderr, "citroncleat: %s: %s\n", client_text (answer, "error"),
-           client_text (answer, "detail"));
+  json_object *faults = json_member (answer, "faults");
+  fprintf (stderr, "citroncleat: %s: %s\n", json_member_text (answer, "error"),
+           json_member_text (answer, "detail"));
   for (size_t i = 0; faults && i < json_object_array_length (faults); i++)
     {
       json_object *fault = json_object_array_get_idx (faults, i);
       fprintf (stderr, "  %s: found %s, expected %s\n",
-               client_text (fault, "path"), client_text (fault, "found"),
-               client_text (fault, "expected"));
+               json_member_text (fault, "path"),
+               json_member_text (fault, "found"),
+               json_member_text (fault, "expected"));
     }
   if (status == 409)
     fprintf (stderr,
              "  %s/%s: the change was based on version %lld, the current one "
              "is %lld\n",
-             client_text (answer, "kind"), client_text (answer, "name"),
-             (long long)client_number (answer, "based_on"),
-             (long long)client_number (answer, "current"));
+             json_member_text (answer, "kind"),
+             json_member_text (answer, "name"),
+             (long long)json_member_number (answer, "based_on"),
+             (long long)json_member_number (answer, "current"));
   switch (status)
     {
     case 401:
@@ -168,17 +162,3 @@
       object, JSON_C_TO_STRING_PRETTY | JSON_C_TO_STRING_NOSLASHESCAPE
                   | JSON_C_TO_STRING_SPACED));
 }
-
-const char *
-client_text (json_object *object, const char *name)
-{
-  json_object *value = member (object, name);
-  const char *text = value ? json_object_get_string (value) : NULL;
-  return text ? text : "";
-}
-
-int64_t
-client_number (json_object *object, const char *name)
-{
-  return json_object_get_int64 (member (object, name));
-}
--- a/src/operator/api.c
+++ b/src/operator/api.c
@@ -296,26 +296,6 @@
   worker_query (request->api->desc.worker, on_view, query);
 }
 
-void
-json_add_text (json_object *object, const char *name, const char *text)
-{
-  json_object_object_add (object, name, json_object_new_string (text));
-}
-
-void
-json_add_number (json_object *object, const char *name, int64_t number)
-{
-  json_object_object_add (object, name, json_object_new_int64 (number));
-}
-
-json_object *
-json_member (json_object *object, const char *name)
-{
-  json_object *value = NULL;
-  json_object_object_get_ex (object, name, &value);
-  return value;
-}
-
 enum err_code
 api_create (apr_pool_t *pool, const struct api_desc *desc, struct api **result,
             struct err *err)
--- a/src/operator/request.h
+++ b/src/operator/request.h
@@ -7,6 +7,7 @@
 #define OPERATOR_REQUEST_H
 
 #include "base/httpd.h"
+#include "base/json.h"
 #include "operator/api.h"
 
 enum
@@ -96,9 +97,4 @@
 void watch_adopted (struct api *api, const struct document *document);
 void watch_forget (struct request *request);
 
-/* Small helpers for JSON objects.  */
-void json_add_text (json_object *object, const char *name, const char *text);
-void json_add_number (json_object *object, const char *name, int64_t number);
-json_object *json_member (json_object *object, const char *name);
-
 #endif
--- a/src/resource/document.c
+++ b/src/resource/document.c
@@ -1,5 +1,7 @@
 #include "resource/document.h"
 
+#include "base/json.h"
+
 #include <stdio.h>
 #include <stdlib.h>
 
@@ -13,20 +15,6 @@
 
 /* private functions */
 
-static json_object *
-member (json_object *object, const char *name)
-{
-  json_object *value = NULL;
-  json_object_object_get_ex (object, name, &value);
-  return value;
-}
-
-static int64_t
-member_number (json_object *object, const char *name)
-{
-  return json_object_get_int64 (member (object, name));
-}
-
 static void
 add_kind (struct snapshot *snapshot, enum resource_kind kind,
           json_object *resources, struct faults *faults)
@@ -34,8 +22,8 @@
   json_object_object_foreach (resources, name, resource)
   {
     snapshot_add (snapshot, kind, str_from (name),
-                  member_number (resource, "version"),
-                  member (resource, "spec"), faults);
+                  json_member_number (resource, "version"),
+                  json_member (resource, "spec"), faults);
   }
 }
 
@@ -44,10 +32,10 @@
 build (json_object *root, struct faults *faults)
 {
   struct snapshot *snapshot
-      = snapshot_create (member_number (root, "version"));
+      = snapshot_create (json_member_number (root, "version"));
   for (int kind = 0; kind < KIND_COUNT; kind++)
     {
-      json_object *resources = member (root, resource_kinds[kind].plural);
+      json_object *resources = json_member (root, resource_kinds[kind].plural);
       if (json_object_get_type (resources) == json_type_object)
         add_kind (snapshot, (enum resource_kind)kind, resources, faults);
     }
@@ -74,14 +62,14 @@
   if (name.size >= sizeof text)
     return NULL;
   snprintf (text, sizeof text, "%.*s", STR_ARGS (name));
-  return member (member (root, resource_kinds[kind].plural), text);
+  return json_member (json_member (root, resource_kinds[kind].plural), text);
 }
 
 static void
 apply_change (json_object *root, const struct change *change, int64_t version)
 {
   const char *plural = resource_kinds[change->kind].plural;
-  json_object *resources = member (root, plural);
+  json_object *resources = json_member (root, plural);
   char name[64];
   snprintf (name, sizeof name, "%.*s", STR_ARGS (change->name));
   if (!resources)
@@ -104,7 +92,7 @@
 static void
 record_operation (json_object *root, struct str id, int64_t version)
 {
-  json_object *old = member (root, "operations");
+  json_object *old = json_member (root, "operations");
   json_object *kept = json_object_new_array ();
   size_t n = old ? json_object_array_length (old) : 0;
   for (size_t i = n >= OPERATIONS_KEPT ? n - OPERATIONS_KEPT + 1 : 0; i < n;
@@ -128,7 +116,7 @@
     {
       json_object *current
           = get (document->root, changes[i].kind, changes[i].name);
-      int64_t version = current ? member_number (current, "version") : 0;
+      int64_t version = current ? json_member_number (current, "version") : 0;
       if (version == changes[i].based_on)
         continue;
       *conflict = (struct change_conflict){ changes[i].kind, changes[i].name,
@@ -179,8 +167,8 @@
   if (!root)
     return NULL;
   if (json_object_get_type (root) != json_type_object
-      || member_number (root, "format") != FORMAT
-      || member_number (root, "version") < 0)
+      || json_member_number (root, "format") != FORMAT
+      || json_member_number (root, "version") < 0)
     {
       faults_add (faults, STR ("document.format"), STR ("another format"),
                   "a document of format %d", FORMAT);
@@ -212,14 +200,14 @@
 int64_t
 document_operation (const struct document *document, struct str id)
 {
-  json_object *operations = member (document->root, "operations");
+  json_object *operations = json_member (document->root, "operations");
   size_t n = operations ? json_object_array_length (operations) : 0;
   for (size_t i = 0; i < n; i++)
     {
       json_object *operation = json_object_array_get_idx (operations, i);
       if (str_equal (id, str_from (json_object_get_string (
-                             member (operation, "id")))))
-        return member_number (operation, "version");
+                             json_member (operation, "id")))))
+        return json_member_number (operation, "version");
     }
   return 0;
 }
--- a/src/share/share.c
+++ b/src/share/share.c
@@ -1,5 +1,7 @@
 #include "share/share.h"
 
+#include "base/random.h"
+
 #include <apr_hash.h>
 #include <apr_strings.h>
 #include <stdio.h>
@@ -123,16 +125,6 @@
 
 /* private functions */
 
-static uint64_t
-next_random (struct share *share)
-{
-  uint64_t x = share->random;
-  x ^= x << 13;
-  x ^= x >> 7;
-  x ^= x << 17;
-  return share->random = x;
-}
-
 static struct group *
 group_get (struct share *share, enum share_kind kind, struct str name)
 {
@@ -323,8 +315,8 @@
       if (asked || !owns || now < p->empty_until[group->kind])
         continue;
       /* Nearest first, at random among those as near.  */
-      uint64_t rank
-          = (uint64_t)p->distance_us << 16 | (next_random (share) & 0xffff);
+      uint64_t rank = (uint64_t)p->distance_us << 16
+                      | (random_next (&share->random) & 0xffff);
       if (!best || rank < best_rank)
         {
           best = p;
@@ -572,7 +564,7 @@
   share->pool = pool;
   share->desc = *desc;
   share->pools = apr_hash_make (pool);
-  share->random = desc->seed ? desc->seed : 88172645463325252ULL;
+  share->random = desc->seed ? desc->seed : RANDOM_DEFAULT_SEED;
   if (!share->desc.duration_us)
     share->desc.duration_us = DEFAULT_DURATION_US;
   if (!share->desc.hold_us)
--- a/src/steer/steer.c
+++ b/src/steer/steer.c
@@ -1,5 +1,6 @@
 #include "steer/steer.h"
 
+#include "base/random.h"
 #include "steer/pace.h"
 
 #include <stdio.h>
@@ -130,16 +131,6 @@
 
 /* private functions */
 
-static uint64_t
-next_random (struct steer *steer)
-{
-  uint64_t x = steer->random;
-  x ^= x << 13;
-  x ^= x >> 7;
-  x ^= x << 17;
-  return steer->random = x;
-}
-
 static uint64_t
 salt_of (struct str name)
 {
@@ -268,7 +259,8 @@
                              STR_ARGS (l->between.items[!way]));
         struct steer_link *link = find_or_add (
             steer, steer->links, str_view (name, (size_t)size), sizeof *link);
-        link->name = str_dup (steer->pool, str_view (name, (size_t)size));
+        if (link->name.size == 0)
+          link->name = str_dup (steer->pool, str_view (name, (size_t)size));
         link->bytes = share_pool_get (
             steer->share,
             &(struct share_cap){ .kind = SHARE_LINK, .name = link->name });
@@ -530,7 +522,7 @@
       && state->reported_percent > 100)
     cost *= (double)state->reported_percent / 100.0;
   /* Spreads calls over upstreams that are alike.  */
-  cost *= 1.0 + 0.1 * (double)(next_random (steer) & 1023) / 1024.0;
+  cost *= 1.0 + 0.1 * (double)(random_next (&steer->random) & 1023) / 1024.0;
   return cost + (double)state->region->distance_us;
 }
 
@@ -689,7 +681,7 @@
   struct steer *steer = apr_pcalloc (pool, sizeof *steer);
   steer->pool = pool;
   steer->desc = *desc;
-  steer->random = desc->seed ? desc->seed : 88172645463325252ULL;
+  steer->random = desc->seed ? desc->seed : RANDOM_DEFAULT_SEED;
   steer->share = share_create (pool, &desc->share);
   steer_set_members (steer, &(struct steer_member){ .region = desc->region },
                      1, 0);
@@ -763,7 +755,7 @@
   bool capped = service_is_capped (service, now);
   bool long_full = long_slots_used (service, request);
   size_t start = service->near_count > ENOUGH_FREE
-                     ? next_random (steer) % service->near_count
+                     ? random_next (&steer->random) % service->near_count
                      : 0;
   size_t free_seen = 0;
   for (size_t i = 0; i < service->count && free_seen < ENOUGH_FREE; i++)
