--- a/src/call/call.h
+++ b/src/call/call.h
@@ -52,6 +52,7 @@
   struct burn_ledger *burn;
   apr_pool_t *pool;
   apr_hash_t *service_counters; /* struct call_counters by service */
+  struct counter *lookups;
   struct call *calls;
   struct call *ready; /* to be resumed at the end of the round */
   bool slot_freed;    /* waiting calls may be placed */
--- /dev/null
+++ b/src/call/requests.c
@@ -0,0 +1,144 @@
+#include "call/requests.h"
+
+#include "call/lookup.h"
+
+#include <string.h>
+
+/* constants */
+
+enum
+{
+  HTTP_OK = 200,
+  HTTP_NOT_FOUND = 404,
+  HTTP_NOT_ALLOWED = 405
+};
+
+static const char lookup_path[] = "/.well-known/citroncleat/lookup";
+static const char health_path[] = "/.well-known/citroncleat/health";
+
+/* private functions */
+
+static enum MHD_Result
+answer_lookup (struct call_context *context, struct MHD_Connection *connection)
+{
+  struct str name = httpd_argument (connection, "service");
+  struct str region = httpd_argument (connection, "region");
+  struct str caller = httpd_argument (connection, "caller");
+  const struct service *service
+      = snapshot_find (context->snapshot, KIND_SERVICE, name);
+  counter_add (context->lookups, 1);
+  if (name.size > 0 && !service)
+    {
+      json_object *error = json_object_new_object ();
+      json_object_object_add (error, "error",
+                              json_object_new_string ("not-found"));
+      json_object_object_add (
+          error, "detail",
+          json_object_new_string ("no service has this name"));
+      return httpd_answer_json (connection, HTTP_NOT_FOUND, error);
+    }
+  struct lookup_request request
+      = { service, region.size > 0 ? region : context->settings->region,
+          caller };
+  struct lookup_answer answer
+      = lookup_find (context->snapshot, context->roster, &request);
+  return httpd_answer_json (connection, HTTP_OK,
+                            lookup_to_json (&answer, service));
+}
+
+static enum MHD_Result
+answer_health (struct call_context *context, struct MHD_Connection *connection)
+{
+  json_object *object = json_object_new_object ();
+  json_object_object_add (
+      object, "state",
+      json_object_new_string (context->leaving ? "leaving" : "serving"));
+  return httpd_answer_json (connection, HTTP_OK, object);
+}
+
+/* Answers the entry's own paths; returns false for a call to pass on.  */
+static bool
+answer_own (struct call_context *context, struct MHD_Connection *connection,
+            const char *url, const char *method, enum MHD_Result *result)
+{
+  bool is_lookup = strcmp (url, lookup_path) == 0;
+  if (!is_lookup && strcmp (url, health_path) != 0)
+    return false;
+  if (strcmp (method, "GET") != 0)
+    {
+      json_object *error = json_object_new_object ();
+      json_object_object_add (error, "error",
+                              json_object_new_string ("invalid"));
+      json_object_object_add (error, "detail",
+                              json_object_new_string ("use GET"));
+      *result = httpd_answer_json (connection, HTTP_NOT_ALLOWED, error);
+    }
+  else
+    *result = is_lookup ? answer_lookup (context, connection)
+                        : answer_health (context, connection);
+  return true;
+}
+
+static enum MHD_Result
+take_upload (struct call *call, const char *data, size_t *size)
+{
+  *size -= call_take_body (call, data, *size);
+  if (*size > 0)
+    {
+      call->suspended = true;
+      httpd_suspend (call->context->httpd, call->connection);
+    }
+  return MHD_YES;
+}
+
+/* public functions */
+
+void *
+requests_begin (void *part, const char *target,
+                struct MHD_Connection *connection)
+{
+  (void)connection;
+  struct call_context *context = part;
+  return call_create (context, target);
+}
+
+enum MHD_Result
+requests_handle (void *part, struct MHD_Connection *connection,
+                 const char *url, const char *method, const char *version,
+                 const char *upload_data, size_t *upload_data_size,
+                 void **request)
+{
+  (void)version;
+  struct call_context *context = part;
+  struct call *call = *request;
+  enum MHD_Result result;
+  if (!call->opened)
+    {
+      if (answer_own (context, connection, url, method, &result))
+        return result;
+      call_open (call, connection, method, url);
+      return call->answer_ready ? call_answer (call) : MHD_YES;
+    }
+  if (call->gone)
+    return MHD_NO;
+  if (*upload_data_size > 0)
+    return take_upload (call, upload_data, upload_data_size);
+  call_end_body (call);
+  if (call->answer_ready)
+    return call_answer (call);
+  call->suspended = true;
+  httpd_suspend (call->context->httpd, connection);
+  return MHD_YES;
+}
+
+void
+requests_completed (void *part, struct MHD_Connection *connection,
+                    void **request, enum MHD_RequestTerminationCode code)
+{
+  (void)part;
+  (void)connection;
+  (void)code;
+  if (*request)
+    call_destroy (*request);
+  *request = NULL;
+}
--- a/src/call/worker.c
+++ b/src/call/worker.c
@@ -2,6 +2,7 @@
 
 #include "call/call.h"
 #include "call/lookup.h"
+#include "call/requests.h"
 
 #include <apr_strings.h>
 #include <apr_thread_proc.h>
@@ -25,7 +26,6 @@
   _Atomic int64_t in_flight;
   _Atomic int64_t queued;
   _Atomic int64_t open;
-  struct counter *lookups;
 };
 
 /* What another thread hands to the worker's thread.  */
@@ -61,146 +61,15 @@
   SHARE_TICK_MS = 5,
   HOLD_MARGIN_MS = 1000, /* for an upstream to see its deadline pass */
   DISTANCE_DEFAULT_MS = 10,
-  IDLE_CONNECTIONS = 4096,
-  HTTP_OK = 200,
-  HTTP_NOT_FOUND = 404,
-  HTTP_NOT_ALLOWED = 405
+  IDLE_CONNECTIONS = 4096
 };
 
 /* Retries that each call earns, and that can be saved up.  */
 #define RETRY_EARNED 0.18
 #define RETRIES_SAVED 10.0
 
-static const char lookup_path[] = "/.well-known/citroncleat/lookup";
-static const char health_path[] = "/.well-known/citroncleat/health";
-
 /* private functions */
 
-/* Callers' requests.  */
-
-static void *
-on_begin (void *part, const char *target, struct MHD_Connection *connection)
-{
-  (void)connection;
-  struct worker *worker = part;
-  return call_create (&worker->context, target);
-}
-
-static enum MHD_Result
-answer_lookup (struct worker *worker, struct MHD_Connection *connection)
-{
-  struct call_context *context = &worker->context;
-  struct str name = httpd_argument (connection, "service");
-  struct str region = httpd_argument (connection, "region");
-  struct str caller = httpd_argument (connection, "caller");
-  const struct service *service
-      = snapshot_find (context->snapshot, KIND_SERVICE, name);
-  counter_add (worker->lookups, 1);
-  if (name.size > 0 && !service)
-    {
-      json_object *error = json_object_new_object ();
-      json_object_object_add (error, "error",
-                              json_object_new_string ("not-found"));
-      json_object_object_add (
-          error, "detail",
-          json_object_new_string ("no service has this name"));
-      return httpd_answer_json (connection, HTTP_NOT_FOUND, error);
-    }
-  struct lookup_request request
-      = { service, region.size > 0 ? region : worker->desc.settings->region,
-          caller };
-  struct lookup_answer answer
-      = lookup_find (context->snapshot, context->roster, &request);
-  return httpd_answer_json (connection, HTTP_OK,
-                            lookup_to_json (&answer, service));
-}
-
-static enum MHD_Result
-answer_health (struct worker *worker, struct MHD_Connection *connection)
-{
-  json_object *object = json_object_new_object ();
-  json_object_object_add (object, "state",
-                          json_object_new_string (worker->context.leaving
-                                                      ? "leaving"
-                                                      : "serving"));
-  return httpd_answer_json (connection, HTTP_OK, object);
-}
-
-/* Answers the entry's own paths; returns false for a call to pass on.  */
-static bool
-answer_own (struct worker *worker, struct MHD_Connection *connection,
-            const char *url, const char *method, enum MHD_Result *result)
-{
-  bool is_lookup = strcmp (url, lookup_path) == 0;
-  if (!is_lookup && strcmp (url, health_path) != 0)
-    return false;
-  if (strcmp (method, "GET") != 0)
-    {
-      json_object *error = json_object_new_object ();
-      json_object_object_add (error, "error",
-                              json_object_new_string ("invalid"));
-      json_object_object_add (error, "detail",
-                              json_object_new_string ("use GET"));
-      *result = httpd_answer_json (connection, HTTP_NOT_ALLOWED, error);
-    }
-  else
-    *result = is_lookup ? answer_lookup (worker, connection)
-                        : answer_health (worker, connection);
-  return true;
-}
-
-static enum MHD_Result
-take_upload (struct call *call, const char *data, size_t *size)
-{
-  *size -= call_take_body (call, data, *size);
-  if (*size > 0)
-    {
-      call->suspended = true;
-      httpd_suspend (call->context->httpd, call->connection);
-    }
-  return MHD_YES;
-}
-
-static enum MHD_Result
-on_request (void *part, struct MHD_Connection *connection, const char *url,
-            const char *method, const char *version, const char *upload_data,
-            size_t *upload_data_size, void **request)
-{
-  (void)version;
-  struct worker *worker = part;
-  struct call *call = *request;
-  enum MHD_Result result;
-  if (!call->opened)
-    {
-      if (answer_own (worker, connection, url, method, &result))
-        return result;
-      call_open (call, connection, method, url);
-      return call->answer_ready ? call_answer (call) : MHD_YES;
-    }
-  if (call->gone)
-    return MHD_NO;
-  if (*upload_data_size > 0)
-    return take_upload (call, upload_data, upload_data_size);
-  call_end_body (call);
-  if (call->answer_ready)
-    return call_answer (call);
-  call->suspended = true;
-  httpd_suspend (call->context->httpd, connection);
-  return MHD_YES;
-}
-
-static void
-on_completed (void *part, struct MHD_Connection *connection, void **request,
-              enum MHD_RequestTerminationCode code)
-{
-  (void)part;
-  (void)connection;
-  (void)code;
-  if (*request)
-    call_destroy (*request);
-  *request = NULL;
-}
-
 /* The worker's round of events.  */
 
 static bool
@@ -614,8 +483,8 @@
   context->snapshot = snapshot_create (0);
   context->roster = roster_create (NULL, 0);
   steer_apply (context->steer, context->snapshot, timer_clock ());
-  worker->lookups = counter_get (desc->counters, "citroncleat_lookups_total",
-                                 "", "Look-ups answered.");
+  context->lookups = counter_get (desc->counters, "citroncleat_lookups_total",
+                                  "", "Look-ups answered.");
   loop_at_round_end (context->loop, on_round_end, worker);
   *result = worker;
   return ERR_NONE;
@@ -627,10 +496,10 @@
   const struct settings_limits *limits = &worker->desc.settings->limits;
   struct httpd_desc desc = { .loop = worker->context.loop,
                              .address = worker->desc.settings->listen.callers,
-                             .handler = on_request,
-                             .begin = on_begin,
-                             .completed = on_completed,
-                             .part = worker,
+                             .handler = requests_handle,
+                             .begin = requests_begin,
+                             .completed = requests_completed,
+                             .part = &worker->context,
                              .connections = limits->caller_connections,
                              .header_bytes = limits->header_bytes,
                              .header_timeout_s = limits->header_timeout_s,
--- /dev/null
+++ b/src/steer/internal.h
@@ -0,0 +1,132 @@
+/* State of the steering slice, shared by its files (internal).
+
+   divide.c  takes configurations in and divides every cap
+   choose.c  chooses upstreams and says what shares are wanted
+   steer.c   counts calls in progress and learns from how they end  */
+#ifndef STEER_INTERNAL_H
+#define STEER_INTERNAL_H
+
+#include "steer/pace.h"
+#include "steer/steer.h"
+
+/* This entry's place in a division: the INDEX-th of COUNT; COUNT 0: none.  */
+struct seat
+{
+  size_t index;
+  size_t count;
+};
+
+/* States outlive configurations, so that tickets stay valid; `spec' is the
+   resource in the snapshot last applied, or NULL once that is gone.  */
+
+struct upstream_state
+{
+  const struct upstream *spec;
+  struct service_state *service;
+  struct region_state *region;
+  struct str name;
+  struct str address;
+  struct share_pool *slots;
+  int64_t slot_count;   /* of the whole upstream, under the policy */
+  double response_us;   /* moving average; 0 before the first answer */
+  apr_time_t probe_at;  /* a slow one may be tried again */
+  apr_time_t warm_from; /* the ramp starts here */
+  apr_time_t ejected_until;
+  bool is_ramping;
+  int failures; /* in a row */
+  int overdue;  /* calls in progress that steer_overdue named */
+  int leaving;
+  int64_t reported_percent;
+  apr_time_t reported_at;
+};
+
+struct service_state
+{
+  const struct service *spec;
+  struct upstream_state **upstreams; /* those of the own region first */
+  size_t count;
+  size_t near_count;
+  struct share_pool *calls;
+  int64_t in_flight_long;
+  int64_t in_flight_short;
+  double short_peak; /* decays with each short call that ends */
+  double service_us;
+  double tail_us; /* HEDGE_QUANTILE of the response times */
+};
+
+struct steer_link
+{
+  struct share_pool *bytes; /* a second */
+  struct pace pace;
+  bool is_wanted; /* bytes had to wait since the last tick */
+  struct str name;
+};
+
+struct region_state
+{
+  const struct region *spec;
+  struct share_pool *calls;
+  struct seat seat;       /* for what lies in this region */
+  apr_time_t distance_us; /* there and back */
+};
+
+struct steer
+{
+  struct steer_desc desc;
+  apr_pool_t *pool;
+  apr_pool_t *lists; /* of the services' lists of upstreams */
+  struct snapshot *snapshot;
+  apr_hash_t *upstreams; /* states by name */
+  apr_hash_t *services;
+  apr_hash_t *regions;
+  apr_hash_t *links; /* struct steer_link by "FROM>TO" */
+  struct share *share;
+  struct seat seat; /* among all entries */
+  apr_pool_t *member_pool;
+  struct steer_member *members;
+  size_t member_count;
+  size_t self;
+  uint64_t random;
+};
+
+enum
+{
+  STEER_GROUP_MAX_BYTES = 160
+};
+
+/* Response time assumed before any is known.  */
+#define STEER_USUAL_FIRST_US 1000.0
+/* A slow upstream is tried again with one call after this.  */
+#define STEER_PROBE_INTERVAL_US INT64_C (100000)
+/* A free upstream is left alone if a busy one costs this many times less.  */
+#define STEER_WAIT_ADVANTAGE 3.0
+
+/* A load report is a hint for so long.  */
+#define STEER_REPORT_VALID_US INT64_C (10000000)
+
+/* Returns the state called NAME, or NULL.  */
+void *steer_find (apr_hash_t *states, struct str name);
+struct service_state *steer_service (const struct steer *steer,
+                                     const struct service *service);
+/* Sets what of this entry's own slots is held back while the upstream warms
+   up: over all entries, the slots in use grow with its age, at least one.
+   Called late it holds back more than it need.  */
+void steer_update_ramp (struct upstream_state *state, apr_time_t now);
+void steer_start_ramp (struct upstream_state *state, apr_time_t now);
+/* Returns the name of the group of SERVICE's slots in REGION.  */
+struct str steer_slot_group (char *buffer, size_t size, struct str service,
+                             struct str region);
+/* Returns whether the upstream takes new calls at all.  */
+bool steer_is_available (const struct upstream_state *state, apr_time_t now);
+/* Returns the calls that the upstream may have from this entry now: its
+   share of the slots, none while it leaves or is ejected.  */
+int64_t steer_limit (const struct upstream_state *state, apr_time_t now);
+int64_t steer_total_limit (const struct service_state *service,
+                           apr_time_t now);
+double steer_expected_response (const struct service_state *service,
+                                const struct upstream_state *state);
+/* Returns whether calls had better wait than go to UPSTREAM.  */
+bool steer_is_slow (const struct service_state *service,
+                    const struct upstream_state *upstream);
+
+#endif
