--- a/Makefile
+++ b/Makefile
@@ -65,6 +65,10 @@
 
 bench: bench-path bench-steer
 
+bench-slopes: setup
+	@$(MAKE) -s -j$$(nproc) $(BINARY) $(STANDIN)
+	@BUILD=$(BUILD) bash bench/slopes.sh
+
 bench-steer: setup
 	@$(MAKE) -s -j$$(nproc) $(BENCH_STEER)
 	@$(BENCH_STEER)
@@ -107,6 +111,7 @@
 	@echo "make check-sanitized  the same under ASan and UBSan"
 	@echo "make lint        clang-format and clang-tidy"
 	@echo "make bench       measure; 'figure' lines"
+	@echo "make bench-slopes  control cost at 11, 50 and 100 entries"
 	@echo "make fuzz        fuzz the decoders (FUZZ_SECONDS=N each)"
 	@echo "make install     DESTDIR= PREFIX=/usr/local"
 
@@ -124,5 +129,5 @@
          $(UNIT_OBJECTS:.o=.d) $(BENCH_STEER_OBJECTS:.o=.d)
 
 .PHONY: all setup check check-sanitized demo lint bench bench-path bench-steer \
-        fuzz \
+        bench-slopes fuzz \
         install help clean
--- a/src/base/loop.c
+++ b/src/base/loop.c
@@ -132,6 +132,9 @@
   apr_time_t wait = next - timer_clock ();
   if (wait <= 0)
     return 0;
+  /* The kernel waits in milliseconds; a wait cut to zero would spin until
+     the timer is due.  */
+  wait = (wait + 999) / 1000 * 1000;
   return wait < LONGEST_WAIT_US ? wait : LONGEST_WAIT_US;
 }
 
--- a/tests/unit/base_test.c
+++ b/tests/unit/base_test.c
@@ -1,5 +1,6 @@
 #include "base/counter.h"
 #include "base/field.h"
+#include "base/loop.h"
 #include "base/net.h"
 #include "base/timer.h"
 #include "tests/unit/unit.h"
@@ -190,6 +191,43 @@
   timer_service_destroy (service);
 }
 
+static struct loop *loop;
+static struct timer again;
+static int fires;
+static int rounds;
+
+static void
+on_again (void *part, apr_time_t now)
+{
+  (void)part;
+  if (++fires == 10)
+    loop_stop (loop);
+  else
+    timer_start (loop_timers (loop), &again, now + 900, on_again, NULL);
+}
+
+static void
+on_round (void *part)
+{
+  (void)part;
+  rounds++;
+}
+
+/* A timer due within a millisecond is waited for, not polled for.  */
+static void
+test_no_spinning (void)
+{
+  struct err err;
+  fires = rounds = 0;
+  CU_ASSERT_EQUAL_FATAL (loop_create (test_pool, &loop, &err), ERR_NONE);
+  loop_at_round_end (loop, on_round, NULL);
+  timer_start (loop_timers (loop), &again, timer_clock () + 900, on_again,
+               NULL);
+  loop_run (loop);
+  CU_ASSERT (rounds <= 3 * fires);
+  loop_destroy (loop);
+}
+
 static void
 test_counters (void)
 {
@@ -210,10 +248,8 @@
   CU_ASSERT_PTR_NOT_NULL (strstr (text, "c_seconds_count{} 1\n"));
 }
 
-const struct unit_test base_tests[] = { { "addresses", test_addresses },
-                                        { "distance", test_distance },
-                                        { "fields", test_fields },
-                                        { "parse", test_parse },
-                                        { "timers", test_timers },
-                                        { "counters", test_counters },
-                                        { NULL, NULL } };
+const struct unit_test base_tests[]
+    = { { "addresses", test_addresses },     { "distance", test_distance },
+        { "fields", test_fields },           { "parse", test_parse },
+        { "no spinning", test_no_spinning }, { "timers", test_timers },
+        { "counters", test_counters },       { NULL, NULL } };
