Path bench in pairs with medians; fewer formatted strings a call

Change: both ways are loaded in turn, five pairs, median of the ratios; targets unchanged. Header lines are joined instead of formatted.

--- a/bench/path.sh
+++ b/bench/path.sh
@@ -1,9 +1,10 @@
 #!/bin/bash
 # Cost of the path through one entry with one worker, against the same load
-# sent to the stand-in directly, in the same run.
+# sent to the stand-in directly, in turn in the same run; medians of the pairs.
 set -u
 . tests/lib.sh
-SECONDS_EACH=${SECONDS_EACH:-3}
+SECONDS_EACH=${SECONDS_EACH:-2}
+PAIRS=${PAIRS:-5}
 export CITRONCLEAT_ENTRY=127.22.0.1:7800
 
 start platform "$BUILD/standin" platform --store 127.22.255.1:7500 --vms 127.22.255.1:7501
@@ -23,20 +24,23 @@
     printf "figure %s %s %s baseline=%s target=%s %s\n", n, v, u, b, t, ok ? "ok" : "short" }'
 }
 
-direct=$(load http://127.32.1.1:9000/ 32)
-through=$(load http://127.22.0.1:7600/ 32)
-direct_one=$(load http://127.32.1.1:9000/ 1)
-through_one=$(load http://127.22.0.1:7600/ 1)
-echo "direct, 32 connections: $direct"
-echo "through, 32 connections: $through"
-echo "direct, 1 connection: $direct_one"
-echo "through, 1 connection: $through_one"
-d=$(echo "$direct" | value calls_per_second)
-t=$(echo "$through" | value calls_per_second)
-figure path_throughput "$(awk "BEGIN { printf \"%.3f\", $t / $d }")" of-direct "$d/s" 0.40 least
-d=$(echo "$direct_one" | value p50_us)
-t=$(echo "$through_one" | value p50_us)
-figure path_added_p50 "$(awk "BEGIN { printf \"%.2f\", ($t - $d) / $d }")" direct-round-trips "${d}us" 2 most
+# pairs CONNECTIONS FIELD: loads both ways in turn, PAIRS times, and prints
+# "direct through" of one field a line.
+pairs () {
+  for _ in $(seq "$PAIRS"); do
+    echo "$(load http://127.32.1.1:9000/ "$1" | value "$2") $(load http://127.22.0.1:7600/ "$1" | value "$2")"
+  done
+}
+median () { sort -g | awk '{ a[NR] = $1 } END { print a[int((NR + 1) / 2)] }'; }
+
+pairs 32 calls_per_second >"$WORK/throughput"
+pairs 1 p50_us >"$WORK/p50"
+echo "# calls a second, 32 connections, direct and through: $(tr '\n' ';' <"$WORK/throughput")"
+echo "# p50 us, 1 connection, direct and through: $(tr '\n' ';' <"$WORK/p50")"
+figure path_throughput "$(awk '{ printf "%.3f\n", $2 / $1 }' "$WORK/throughput" | median)" of-direct \
+  "$(awk '{ print $1 }' "$WORK/throughput" | median)/s" 0.40 least
+figure path_added_p50 "$(awk '{ printf "%.2f\n", ($2 - $1) / $1 }' "$WORK/p50" | median)" direct-round-trips \
+  "$(awk '{ print $1 }' "$WORK/p50" | median)us" 2 most
 
 resident () { awk '/VmRSS/ { print $2 }' "/proc/$(pid_of entry)/status"; }
 before=$(resident)
--- a/src/call/attempt.c
+++ b/src/call/attempt.c
@@ -149,14 +149,16 @@
   attempt->desc.event (attempt->desc.part, attempt, ATTEMPT_DONE);
 }
 
+/* NAME and VALUE are terminated.  */
 static void
 add_header (struct attempt *attempt, struct str name, struct str value)
 {
   /* libcurl writes a field without a value only if it ends in ";".  */
-  char *line = value.size > 0
-                   ? str_format (attempt->desc.pool, "%.*s: %.*s",
-                                 STR_ARGS (name), STR_ARGS (value))
-                   : str_format (attempt->desc.pool, "%.*s;", STR_ARGS (name));
+  const char *line
+      = value.size > 0
+            ? apr_pstrcat (attempt->desc.pool, name.data, ": ", value.data,
+                           NULL)
+            : apr_pstrcat (attempt->desc.pool, name.data, ";", NULL);
   attempt->header_list = curl_slist_append (attempt->header_list, line);
 }
 
@@ -251,8 +253,9 @@
   headers_init (&attempt->headers, desc->pool);
   body_init (&attempt->answer, desc->answer_limit);
   set_headers (attempt);
-  curl_easy_setopt (easy, CURLOPT_URL,
-                    str_format (desc->pool, "http://%s/", desc->address.data));
+  curl_easy_setopt (
+      easy, CURLOPT_URL,
+      apr_pstrcat (desc->pool, "http://", desc->address.data, "/", NULL));
   curl_easy_setopt (easy, CURLOPT_REQUEST_TARGET, desc->target.data);
   curl_easy_setopt (easy, CURLOPT_HTTPHEADER, attempt->header_list);
   set_body (attempt);
