--- a/bench/path.sh
+++ b/bench/path.sh
@@ -9,7 +9,7 @@
 
 start platform "$BUILD/standin" platform --store 127.22.255.1:7500 --vms 127.22.255.1:7501
 start upstreams "$BUILD/standin" upstreams -f bench/path/resources.json \
-  --report 127.22.255.1:7502 --service-ms 0 --queue 1000
+  --report 127.22.255.1:7502 --service-ms 0 --connect-ms 0 --queue 1000
 start entry "$BUILD/citroncleat" entry -f bench/path/entry.json
 wait_for 5 client apply -f bench/path/resources.json || { echo "bench: no deployment"; exit 1; }
 wait_for 5 curl -sf -o /dev/null -H 'Host: echo.example' -H 'X-Caller-Token: x' http://127.22.0.1:7600/
--- a/src/base/httpd.c
+++ b/src/base/httpd.c
@@ -17,6 +17,7 @@
   struct link **back;
   int fd;
   bool in_request;
+  bool has_served;
   apr_time_t idle_since;
 };
 
@@ -138,6 +139,7 @@
   if (link)
     {
       link->in_request = false;
+      link->has_served = true;
       link->idle_since = timer_clock ();
     }
   if (httpd->desc.completed)
@@ -251,6 +253,12 @@
                on_due, httpd);
 }
 
+bool
+httpd_is_first_request (struct MHD_Connection *connection)
+{
+  return !link_of (connection)->has_served;
+}
+
 unsigned int
 httpd_connections (const struct httpd *httpd)
 {
--- a/src/base/httpd.h
+++ b/src/base/httpd.h
@@ -47,6 +47,8 @@
 /* Returns whether the other end has closed CONNECTION; for suspended
    connections, which nothing else watches.  */
 bool httpd_is_gone (struct MHD_Connection *connection);
+/* Returns whether CONNECTION has served no whole request before this one.  */
+bool httpd_is_first_request (struct MHD_Connection *connection);
 /* Returns the open connections.  */
 unsigned int httpd_connections (const struct httpd *httpd);
 /* Queues OBJECT, which it frees, as a JSON answer.  */
--- a/src/steer/choose.c
+++ b/src/steer/choose.c
@@ -55,7 +55,7 @@
 /* Returns whether long calls hold as many slots as they may: the service's
    percentage, and no slot that the short calls of late would need.  */
 static bool
-long_slots_used (const struct service_state *service,
+long_slots_used (struct service_state *service,
                  const struct steer_request *request)
 {
   if (request->call_class != CLASS_LONG)
@@ -228,7 +228,7 @@
 steer_expected_wait (const struct steer *steer, const struct service *service,
                      size_t ahead, apr_time_t now)
 {
-  const struct service_state *state = steer_service (steer, service);
+  struct service_state *state = steer_service (steer, service);
   int64_t slots = steer_total_limit (state, now);
   if (slots == 0)
     return 0;
--- a/src/steer/divide.c
+++ b/src/steer/divide.c
@@ -11,6 +11,8 @@
   DISTANCE_DEFAULT_US = 20000
 };
 
+/* The slots of a service are counted anew after this.  */
+#define RECOUNT_US INT64_C (2000)
 
 /* private functions */
 
@@ -225,6 +227,7 @@
         &(struct share_cap){ .kind = SHARE_SERVICE, .name = s->head.name });
     state->count = 0;
     state->near_count = 0;
+    state->counted_at = 0;
     state->upstreams = apr_palloc (steer->lists, (most + 1) * sizeof (void *));
   }
 }
@@ -356,11 +359,15 @@
 }
 
 int64_t
-steer_total_limit (const struct service_state *service, apr_time_t now)
+steer_total_limit (struct service_state *service, apr_time_t now)
 {
+  if (service->counted_at > 0 && now - service->counted_at < RECOUNT_US)
+    return service->counted_limit;
   int64_t slots = 0;
   for (size_t i = 0; i < service->count; i++)
     slots += steer_limit (service->upstreams[i], now);
+  service->counted_limit = slots;
+  service->counted_at = now;
   return slots;
 }
 
--- a/src/steer/internal.h
+++ b/src/steer/internal.h
@@ -49,6 +49,8 @@
   struct share_pool *calls;
   int64_t in_flight_long;
   int64_t in_flight_short;
+  int64_t counted_limit; /* steer_total_limit as of `counted_at' */
+  apr_time_t counted_at;
   double short_peak; /* decays with each short call that ends */
   double service_us;
   double tail_us; /* HEDGE_QUANTILE of the response times */
@@ -121,8 +123,9 @@
 /* Returns the calls that the upstream may have from this entry now: its
    share of the slots, none while it leaves or is ejected.  */
 int64_t steer_limit (const struct upstream_state *state, apr_time_t now);
-int64_t steer_total_limit (const struct service_state *service,
-                           apr_time_t now);
+/* Returns the calls that all upstreams of SERVICE may have from this entry, as
+   of at most 2 ms ago; for estimates.  */
+int64_t steer_total_limit (struct service_state *service, apr_time_t now);
 double steer_expected_response (const struct service_state *service,
                                 const struct upstream_state *state);
 /* Returns whether calls had better wait than go to UPSTREAM.  */
--- a/tests/standin/upstreams.c
+++ b/tests/standin/upstreams.c
@@ -2,7 +2,7 @@
    starts, shedding, a leaving state, cancellation and deadlines.
 
      standin upstreams -f RESOURCES [--report IP:PORT] [--service-ms N]
-       [--lag-ms N] [--ramp-ms N] [--queue N]
+       [--lag-ms N] [--ramp-ms N] [--queue N] [--connect-ms N]
 
    Each upstream of the resources file listens on its address.  A call takes
    its service time (the X-Service-Ms header, or about --service-ms), three
@@ -89,6 +89,7 @@
   size_t count;
   struct job *jobs;
   double service_ms;
+  double connect_ms; /* what a new connection costs */
   int64_t queue;
   apr_time_t ramp_us;
   struct timer sweep;
@@ -141,7 +142,10 @@
                              : fleet.service_ms * (0.5 - log (uniform ()) / 2);
   if (timer_clock () < job->upstream->warm_at)
     ms *= COLD_FACTOR;
-  return ms * job->upstream->slow;
+  ms *= job->upstream->slow;
+  if (httpd_is_first_request (job->connection))
+    ms += fleet.connect_ms;
+  return ms;
 }
 
 static apr_time_t
@@ -204,9 +208,24 @@
   start_next (job->upstream);
 }
 
+/* The job's deadline passed: it is given up.  Nobody waits for the answer;
+   the connection is closed by the other side.  */
+static void
+on_expired (void *part, apr_time_t now)
+{
+  struct job *job = part;
+  (void)now;
+  count_running (job->upstream, -1);
+  job->upstream->cancelled++;
+  job->state = JOB_DONE;
+  job->status = 504;
+  start_next (job->upstream);
+}
+
 static void
 start (struct job *job)
 {
+  struct str limit = httpd_header (job->connection, "Request-Timeout-Ms");
   struct str key = httpd_header (job->connection, "Idempotency-Key");
   apr_time_t now = timer_clock ();
   count_running (job->upstream, 1);
@@ -215,7 +234,11 @@
   if (key.size > 0)
     count_run (key.data);
   double ms = service_ms (job);
-  if (ms <= 0)
+  double limit_ms = limit.size > 0 ? strtod (limit.data, NULL) : ms;
+  if (ms > limit_ms)
+    timer_start (loop_timers (fleet.loop), &job->timer,
+                 now + (apr_time_t)(limit_ms * 1000), on_expired, job);
+  else if (ms <= 0)
     on_served (job, now);
   else
     timer_start (loop_timers (fleet.loop), &job->timer,
@@ -573,6 +596,7 @@
 {
   struct err err = { 0 };
   fleet.service_ms = strtod (option (argc, argv, "--service-ms", "20"), NULL);
+  fleet.connect_ms = strtod (option (argc, argv, "--connect-ms", "1"), NULL);
   fleet.queue = strtoll (option (argc, argv, "--queue", "4"), NULL, 10);
   fleet.ramp_us
       = TIMER_MS (strtoll (option (argc, argv, "--ramp-ms", "0"), NULL, 10));
