--- a/src/call/attempt.c
+++ b/src/call/attempt.c
@@ -302,10 +302,10 @@
       = attempt->paused_read
         && (body_unread (attempt->desc.body) > 0 || *attempt->desc.body_ended);
   /* A held answer is not read before it is whole; it has room for all.  */
-  bool can_write
-      = attempt->paused_write
-        && (attempt_is_held (attempt)
-            || body_unread (&attempt->answer) < attempt->desc.answer_limit / 2);
+  bool can_write = attempt->paused_write
+                   && (attempt_is_held (attempt)
+                       || body_unread (&attempt->answer)
+                              < attempt->desc.answer_limit / 2);
   if (attempt->done || (!can_read && !can_write))
     return;
   attempt->paused_read = false;
