--- a/bench/steer/testbed.c
+++ b/bench/steer/testbed.c
@@ -857,7 +857,7 @@
 open_entry (struct testbed *f, int i)
 {
   struct entry *e = &f->entries[i];
-  struct steer_member members[TESTBED_ENTRIES];
+  struct member_record members[TESTBED_ENTRIES];
   struct share_peer peers[TESTBED_ENTRIES];
   size_t peer_count = 0;
   snprintf (e->name, sizeof e->name, "e%02d", i + 1);
@@ -868,6 +868,7 @@
       = { .region = e->region,
           .seed = f->plan.seed * 1000 + (uint64_t)i + 1,
           .share = { .entry = str_from (e->name),
+                     .incarnation = 1,
                      .hold_us = DEADLINE_US + TIMER_SEC (1),
                      .seed = f->plan.seed * 7 + (uint64_t)i + 1,
                      .send = send_share,
@@ -879,14 +880,22 @@
   for (int m = 0; m < TESTBED_ENTRIES; m++)
     {
       struct str region = str_from (regions[m % REGIONS]);
-      members[m] = (struct steer_member){ str_printf (f->pool, "e%02d", m + 1),
-                                          region };
+      members[m] = (struct member_record){
+        .name = str_printf (f->pool, "e%02d", m + 1),
+        .region = region,
+        .incarnation = 1,
+        .since = 1,
+        .until = MEMBERSHIP_STAYS,
+      };
       if (m != i)
         peers[peer_count++] = (struct share_peer){ members[m].name, region,
                                                    2 * way_us (e, region) };
     }
   steer_apply (e->steer, f->snapshot, 0);
-  steer_set_members (e->steer, members, TESTBED_ENTRIES, (size_t)i);
+  struct membership *membership
+      = membership_create (1, 1, members, TESTBED_ENTRIES);
+  steer_set_membership (e->steer, membership, 1);
+  membership_unref (membership);
   share_set_peers (steer_share (e->steer), peers, peer_count);
   on_tick (e, f->now);
   bool is_busy = f->plan.shift
--- a/src/call/worker.c
+++ b/src/call/worker.c
@@ -23,6 +23,9 @@
   struct call_context context;
   struct timer sweep;
   struct timer share_timer;
+  struct membership *membership;
+  int64_t confirmed;
+  apr_time_t adopted_at; /* when `membership' was */
   _Atomic int64_t in_flight;
   _Atomic int64_t queued;
   _Atomic int64_t open;
@@ -34,6 +37,7 @@
   struct worker *worker;
   struct snapshot *snapshot;
   struct roster *roster;
+  struct membership *membership;
   char upstream[64];
   int source;
   bool flag;
@@ -59,6 +63,7 @@
 {
   SWEEP_MS = 200,
   SHARE_TICK_MS = 5,
+  LINK_WINDOW_MS = 100,  /* bytes of a second count this long */
   HOLD_MARGIN_MS = 1000, /* for an upstream to see its deadline pass */
   DISTANCE_DEFAULT_MS = 10,
   IDLE_CONNECTIONS = 4096
@@ -215,6 +220,30 @@
   free (order);
 }
 
+static void
+deliver_confirmed (void *part)
+{
+  struct order *order = part;
+  const struct worker_desc *desc = &order->worker->desc;
+  desc->confirmed (desc->part, order->number);
+  free (order);
+}
+
+/* Confirms the membership in force once all uses fit it.  */
+static void
+confirm_membership (struct worker *worker, apr_time_t now)
+{
+  int64_t version = worker->membership->version;
+  if (worker->confirmed == version
+      || now < worker->adopted_at + TIMER_MS (LINK_WINDOW_MS)
+      || !steer_is_settled (worker->context.steer, now))
+    return;
+  worker->confirmed = version;
+  struct order *order = order_create (worker);
+  order->number = version;
+  loop_post (worker->desc.control, deliver_confirmed, order);
+}
+
 static void
 on_share_tick (void *part, apr_time_t now)
 {
@@ -228,6 +257,7 @@
   }
   steer_want_links (context->steer, now);
   share_tick (steer_share (context->steer), now);
+  confirm_membership (worker, now);
   for (struct call *call = context->calls; call; call = call->next)
     if (call->attempt && call->attempt->paused_by_link)
       attempt_continue (call->attempt);
@@ -259,25 +289,6 @@
   free (peers);
 }
 
-static void
-set_members (struct call_context *context)
-{
-  const struct roster *roster = context->roster;
-  struct steer_member *members = calloc (roster->count + 1, sizeof *members);
-  size_t self = roster->count;
-  if (!members)
-    abort ();
-  for (size_t i = 0; i < roster->count; i++)
-    {
-      const struct beat *beat = &roster->members[i].beat;
-      members[i] = (struct steer_member){ beat->name, beat->region };
-      if (roster->members[i].is_self)
-        self = i;
-    }
-  steer_set_members (context->steer, members, roster->count, self);
-  free (members);
-}
-
 /* Sets how long a call may last, which loans outlive.  */
 static void
 set_share_hold (struct call_context *context)
@@ -324,12 +335,27 @@
   struct call_context *context = &order->worker->context;
   roster_unref (context->roster);
   context->roster = order->roster;
-  set_members (context);
   set_share_peers (order->worker);
   context->slot_freed = true;
   free (order);
 }
 
+static void
+take_membership (void *part)
+{
+  struct order *order = part;
+  struct worker *worker = order->worker;
+  struct membership *old = worker->membership;
+  if (order->membership->version > old->version)
+    worker->adopted_at = timer_clock ();
+  worker->membership = order->membership;
+  steer_set_membership (worker->context.steer, worker->membership,
+                        order->number);
+  membership_unref (old);
+  worker->context.slot_freed = true;
+  free (order);
+}
+
 static void
 take_leaving (void *part)
 {
@@ -474,6 +500,7 @@
   randombytes_buf (&context->id_base, sizeof context->id_base);
   struct steer_desc steer_desc = { .region = desc->settings->region,
                                    .share = { .entry = desc->settings->name,
+                                              .incarnation = desc->incarnation,
                                               .seed = context->id_base,
                                               .send = send_share,
                                               .part = worker },
@@ -483,6 +510,8 @@
   context->snapshot = snapshot_create (0);
   context->roster = roster_create (NULL, 0);
   steer_apply (context->steer, context->snapshot, timer_clock ());
+  worker->membership = membership_empty ();
+  steer_set_membership (context->steer, worker->membership, 0);
   context->lookups = counter_get (desc->counters, "citroncleat_lookups_total",
                                   "", "Look-ups answered.");
   loop_at_round_end (context->loop, on_round_end, worker);
@@ -549,6 +578,7 @@
   steer_destroy (context->steer);
   snapshot_unref (context->snapshot);
   roster_unref (context->roster);
+  membership_unref (worker->membership);
   loop_destroy (context->loop);
 }
 
@@ -568,6 +598,16 @@
   post (order, take_roster);
 }
 
+void
+worker_set_membership (struct worker *worker, struct membership *membership,
+                       int64_t least)
+{
+  struct order *order = order_create (worker);
+  order->membership = membership_ref (membership);
+  order->number = least;
+  post (order, take_membership);
+}
+
 void
 worker_set_leaving (struct worker *worker)
 {
--- a/src/call/worker.h
+++ b/src/call/worker.h
@@ -14,6 +14,7 @@
 #include "base/counter.h"
 #include "base/loop.h"
 #include "burn/burn.h"
+#include "member/membership.h"
 #include "peer/roster.h"
 #include "settings/settings.h"
 #include "steer/steer.h"
@@ -23,12 +24,16 @@
 struct worker_desc
 {
   const struct settings *settings;
+  int64_t incarnation; /* of this process */
   struct counters *counters;
   struct burn_ledger *burn;
   struct loop *control; /* where answers of worker_query are delivered */
   /* Called on the control loop: sends MESSAGE to the entry TO.  */
   void (*send_share) (void *part, struct str to,
                       const struct share_message *message);
+  /* Called on the control loop: this entry's uses fit its parts under
+     VERSION of the membership.  */
+  void (*confirmed) (void *part, int64_t version);
   void *part;
 };
 
@@ -42,6 +47,10 @@
 void worker_set_snapshot (struct worker *worker, struct snapshot *snapshot);
 /* References ROSTER.  */
 void worker_set_roster (struct worker *worker, struct roster *roster);
+/* Divides the caps anew; references MEMBERSHIP.  LEAST: the lowest version
+   that any other member has confirmed.  */
+void worker_set_membership (struct worker *worker,
+                            struct membership *membership, int64_t least);
 /* Asks callers to close their connections after each answer.  */
 void worker_set_leaving (struct worker *worker);
 /* Stops to accept connections.  */
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -2,6 +2,7 @@
 
 #include "call/worker.h"
 #include "config/keeper.h"
+#include "member/registrar.h"
 #include "operator/api.h"
 #include "peer/peers.h"
 #include "platform/health.h"
@@ -27,6 +28,7 @@
   struct http_client *client;
   struct store *store;
   struct keeper *keeper;
+  struct registrar *registrar;
   struct peers *peers;
   struct worker *worker;
   struct api *api;
@@ -77,10 +79,48 @@
   keeper_offer (entry->keeper, text, source);
 }
 
+static int64_t
+membership_version (void *part)
+{
+  struct entry *entry = part;
+  return registrar_membership (entry->registrar)->version;
+}
+
+static struct str
+membership_text_of (void *part, apr_pool_t *pool)
+{
+  struct entry *entry = part;
+  return membership_text (registrar_membership (entry->registrar), pool);
+}
+
+static void
+membership_offer (void *part, struct str text, const char *source)
+{
+  struct entry *entry = part;
+  registrar_offer (entry->registrar, text, source);
+}
+
+static void
+on_membership (void *part, struct membership *membership, int64_t least)
+{
+  struct entry *entry = part;
+  worker_set_membership (entry->worker, membership, least);
+  peers_announce (entry->peers);
+}
+
+static void
+on_confirmed (void *part, int64_t version)
+{
+  struct entry *entry = part;
+  registrar_confirm (entry->registrar, version);
+  peers_announce (entry->peers);
+}
+
 static void
 fill_load (void *part, struct beat *beat)
 {
   struct entry *entry = part;
+  beat->confirmed = registrar_confirmed (entry->registrar);
   beat->in_flight = worker_in_flight (entry->worker);
   beat->queued = worker_queued (entry->worker);
 }
@@ -105,6 +145,7 @@
 {
   struct entry *entry = part;
   worker_set_roster (entry->worker, roster);
+  registrar_see_entries (entry->registrar, roster, RELAYS_A_ZONE);
   keeper_set_relay (
       entry->keeper,
       roster_is_relay (roster, entry->settings->name, RELAYS_A_ZONE));
@@ -141,10 +182,15 @@
 on_vms (void *part, const struct vm *vms, size_t count)
 {
   struct entry *entry = part;
+  struct str *addresses = calloc (count + 1, sizeof *addresses);
+  struct str_list entries = { addresses, 0 };
+  if (!addresses)
+    abort ();
   for (size_t i = 0; i < count; i++)
     {
       if (vms[i].peers.size > 0)
         {
+          addresses[entries.count++] = vms[i].peers;
           if (!vms[i].leaving)
             peers_learn (entry->peers, vms[i].peers);
           continue;
@@ -156,6 +202,8 @@
                                        LEAVING_PLATFORM, vms[i].leaving);
       }
     }
+  registrar_see_vms (entry->registrar, &entries);
+  free (addresses);
 }
 
 /* Planned stop.  */
@@ -172,6 +220,24 @@
   return longest;
 }
 
+static void
+on_stopped (void *part, apr_time_t now)
+{
+  (void)now;
+  struct entry *entry = part;
+  loop_stop (entry->loop);
+}
+
+/* Ends all that this entry uses, and says so; then stops.  */
+static void
+leave_membership (struct entry *entry)
+{
+  worker_stop (entry->worker);
+  peers_set_state (entry->peers, ENTRY_STOPPED);
+  timer_start (loop_timers (entry->loop), &entry->stop_timer,
+               timer_clock () + TIMER_MS (STOP_STEP_MS), on_stopped, entry);
+}
+
 static void
 on_stop_step (void *part, apr_time_t now)
 {
@@ -188,14 +254,14 @@
     }
   else if (entry->listener_closed && worker_open (entry->worker) == 0)
     {
-      loop_stop (entry->loop);
+      leave_membership (entry);
       return;
     }
   if (age >= TIMER_SEC (entry->settings->stop.timeout_s))
     {
       LOG (LOG_WARN, "stop-timeout",
            LOG_INT ("open", worker_open (entry->worker)));
-      loop_stop (entry->loop);
+      leave_membership (entry);
       return;
     }
   timer_start (loop_timers (entry->loop), &entry->stop_timer,
@@ -242,7 +308,7 @@
 /* Construction.  */
 
 static struct beat
-self_of (const struct settings *settings)
+self_of (const struct settings *settings, int64_t incarnation)
 {
   return (struct beat){ .name = settings->name,
                         .zone = settings->zone,
@@ -250,7 +316,7 @@
                         .callers = settings->listen.callers,
                         .operators = settings->listen.operators,
                         .peers = settings->listen.peers,
-                        .incarnation = (int64_t)apr_time_now (),
+                        .incarnation = incarnation,
                         .state = ENTRY_SERVING };
 }
 
@@ -282,6 +348,7 @@
 create_parts (struct entry *entry, struct err *err)
 {
   const struct settings *settings = entry->settings;
+  int64_t incarnation = (int64_t)apr_time_now ();
   enum err_code code = loop_create (entry->pool, &entry->loop, err);
   if (code != ERR_NONE)
     return code;
@@ -296,9 +363,21 @@
                                 .counters = entry->counters,
                                 .prefix = settings->store.prefix };
   code = keeper_create (entry->pool, &keeper, &entry->keeper, err);
+  if (code != ERR_NONE)
+    return code;
+  struct registrar_desc registrar = { .loop = entry->loop,
+                                      .store = entry->store,
+                                      .counters = entry->counters,
+                                      .prefix = settings->store.prefix,
+                                      .entry = settings->name,
+                                      .changed = on_membership,
+                                      .part = entry };
+  code = registrar_create (entry->pool, &registrar, &entry->registrar, err);
   if (code != ERR_NONE)
     return code;
   struct worker_desc worker = { .settings = settings,
+                                .incarnation = incarnation,
+                                .confirmed = on_confirmed,
                                 .counters = entry->counters,
                                 .burn = entry->burn,
                                 .control = entry->loop,
@@ -310,12 +389,16 @@
   struct peers_desc peers
       = { .loop = entry->loop,
           .counters = entry->counters,
-          .self = self_of (settings),
+          .self = self_of (settings, incarnation),
           .key = settings->peers.key,
           .seeds = settings->peers.seeds,
           .heartbeat_ms = settings->peers.heartbeat_ms,
           .silent_ms = settings->peers.silent_ms,
-          .config = { config_version, config_text, config_offer },
+          .documents
+          = { [DOCUMENT_CONFIG]
+              = { config_version, config_text, config_offer },
+              [DOCUMENT_MEMBERSHIP]
+              = { membership_version, membership_text_of, membership_offer } },
           .load = fill_load,
           .changed = on_roster,
           .share = receive_share,
@@ -348,6 +431,7 @@
   if (code != ERR_NONE)
     return code;
   keeper_start (entry->keeper);
+  registrar_start (entry->registrar);
   vm_list_start (entry->vm_list);
   return ERR_NONE;
 }
@@ -361,6 +445,7 @@
   vm_list_destroy (entry->vm_list);
   health_destroy (entry->health);
   keeper_destroy (entry->keeper);
+  registrar_destroy (entry->registrar);
   http_client_destroy (entry->client);
   snapshot_unref (entry->snapshot);
   if (entry->signals > 0)
--- /dev/null
+++ b/src/member/confirmation.c
@@ -0,0 +1,93 @@
+#include "member/confirmation.h"
+
+#include <apr_hash.h>
+
+/* types */
+
+/* The highest version that one process is known to have confirmed.  */
+struct confirmation
+{
+  int64_t incarnation;
+  int64_t version;
+};
+
+struct confirmations
+{
+  apr_pool_t *pool;
+  apr_hash_t *entries; /* struct confirmation by name */
+};
+
+/* private functions */
+
+static struct confirmation *
+find (const struct confirmations *confirmations, struct str name)
+{
+  return apr_hash_get (confirmations->entries, name.data,
+                       (apr_ssize_t)name.size);
+}
+
+static int64_t
+least_of (const struct confirmations *confirmations,
+          const struct membership *membership,
+          const struct member_record *record)
+{
+  const struct confirmation *known = find (confirmations, record->name);
+  int64_t version = record->since - 1;
+  if (known && known->incarnation > record->incarnation)
+    return INT64_MAX; /* that process has ended */
+  if (membership->settled > version)
+    version = membership->settled;
+  if (known && known->incarnation == record->incarnation
+      && known->version > version)
+    version = known->version;
+  return version;
+}
+
+/* public functions */
+
+struct confirmations *
+confirmations_create (apr_pool_t *pool)
+{
+  struct confirmations *confirmations
+      = apr_pcalloc (pool, sizeof *confirmations);
+  confirmations->pool = pool;
+  confirmations->entries = apr_hash_make (pool);
+  return confirmations;
+}
+
+void
+confirmations_note (struct confirmations *confirmations, struct str name,
+                    int64_t incarnation, int64_t version)
+{
+  struct confirmation *known = find (confirmations, name);
+  if (!known)
+    {
+      struct str key = str_dup (confirmations->pool, name);
+      known = apr_pcalloc (confirmations->pool, sizeof *known);
+      apr_hash_set (confirmations->entries, key.data, (apr_ssize_t)key.size,
+                    known);
+    }
+  if (incarnation < known->incarnation)
+    return;
+  if (incarnation > known->incarnation)
+    *known = (struct confirmation){ incarnation, 0 };
+  if (version > known->version)
+    known->version = version;
+}
+
+int64_t
+confirmations_least (const struct confirmations *confirmations,
+                     const struct membership *membership, struct str self)
+{
+  int64_t least = membership->version;
+  for (size_t i = 0; i < membership->count; i++)
+    {
+      const struct member_record *r = &membership->records[i];
+      if (r->until != MEMBERSHIP_STAYS || str_equal (r->name, self))
+        continue;
+      int64_t version = least_of (confirmations, membership, r);
+      if (version < least)
+        least = version;
+    }
+  return least;
+}
--- /dev/null
+++ b/src/member/membership.c
@@ -0,0 +1,242 @@
+#include "member/membership.h"
+
+#include "base/json.h"
+
+#include <stdlib.h>
+
+/* constants */
+
+enum
+{
+  NAME_MAX_BYTES = 63
+};
+
+/* private functions */
+
+static int
+by_name (const void *a, const void *b)
+{
+  const struct member_record *x = a;
+  const struct member_record *y = b;
+  int order = str_compare (x->name, y->name);
+  return order ? order : (x->since > y->since) - (x->since < y->since);
+}
+
+static const struct member_sight *
+sight_of (const struct membership_view *view, struct str name)
+{
+  for (size_t i = 0; i < view->count; i++)
+    if (str_equal (view->sights[i].record.name, name))
+      return &view->sights[i];
+  return NULL;
+}
+
+/* Returns whether the process of RECORD is known to run no longer.  */
+static bool
+has_ended (const struct membership_view *view,
+           const struct member_record *record)
+{
+  const struct member_sight *sight = sight_of (view, record->name);
+  if (sight && sight->record.incarnation > record->incarnation)
+    return true;
+  if (sight && sight->stops
+      && sight->record.incarnation == record->incarnation)
+    return true;
+  return view->is_gone && view->is_gone (view->part, record);
+}
+
+static struct str
+text_member (json_object *object, const char *name)
+{
+  return str_from (json_member_text (object, name));
+}
+
+static bool
+read_record (json_object *object, int64_t version,
+             struct member_record *record)
+{
+  *record = (struct member_record){
+    .name = text_member (object, "name"),
+    .region = text_member (object, "region"),
+    .peers = text_member (object, "peers"),
+    .incarnation = json_member_number (object, "incarnation"),
+    .since = json_member_number (object, "since"),
+    .until = MEMBERSHIP_STAYS,
+  };
+  if (json_member (object, "until"))
+    record->until = json_member_number (object, "until");
+  bool is_named = record->name.size > 0 && record->name.size <= NAME_MAX_BYTES
+                  && record->region.size <= NAME_MAX_BYTES;
+  return is_named && record->incarnation > 0 && record->since > 0
+         && record->since <= version && record->until > record->since;
+}
+
+/* public functions */
+
+struct membership *
+membership_create (int64_t version, int64_t settled,
+                   const struct member_record *records, size_t count)
+{
+  apr_pool_t *pool;
+  apr_pool_create_unmanaged_ex (&pool, NULL, NULL);
+  struct membership *membership = apr_pcalloc (pool, sizeof *membership);
+  membership->version = version;
+  membership->settled = settled;
+  membership->pool = pool;
+  membership->references = 1;
+  membership->count = count;
+  membership->records
+      = apr_pcalloc (pool, (count + 1) * sizeof *membership->records);
+  for (size_t i = 0; i < count; i++)
+    {
+      membership->records[i] = records[i];
+      membership->records[i].name = str_dup (pool, records[i].name);
+      membership->records[i].region = str_dup (pool, records[i].region);
+      membership->records[i].peers = str_dup (pool, records[i].peers);
+    }
+  qsort (membership->records, count, sizeof *membership->records, by_name);
+  return membership;
+}
+
+struct membership *
+membership_empty (void)
+{
+  return membership_create (0, 0, NULL, 0);
+}
+
+struct membership *
+membership_ref (struct membership *membership)
+{
+  __atomic_add_fetch (&membership->references, 1, __ATOMIC_RELAXED);
+  return membership;
+}
+
+void
+membership_unref (struct membership *membership)
+{
+  if (membership
+      && __atomic_sub_fetch (&membership->references, 1, __ATOMIC_ACQ_REL)
+             == 0)
+    apr_pool_destroy (membership->pool);
+}
+
+struct membership *
+membership_parse (struct str text)
+{
+  struct membership *membership = NULL;
+  struct member_record *records = NULL;
+  json_tokener *tokener = json_tokener_new ();
+  json_object *object
+      = json_tokener_parse_ex (tokener, text.data, (int)text.size);
+  json_object *list = json_member (object, "members");
+  int64_t version = json_member_number (object, "version");
+  int64_t settled = json_member_number (object, "settled");
+  if (json_object_get_type (list) != json_type_array || version <= 0
+      || settled < 0 || settled > version)
+    goto out;
+  size_t count = json_object_array_length (list);
+  records = calloc (count + 1, sizeof *records);
+  if (!records)
+    abort ();
+  for (size_t i = 0; i < count; i++)
+    if (!read_record (json_object_array_get_idx (list, i), version,
+                      &records[i]))
+      goto out;
+  membership = membership_create (version, settled, records, count);
+out:
+  free (records);
+  json_object_put (object);
+  json_tokener_free (tokener);
+  return membership;
+}
+
+struct str
+membership_text (const struct membership *membership, apr_pool_t *pool)
+{
+  json_object *object = json_object_new_object ();
+  json_object *list = json_object_new_array ();
+  json_add_number (object, "version", membership->version);
+  json_add_number (object, "settled", membership->settled);
+  for (size_t i = 0; i < membership->count; i++)
+    {
+      const struct member_record *r = &membership->records[i];
+      json_object *item = json_object_new_object ();
+      json_add_text (item, "name", r->name.data);
+      json_add_text (item, "region", r->region.data);
+      json_add_text (item, "peers", r->peers.data);
+      json_add_number (item, "incarnation", r->incarnation);
+      json_add_number (item, "since", r->since);
+      if (r->until != MEMBERSHIP_STAYS)
+        json_add_number (item, "until", r->until);
+      json_object_array_add (list, item);
+    }
+  json_object_object_add (object, "members", list);
+  struct str text = str_dup (
+      pool,
+      str_from (json_object_to_json_string_ext (
+          object, JSON_C_TO_STRING_PLAIN | JSON_C_TO_STRING_NOSLASHESCAPE)));
+  json_object_put (object);
+  return text;
+}
+
+bool
+member_is_at (const struct member_record *record, int64_t version)
+{
+  return record->since <= version && version < record->until;
+}
+
+const struct member_record *
+membership_find (const struct membership *membership, struct str name)
+{
+  for (size_t i = 0; i < membership->count; i++)
+    if (membership->records[i].until == MEMBERSHIP_STAYS
+        && str_equal (membership->records[i].name, name))
+      return &membership->records[i];
+  return NULL;
+}
+
+struct membership *
+membership_propose (const struct membership *membership,
+                    const struct membership_view *view)
+{
+  int64_t next = membership->version + 1;
+  size_t room = membership->count + view->count + 1;
+  struct member_record *records = calloc (room, sizeof *records);
+  struct membership *proposed = NULL;
+  size_t count = 0;
+  bool changes = false;
+  if (!records)
+    abort ();
+  for (size_t i = 0; i < membership->count; i++)
+    {
+      struct member_record r = membership->records[i];
+      if (r.until == MEMBERSHIP_STAYS && has_ended (view, &r))
+        {
+          r.until = next;
+          changes = true;
+        }
+      if (r.until == MEMBERSHIP_STAYS || r.until > next - MEMBERSHIP_HISTORY)
+        records[count++] = r;
+    }
+  for (size_t i = 0; i < view->count; i++)
+    {
+      const struct member_sight *sight = &view->sights[i];
+      const struct member_record *old
+          = membership_find (membership, sight->record.name);
+      if (!sight->joins
+          || (old && old->incarnation >= sight->record.incarnation))
+        continue;
+      records[count] = sight->record;
+      records[count].since = next;
+      records[count++].until = MEMBERSHIP_STAYS;
+      changes = true;
+    }
+  if (changes)
+    proposed = membership_create (next,
+                                  view->settled > membership->settled
+                                      ? view->settled
+                                      : membership->settled,
+                                  records, count);
+  free (records);
+  return proposed;
+}
--- /dev/null
+++ b/src/member/registrar.c
@@ -0,0 +1,413 @@
+#include "member/registrar.h"
+
+#include "base/log.h"
+#include "member/confirmation.h"
+
+#include <apr_hash.h>
+#include <apr_strings.h>
+#include <stdlib.h>
+
+/* types */
+
+struct registrar
+{
+  struct registrar_desc desc;
+  apr_pool_t *pool;
+  const char *key;
+  struct membership *membership;
+  struct roster *roster;
+  struct confirmations *confirmations; /* of the others */
+  int64_t confirmed;                   /* by this entry */
+  int64_t least;                       /* as last told */
+  apr_pool_t *vm_pool;
+  struct str_list vms; /* the last list of the platform */
+  apr_time_t vms_at;   /* when it came; 0: never */
+  apr_hash_t *named;   /* addresses that any list has named */
+  apr_time_t started_at;
+  bool is_relay;
+  size_t place;         /* among all relays */
+  apr_time_t due_since; /* a change is due since then; 0: none */
+  bool writing;
+  bool watching;
+  int64_t watch_index;
+  struct timer timer;
+  struct timer watch_timer;
+  struct counter *version_gauge;
+  struct counter *writes;
+};
+
+/* constants */
+
+enum
+{
+  TICK_MS = 50,
+  TURN_MS = 500, /* between the proposals of two relays */
+  WATCH_WAIT_MS = 30000,
+  WATCH_RETRY_MS = 500,
+  WRITE_RETRY_MS = 50
+};
+
+/* A VM that the platform's list names no more is gone if its entry has been
+   silent for so long.  */
+#define GONE_AFTER_US TIMER_SEC (10)
+/* The same for a VM that no list has named: it may be too new.  */
+#define UNNAMED_GONE_AFTER_US TIMER_SEC (600)
+
+/* private functions */
+
+static struct timer_service *
+timers (struct registrar *registrar)
+{
+  return loop_timers (registrar->desc.loop);
+}
+
+static const struct roster_member *
+heard_of (const struct registrar *registrar, struct str name)
+{
+  const struct roster *roster = registrar->roster;
+  for (size_t i = 0; roster && i < roster->count; i++)
+    if (str_equal (roster->members[i].beat.name, name))
+      return &roster->members[i];
+  return NULL;
+}
+
+static int64_t
+least_confirmed (const struct registrar *registrar)
+{
+  return confirmations_least (registrar->confirmations, registrar->membership,
+                              registrar->desc.entry);
+}
+
+static void
+tell (struct registrar *registrar)
+{
+  registrar->least = least_confirmed (registrar);
+  registrar->desc.changed (registrar->desc.part, registrar->membership,
+                           registrar->least);
+}
+
+/* Takes MEMBERSHIP over, or drops it if it is not higher.  */
+static void
+adopt (struct registrar *registrar, struct membership *membership,
+       const char *source)
+{
+  if (!membership)
+    return;
+  if (membership->version <= registrar->membership->version)
+    {
+      membership_unref (membership);
+      return;
+    }
+  membership_unref (registrar->membership);
+  registrar->membership = membership;
+  counter_set (registrar->version_gauge, membership->version);
+  LOG (LOG_INFO, "membership-adopted",
+       LOG_INT ("version", membership->version), LOG_TEXT ("source", source));
+  tell (registrar);
+}
+
+/* Returns the version of TEXT, or 0 if it is malformed.  */
+static int64_t
+take_text (struct registrar *registrar, struct str text, const char *source)
+{
+  struct membership *membership = membership_parse (text);
+  int64_t version = membership ? membership->version : 0;
+  if (!membership)
+    LOG (LOG_ERROR, "membership-rejected", LOG_TEXT ("source", source));
+  adopt (registrar, membership, source);
+  return version;
+}
+
+/* Proposing.  */
+
+static bool
+is_gone (void *part, const struct member_record *record)
+{
+  struct registrar *registrar = part;
+  const struct roster_member *heard = heard_of (registrar, record->name);
+  if (str_list_has (&registrar->vms, record->peers)
+      || str_equal (record->name, registrar->desc.entry)
+      || (heard && heard->alive))
+    return false;
+  apr_time_t heard_at = heard ? heard->heard_at : registrar->started_at;
+  bool was_named = apr_hash_get (registrar->named, record->peers.data,
+                                 (apr_ssize_t)record->peers.size);
+  apr_time_t after = was_named ? GONE_AFTER_US : UNNAMED_GONE_AFTER_US;
+  /* An old list says nothing of a VM that came after it.  */
+  return registrar->vms_at > heard_at + after;
+}
+
+/* Returns the next version if a change is due, otherwise NULL.  */
+static struct membership *
+propose (struct registrar *registrar)
+{
+  const struct roster *roster = registrar->roster;
+  struct member_sight *sights = calloc (roster->count + 1, sizeof *sights);
+  if (!sights)
+    abort ();
+  for (size_t i = 0; i < roster->count; i++)
+    {
+      const struct roster_member *m = &roster->members[i];
+      sights[i] = (struct member_sight){
+        .record = { .name = m->beat.name,
+                    .region = m->beat.region,
+                    .peers = m->beat.peers,
+                    .incarnation = m->beat.incarnation },
+        .joins = m->alive && m->beat.state == ENTRY_SERVING,
+        .stops = m->beat.state == ENTRY_STOPPED,
+      };
+    }
+  int64_t settled = least_confirmed (registrar);
+  if (registrar->confirmed < settled)
+    settled = registrar->confirmed;
+  struct membership_view view = { .sights = sights,
+                                  .count = roster->count,
+                                  .settled = settled,
+                                  .is_gone = is_gone,
+                                  .part = registrar };
+  struct membership *next = membership_propose (registrar->membership, &view);
+  free (sights);
+  return next;
+}
+
+static void
+on_written (void *part, const struct store_answer *answer)
+{
+  struct registrar *registrar = part;
+  registrar->writing = false;
+  /* A conflict or a lost answer is read back at the next tick; whatever took
+     effect is then adopted and no longer due.  */
+  if (answer->code != ERR_NONE)
+    registrar->due_since
+        = timer_clock () + TIMER_MS (rand () % WRITE_RETRY_MS);
+}
+
+static void
+write_text (struct registrar *registrar, const struct membership *membership,
+            const struct store_answer *read)
+{
+  apr_pool_t *pool;
+  apr_pool_create (&pool, NULL);
+  counter_add (registrar->writes, 1);
+  registrar->writing = true;
+  registrar->desc.store->ops->compare_and_swap (
+      registrar->desc.store, registrar->key,
+      read->code == ERR_NOT_FOUND ? 0 : read->index,
+      membership_text (membership, pool), on_written, registrar);
+  apr_pool_destroy (pool);
+}
+
+/* Proposes again on what the store holds, and writes.  */
+static void
+on_read (void *part, const struct store_answer *answer)
+{
+  struct registrar *registrar = part;
+  struct membership *next = NULL;
+  registrar->writing = false;
+  if (answer->code == ERR_NONE)
+    take_text (registrar, answer->value, "store");
+  if (answer->code == ERR_NONE || answer->code == ERR_NOT_FOUND)
+    next = propose (registrar);
+  if (!next)
+    return;
+  write_text (registrar, next, answer);
+  membership_unref (next);
+}
+
+static void
+work (struct registrar *registrar, apr_time_t now)
+{
+  if (!registrar->is_relay || registrar->writing || !registrar->roster)
+    return;
+  struct membership *next = propose (registrar);
+  bool is_due = next != NULL;
+  membership_unref (next);
+  if (!is_due)
+    {
+      registrar->due_since = 0;
+      return;
+    }
+  if (registrar->due_since == 0)
+    registrar->due_since = now;
+  if (now
+      < registrar->due_since + TIMER_MS (TURN_MS * (int64_t)registrar->place))
+    return;
+  registrar->writing = true;
+  registrar->desc.store->ops->get (registrar->desc.store, registrar->key,
+                                   on_read, registrar);
+}
+
+static void
+on_tick (void *part, apr_time_t now)
+{
+  struct registrar *registrar = part;
+  work (registrar, now);
+  timer_start (timers (registrar), &registrar->timer, now + TIMER_MS (TICK_MS),
+               on_tick, registrar);
+}
+
+/* Watching.  */
+
+static void watch (struct registrar *registrar);
+
+static void
+on_watch_due (void *part, apr_time_t now)
+{
+  (void)now;
+  watch (part);
+}
+
+static void
+on_watched (void *part, const struct store_answer *answer)
+{
+  struct registrar *registrar = part;
+  registrar->watching = false;
+  bool is_known = answer->code == ERR_NONE || answer->code == ERR_NOT_FOUND;
+  bool changed = is_known && answer->index != registrar->watch_index;
+  if (changed)
+    {
+      int64_t stored = answer->code == ERR_NONE
+                           ? take_text (registrar, answer->value, "store")
+                           : 0;
+      registrar->watch_index = answer->index;
+      /* The store was put back to older data.  */
+      if (stored < registrar->membership->version && !registrar->writing)
+        write_text (registrar, registrar->membership, answer);
+    }
+  timer_start (timers (registrar), &registrar->watch_timer,
+               timer_clock () + TIMER_MS (changed ? 0 : WATCH_RETRY_MS),
+               on_watch_due, registrar);
+}
+
+static void
+watch (struct registrar *registrar)
+{
+  const struct store_ops *ops = registrar->desc.store->ops;
+  if (registrar->watching || !registrar->is_relay)
+    return;
+  registrar->watching = true;
+  if (registrar->watch_index > 0)
+    ops->watch (registrar->desc.store, registrar->key, registrar->watch_index,
+                WATCH_WAIT_MS, on_watched, registrar);
+  else
+    ops->get (registrar->desc.store, registrar->key, on_watched, registrar);
+}
+
+/* public functions */
+
+enum err_code
+registrar_create (apr_pool_t *pool, const struct registrar_desc *desc,
+                  struct registrar **result, struct err *err)
+{
+  (void)err;
+  struct registrar *registrar = apr_pcalloc (pool, sizeof *registrar);
+  registrar->desc = *desc;
+  registrar->pool = pool;
+  registrar->key = apr_pstrcat (pool, desc->prefix.data, "/membership", NULL);
+  registrar->membership = membership_empty ();
+  registrar->confirmations = confirmations_create (pool);
+  registrar->named = apr_hash_make (pool);
+  registrar->version_gauge
+      = gauge_get (desc->counters, "citroncleat_membership_version", "",
+                   "Version of the membership in force.");
+  registrar->writes = counter_get (
+      desc->counters, "citroncleat_membership_writes_total", "",
+      "Versions of the membership that were sent to the store.");
+  *result = registrar;
+  return ERR_NONE;
+}
+
+void
+registrar_start (struct registrar *registrar)
+{
+  registrar->started_at = timer_clock ();
+  on_tick (registrar, registrar->started_at);
+}
+
+void
+registrar_destroy (struct registrar *registrar)
+{
+  if (!registrar)
+    return;
+  timer_stop (timers (registrar), &registrar->timer);
+  timer_stop (timers (registrar), &registrar->watch_timer);
+  membership_unref (registrar->membership);
+  roster_unref (registrar->roster);
+  if (registrar->vm_pool)
+    apr_pool_destroy (registrar->vm_pool);
+}
+
+struct membership *
+registrar_membership (const struct registrar *registrar)
+{
+  return registrar->membership;
+}
+
+void
+registrar_offer (struct registrar *registrar, struct str text,
+                 const char *source)
+{
+  take_text (registrar, text, source);
+}
+
+void
+registrar_see_entries (struct registrar *registrar, struct roster *roster,
+                       size_t relays)
+{
+  roster_unref (registrar->roster);
+  registrar->roster = roster_ref (roster);
+  registrar->is_relay
+      = roster_is_relay (roster, registrar->desc.entry, relays);
+  registrar->place = 0;
+  for (size_t i = 0; i < roster->count; i++)
+    {
+      const struct roster_member *m = &roster->members[i];
+      if (!m->is_self)
+        confirmations_note (registrar->confirmations, m->beat.name,
+                            m->beat.incarnation, m->beat.confirmed);
+      /* Members are in order of name; so are turns.  */
+      if (m->alive && str_compare (m->beat.name, registrar->desc.entry) < 0
+          && roster_is_relay (roster, m->beat.name, relays))
+        registrar->place++;
+    }
+  if (least_confirmed (registrar) != registrar->least)
+    tell (registrar);
+  watch (registrar);
+}
+
+void
+registrar_see_vms (struct registrar *registrar,
+                   const struct str_list *addresses)
+{
+  if (registrar->vm_pool)
+    apr_pool_destroy (registrar->vm_pool);
+  apr_pool_create (&registrar->vm_pool, registrar->pool);
+  struct str *items = apr_palloc (registrar->vm_pool,
+                                  (addresses->count + 1) * sizeof *items);
+  for (size_t i = 0; i < addresses->count; i++)
+    {
+      struct str address = addresses->items[i];
+      items[i] = str_dup (registrar->vm_pool, address);
+      if (apr_hash_get (registrar->named, address.data,
+                        (apr_ssize_t)address.size))
+        continue;
+      address = str_dup (registrar->pool, address);
+      apr_hash_set (registrar->named, address.data, (apr_ssize_t)address.size,
+                    address.data);
+    }
+  registrar->vms = (struct str_list){ items, addresses->count };
+  registrar->vms_at = timer_clock ();
+}
+
+void
+registrar_confirm (struct registrar *registrar, int64_t version)
+{
+  if (version > registrar->confirmed)
+    registrar->confirmed = version;
+}
+
+int64_t
+registrar_confirmed (const struct registrar *registrar)
+{
+  return registrar->confirmed;
+}
--- a/src/operator/resources.c
+++ b/src/operator/resources.c
@@ -34,8 +34,9 @@
     if (roster->members[i].alive)
       {
         alive++;
-        have += roster->members[i].is_self
-                || roster->members[i].beat.config_version >= version;
+        have
+            += roster->members[i].is_self
+               || roster->members[i].beat.versions[DOCUMENT_CONFIG] >= version;
       }
   json_object *status = json_object_new_object ();
   json_add_number (status, "in_force_on", have);
--- a/src/operator/status.c
+++ b/src/operator/status.c
@@ -12,7 +12,7 @@
   json_add_text (entry, "region", beat->region.data);
   json_add_text (entry, "state",
                  member->alive ? entry_state_name (beat->state) : "silent");
-  json_add_number (entry, "version", beat->config_version);
+  json_add_number (entry, "version", beat->versions[DOCUMENT_CONFIG]);
   json_add_number (entry, "in_flight", beat->in_flight);
   json_add_number (entry, "queued", beat->queued);
   json_add_text (entry, "callers", beat->callers.data);
@@ -67,9 +67,9 @@
     {
       struct roster_member member = roster->members[i];
       if (member.is_self)
-        member.beat.config_version = document->version;
+        member.beat.versions[DOCUMENT_CONFIG] = document->version;
       json_object_array_add (entries, entry_of (&member));
-      if (member.beat.config_version < document->version)
+      if (member.beat.versions[DOCUMENT_CONFIG] < document->version)
         json_object_array_add (behind,
                                json_object_new_string (member.beat.name.data));
     }
--- a/src/peer/message.c
+++ b/src/peer/message.c
@@ -86,9 +86,13 @@
 {
   const struct str texts[] = { beat->name,    beat->zone,      beat->region,
                                beat->callers, beat->operators, beat->peers };
-  const int64_t numbers[]
-      = { beat->incarnation, beat->state, beat->config_version,
-          beat->in_flight, beat->queued };
+  const int64_t numbers[] = { beat->incarnation,
+                              beat->state,
+                              beat->versions[DOCUMENT_CONFIG],
+                              beat->versions[DOCUMENT_MEMBERSHIP],
+                              beat->confirmed,
+                              beat->in_flight,
+                              beat->queued };
   size_t text_count = sizeof texts / sizeof *texts;
   size_t number_count = sizeof numbers / sizeof *numbers;
   msgpack_pack_array (packer, 1 + text_count + number_count);
@@ -103,10 +107,11 @@
 pack_share (msgpack_packer *packer, const struct message *message)
 {
   const struct share_message *share = &message->share;
-  msgpack_pack_array (packer, 6 + 3 * share->count);
+  msgpack_pack_array (packer, 7 + 3 * share->count);
   msgpack_pack_int64 (packer, MESSAGE_SHARE);
   pack_text (packer, message->from);
   msgpack_pack_int64 (packer, share->type);
+  msgpack_pack_int64 (packer, share->incarnation);
   msgpack_pack_int64 (packer, share->id);
   msgpack_pack_int64 (packer, share->duration);
   msgpack_pack_int64 (packer, share->spare);
@@ -118,6 +123,21 @@
     }
 }
 
+/* Packs an ACK, a FETCH or a DOCUMENT.  */
+static void
+pack_version (msgpack_packer *packer, const struct message *message)
+{
+  bool has_kind = message->type != MESSAGE_ACK;
+  bool has_document = message->type == MESSAGE_DOCUMENT;
+  msgpack_pack_array (packer, 2 + has_kind + has_document);
+  msgpack_pack_int64 (packer, message->type);
+  msgpack_pack_int64 (packer, message->version);
+  if (has_kind)
+    msgpack_pack_int64 (packer, message->kind);
+  if (has_document)
+    pack_text (packer, message->document);
+}
+
 static const msgpack_object *
 next_item (struct reader *reader)
 {
@@ -157,14 +177,18 @@
 {
   struct str *texts[] = { &beat->name,    &beat->zone,      &beat->region,
                           &beat->callers, &beat->operators, &beat->peers };
-  int64_t *numbers[]
-      = { &beat->incarnation, &beat->state, &beat->config_version,
-          &beat->in_flight, &beat->queued };
+  int64_t *numbers[] = { &beat->incarnation,
+                         &beat->state,
+                         &beat->versions[DOCUMENT_CONFIG],
+                         &beat->versions[DOCUMENT_MEMBERSHIP],
+                         &beat->confirmed,
+                         &beat->in_flight,
+                         &beat->queued };
   for (size_t i = 0; i < sizeof texts / sizeof *texts; i++)
     *texts[i] = read_text (reader);
   for (size_t i = 0; i < sizeof numbers / sizeof *numbers; i++)
     *numbers[i] = read_number (reader);
-  if (beat->state != ENTRY_SERVING && beat->state != ENTRY_LEAVING)
+  if (beat->state < ENTRY_SERVING || beat->state > ENTRY_STOPPED)
     reader->good = false;
   if (beat->name.size == 0 || beat->name.size > 63)
     reader->good = false;
@@ -176,6 +200,7 @@
   struct share_message *share = &message->share;
   message->from = read_text (reader);
   share->type = read_number (reader);
+  share->incarnation = read_number (reader);
   share->id = read_number (reader);
   share->duration = read_number (reader);
   share->spare = read_number (reader);
@@ -195,6 +220,15 @@
     }
 }
 
+static int64_t
+read_kind (struct reader *reader)
+{
+  int64_t kind = read_number (reader);
+  if (kind <= 0 || kind >= DOCUMENT_KINDS)
+    reader->good = false;
+  return kind;
+}
+
 static void
 read_message (struct reader *reader, struct message *message)
 {
@@ -205,11 +239,15 @@
       read_beat (reader, &message->beat);
       break;
     case MESSAGE_ACK:
+      message->version = read_number (reader);
+      break;
     case MESSAGE_FETCH:
       message->version = read_number (reader);
+      message->kind = read_kind (reader);
       break;
-    case MESSAGE_CONFIG:
+    case MESSAGE_DOCUMENT:
       message->version = read_number (reader);
+      message->kind = read_kind (reader);
       message->document = read_text (reader);
       break;
     case MESSAGE_SHARE:
@@ -234,14 +272,7 @@
   else if (message->type == MESSAGE_SHARE)
     pack_share (&packer, message);
   else
-    {
-      bool has_document = message->type == MESSAGE_CONFIG;
-      msgpack_pack_array (&packer, has_document ? 3 : 2);
-      msgpack_pack_int64 (&packer, message->type);
-      msgpack_pack_int64 (&packer, message->version);
-      if (has_document)
-        pack_text (&packer, message->document);
-    }
+    pack_version (&packer, message);
   struct str packed = str_dup (pool, str_view (buffer.data, buffer.size));
   msgpack_sbuffer_destroy (&buffer);
   return packed;
@@ -273,7 +304,9 @@
 const char *
 entry_state_name (int64_t state)
 {
-  return state == ENTRY_LEAVING ? "leaving" : "serving";
+  static const char *const names[] = { "?", "serving", "leaving", "stopped" };
+  return state >= ENTRY_SERVING && state <= ENTRY_STOPPED ? names[state]
+                                                          : names[0];
 }
 
 struct beat
--- a/src/peer/message.h
+++ b/src/peer/message.h
@@ -17,15 +17,24 @@
 {
   MESSAGE_BEAT = 1, /* heartbeat of the sender */
   MESSAGE_ACK,      /* answers a heartbeat on the same connection */
-  MESSAGE_FETCH,    /* asks for a configuration above a version */
-  MESSAGE_CONFIG,   /* a whole configuration document */
+  MESSAGE_FETCH,    /* asks for a document above a version */
+  MESSAGE_DOCUMENT, /* a whole document */
   MESSAGE_SHARE     /* about loans of shares */
 };
 
 enum entry_state
 {
   ENTRY_SERVING = 1,
-  ENTRY_LEAVING /* serves on, but takes no part in look-up answers */
+  ENTRY_LEAVING, /* serves on, but takes no part in look-up answers */
+  ENTRY_STOPPED  /* said last: it uses nothing any more */
+};
+
+/* What entries hand on to each other, in versions.  */
+enum document_kind
+{
+  DOCUMENT_CONFIG = 1,
+  DOCUMENT_MEMBERSHIP,
+  DOCUMENT_KINDS
 };
 
 /* What an entry tells about itself.  */
@@ -37,9 +46,10 @@
   struct str callers; /* listeners' addresses */
   struct str operators;
   struct str peers;
-  int64_t incarnation; /* grows at each start of the process */
-  int64_t state;       /* enum entry_state */
-  int64_t config_version;
+  int64_t incarnation;              /* grows at each start of the process */
+  int64_t state;                    /* enum entry_state */
+  int64_t versions[DOCUMENT_KINDS]; /* in force here; the first is 0 */
+  int64_t confirmed; /* membership version; see member/membership.h */
   int64_t in_flight; /* calls at upstreams */
   int64_t queued;    /* calls waiting for a slot */
 };
@@ -48,8 +58,10 @@
 {
   int64_t type; /* enum message_type */
   struct beat beat;
-  int64_t version;     /* FETCH: held; CONFIG, ACK: the sender's */
-  struct str document; /* CONFIG */
+  int64_t kind;        /* FETCH, DOCUMENT: enum document_kind */
+  int64_t version;     /* FETCH: held; DOCUMENT, ACK: the sender's; an ACK
+                          tells the configuration's */
+  struct str document; /* DOCUMENT */
   struct str from;     /* SHARE: the sender */
   struct share_message share;
 };
--- a/src/peer/peers.c
+++ b/src/peer/peers.c
@@ -55,7 +55,7 @@
   struct roster *roster;
   int listener;
   struct timer heartbeat;
-  apr_time_t fetch_until; /* a fetch is in progress until then */
+  apr_time_t fetch_until[DOCUMENT_KINDS]; /* a fetch is in progress */
   struct counter *beats_sent;
   struct counter *beats_received;
   struct counter *fetches;
@@ -95,11 +95,18 @@
   apr_pool_destroy (pool);
 }
 
+static int64_t
+version_of (const struct peers *peers, int64_t kind)
+{
+  return peers->desc.documents[kind].version (peers->desc.part);
+}
+
 static void
 make_beat (struct peers *peers, struct beat *beat)
 {
   *beat = peers->desc.self;
-  beat->config_version = peers->desc.config.version (peers->desc.part);
+  for (int kind = DOCUMENT_CONFIG; kind < DOCUMENT_KINDS; kind++)
+    beat->versions[kind] = version_of (peers, kind);
   peers->desc.load (peers->desc.part, beat);
 }
 
@@ -175,23 +182,27 @@
 {
   return !m->alive || m->beat.state != beat->state
          || m->beat.incarnation != beat->incarnation
-         || m->beat.config_version != beat->config_version
+         || memcmp (m->beat.versions, beat->versions, sizeof beat->versions)
+                != 0
+         || m->beat.confirmed != beat->confirmed
          || m->beat.in_flight != beat->in_flight
          || m->beat.queued != beat->queued;
 }
 
+/* Asks for the document of KIND, of which the other side has VERSION.  */
 static void
-fetch (struct peers *peers, struct peer_link *link)
+fetch (struct peers *peers, struct peer_link *link, int64_t kind,
+       int64_t version)
 {
   apr_time_t now = timer_clock ();
-  if (now < peers->fetch_until)
+  int64_t held = version_of (peers, kind);
+  if (version <= held || now < peers->fetch_until[kind])
     return;
-  peers->fetch_until = now + TIMER_MS (FETCH_TIMEOUT_MS);
+  peers->fetch_until[kind] = now + TIMER_MS (FETCH_TIMEOUT_MS);
   counter_add (peers->fetches, 1);
-  send_message (
-      link, &(struct message){
-                .type = MESSAGE_FETCH,
-                .version = peers->desc.config.version (peers->desc.part) });
+  send_message (link, &(struct message){ .type = MESSAGE_FETCH,
+                                         .kind = kind,
+                                         .version = held });
 }
 
 static void
@@ -217,25 +228,27 @@
       peers_learn (peers, m->beat.peers);
       publish (peers);
     }
-  int64_t version = peers->desc.config.version (peers->desc.part);
-  if (beat->config_version > version)
-    fetch (peers, link);
-  send_message (link,
-                &(struct message){ .type = MESSAGE_ACK, .version = version });
+  for (int kind = DOCUMENT_CONFIG; kind < DOCUMENT_KINDS; kind++)
+    fetch (peers, link, kind, beat->versions[kind]);
+  send_message (link, &(struct message){
+                          .type = MESSAGE_ACK,
+                          .version = version_of (peers, DOCUMENT_CONFIG) });
 }
 
 static void
-send_config (struct peers *peers, struct peer_link *link, int64_t held)
+send_document (struct peers *peers, struct peer_link *link, int64_t kind,
+               int64_t held)
 {
-  int64_t version = peers->desc.config.version (peers->desc.part);
+  int64_t version = version_of (peers, kind);
   if (version <= held)
     return;
   apr_pool_t *pool;
   apr_pool_create (&pool, NULL);
-  struct message message
-      = { .type = MESSAGE_CONFIG,
-          .version = version,
-          .document = peers->desc.config.text (peers->desc.part, pool) };
+  struct message message = { .type = MESSAGE_DOCUMENT,
+                             .kind = kind,
+                             .version = version,
+                             .document = peers->desc.documents[kind].text (
+                                 peers->desc.part, pool) };
   send_message (link, &message);
   apr_pool_destroy (pool);
 }
@@ -253,15 +266,15 @@
         take_beat (peers, link, &message.beat);
         break;
       case MESSAGE_ACK:
-        if (message.version > peers->desc.config.version (peers->desc.part))
-          fetch (peers, link);
+        fetch (peers, link, DOCUMENT_CONFIG, message.version);
         break;
       case MESSAGE_FETCH:
-        send_config (peers, link, message.version);
+        send_document (peers, link, message.kind, message.version);
         break;
-      case MESSAGE_CONFIG:
-        peers->fetch_until = 0;
-        peers->desc.config.offer (peers->desc.part, message.document, "peer");
+      case MESSAGE_DOCUMENT:
+        peers->fetch_until[message.kind] = 0;
+        peers->desc.documents[message.kind].offer (peers->desc.part,
+                                                   message.document, "peer");
         break;
       case MESSAGE_SHARE:
         counter_add (peers->shares_received, 1);
--- a/src/peer/peers.h
+++ b/src/peer/peers.h
@@ -1,9 +1,10 @@
-/* The other entries: connections, heartbeats and configuration exchange.
+/* The other entries: connections, heartbeats and the exchange of documents.
 
    Every entry dials every other whose address it knows (from settings, the
    platform's list, or a heartbeat) and sends its heartbeat there; the other
-   acknowledges on the same connection.  A heartbeat carries the version of
-   the configuration in force; whoever hears of a higher one fetches it.
+   acknowledges on the same connection.  A heartbeat carries the versions of
+   the configuration and the membership in force; whoever hears of a higher
+   one fetches it.
 
    Call order: peers_create, peers_start; peers_learn for each address that
    the platform names; peers_announce after any change worth telling at once.
@@ -18,8 +19,8 @@
 
 struct peers;
 
-/* What the exchange of configuration needs from its owner.  */
-struct peers_config
+/* What the exchange of one kind of document needs from its owner.  */
+struct peers_document
 {
   int64_t (*version) (void *part);
   struct str (*text) (void *part, apr_pool_t *pool);
@@ -35,8 +36,9 @@
   struct str_list seeds;
   int64_t heartbeat_ms;
   int64_t silent_ms;
-  struct peers_config config;
-  void (*load) (void *part, struct beat *beat); /* fills in_flight, queued */
+  struct peers_document documents[DOCUMENT_KINDS]; /* by kind */
+  /* Fills in `confirmed', `in_flight' and `queued'.  */
+  void (*load) (void *part, struct beat *beat);
   void (*changed) (void *part, struct roster *roster); /* borrowed */
   void (*share) (void *part, struct str from,
                  const struct share_message *message);
--- a/src/share/share.c
+++ b/src/share/share.c
@@ -37,10 +37,11 @@
   struct share_pool *pools;
   struct share_pool *cursor; /* where lending goes on */
   int64_t wanted;
-  int64_t lacking;   /* what was wanted at the last tick */
-  int64_t peak_used; /* decays; what this entry needs itself */
-  int asking;        /* requests in progress */
-  int64_t requested; /* by them */
+  int64_t lacking;    /* what was wanted at the last tick */
+  int64_t peak_used;  /* decays; what this entry needs itself */
+  apr_time_t used_at; /* when something was last in use or wanted */
+  int asking;         /* requests in progress */
+  int64_t requested;  /* by them */
 };
 
 /* Something that this entry has lent.  */
@@ -49,6 +50,7 @@
   struct lending *next;
   struct share_pool *pool;
   char borrower[64];
+  int64_t incarnation; /* of the borrower */
   int64_t id;
   int64_t amount;
   apr_time_t until; /* the borrower starts nothing on it after this */
@@ -60,6 +62,7 @@
   struct borrowing *next;
   struct share_pool *pool;
   char lender[64];
+  int64_t incarnation; /* of the lender */
   int64_t id;
   int64_t amount;
   apr_time_t until;
@@ -91,6 +94,7 @@
   struct share_desc desc;
   apr_pool_t *pool;
   apr_hash_t *pools; /* by kind and name */
+  apr_hash_t *ended; /* int64_t by entry: incarnations up to it have ended */
   struct group *groups;
   struct lending *lendings;
   struct borrowing *borrowings;
@@ -112,6 +116,11 @@
    each such answer in a row.  */
 #define EMPTY_US INT64_C (20000)
 
+/* An entry that has used a group so lately does not lend the last of it: a
+   borrower that dies or pauses would keep it for the longest life of a
+   call.  */
+#define KEEP_ONE_US INT64_C (2000000)
+
 enum
 {
   LOAN_PER_DISTANCE = 15, /* so that the way takes little of a loan */
@@ -170,9 +179,11 @@
 }
 
 static void
-note_use (struct group *group)
+note_use (struct group *group, apr_time_t now)
 {
   int64_t used = group_used (group);
+  if (used > 0 || group->lacking > 0)
+    group->used_at = now;
   if (used > group->peak_used)
     group->peak_used = used;
 }
@@ -191,6 +202,8 @@
 {
   int64_t need = group->peak_used + (group->peak_used >> RESERVE_SHIFT)
                  + group->lacking;
+  if (need == 0 && group->used_at > 0 && now - group->used_at < KEEP_ONE_US)
+    need = 1;
   int64_t spare = group_limit (group, now) - need;
   return spare > 0 ? spare : 0;
 }
@@ -225,13 +238,21 @@
   return over > 0 ? over : 0;
 }
 
+static void
+send_message (struct share *share, struct str to,
+              struct share_message *message)
+{
+  message->incarnation = share->desc.incarnation;
+  share->desc.send (share->desc.part, to, message);
+}
+
 static void
 send_return (struct share *share, struct str lender, int64_t id,
              struct share_item item)
 {
   struct share_message message
       = { .type = SHARE_RETURN, .id = id, .count = 1, .items = { item } };
-  share->desc.send (share->desc.part, lender, &message);
+  send_message (share, lender, &message);
 }
 
 /* Gives back what has run out and is no longer used.  */
@@ -352,7 +373,7 @@
           = share->desc.duration_us + LOAN_PER_DISTANCE * peer->distance_us,
           .count = 1,
           .items = { { (int64_t)group->kind, group->name, a->amount } } };
-  share->desc.send (share->desc.part, str_from (peer->name), &message);
+  send_message (share, str_from (peer->name), &message);
   return true;
 }
 
@@ -405,6 +426,7 @@
     abort ();
   l->pool = pool;
   l->id = request->id;
+  l->incarnation = request->incarnation;
   l->amount = amount;
   l->until
       = now + request->duration + request->duration * DRIFT_PER_MILLE / 1000;
@@ -438,7 +460,7 @@
     return;
   struct group *group = group_get (
       share, (enum share_kind)request->items[0].kind, request->items[0].name);
-  note_use (group);
+  note_use (group, now);
   int64_t left = group_spare (group, now);
   /* A borrower gets at most half, so that several can be served.  */
   int64_t most = (left + 1) / 2;
@@ -466,7 +488,32 @@
     }
   group->cursor = p;
   answer.spare = left;
-  share->desc.send (share->desc.part, from, &answer);
+  send_message (share, from, &answer);
+}
+
+/* Returns the highest incarnation of PEER that is known to have ended.  */
+static int64_t
+ended_incarnation (const struct share *share, struct str peer)
+{
+  const int64_t *ended
+      = apr_hash_get (share->ended, peer.data, (apr_ssize_t)peer.size);
+  return ended ? *ended : -1;
+}
+
+static void
+note_ended (struct share *share, struct str peer, int64_t incarnation)
+{
+  int64_t *ended
+      = apr_hash_get (share->ended, peer.data, (apr_ssize_t)peer.size);
+  if (!ended)
+    {
+      struct str key = str_dup (share->pool, peer);
+      ended = apr_palloc (share->pool, sizeof *ended);
+      *ended = incarnation;
+      apr_hash_set (share->ended, key.data, (apr_ssize_t)key.size, ended);
+    }
+  if (incarnation > *ended)
+    *ended = incarnation;
 }
 
 static struct asking *
@@ -480,7 +527,7 @@
 
 static void
 borrow (struct share *share, const struct asking *asking,
-        const struct share_item *item, int64_t duration)
+        const struct share_item *item, const struct share_message *answer)
 {
   struct share_pool *pool = pool_find (share, item->kind, item->name);
   if (!pool || item->amount <= 0)
@@ -491,7 +538,8 @@
   b->pool = pool;
   b->id = asking->id;
   b->amount = item->amount;
-  b->until = asking->asked_at + duration;
+  b->until = asking->asked_at + answer->duration;
+  b->incarnation = answer->incarnation;
   apr_cpystrn (b->lender, asking->lender, sizeof b->lender);
   b->next = share->borrowings;
   share->borrowings = b;
@@ -531,7 +579,7 @@
       return;
     }
   for (size_t i = 0; i < answer->count; i++)
-    borrow (share, asking, &answer->items[i], answer->duration);
+    borrow (share, asking, &answer->items[i], answer);
   if (peer)
     note_spare (peer, asking->group->kind,
                 answer->count > 0 && answer->spare > 0, now);
@@ -546,7 +594,8 @@
   for (struct lending *l = share->lendings; l; l = l->next)
     if (message->count == 1 && l->id == message->id
         && l->pool == pool_find (share, item->kind, item->name)
-        && str_equal (str_from (l->borrower), from) && item->amount > 0)
+        && str_equal (str_from (l->borrower), from)
+        && l->incarnation == message->incarnation && item->amount > 0)
       {
         int64_t amount = item->amount < l->amount ? item->amount : l->amount;
         l->amount -= amount;
@@ -564,6 +613,7 @@
   share->pool = pool;
   share->desc = *desc;
   share->pools = apr_hash_make (pool);
+  share->ended = apr_hash_make (pool);
   share->random = desc->seed ? desc->seed : RANDOM_DEFAULT_SEED;
   if (!share->desc.duration_us)
     share->desc.duration_us = DEFAULT_DURATION_US;
@@ -709,7 +759,7 @@
   for (struct group *g = share->groups; g; g = g->next)
     {
       decay_peak (g);
-      note_use (g);
+      note_use (g, now);
       while (g->wanted > g->requested && g->asking < ASKING_MAX
              && ask (share, g, now))
         ;
@@ -722,6 +772,9 @@
 share_receive (struct share *share, struct str from,
                const struct share_message *message, apr_time_t now)
 {
+  /* Late words of a process that has ended.  */
+  if (message->incarnation <= ended_incarnation (share, from))
+    return;
   switch (message->type)
     {
     case SHARE_BORROW:
@@ -745,12 +798,43 @@
 }
 
 void
-share_forget (struct share *share, struct str from)
+share_forget (struct share *share, struct str peer, int64_t incarnation)
 {
+  note_ended (share, peer, incarnation);
   for (struct lending *l = share->lendings; l; l = l->next)
-    if (str_equal (str_from (l->borrower), from))
+    if (l->incarnation <= incarnation
+        && str_equal (str_from (l->borrower), peer))
       {
         l->pool->lent -= l->amount;
         l->amount = 0;
       }
+  struct borrowing **at = &share->borrowings;
+  while (*at)
+    {
+      struct borrowing *b = *at;
+      if (b->incarnation > incarnation
+          || !str_equal (str_from (b->lender), peer))
+        {
+          at = &b->next;
+          continue;
+        }
+      *(b->ended ? &b->pool->ended : &b->pool->borrowed) -= b->amount;
+      *at = b->next;
+      free (b);
+    }
+}
+
+bool
+share_is_settled (struct share *share, apr_time_t now)
+{
+  for (struct group *g = share->groups; g; g = g->next)
+    for (struct share_pool *p = g->pools; p && g->kind != SHARE_LINK;
+         p = p->next)
+      {
+        /* What is held back is still this entry's own.  */
+        int64_t owned = share_pool_limit (p, now) + p->held + p->ended;
+        if (p->used > (owned > 0 ? owned : 0) || owned < 0)
+          return false;
+      }
+  return true;
 }
--- a/src/share/share.h
+++ b/src/share/share.h
@@ -65,10 +65,11 @@
    pools, in SHARE_LEND and SHARE_RETURN one pool.  */
 struct share_message
 {
-  int64_t type;     /* enum share_message_type */
-  int64_t id;       /* the borrower's number of the loan */
-  int64_t duration; /* of the loan, microseconds */
-  int64_t spare;    /* SHARE_LEND: what could still be lent of the first */
+  int64_t type;        /* enum share_message_type */
+  int64_t incarnation; /* of the sender's process */
+  int64_t id;          /* the borrower's number of the loan */
+  int64_t duration;    /* of the loan, microseconds */
+  int64_t spare;       /* SHARE_LEND: what could still be lent of the first */
   size_t count;
   struct share_item items[SHARE_ITEMS_MAX];
 };
@@ -79,6 +80,7 @@
 struct share_desc
 {
   struct str entry;
+  int64_t incarnation;    /* of this process */
   apr_time_t duration_us; /* of loans, longer from afar; default 300 ms */
   apr_time_t hold_us;     /* longest life of a use; default 30 s */
   uint64_t seed;
@@ -138,7 +140,13 @@
                     const struct share_message *message, apr_time_t now);
 /* Sets the longest life of a use, as `hold_us' in the description.  */
 void share_set_hold (struct share *share, apr_time_t hold_us);
-/* The entry FROM is known to be gone: what it borrowed comes back.  */
-void share_forget (struct share *share, struct str from);
+/* The process INCARNATION of the entry PEER, and earlier ones, are known to
+   run no longer: what they borrowed comes back, and what they lent may not be
+   used any more.  */
+void share_forget (struct share *share, struct str peer, int64_t incarnation);
+/* Returns whether every use of calls is covered by this entry's own part and
+   by loans that their lenders still keep for it.  Bytes a second are not
+   looked at: their use ends at once.  */
+bool share_is_settled (struct share *share, apr_time_t now);
 
 #endif
--- a/src/steer/divide.c
+++ b/src/steer/divide.c
@@ -1,6 +1,7 @@
 #include "steer/internal.h"
 
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <xxhash.h>
 
@@ -65,56 +66,123 @@
   return state;
 }
 
+/* Sets this entry's part of CAP: the least of its parts under all versions
+   in force.  */
 static void
-set_base (struct share_pool *pool, int64_t cap, struct seat seat,
+set_base (struct share_pool *pool, int64_t cap, struct seats seats,
           struct str name)
 {
-  share_pool_set_base (pool, seat.count > 0 ? steer_share_of (
-                                 cap, seat.index, seat.count, salt_of (name))
-                                            : 0);
+  int64_t least = seats.count > 0 ? cap : 0;
+  for (size_t i = 0; i < seats.count; i++)
+    {
+      struct seat seat = seats.items[i];
+      int64_t part
+          = seat.count > 0
+                ? steer_share_of (cap, seat.index, seat.count, salt_of (name))
+                : 0;
+      if (part < least)
+        least = part;
+    }
+  share_pool_set_base (pool, least);
+}
+
+static bool
+is_self (const struct steer *steer, const struct member_record *record)
+{
+  return record->incarnation == steer->desc.share.incarnation
+         && str_equal (record->name, steer->desc.share.entry);
 }
 
-/* Returns this entry's seat among the members of REGION; an empty name means
-   all members.  */
+/* Returns this entry's seat under VERSION among the members whose region is
+   one of REGIONS; NULL: among all.  ANY tells whether there are some.  */
 static struct seat
-seat_in (const struct steer *steer, struct str region)
+seat_at (const struct steer *steer, const struct str_list *regions,
+         int64_t version, bool *any)
 {
+  const struct membership *membership = steer->membership;
   struct seat seat = { 0, 0 };
   bool is_member = false;
-  for (size_t i = 0; i < steer->member_count; i++)
+  for (size_t i = 0; i < membership->count; i++)
     {
-      if (region.size > 0 && !str_equal (steer->members[i].region, region))
+      const struct member_record *m = &membership->records[i];
+      if (!member_is_at (m, version)
+          || (regions && !str_list_has (regions, m->region)))
         continue;
-      if (i == steer->self)
+      if (is_self (steer, m))
         {
           is_member = true;
           seat.index = seat.count;
         }
       seat.count++;
     }
-  if (seat.count == 0 && region.size > 0)
-    return seat_in (steer, STR (""));
+  *any = seat.count > 0;
   return is_member ? seat : (struct seat){ 0, 0 };
 }
 
-/* Returns this entry's seat among the members of either region.  */
-static struct seat
-seat_at_link (const struct steer *steer, const struct link_spec *link)
+/* Returns the seats under every version in force.  OR_ALL: what lies in
+   regions without members is divided among all.  */
+static struct seats
+seats_among (const struct steer *steer, const struct str_list *regions,
+             bool or_all)
 {
-  struct seat seat = { 0, 0 };
-  bool is_member = false;
-  for (size_t i = 0; i < steer->member_count; i++)
+  struct seats seats
+      = { apr_pcalloc (steer->division_pool,
+                       (steer->version_count + 1) * sizeof *seats.items),
+          steer->version_count };
+  for (size_t i = 0; i < seats.count; i++)
     {
-      if (!str_list_has (&link->between, steer->members[i].region))
-        continue;
-      if (i == steer->self)
+      bool any;
+      if (!steer->membership)
         {
-          is_member = true;
-          seat.index = seat.count;
+          seats.items[i] = (struct seat){ 0, 1 };
+          continue;
         }
-      seat.count++;
+      int64_t version = steer->versions[i];
+      seats.items[i] = seat_at (steer, regions, version, &any);
+      if (!any && or_all)
+        seats.items[i] = seat_at (steer, NULL, version, &any);
     }
-  return is_member ? seat : (struct seat){ 0, 0 };
+  return seats;
+}
+
+static int
+by_number (const void *a, const void *b)
+{
+  int64_t x = *(const int64_t *)a;
+  int64_t y = *(const int64_t *)b;
+  return (x > y) - (x < y);
+}
+
+/* Notes the versions in force under which the members differ.  */
+static void
+note_versions (struct steer *steer)
+{
+  static const struct membership alone = { .version = 0 };
+  const struct membership *membership
+      = steer->membership ? steer->membership : &alone;
+  size_t count = 0;
+  size_t kept = 0;
+  int64_t from = steer->least;
+  int64_t *versions = apr_palloc (
+      steer->division_pool, (2 * membership->count + 1) * sizeof *versions);
+  /* Of older versions not all members are known; under 0 nobody is one.  */
+  if (from <= membership->version - MEMBERSHIP_HISTORY)
+    from = 0;
+  versions[count++] = from;
+  for (size_t i = 0; i < membership->count; i++)
+    {
+      const struct member_record *m = &membership->records[i];
+      if (m->since > from)
+        versions[count++] = m->since;
+      if (m->until > from && m->until != MEMBERSHIP_STAYS)
+        versions[count++] = m->until;
+    }
+  qsort (versions, count, sizeof *versions, by_number);
+  for (size_t i = 0; i < count; i++)
+    if (kept == 0 || versions[i] != versions[kept - 1])
+      versions[kept++] = versions[i];
+  steer->versions = versions;
+  steer->version_count = kept;
 }
 
 /* Divides both ways of every link among the entries of its two regions.  */
@@ -123,7 +191,7 @@
 {
   SNAPSHOT_EACH (steer->snapshot, KIND_LINK, const struct link_spec, l)
   {
-    struct seat seat = seat_at_link (steer, l);
+    struct seats seats = seats_among (steer, &l->between, false);
     for (int way = 0; way < 2; way++)
       {
         char name[STEER_GROUP_MAX_BYTES];
@@ -137,7 +205,7 @@
         link->bytes = share_pool_get (
             steer->share,
             &(struct share_cap){ .kind = SHARE_LINK, .name = link->name });
-        set_base (link->bytes, l->bytes_per_second, seat, link->name);
+        set_base (link->bytes, l->bytes_per_second, seats, link->name);
       }
   }
 }
@@ -146,17 +214,18 @@
 set_limits (struct steer *steer)
 {
   set_links (steer);
-  steer->seat = seat_in (steer, STR (""));
+  steer->seats = seats_among (steer, NULL, false);
   SNAPSHOT_EACH (steer->snapshot, KIND_REGION, const struct region, r)
   {
     struct region_state *state = steer_find (steer->regions, r->head.name);
-    state->seat = seat_in (steer, r->head.name);
+    struct str name = r->head.name;
+    state->seats = seats_among (steer, &(struct str_list){ &name, 1 }, true);
   }
   SNAPSHOT_EACH (steer->snapshot, KIND_UPSTREAM, const struct upstream, u)
   {
     struct upstream_state *state = steer_find (steer->upstreams, u->head.name);
     state->slot_count = slots_of (u);
-    set_base (state->slots, state->slot_count, state->region->seat,
+    set_base (state->slots, state->slot_count, state->region->seats,
               u->head.name);
     /* Nothing is used until the next update of the ramp has counted what the
        new division leaves open.  */
@@ -165,13 +234,13 @@
   }
   SNAPSHOT_EACH (steer->snapshot, KIND_SERVICE, const struct service, s)
   {
-    set_base (steer_service (steer, s)->calls, s->call_cap, steer->seat,
+    set_base (steer_service (steer, s)->calls, s->call_cap, steer->seats,
               s->head.name);
   }
   SNAPSHOT_EACH (steer->snapshot, KIND_REGION, const struct region, r)
   {
     struct region_state *state = steer_find (steer->regions, r->head.name);
-    set_base (state->calls, r->call_cap, state->seat, r->head.name);
+    set_base (state->calls, r->call_cap, state->seats, r->head.name);
   }
 }
 
@@ -287,6 +356,19 @@
   }
 }
 
+/* Ends all loans with processes that are members no more.  */
+static void
+forget_ended (struct steer *steer, int64_t since,
+              const struct membership *membership)
+{
+  for (size_t i = 0; membership && i < membership->count; i++)
+    {
+      const struct member_record *m = &membership->records[i];
+      if (m->until > since && m->until <= membership->version)
+        share_forget (steer->share, m->name, m->incarnation);
+    }
+}
+
 /* public functions */
 
 void *
@@ -315,7 +397,9 @@
 {
   if (!state->is_ramping)
     return;
-  struct seat seat = state->region->seat;
+  struct seats seats = state->region->seats;
+  struct seat seat
+      = seats.count > 0 ? seats.items[seats.count - 1] : (struct seat){ 0, 0 };
   apr_time_t ramp_us = state->spec->group->ramp_ms * 1000;
   apr_time_t age = now - state->warm_from;
   if (age >= ramp_us || seat.count == 0)
@@ -392,21 +476,18 @@
 }
 
 void
-steer_set_members (struct steer *steer, const struct steer_member *members,
-                   size_t count, size_t self)
-{
-  if (steer->member_pool)
-    apr_pool_destroy (steer->member_pool);
-  apr_pool_create (&steer->member_pool, steer->pool);
-  steer->members
-      = apr_palloc (steer->member_pool, (count + 1) * sizeof *members);
-  for (size_t i = 0; i < count; i++)
-    steer->members[i]
-        = (struct steer_member){ str_dup (steer->member_pool, members[i].name),
-                                 str_dup (steer->member_pool,
-                                          members[i].region) };
-  steer->member_count = count;
-  steer->self = self;
+steer_set_membership (struct steer *steer, struct membership *membership,
+                      int64_t least)
+{
+  struct membership *old = steer->membership;
+  steer->membership = membership ? membership_ref (membership) : NULL;
+  steer->least = least;
+  forget_ended (steer, old ? old->version : 0, membership);
+  membership_unref (old);
+  if (steer->division_pool)
+    apr_pool_destroy (steer->division_pool);
+  apr_pool_create (&steer->division_pool, steer->pool);
+  note_versions (steer);
   if (steer->snapshot)
     set_limits (steer);
 }
--- a/src/steer/internal.h
+++ b/src/steer/internal.h
@@ -16,6 +16,14 @@
   size_t count;
 };
 
+/* The places under every version of the division that is in force, the
+   newest last.  */
+struct seats
+{
+  struct seat *items;
+  size_t count;
+};
+
 /* States outlive configurations, so that tickets stay valid; `spec' is the
    resource in the snapshot last applied, or NULL once that is gone.  */
 
@@ -68,7 +76,7 @@
 {
   const struct region *spec;
   struct share_pool *calls;
-  struct seat seat;       /* for what lies in this region */
+  struct seats seats;     /* for what lies in this region */
   apr_time_t distance_us; /* there and back */
 };
 
@@ -83,11 +91,12 @@
   apr_hash_t *regions;
   apr_hash_t *links; /* struct steer_link by "FROM>TO" */
   struct share *share;
-  struct seat seat; /* among all entries */
-  apr_pool_t *member_pool;
-  struct steer_member *members;
-  size_t member_count;
-  size_t self;
+  struct seats seats;            /* among all entries */
+  apr_pool_t *division_pool;     /* of the seats and versions */
+  struct membership *membership; /* NULL: this entry is alone */
+  int64_t least;                 /* version that all others confirmed */
+  int64_t *versions;             /* in force, those whose members differ */
+  size_t version_count;
   uint64_t random;
 };
 
--- a/src/steer/steer.c
+++ b/src/steer/steer.c
@@ -84,8 +84,7 @@
   steer->desc = *desc;
   steer->random = desc->seed ? desc->seed : RANDOM_DEFAULT_SEED;
   steer->share = share_create (pool, &desc->share);
-  steer_set_members (steer, &(struct steer_member){ .region = desc->region },
-                     1, 0);
+  steer_set_membership (steer, NULL, 0);
   steer->upstreams = apr_hash_make (pool);
   steer->services = apr_hash_make (pool);
   steer->regions = apr_hash_make (pool);
@@ -99,6 +98,7 @@
   if (!steer)
     return;
   snapshot_unref (steer->snapshot);
+  membership_unref (steer->membership);
   share_destroy (steer->share);
   if (steer->lists)
     apr_pool_destroy (steer->lists);
@@ -237,6 +237,12 @@
   pace_debit (&link->pace, rate > 0 ? rate : 0, bytes, now);
 }
 
+bool
+steer_is_settled (struct steer *steer, apr_time_t now)
+{
+  return share_is_settled (steer->share, now);
+}
+
 struct share *
 steer_share (struct steer *steer)
 {
--- a/src/steer/steer.h
+++ b/src/steer/steer.h
@@ -17,6 +17,7 @@
 #ifndef STEER_STEER_H
 #define STEER_STEER_H
 
+#include "member/membership.h"
 #include "resource/resource.h"
 #include "share/share.h"
 
@@ -62,13 +63,6 @@
   uint64_t seed;
 };
 
-/* An entry that has a part of every cap.  */
-struct steer_member
-{
-  struct str name;
-  struct str region;
-};
-
 struct steer_request
 {
   const struct service *service;
@@ -111,13 +105,17 @@
    stay.  */
 void steer_apply (struct steer *steer, struct snapshot *snapshot,
                   apr_time_t now);
-/* Divides every cap among MEMBERS, of whom SELF is this entry; SELF COUNT:
-   it has no part.  What lies in a region (slots, the region's cap) is divided
-   among that region's entries if it has any, since a slot far away costs a
-   long way; a service's cap is divided among all.  */
-void steer_set_members (struct steer *steer,
-                        const struct steer_member *members, size_t count,
-                        size_t self);
+/* Divides every cap among the members of MEMBERSHIP, which it references.
+   LEAST: the lowest version that any other member has confirmed.  Loans with
+   processes that are members no more end.  Without a
+   membership this entry owns every cap alone.  What lies in a region (slots,
+   the region's cap) is divided among that region's entries if it has any,
+   since a slot far away costs a long way; a service's cap is divided among
+   all.  */
+void steer_set_membership (struct steer *steer, struct membership *membership,
+                           int64_t least);
+/* Returns whether nothing in use exceeds this entry's parts and loans.  */
+bool steer_is_settled (struct steer *steer, apr_time_t now);
 /* Returns the way from one region to another, or NULL if no link joins them
    (within one region there is none).  Valid as long as STEER.  */
 struct steer_link *steer_link (struct steer *steer, struct str from,
--- a/tests/unit/share_test.c
+++ b/tests/unit/share_test.c
@@ -175,6 +175,34 @@
   close_entries ();
 }
 
+/* The last of what an entry uses of late is not lent; a borrower that dies
+   would keep it.  */
+static void
+test_last_one (void)
+{
+  open_entries (1);
+  share_pool_use (pools[1], 1);
+  share_tick (entries[1], now);
+  share_pool_release (pools[1], 1);
+  for (int idle_s = 0; idle_s <= 3; idle_s += 3)
+    {
+      int64_t most_lent = 0;
+      now += TIMER_SEC (idle_s);
+      for (int i = 0; i < 100; i++)
+        {
+          now += TIMER_MS (5);
+          share_want (entries[0], SHARE_SERVICE, STR ("s"), 8);
+          for (int e = 0; e < ENTRIES; e++)
+            share_tick (entries[e], now);
+          deliver (false);
+          if (share_pool_lent (pools[1]) > most_lent)
+            most_lent = share_pool_lent (pools[1]);
+        }
+      CU_ASSERT_EQUAL (most_lent, idle_s > 0);
+    }
+  close_entries ();
+}
+
 /* A late answer to a request that was given up is returned, not used.  */
 static void
 test_late_answer (void)
@@ -239,5 +267,6 @@
         { "lost messages", test_lost_messages },
         { "no second hand", test_no_second_hand },
         { "late answer", test_late_answer },
+        { "last one", test_last_one },
         { "random", test_random },
         { NULL, NULL } };
--- a/tests/unit/unit.h
+++ b/tests/unit/unit.h
@@ -22,6 +22,7 @@
 extern const struct unit_test keeper_tests[];
 extern const struct unit_test peer_tests[];
 extern const struct unit_test share_tests[];
+extern const struct unit_test member_tests[];
 extern const struct unit_test steer_tests[];
 extern const struct unit_test call_tests[];
 extern const struct unit_test burn_tests[];
