Hedging in the call path; slots of cancelled calls are kept until noticed

Cause: real entries made one attempt at a time, so a call at an upstream that slowed down waited for it. Change: a second attempt for repeatable short calls without a body, after the 97th percentile, within a budget a service; it is tried again later if no slot is free. call.c is split: dispatch.c has the attempts, call.c the caller's side. Found on the way: (1) hedges' losers were cancelled and their slots given on at once, while the upstream still ran them: 8 calls for a cap of 7 (members, sanitized build). Slots of cancelled calls are kept for the way there and cancel_ms; a planned stop waits for them. (3) Orders posted to a stopped worker leaked. Ruled out: keeping the slot to the deadline (seconds a hedge).

--- a/bench/steer/testbed.c
+++ b/bench/steer/testbed.c
@@ -466,7 +466,12 @@
   call->tried_count = 1;
   struct steer_choice choice = choose (call);
   if (choice.verdict != STEER_CHOSEN || !budget_take (&e->hedges))
-    return;
+    {
+      timer_start (e->bed->timers, &call->hedge,
+                   now + steer_hedge_delay (&call->open[0]->ticket), on_hedge,
+                   call);
+      return;
+    }
   if (call->counted)
     e->bed->result.hedges++;
   dispatch (call, choice.upstream);
@@ -494,7 +499,7 @@
     timer_start (
         e->bed->timers, &call->hedge,
         e->bed->now
-            + steer_hedge_delay (e->steer, e->bed->service, choice.upstream),
+            + steer_hedge_delay (&call->open[call->attempts_open - 1]->ticket),
         on_hedge, call);
   return true;
 }
--- a/src/call/answer.c
+++ b/src/call/answer.c
@@ -132,6 +132,7 @@
 call_answer (struct call *call)
 {
   bool failed = call->err.code != ERR_NONE;
+  call_drop_hedge (call);
   struct MHD_Response *response
       = failed ? make_error (call) : make_response (call);
   if (!failed)
--- a/src/call/attempt.h
+++ b/src/call/attempt.h
@@ -76,6 +76,7 @@
   bool sent; /* the request may have reached the upstream */
   bool has_head;
   bool bad_echo; /* the answer belongs to another request */
+  bool refused;  /* set by the owner: the answer says, not started */
   bool done;
   bool paused_read;
   bool paused_write;
--- a/src/call/call.h
+++ b/src/call/call.h
@@ -29,12 +29,14 @@
   CALL_ATTEMPTS_MAX = 4
 };
 
-/* The counters of one service, kept by the worker.  */
+/* The counters and budgets of one service, kept by the worker.  */
 struct call_counters
 {
   struct counter *ended[OUTCOME_UNKNOWN + 1];
   struct counter *dispatches[CLASS_COUNT];
+  struct counter *hedges[CLASS_COUNT];
   struct histogram *seconds[CLASS_COUNT];
+  struct budget hedge_budget;
 };
 
 /* What all calls of a worker share.  */
@@ -54,8 +56,9 @@
   apr_hash_t *service_counters; /* struct call_counters by service */
   struct counter *lookups;
   struct call *calls;
-  struct call *ready; /* to be resumed at the end of the round */
-  bool slot_freed;    /* waiting calls may be placed */
+  struct cancelled *cancelled; /* slots of cancelled calls */
+  struct call *ready;          /* to be resumed at the end of the round */
+  bool slot_freed;             /* waiting calls may be placed */
   bool leaving;
   struct budget retries;
   int64_t open;
@@ -91,7 +94,6 @@
   bool answered;  /* an answer was queued for the caller */
   bool discard;   /* the rest of the request body is ignored */
   bool gone;      /* the caller left */
-  bool refused;   /* this attempt's answer says: not started */
   bool maybe_run; /* an earlier attempt may have run the call */
   bool body_ended;
   int64_t body_size; /* -1: unknown */
@@ -101,7 +103,10 @@
   apr_time_t deadline;
   struct timer timer;
   struct queue_item queue_item;
-  struct attempt *attempt;
+  struct attempt *attempt; /* whose answer is or will be passed on */
+  struct attempt *hedge;   /* a second one, if the first is late */
+  struct timer hedge_timer;
+  struct call_counters *counters; /* of the service */
   int attempts;
   struct str tried[STEER_EXCLUDED_MAX];
   size_t tried_count;
@@ -124,19 +129,36 @@
 size_t call_take_body (struct call *call, const char *data, size_t size);
 /* The whole request was received.  */
 void call_end_body (struct call *call);
-/* Tries to bind a waiting call; returns true if it waits no longer.  */
-bool call_place (struct call *call);
 /* Makes CALL go on at the end of this round of events.  */
 void call_wake (struct call *call);
-/* Ends CALL with an error answer.  */
-void call_fail (struct call *call, unsigned int status,
-                enum call_outcome outcome);
 /* Moves a waiting call to the resources of a new configuration.  */
 void call_rebind (struct call *call);
-/* Queues the answer, whole or streamed.  */
-enum MHD_Result call_answer (struct call *call);
 /* Returns the cause for the burn report.  */
 enum burn_cause call_burn_cause (const struct call *call, apr_time_t now);
+
+/* dispatch.c: attempts, in one place from admission to the last of them.  */
+
+/* Binds the call to an upstream, puts it in line, or refuses it.  */
+void call_admit (struct call *call);
+/* Tries to bind a waiting call; returns true if it waits no longer.  */
+bool call_place (struct call *call);
+/* Ends the call with an error answer: `unknown' if it may have run,
+   otherwise `not-run'.  */
+void call_refuse (struct call *call, unsigned int status, enum err_code code,
+                  const char *step, const char *detail);
+/* The deadline's timer.  */
+void call_on_deadline (void *part, apr_time_t now);
+/* Returns whether a request in progress may have reached its upstream.  */
+bool call_is_sent (const struct call *call);
+/* Cancels all attempts.  */
+void call_drop_attempts (struct call *call);
+/* Cancels the attempt whose answer is not passed on.  */
+void call_drop_hedge (struct call *call);
+
+/* answer.c  */
+
+/* Queues the answer, whole or streamed.  */
+enum MHD_Result call_answer (struct call *call);
 const char *call_outcome_name (enum call_outcome outcome);
 
 #endif
--- a/src/call/worker.c
+++ b/src/call/worker.c
@@ -1,6 +1,7 @@
 #include "call/worker.h"
 
 #include "call/call.h"
+#include "call/cancelled.h"
 #include "call/lookup.h"
 #include "call/requests.h"
 
@@ -20,6 +21,7 @@
   struct worker_desc desc;
   apr_pool_t *pool;
   apr_thread_t *thread;
+  bool has_stopped; /* the thread has ended */
   struct call_context context;
   struct timer sweep;
   struct timer share_timer;
@@ -165,10 +167,23 @@
   return order;
 }
 
+static void
+order_destroy (struct order *order)
+{
+  snapshot_unref (order->snapshot);
+  roster_unref (order->roster);
+  membership_unref (order->membership);
+  free (order);
+}
+
+/* Hands ORDER over; a worker that has stopped takes none.  */
 static void
 post (struct order *order, loop_task_fn *run)
 {
-  loop_post (order->worker->context.loop, run, order);
+  if (order->worker->has_stopped)
+    order_destroy (order);
+  else
+    loop_post (order->worker->context.loop, run, order);
 }
 
 /* Shares.  */
@@ -259,8 +274,12 @@
   share_tick (steer_share (context->steer), now);
   confirm_membership (worker, now);
   for (struct call *call = context->calls; call; call = call->next)
-    if (call->attempt && call->attempt->paused_by_link)
-      attempt_continue (call->attempt);
+    {
+      if (call->attempt && call->attempt->paused_by_link)
+        attempt_continue (call->attempt);
+      if (call->hedge && call->hedge->paused_by_link)
+        attempt_continue (call->hedge);
+    }
   timer_start (loop_timers (context->loop), &worker->share_timer,
                now + TIMER_MS (SHARE_TICK_MS), on_share_tick, worker);
 }
@@ -555,6 +574,7 @@
   post (order_create (worker), take_stop);
   apr_thread_join (&status, worker->thread);
   worker->thread = NULL;
+  worker->has_stopped = true;
 }
 
 void
@@ -575,6 +595,7 @@
       }
   httpd_destroy (context->httpd);
   curl_loop_destroy (context->curl_loop);
+  cancelled_free_all (context);
   steer_destroy (context->steer);
   snapshot_unref (context->snapshot);
   roster_unref (context->roster);
@@ -645,8 +666,9 @@
 worker_receive_share (struct worker *worker, struct str from,
                       const struct share_message *message)
 {
-  loop_post (worker->context.loop, take_share,
-             share_order_create (worker, from, message));
+  if (!worker->has_stopped)
+    loop_post (worker->context.loop, take_share,
+               share_order_create (worker, from, message));
 }
 
 int64_t
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -252,7 +252,8 @@
       LOG (LOG_INFO, "listener-closed",
            LOG_INT ("open", worker_open (entry->worker)));
     }
-  else if (entry->listener_closed && worker_open (entry->worker) == 0)
+  else if (entry->listener_closed && worker_open (entry->worker) == 0
+           && worker_in_flight (entry->worker) == 0)
     {
       leave_membership (entry);
       return;
--- a/src/resource/resource.c
+++ b/src/resource/resource.c
@@ -83,6 +83,7 @@
           FIELD_AT (service, answer_check),
           .choices = answer_checks },
         FIELD_NUMBER (service, not_started_status, 0, 599, 0, NULL),
+        FIELD_NUMBER (service, cancel_ms, 0, 60000, 50, "ms"),
         FIELD_NUMBER (service, long_slots_percent, 1, 100, 80, "percent"),
         { .name = "health_path",
           .type = FIELD_TEXT,
--- a/src/resource/resource.h
+++ b/src/resource/resource.h
@@ -123,7 +123,8 @@
   int64_t call_cap; /* concurrent calls; 0: none */
   int64_t max_body_bytes;
   int64_t deadline_ms;
-  int answer_check;           /* enum answer_check */
+  int answer_check;  /* enum answer_check */
+  int64_t cancel_ms; /* within which an upstream notices a closed connection */
   int64_t not_started_status; /* an answer that proves nothing ran; 0: none */
   int64_t long_slots_percent; /* most slots that long calls may hold */
   struct str health_path;     /* empty: not asked */
--- a/src/steer/choose.c
+++ b/src/steer/choose.c
@@ -213,15 +213,18 @@
 }
 
 apr_time_t
-steer_hedge_delay (const struct steer *steer, const struct service *service,
-                   const struct upstream *upstream)
+steer_distance (const struct steer_ticket *ticket)
 {
-  const struct service_state *state = steer_service (steer, service);
-  const struct upstream_state *u
-      = steer_find (steer->upstreams, upstream->head.name);
-  if (state->tail_us <= 0)
+  return ticket->region->distance_us;
+}
+
+apr_time_t
+steer_hedge_delay (const struct steer_ticket *ticket)
+{
+  double tail_us = ticket->service->tail_us;
+  if (tail_us <= 0)
     return HEDGE_FIRST_US;
-  return (apr_time_t)state->tail_us + (u ? u->region->distance_us : 0);
+  return (apr_time_t)tail_us + ticket->region->distance_us;
 }
 
 apr_time_t
--- a/src/steer/steer.h
+++ b/src/steer/steer.h
@@ -156,11 +156,11 @@
    for slow.  */
 void steer_overdue (struct steer *steer, struct steer_ticket *ticket,
                     apr_time_t elapsed_us, apr_time_t now);
-/* Returns how long to wait for an answer of UPSTREAM before a second attempt
-   elsewhere is worth its cost.  */
-apr_time_t steer_hedge_delay (const struct steer *steer,
-                              const struct service *service,
-                              const struct upstream *upstream);
+/* Returns the time there and back between this entry and the call's region. */
+apr_time_t steer_distance (const struct steer_ticket *ticket);
+/* Returns how long to wait for the answer to the call of TICKET before a
+   second attempt elsewhere is worth its cost.  */
+apr_time_t steer_hedge_delay (const struct steer_ticket *ticket);
 struct steer_view steer_query (const struct steer *steer, struct str upstream,
                                apr_time_t now);
 /* Returns how long a call of SERVICE would wait behind AHEAD others.  */
--- a/tests/session/members.sh
+++ b/tests/session/members.sh
@@ -3,7 +3,7 @@
 . tests/session/deployment.sh
 CAP=7
 start_platform
-sed "s/\"deadline_ms\": 3000/\"deadline_ms\": 2000, \"call_cap\": $CAP/" tests/session/resources.json >"$WORK/resources.json"
+sed "s/\"deadline_ms\": 3000/\"deadline_ms\": 2000, \"call_cap\": $CAP, \"cancel_ms\": 300/" tests/session/resources.json >"$WORK/resources.json"
 start upstreams "$BUILD/standin" upstreams -f "$WORK/resources.json" --report $REPORT --service-ms 20 --lag-ms 500
 wait_for 5 curl -sf "http://$REPORT/"
 
--- a/tests/standin/load.c
+++ b/tests/standin/load.c
@@ -146,5 +146,14 @@
   printf ("calls_per_second=%zu p50_us=%u p99_us=%u failed=%zu\n",
           n / (size_t)seconds, n ? load.latencies[n / 2] : 0,
           n ? load.latencies[n - 1 - n / 100] : 0, load.failed);
+  for (int i = 0; i < connections; i++)
+    {
+      curl_easy_cleanup (lanes[i].transfer.easy);
+      curl_slist_free_all (lanes[i].headers);
+    }
+  curl_loop_destroy (load.curl_loop);
+  loop_destroy (load.loop);
+  free (lanes);
+  free (load.latencies);
   return load.failed > 0 || n == 0;
 }
--- a/tests/standin/upstreams.c
+++ b/tests/standin/upstreams.c
@@ -24,7 +24,7 @@
 enum
 {
   HEALTH_LAG_DEFAULT_MS = 5000,
-  SWEEP_MS = 100,
+  SWEEP_MS = 10,
   COLD_FACTOR = 3
 };
 
