--- a/src/call/cancelled.c
+++ b/src/call/cancelled.c
@@ -59,6 +59,12 @@
 void
 cancelled_free_all (struct call_context *context)
 {
-  while (context->cancelled)
-    unlink_and_free (context->cancelled);
+  struct cancelled *next;
+  for (struct cancelled *one = context->cancelled; one; one = next)
+    {
+      next = one->next;
+      timer_stop (loop_timers (context->loop), &one->timer);
+      free (one);
+    }
+  context->cancelled = NULL;
 }
