Connections to upstreams within their limits; look-ups follow headroom

Cause: an upstream's limit was only kept by its slots, so idle connections of all entries added up: 22 to 29 for a limit of 14 (tests/run.sh connections). Ruled out: libcurl's limit a host (one for all hosts, and idle ones stay). Change: sockets are counted; what a limit leaves beyond slots and health checks is divided among the owners of the slots as idle connections; a new one is opened only while those open and those just closed leave room.

--- a/src/call/attempt.c
+++ b/src/call/attempt.c
@@ -135,10 +135,19 @@
   return size;
 }
 
+static void
+end_connection (struct attempt *attempt)
+{
+  if (!attempt->has_ended)
+    connection_end (attempt->desc.connections, attempt->is_kept);
+  attempt->has_ended = true;
+}
+
 static void
 on_done (void *owner, CURLcode result)
 {
   struct attempt *attempt = owner;
+  end_connection (attempt);
   attempt->done = true;
   attempt->result = result;
   /* An answer without a head is none, whatever libcurl makes of it.  */
@@ -273,11 +282,13 @@
   /* Bounds what the other side may send before it is read and paced.  */
   if (desc->link_in)
     curl_easy_setopt (easy, CURLOPT_SOCKOPTFUNCTION, set_receive_buffer);
+  attempt->is_kept = connection_begin (
+      desc->connections, desc->new_connection ? 0 : desc->idle_connections);
+  connection_count_sockets (desc->connections, easy);
   if (desc->new_connection)
-    {
-      curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, 1L);
-      curl_easy_setopt (easy, CURLOPT_FORBID_REUSE, 1L);
-    }
+    curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, 1L);
+  if (!attempt->is_kept)
+    curl_easy_setopt (easy, CURLOPT_FORBID_REUSE, 1L);
   if (curl_loop_add (desc->curl_loop, &attempt->transfer) != ERR_NONE)
     abort ();
   return attempt;
@@ -290,6 +301,7 @@
     return;
   if (!attempt->done)
     curl_loop_remove (attempt->desc.curl_loop, &attempt->transfer);
+  end_connection (attempt);
   curl_loop_give_easy (attempt->desc.curl_loop, attempt->transfer.easy);
   curl_slist_free_all (attempt->header_list);
   body_free (&attempt->answer);
--- a/src/call/attempt.h
+++ b/src/call/attempt.h
@@ -20,6 +20,7 @@
 
 #include "base/curl_loop.h"
 #include "call/body.h"
+#include "call/connections.h"
 #include "call/headers.h"
 #include "steer/steer.h"
 
@@ -52,6 +53,8 @@
   int64_t connect_timeout_ms;
   struct steer_link *link_out; /* NULL within the region */
   struct steer_link *link_in;
+  struct connection_count *connections; /* to the upstream */
+  int64_t idle_connections;             /* that may be kept there */
   bool new_connection;
   bool must_echo;
   struct body *body;
@@ -78,6 +81,8 @@
   bool bad_echo; /* the answer belongs to another request */
   bool refused;  /* set by the owner: the answer says, not started */
   bool done;
+  bool is_kept; /* its connection, afterwards */
+  bool has_ended;
   bool paused_read;
   bool paused_write;
   bool paused_by_link;
--- a/src/call/call.h
+++ b/src/call/call.h
@@ -48,6 +48,7 @@
   struct curl_loop *curl_loop;
   struct steer *steer;
   struct queue *queue;
+  struct connections *connections;
   struct snapshot *snapshot;
   struct roster *roster;
   struct counters *counters;
@@ -59,6 +60,7 @@
   struct cancelled *cancelled; /* slots of cancelled calls */
   struct call *ready;          /* to be resumed at the end of the round */
   bool slot_freed;             /* waiting calls may be placed */
+  bool connections_short;      /* a call waits for a connection */
   bool leaving;
   struct budget retries;
   int64_t open;
--- a/src/call/dispatch.c
+++ b/src/call/dispatch.c
@@ -223,6 +223,8 @@
                             upstream->zone->region->head.name),
     .link_in = steer_link (context->steer, upstream->zone->region->head.name,
                            context->settings->region),
+    .connections = connections_get (context->connections, upstream->address),
+    .idle_connections = steer_idle_connections (context->steer, upstream),
     .new_connection = call->service->answer_check == ANSWER_NEW_CONNECTION,
     .must_echo = call->service->answer_check == ANSWER_ECHO,
     .body = &call->body,
@@ -249,6 +251,21 @@
          && call->body_size == 0;
 }
 
+/* Returns whether a connection to UPSTREAM is free, or may be opened.  */
+static bool
+has_connection (struct call *call, const struct upstream *upstream)
+{
+  struct call_context *context = call->context;
+  apr_time_t now = timer_clock ();
+  struct connection_count *count
+      = connections_get (context->connections, upstream->address);
+  count->notice_us = TIMER_MS (call->service->cancel_ms);
+  int64_t most
+      = steer_idle_connections (context->steer, upstream)
+        + steer_query (context->steer, upstream->head.name, now).limit;
+  return connection_is_free (count, most, now);
+}
+
 static struct steer_choice
 choose (struct call *call)
 {
@@ -260,7 +277,21 @@
                                            call->service->head.name),
           .excluded_count = call->tried_count };
   memcpy (request.excluded, call->tried, sizeof call->tried);
-  return steer_choose (call->context->steer, &request);
+  struct steer_choice choice = steer_choose (call->context->steer, &request);
+  while (choice.verdict == STEER_CHOSEN
+         && !has_connection (call, choice.upstream))
+    {
+      struct str full = choice.upstream->head.name;
+      call->context->connections_short = true;
+      choice = (struct steer_choice){ STEER_WAIT, NULL };
+      if (request.excluded_count == STEER_EXCLUDED_MAX)
+        break;
+      request.excluded[request.excluded_count++] = full;
+      choice = steer_choose (call->context->steer, &request);
+      if (choice.verdict == STEER_NOWHERE)
+        choice.verdict = STEER_WAIT;
+    }
+  return choice;
 }
 
 static void start_hedge_timer (struct call *call);
--- a/src/call/lookup.c
+++ b/src/call/lookup.c
@@ -1,5 +1,6 @@
 #include "call/lookup.h"
 
+#include <math.h>
 #include <xxhash.h>
 
 /* types */
@@ -8,7 +9,7 @@
 {
   const struct beat *beat;
   int64_t distance_ms;
-  uint64_t rank;
+  double score; /* lower is better */
 };
 
 /* constants */
@@ -37,12 +38,33 @@
          && !snapshot_drained (snapshot, DRAIN_REGION, m->beat.region);
 }
 
+/* Returns the part of its callers that an entry is left while calls wait
+   there.  Few steps, so that answers change seldom.  */
+static double
+weight_of (const struct beat *beat)
+{
+  if (4 * beat->queued <= beat->in_flight)
+    return 1.0;
+  return beat->queued <= beat->in_flight ? 0.5 : 0.25;
+}
+
+/* Weighted rendezvous hashing: when an entry's weight changes only its own
+   callers move, or callers move only to it.  */
+static double
+score_of (const struct beat *beat, uint64_t seed)
+{
+  uint64_t hash
+      = XXH3_64bits_withSeed (beat->name.data, beat->name.size, seed);
+  double uniform = ((double)(hash >> 11) + 0.5) / 9007199254740992.0;
+  return -log (uniform) / weight_of (beat);
+}
+
 static bool
 comes_before (const struct candidate *a, const struct candidate *b)
 {
   if (a->distance_ms != b->distance_ms)
     return a->distance_ms < b->distance_ms;
-  return a->rank > b->rank;
+  return a->score < b->score;
 }
 
 /* Keeps the CANDIDATES_MAX best, in order.  */
@@ -119,8 +141,7 @@
       struct candidate candidate
           = { &m->beat,
               lookup_distance_ms (snapshot, request->region, m->beat.region),
-              XXH3_64bits_withSeed (m->beat.name.data, m->beat.name.size,
-                                    seed) };
+              score_of (&m->beat, seed) };
       insert (list, &count, candidate);
     }
   spread_zones (list, count);
--- a/src/call/worker.c
+++ b/src/call/worker.c
@@ -272,6 +272,8 @@
   }
   steer_want_links (context->steer, now);
   share_tick (steer_share (context->steer), now);
+  context->slot_freed |= context->connections_short;
+  context->connections_short = false;
   confirm_membership (worker, now);
   for (struct call *call = context->calls; call; call = call->next)
     {
@@ -526,6 +528,7 @@
                                    .seed = context->id_base };
   context->steer = steer_create (pool, &steer_desc);
   context->queue = queue_create (pool);
+  context->connections = connections_create (pool);
   context->snapshot = snapshot_create (0);
   context->roster = roster_create (NULL, 0);
   steer_apply (context->steer, context->snapshot, timer_clock ());
--- a/src/steer/divide.c
+++ b/src/steer/divide.c
@@ -428,6 +428,28 @@
   steer_update_ramp (state, now);
 }
 
+int64_t
+steer_idle_connections (const struct steer *steer,
+                        const struct upstream *upstream)
+{
+  const struct upstream_state *state
+      = steer_find (steer->upstreams, upstream->head.name);
+  const struct group *group = upstream->group;
+  int64_t members = 1;
+  int64_t least = INT64_MAX;
+  for (size_t i = 0; i < steer->seats.count; i++)
+    if ((int64_t)steer->seats.items[i].count > members)
+      members = (int64_t)steer->seats.items[i].count;
+  int64_t spare = group->connections - group->slots - members;
+  for (size_t i = 0; state && i < state->region->seats.count; i++)
+    {
+      int64_t owners = (int64_t)state->region->seats.items[i].count;
+      int64_t part = owners > 0 && spare > 0 ? spare / owners : 0;
+      least = part < least ? part : least;
+    }
+  return least == INT64_MAX ? 0 : least;
+}
+
 bool
 steer_is_available (const struct upstream_state *state, apr_time_t now)
 {
--- a/src/steer/steer.h
+++ b/src/steer/steer.h
@@ -156,6 +156,11 @@
    for slow.  */
 void steer_overdue (struct steer *steer, struct steer_ticket *ticket,
                     apr_time_t elapsed_us, apr_time_t now);
+/* Returns how many idle connections to UPSTREAM this entry may keep.  What its
+   limit leaves beyond its slots, and one of every member for health checks, is
+   divided among the entries that divide its slots; others keep none.  */
+int64_t steer_idle_connections (const struct steer *steer,
+                                const struct upstream *upstream);
 /* Returns the time there and back between this entry and the call's region. */
 apr_time_t steer_distance (const struct steer_ticket *ticket);
 /* Returns how long to wait for the answer to the call of TICKET before a
--- /dev/null
+++ b/tests/session/connections.sh
@@ -0,0 +1,19 @@
+# Connections to an upstream stay within its limit, whoever keeps some.
+. tests/session/deployment.sh
+LIMIT=14
+start_platform
+sed "s/\"connections\": 400/\"connections\": $LIMIT/" tests/session/resources.json >"$WORK/resources.json"
+start upstreams "$BUILD/standin" upstreams -f "$WORK/resources.json" --report $REPORT --service-ms 10 --lag-ms 500
+wait_for 5 curl -sf "http://$REPORT/"
+start_entries
+client apply -f "$WORK/resources.json" >/dev/null
+wait_for 5 in_force
+for entry in 1 2 3 1 2 3; do
+  wait_for 5 curl -sf -o /dev/null -H 'Host: shop.example' http://127.23.0.$entry:7600/
+  "$BUILD/standin" load --url http://127.23.0.$entry:7600/orders/1 --host shop.example --connections 30 --seconds 1 \
+    >"$WORK/load"
+  grep -q ' failed=0$' "$WORK/load" && echo "30 callers at e$entry, none failed"
+done
+curl -s "http://$REPORT/" | grep -o '"most_connections":[0-9]*' | while IFS=: read -r _ most; do
+  [ "$most" -le $LIMIT ] && echo "within the limit" || echo "$most connections, limit $LIMIT"
+done
