--- a/Makefile
+++ b/Makefile
@@ -63,7 +63,11 @@
 	@EXTRA_PACKAGES="clang-format clang-tidy" sh scripts/setup.sh
 	@sh scripts/lint.sh
 
-bench: bench-path bench-steer
+bench: bench-path bench-steer bench-fleet
+
+bench-fleet: setup
+	@$(MAKE) -s -j$$(nproc) $(BINARY) $(STANDIN)
+	@BUILD=$(BUILD) bash bench/fleet.sh $(or $(DEPLOYMENT),pryce)
 
 bench-slopes: setup
 	@$(MAKE) -s -j$$(nproc) $(BINARY) $(STANDIN)
@@ -111,6 +115,7 @@
 	@echo "make check-sanitized  the same under ASan and UBSan"
 	@echo "make lint        clang-format and clang-tidy"
 	@echo "make bench       measure; 'figure' lines"
+	@echo "make bench-fleet  steering with real processes (DEPLOYMENT=)"
 	@echo "make bench-slopes  control cost at 11, 50 and 100 entries"
 	@echo "make fuzz        fuzz the decoders (FUZZ_SECONDS=N each)"
 	@echo "make install     DESTDIR= PREFIX=/usr/local"
@@ -129,5 +134,5 @@
          $(UNIT_OBJECTS:.o=.d) $(BENCH_STEER_OBJECTS:.o=.d)
 
 .PHONY: all setup check check-sanitized demo lint bench bench-path bench-steer \
-        bench-slopes fuzz \
+        bench-slopes bench-fleet fuzz \
         install help clean
--- a/bench/steer/main.c
+++ b/bench/steer/main.c
@@ -170,6 +170,32 @@
   must_be_zero ("skew_calls_over_slots", own.over_slots);
 }
 
+/* The busy entries change every 3 s; then also with the store down.  */
+static void
+bench_moving_demand (struct testbed_plan plan)
+{
+  char text[80];
+  double used[2];
+  struct testbed_result own;
+  struct testbed_result store;
+  plan.moving_demand = true;
+  plan.policy = POLICY_STORE;
+  store = testbed_run (&plan);
+  used[0] = store.cap_use;
+  plan.store_down_us = plan.length_us;
+  used[1] = testbed_run (&plan).cap_use;
+  plan.policy = POLICY_OWN;
+  own = testbed_run (&plan);
+  snprintf (text, sizeof text, "store:%.0f%%,store-down:%.0f%%", 100 * used[0],
+            100 * used[1]);
+  figure ("call_cap_use_moving", 100 * own.cap_use, "percent", text, 90, true);
+  must_be_zero ("call_cap_overrun_moving", own.over_cap);
+  printf ("# the allocator wrote %.0f times a second, from %d entries\n",
+          (double)store.store_writes * 1e6
+              / (double)(plan.warm_up_us + plan.length_us),
+          TESTBED_ENTRIES);
+}
+
 static void
 bench_cap (void)
 {
@@ -182,9 +208,14 @@
   struct testbed_result own = testbed_run (&plan);
   plan.policy = POLICY_STATIC;
   struct testbed_result fixed = testbed_run (&plan);
-  snprintf (text, sizeof text, "static:%.0f%%", 100 * fixed.cap_use);
+  plan.policy = POLICY_STORE;
+  struct testbed_result store = testbed_run (&plan);
+  snprintf (text, sizeof text, "static:%.0f%%,store:%.0f%%",
+            100 * fixed.cap_use, 100 * store.cap_use);
   figure ("call_cap_use_3_of_11", 100 * own.cap_use, "percent", text, 90,
           true);
+  must_be_zero ("call_cap_overrun_store_allocator", store.over_cap);
+  bench_moving_demand (plan);
   must_be_zero ("call_cap_overrun", own.over_cap);
   plan.policy = POLICY_OWN;
   plan.disturbed = true;
--- a/bench/steer/testbed.c
+++ b/bench/steer/testbed.c
@@ -120,6 +120,9 @@
   struct timer report_timer;
   struct timer disturb_timer;
   struct timer shift_timer;
+  struct timer store_timer;
+  int64_t store_parts[TESTBED_ENTRIES]; /* granted by the store */
+  bool store_grows;                     /* the phase that comes next */
   uint32_t *latencies;
   size_t latency_count;
 };
@@ -136,6 +139,8 @@
 #define REPORT_LAG_US TIMER_SEC (5)
 #define LOOKUP_LIFETIME_US TIMER_SEC (2)
 #define DEADLINE_US TIMER_SEC (30)
+#define STORE_PERIOD_US TIMER_MS (500)
+#define MOVE_US TIMER_SEC (3)
 
 static const char *const regions[] = { "gwent", "dyfed", "gwynedd" };
 
@@ -205,8 +210,10 @@
   struct entry *from = part;
   struct testbed *f = from->bed;
   f->result.share_messages++;
-  if (f->plan.policy != POLICY_OWN
-      || (f->plan.disturbed && uniform (f) < 0.05))
+  bool lends = f->plan.policy == POLICY_OWN
+               || (f->plan.policy == POLICY_STORE && message->count > 0
+                   && message->items[0].kind == SHARE_SLOTS);
+  if (!lends || (f->plan.disturbed && uniform (f) < 0.05))
     return;
   for (int i = 0; i < TESTBED_ENTRIES; i++)
     if (str_equal (str_from (f->entries[i].name), to))
@@ -317,11 +324,17 @@
 
 /* Entries.  */
 
+static bool
+is_own (const struct testbed *f)
+{
+  return f->plan.policy == POLICY_OWN || f->plan.policy == POLICY_STATIC
+         || f->plan.policy == POLICY_STORE;
+}
+
 static void
 check_limits (struct testbed *f, struct upstream_model *u)
 {
-  bool own = f->plan.policy == POLICY_OWN || f->plan.policy == POLICY_STATIC;
-  if (!own)
+  if (!is_own (f))
     return;
   f->result.over_slots += u->open > SLOTS;
   if (f->plan.call_cap > 0)
@@ -408,12 +421,6 @@
     }
 }
 
-static bool
-is_own (const struct testbed *f)
-{
-  return f->plan.policy == POLICY_OWN || f->plan.policy == POLICY_STATIC;
-}
-
 static void
 end_call (struct call *call)
 {
@@ -671,6 +678,9 @@
   if (e->dead || e->paused || now > f->end)
     return;
   struct call *call = calloc (1, sizeof *call);
+  if (plan->moving_demand)
+    e = &f->entries[((size_t)(now / MOVE_US) * (size_t)busy + (size_t)e->index)
+                    % TESTBED_ENTRIES];
   if (plan->shift)
     e = caller_follows (f, e);
   call->entry = e;
@@ -703,6 +713,54 @@
   timer_start (f->timers, &e->tick, now + TIMER_MS (5), on_tick, e);
 }
 
+/* The allocator in the store.  */
+
+static struct share_pool *
+cap_pool (struct entry *e)
+{
+  struct share_cap cap = { .kind = SHARE_SERVICE, .name = STR ("orderdesk") };
+  return share_pool_get (steer_share (e->steer), &cap);
+}
+
+static void
+on_allocate (void *part, apr_time_t now)
+{
+  struct testbed *f = part;
+  int64_t demand[TESTBED_ENTRIES];
+  int64_t sum = 0;
+  timer_start (f->timers, &f->store_timer, now + STORE_PERIOD_US, on_allocate,
+               f);
+  if (now >= f->plan.warm_up_us
+      && now < f->plan.warm_up_us + f->plan.store_down_us)
+    return;
+  for (int i = 0; i < TESTBED_ENTRIES; i++)
+    {
+      struct entry *e = &f->entries[i];
+      demand[i] = 1 + share_pool_used (cap_pool (e))
+                  + (int64_t)queue_length (e->queue);
+      sum += demand[i];
+      f->result.store_writes++;
+    }
+  for (int i = 0; i < TESTBED_ENTRIES; i++)
+    {
+      int64_t *held = &f->store_parts[i];
+      int64_t part_now = f->plan.call_cap * demand[i] / sum;
+      if (f->store_grows ? part_now > *held : part_now < *held)
+        *held = part_now;
+    }
+  /* What others have not given up yet cannot be granted.  */
+  int64_t granted = 0;
+  for (int i = 0; i < TESTBED_ENTRIES; i++)
+    {
+      int64_t left = f->plan.call_cap - granted;
+      if (f->store_parts[i] > left)
+        f->store_parts[i] = left;
+      granted += f->store_parts[i];
+      share_pool_set_base (cap_pool (&f->entries[i]), f->store_parts[i]);
+    }
+  f->store_grows = !f->store_grows;
+}
+
 /* What happens to the world.  */
 
 static void
@@ -961,6 +1019,12 @@
   if (plan->slowed)
     on_slow (f, 0);
   on_report (f, 0);
+  if (plan->policy == POLICY_STORE)
+    {
+      for (int i = 0; i < TESTBED_ENTRIES; i++)
+        f->store_parts[i] = plan->call_cap / TESTBED_ENTRIES;
+      on_allocate (f, 0);
+    }
   if (plan->disturbed)
     timer_start (f->timers, &f->disturb_timer, TIMER_MS (500), on_disturb, f);
   if (plan->shift)
--- a/tests/standin/upstreams.c
+++ b/tests/standin/upstreams.c
@@ -11,7 +11,8 @@
    link's latency if the entry is in another region.  The answer names the
    caller's token, the body's size and its hash.
 
-   On the report's address: GET / tells what was seen; PUT /?upstream=NAME&
+   On the report's address: GET / tells what was seen, GET /running the calls
+   in progress of each region; PUT /?upstream=NAME&
    leaving=1 or &slow=FACTOR changes one upstream.  */
 #include "tests/standin/standin.h"
 
@@ -530,12 +531,14 @@
            size_t *size, void **context)
 {
   (void)part;
-  (void)url;
   (void)method;
   (void)version;
   (void)data;
   (void)size;
   (void)context;
+  if (strcmp (url, "/running") == 0)
+    return httpd_answer_json (
+        connection, 200, most_list (KIND_REGION, fleet.running_of_region));
   struct str name = httpd_argument (connection, "upstream");
   struct str leaving = httpd_argument (connection, "leaving");
   struct str slow = httpd_argument (connection, "slow");
