--- a/src/client/reports.c
+++ b/src/client/reports.c
@@ -44,6 +44,7 @@
               json_member_text (d, "target"), json_member_text (d, "reason"));
     }
   print_names ("behind", json_member (answer, "behind"));
+  print_names ("unconfirmed", json_member (answer, "unconfirmed"));
   print_names ("saturated", json_member (answer, "saturated"));
   print_names ("leaving", json_member (answer, "leaving"));
   print_names ("ejected", json_member (answer, "ejected"));
--- a/src/operator/status.c
+++ b/src/operator/status.c
@@ -13,6 +13,8 @@
   json_add_text (entry, "state",
                  member->alive ? entry_state_name (beat->state) : "silent");
   json_add_number (entry, "version", beat->versions[DOCUMENT_CONFIG]);
+  json_add_number (entry, "membership", beat->versions[DOCUMENT_MEMBERSHIP]);
+  json_add_number (entry, "confirmed", beat->confirmed);
   json_add_number (entry, "in_flight", beat->in_flight);
   json_add_number (entry, "queued", beat->queued);
   json_add_text (entry, "callers", beat->callers.data);
@@ -20,6 +22,30 @@
   return entry;
 }
 
+/* Returns the names of the entries that have not confirmed the newest
+   membership that is known; the others' shares cannot grow before.  */
+static json_object *
+unconfirmed_in (const struct roster *roster)
+{
+  json_object *names = json_object_new_array ();
+  int64_t newest = 0;
+  for (size_t i = 0; i < roster->count; i++)
+    {
+      const struct beat *beat = &roster->members[i].beat;
+      if (beat->versions[DOCUMENT_MEMBERSHIP] > newest)
+        newest = beat->versions[DOCUMENT_MEMBERSHIP];
+    }
+  for (size_t i = 0; i < roster->count; i++)
+    {
+      const struct beat *beat = &roster->members[i].beat;
+      if (beat->confirmed < newest && !roster->members[i].is_self
+          && beat->state != ENTRY_STOPPED)
+        json_object_array_add (names,
+                               json_object_new_string (beat->name.data));
+    }
+  return names;
+}
+
 /* Adds the names of VIEW's items whose FLAG is set to the list NAME.  */
 static void
 add_flagged (json_object *answer, const char *name, json_object *view,
@@ -77,6 +103,7 @@
   json_add_number (answer, "version", document->version);
   json_object_object_add (answer, "entries", entries);
   json_object_object_add (answer, "behind", behind);
+  json_object_object_add (answer, "unconfirmed", unconfirmed_in (roster));
   add_flagged (answer, "saturated", json_member (view, "services"),
                "saturated");
   add_flagged (answer, "leaving", json_member (view, "upstreams"), "leaving");
