--- a/tests/unit/share_test.c
+++ b/tests/unit/share_test.c
@@ -95,16 +95,24 @@
   return total;
 }
 
-/* Entry 0 wants more: it gets it from the others, and gives it back.  */
+/* Opens entries that own 10 each; entry 0 uses all of it and borrows WANTED
+   more.  */
 static void
-test_loan (void)
+open_with_loan (int64_t wanted)
 {
   open_entries (10);
   share_pool_use (pools[0], 10);
-  share_want (entries[0], SHARE_SERVICE, STR ("s"), 8);
+  share_want (entries[0], SHARE_SERVICE, STR ("s"), wanted);
   share_tick (entries[0], now);
   deliver (false);
   deliver (false);
+}
+
+/* Entry 0 wants more: it gets it from the others, and gives it back.  */
+static void
+test_loan (void)
+{
+  open_with_loan (8);
   int64_t limit = share_pool_limit (pools[0], now);
   CU_ASSERT (limit > 10);
   CU_ASSERT_EQUAL (total_limit (), 30);
@@ -154,12 +162,7 @@
 static void
 test_no_second_hand (void)
 {
-  open_entries (10);
-  share_pool_use (pools[0], 10);
-  share_want (entries[0], SHARE_SERVICE, STR ("s"), 8);
-  share_tick (entries[0], now);
-  deliver (false);
-  deliver (false);
+  open_with_loan (8);
   share_pool_release (pools[0], 10);
   struct share_message ask = { .type = SHARE_BORROW,
                                .id = 99,
@@ -180,12 +183,7 @@
 static void
 test_extension (void)
 {
-  open_entries (10);
-  share_pool_use (pools[0], 10);
-  share_want (entries[0], SHARE_SERVICE, STR ("s"), 4);
-  share_tick (entries[0], now);
-  deliver (false);
-  deliver (false);
+  open_with_loan (4);
   int64_t limit = share_pool_limit (pools[0], now);
   share_pool_use (pools[0], limit - 10);
   now += TIMER_MS (60);
