--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
            $(shell pkg-config --cflags $(PACKAGES)) -MMD -MP
 LIBS     = $(shell pkg-config --libs $(PACKAGES)) -llog4c -lpthread -lm
 
-SOURCES  = $(sort $(wildcard src/*/*.c))
+SOURCES  = $(sort $(wildcard src/*/*.c) $(wildcard platform/*.c))
 OBJECTS  = $(SOURCES:%.c=$(BUILD)/%.o)
 MAIN     = $(BUILD)/src/main.o
 BINARY   = $(BUILD)/citroncleat
@@ -133,7 +133,7 @@
 	$(CC) $(CFLAGS) $^ -o $@ $(LIBS)
 
 clean:
-	rm -rf build build-sanitized build-fuzz
+	rm -rf build build-sanitized build-fuzz target
 
 -include $(OBJECTS:.o=.d) $(MAIN:.o=.d) $(STANDIN_OBJECTS:.o=.d) \
          $(UNIT_OBJECTS:.o=.d) $(BENCH_STEER_OBJECTS:.o=.d)
--- /dev/null
+++ b/src/balance/balance.c
@@ -0,0 +1,184 @@
+#include "balance/balance.h"
+
+#include <math.h>
+
+/* types */
+
+struct candidate
+{
+  struct fleet_upstream *upstream;
+  uint64_t rank;
+};
+
+/* constants */
+
+/* A silent upstream is avoided after this many usual answers.  */
+static const double SILENT_FACTOR = 3.0;
+static const double SILENT_LEAST_US = 300000.0;
+/* An answer that fails costs the caller about this many usual answers.  */
+static const double FAILURE_COST = 3.0;
+/* Spreads requests for unknown objects over equally fast upstreams.  */
+static const double BUSY_COST = 0.15;
+static const double WORK_WEIGHT = 0.05; /* of the newest answer */
+
+/* private functions */
+
+/* Mixes two hashes (the finalizer of splitmix64).  */
+static uint64_t
+mix (uint64_t a, uint64_t b)
+{
+  uint64_t x = a ^ (b * 0x9e3779b97f4a7c15ULL);
+  x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
+  x = (x ^ (x >> 27)) * 0x94d049bb133111ebULL;
+  return x ^ (x >> 31);
+}
+
+static bool
+is_excluded (const struct balance_request *request,
+             const struct fleet_upstream *upstream)
+{
+  for (size_t i = 0; i < request->excluded_count; i++)
+    if (request->excluded[i] == upstream->hash)
+      return true;
+  return false;
+}
+
+static bool
+is_in_reach (const struct balance_request *request,
+             const struct fleet_upstream *upstream)
+{
+  return (request->region.size == 0
+          || str_equal (upstream->region, request->region))
+         && fleet_may_take (request->fleet, upstream);
+}
+
+/* Finds the two upstreams of the object, those of the highest ranks.  */
+static void
+find_homes (const struct balance_request *request,
+            struct candidate homes[2], size_t *usable)
+{
+  homes[0] = homes[1] = (struct candidate){ 0 };
+  *usable = 0;
+  for (size_t i = 0; i < request->service->count; i++)
+    {
+      struct fleet_upstream *upstream = request->service->upstreams[i];
+      if (!is_in_reach (request, upstream))
+        continue;
+      struct candidate c = { upstream, mix (upstream->hash, request->object) };
+      ++*usable;
+      if (!homes[0].upstream || c.rank > homes[0].rank)
+        {
+          homes[1] = homes[0];
+          homes[0] = c;
+        }
+      else if (!homes[1].upstream || c.rank > homes[1].rank)
+        homes[1] = c;
+    }
+}
+
+static bool
+has_room (const struct balance_request *request,
+          const struct fleet_upstream *upstream)
+{
+  const struct load *load = &upstream->load;
+  double silent = request->work->unknown * SILENT_FACTOR;
+  if (silent < SILENT_LEAST_US)
+    silent = SILENT_LEAST_US;
+  if (load->avoid_until > request->now || load->own >= request->most_own
+      || load_is_silent (load, (apr_time_t)silent + request->distance,
+                         request->now))
+    return false;
+  if (upstream->cold_until > request->now
+      && !load_has_cold (load, request->cold_rate, 1.0, request->now))
+    return false;
+  return load_busy (load, request->now) + 1.0 + request->reserve
+         <= (double)load->slots + 0.5;
+}
+
+static double
+usual_work (const struct balance_request *request,
+            const struct fleet_upstream *upstream,
+            const struct candidate homes[2])
+{
+  const struct balance_work *work = request->work;
+  if (upstream == homes[0].upstream)
+    return work->known;
+  if (upstream == homes[1].upstream)
+    return (work->known + work->unknown) / 2;
+  return work->unknown;
+}
+
+/* Returns the time that counts against UPSTREAM: the expected time to an
+   answer, and what a likely failure and a fuller machine add.  */
+static double
+cost_of (const struct balance_request *request,
+         const struct fleet_upstream *upstream, double work)
+{
+  const struct load *load = &upstream->load;
+  double expected = work * load_factor (load, request->now);
+  double failing = load_failing (load, request->now);
+  double full = load->slots > 0
+                    ? load_busy (load, request->now) / (double)load->slots
+                    : 1.0;
+  return expected + request->work->unknown * FAILURE_COST * failing
+         + request->work->unknown * BUSY_COST * full;
+}
+
+/* public functions */
+
+struct balance_choice
+balance_choose (const struct balance_request *request)
+{
+  struct candidate homes[2];
+  struct balance_choice best = { 0 };
+  double least = INFINITY;
+  find_homes (request, homes, &best.usable);
+  for (size_t i = 0; i < request->service->count; i++)
+    {
+      struct fleet_upstream *upstream = request->service->upstreams[i];
+      if (!is_in_reach (request, upstream)
+          || is_excluded (request, upstream) || !has_room (request, upstream))
+        continue;
+      double work = usual_work (request, upstream, homes);
+      double cost = cost_of (request, upstream, work);
+      if (cost >= least)
+        continue;
+      least = cost;
+      best.upstream = upstream;
+      best.work = (apr_time_t)work;
+      best.expected
+          = (apr_time_t)(work * load_factor (&upstream->load, request->now))
+            + request->distance;
+      best.known = upstream == homes[0].upstream;
+    }
+  return best;
+}
+
+void
+balance_learn (struct balance_work *work, bool known, double elapsed)
+{
+  double *learnt = known ? &work->known : &work->unknown;
+  *learnt += WORK_WEIGHT * (elapsed - *learnt);
+  if (work->known > work->unknown)
+    work->known = work->unknown;
+}
+
+struct balance_room
+balance_room (const struct fleet *fleet, const struct fleet_service *service,
+              struct str region, apr_time_t now)
+{
+  struct balance_room room = { 0 };
+  for (size_t i = 0; service && i < service->count; i++)
+    {
+      const struct fleet_upstream *upstream = service->upstreams[i];
+      if (!str_equal (upstream->region, region)
+          || !fleet_may_take (fleet, upstream))
+        continue;
+      room.slots += (double)upstream->load.slots;
+      double busy = load_busy (&upstream->load, now);
+      room.busy += busy < (double)upstream->load.slots
+                       ? busy
+                       : (double)upstream->load.slots;
+    }
+  return room;
+}
--- /dev/null
+++ b/src/balance/balance.h
@@ -0,0 +1,70 @@
+/* Choice of an upstream for one request.
+
+   Answers the load "more requests than slots, and upstreams that are faster
+   for objects they know": every object has a first and a second upstream in
+   its region by rendezvous hash, so that it is known there, and a request
+   goes where it is expected to be answered soonest among those with a free
+   slot.  Pure: time is an argument, nothing is read or sent.
+
+     struct balance_choice choice = balance_choose (&request);
+     if (choice.upstream) load_begin (&choice.upstream->load, now);
+
+   Units: microseconds.  Threads: one thread.  */
+#ifndef BALANCE_BALANCE_H
+#define BALANCE_BALANCE_H
+
+#include "fleet/fleet.h"
+
+enum
+{
+  BALANCE_EXCLUDED_MAX = 4
+};
+
+/* How long work of one route takes, learnt from answers.  */
+struct balance_work
+{
+  double known;   /* at an upstream that knows the object */
+  double unknown; /* elsewhere */
+};
+
+struct balance_request
+{
+  const struct fleet *fleet;
+  const struct fleet_service *service;
+  struct str region; /* only upstreams there; empty: anywhere */
+  uint64_t object;   /* hash of the object, or a random number */
+  const struct balance_work *work;
+  apr_time_t distance; /* there and back to REGION */
+  double reserve;      /* slots of each upstream left to more urgent ones */
+  double cold_rate;    /* requests a second that this entry may send to a
+                          cold upstream */
+  int64_t most_own;    /* requests of this entry at one upstream */
+  apr_time_t now;
+  uint64_t excluded[BALANCE_EXCLUDED_MAX]; /* hashes of upstreams */
+  size_t excluded_count;
+};
+
+struct balance_choice
+{
+  struct fleet_upstream *upstream; /* NULL: none has a free slot */
+  apr_time_t expected;             /* until the answer */
+  apr_time_t work;                 /* of it, at an upstream as usual */
+  bool known;    /* it is the object's first upstream */
+  size_t usable; /* upstreams that may take requests at all */
+};
+
+/* How full the upstreams of a region are.  */
+struct balance_room
+{
+  double slots;
+  double busy;
+};
+
+struct balance_choice balance_choose (const struct balance_request *request);
+/* Takes the time that an answer took at an upstream as usual.  */
+void balance_learn (struct balance_work *work, bool known, double elapsed);
+struct balance_room balance_room (const struct fleet *fleet,
+                                  const struct fleet_service *service,
+                                  struct str region, apr_time_t now);
+
+#endif
--- /dev/null
+++ b/src/balance/spread.c
@@ -0,0 +1,147 @@
+#include "balance/spread.h"
+
+#include <string.h>
+
+/* constants */
+
+/* Requests leave the region once it is this full, and come back below it:
+   the way to another region costs more than a slot is worth before that.  */
+static const double FULL_OWN = 0.75;
+/* Two regions this close in fullness are not moved between.  */
+static const double FULL_MARGIN = 0.08;
+/* Keeps a little traffic to each region, whose answers tell its load.  */
+static const double LEAST_PART = 0.02;
+
+/* private functions */
+
+static double
+fullness (const struct balance_room *room)
+{
+  return room->slots > 0 ? room->busy / room->slots : 2.0;
+}
+
+/* Divides as if every region had the same demand: each keeps what its slots
+   bear, the rest goes where slots are left over.  */
+static void
+divide_by_slots (struct spread *spread, const struct balance_room *rooms)
+{
+  double total = 0.0;
+  double spare = 0.0;
+  for (size_t i = 0; i < spread->count; i++)
+    total += rooms[i].slots;
+  double fair = total / (double)spread->count;
+  memset (spread->parts, 0, sizeof spread->parts);
+  if (total <= 0)
+    {
+      spread->parts[spread->own] = 1.0;
+      return;
+    }
+  double own = rooms[spread->own].slots / fair;
+  spread->parts[spread->own] = own < 1.0 ? own : 1.0;
+  for (size_t i = 0; i < spread->count; i++)
+    if (i != spread->own && rooms[i].slots > fair)
+      spare += rooms[i].slots - fair;
+  for (size_t i = 0; i < spread->count && own < 1.0; i++)
+    if (i != spread->own && rooms[i].slots > fair && spare > 0)
+      spread->parts[i] = (1.0 - own) * (rooms[i].slots - fair) / spare;
+}
+
+static size_t
+least_full (const struct spread *spread, const struct balance_room *rooms)
+{
+  size_t best = SPREAD_REGIONS_MAX;
+  for (size_t i = 0; i < spread->count; i++)
+    if (i != spread->own && rooms[i].slots > 0
+        && (best == SPREAD_REGIONS_MAX
+            || fullness (&rooms[i]) < fullness (&rooms[best])))
+      best = i;
+  return best;
+}
+
+static size_t
+fullest_used (const struct spread *spread, const struct balance_room *rooms)
+{
+  size_t best = SPREAD_REGIONS_MAX;
+  for (size_t i = 0; i < spread->count; i++)
+    if (i != spread->own && spread->parts[i] > LEAST_PART
+        && (best == SPREAD_REGIONS_MAX
+            || fullness (&rooms[i]) > fullness (&rooms[best])))
+      best = i;
+  return best;
+}
+
+static void
+move (struct spread *spread, size_t from, size_t to, double part)
+{
+  if (part > spread->parts[from])
+    part = spread->parts[from];
+  spread->parts[from] -= part;
+  spread->parts[to] += part;
+}
+
+/* public functions */
+
+void
+spread_init (struct spread *spread, size_t count, size_t own, double pace)
+{
+  memset (spread, 0, sizeof *spread);
+  spread->count = count < SPREAD_REGIONS_MAX ? count : SPREAD_REGIONS_MAX;
+  spread->own = own;
+  spread->pace = pace;
+}
+
+void
+spread_update (struct spread *spread, const struct balance_room *rooms,
+               apr_time_t now)
+{
+  if (spread->updated_at == 0)
+    {
+      divide_by_slots (spread, rooms);
+      spread->updated_at = now;
+      return;
+    }
+  double step = spread->pace * (double)(now - spread->updated_at)
+                / APR_USEC_PER_SEC;
+  spread->updated_at = now;
+  double own = fullness (&rooms[spread->own]);
+  size_t out = least_full (spread, rooms);
+  size_t back = fullest_used (spread, rooms);
+  if (out < spread->count && own > FULL_OWN
+      && own > fullness (&rooms[out]) + FULL_MARGIN)
+    move (spread, spread->own, out, step);
+  else if (back < spread->count
+           && (own < FULL_OWN - FULL_MARGIN
+               || fullness (&rooms[back]) > own + FULL_MARGIN))
+    move (spread, back, spread->own, step);
+}
+
+size_t
+spread_pick (const struct spread *spread, uint64_t object, const bool *allowed)
+{
+  double total = 0.0;
+  size_t last = SPREAD_REGIONS_MAX;
+  for (size_t i = 0; i < spread->count; i++)
+    if (allowed[i])
+      {
+        total += spread->parts[i];
+        if (last == SPREAD_REGIONS_MAX || i == spread->own)
+          last = i;
+      }
+  /* The own region comes first, so that its objects stay when parts move.  */
+  double point = (double)(object >> 11) / (double)(1ULL << 53) * total;
+  if (allowed[spread->own])
+    {
+      if (point < spread->parts[spread->own] || total <= 0)
+        return spread->own;
+      point -= spread->parts[spread->own];
+    }
+  for (size_t i = 0; i < spread->count; i++)
+    {
+      if (!allowed[i] || i == spread->own)
+        continue;
+      if (point < spread->parts[i])
+        return i;
+      point -= spread->parts[i];
+    }
+  return last;
+}
--- a/src/base/field.c
+++ b/src/base/field.c
@@ -126,6 +126,24 @@
     *(struct str *)place->out = str_dup (place->pool, text);
 }
 
+static void
+read_real (struct place *place, json_object *value)
+{
+  const struct field *field = place->field;
+  double number = json_object_get_double (value);
+  enum json_type type = json_object_get_type (value);
+  if ((type != json_type_double && type != json_type_int)
+      || !(number >= (double)field->least && number <= (double)field->most))
+    {
+      faults_add (place->faults, place->path,
+                  found_text (place->faults, value),
+                  "a number from %lld to %lld", (long long)field->least,
+                  (long long)field->most);
+      return;
+    }
+  *(double *)place->out = number;
+}
+
 static void
 read_int (struct place *place, json_object *value)
 {
@@ -210,6 +228,9 @@
     case FIELD_INT:
       *(int64_t *)place->out = field->default_number;
       break;
+    case FIELD_REAL:
+      *(double *)place->out = (double)field->default_number;
+      break;
     case FIELD_BOOL:
       *(bool *)place->out = field->default_number != 0;
       break;
@@ -284,6 +305,9 @@
     case FIELD_INT:
       read_int (place, value);
       break;
+    case FIELD_REAL:
+      read_real (place, value);
+      break;
     case FIELD_BOOL:
       if (json_object_get_type (value) == json_type_boolean)
         *(bool *)place->out = json_object_get_boolean (value);
--- a/src/base/field.h
+++ b/src/base/field.h
@@ -31,6 +31,7 @@
   FIELD_ADDRESS,      /* struct str: IPV4:PORT or [IPV6]:PORT */
   FIELD_URL,          /* struct str: http:// and an address */
   FIELD_INT,          /* int64_t between `least' and `most' */
+  FIELD_REAL,         /* double between `least' and `most' */
   FIELD_BOOL,         /* bool */
   FIELD_CHOICE,       /* int: index into `choices' */
   FIELD_TEXT_LIST,    /* struct str_list */
@@ -53,8 +54,8 @@
   enum field_type type;
   size_t at; /* offset in the struct */
   bool required;
-  int64_t least;              /* for FIELD_INT */
-  int64_t most;               /* for FIELD_INT */
+  int64_t least;              /* for FIELD_INT and FIELD_REAL */
+  int64_t most;               /* for FIELD_INT and FIELD_REAL */
   int64_t default_number;     /* for FIELD_INT, FIELD_BOOL and FIELD_CHOICE */
   const char *default_text;   /* for the text types */
   const char *const *choices; /* ends with NULL */
--- a/src/base/httpd.c
+++ b/src/base/httpd.c
@@ -5,6 +5,7 @@
 #include <errno.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/epoll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -18,6 +19,8 @@
   int fd;
   bool in_request;
   bool has_served;
+  bool is_watched; /* its descriptor is among those of gone_fd */
+  void *request;   /* to be told when the other end closes */
   apr_time_t idle_since;
 };
 
@@ -26,6 +29,7 @@
   struct httpd_desc desc;
   struct MHD_Daemon *daemon;
   int epoll_fd;
+  int gone_fd; /* tells of ends that closed; -1: not needed */
   struct timer timer;
   struct timer sweep;
   struct link *links;
@@ -40,7 +44,8 @@
   DEFAULT_HEADER_TIMEOUT_S = 15,
   DEFAULT_IDLE_TIMEOUT_S = 60,
   SWEEP_MS = 1000,
-  LISTEN_BACKLOG = 1024
+  LISTEN_BACKLOG = 1024,
+  GONE_A_ROUND = 64
 };
 
 /* private functions */
@@ -102,6 +107,25 @@
   *socket_context = NULL;
 }
 
+/* Tells the requests whose callers have closed.  libmicrohttpd does not read
+   from suspended connections, so it cannot notice that itself.  */
+static void
+on_gone (void *part, int fd, int events)
+{
+  (void)events;
+  struct httpd *httpd = part;
+  struct epoll_event gone[GONE_A_ROUND];
+  int count = epoll_wait (fd, gone, GONE_A_ROUND, 0);
+  for (int i = 0; i < count; i++)
+    {
+      struct link *link = gone[i].data.ptr;
+      void *request = link->request;
+      link->request = NULL;
+      if (request)
+        httpd->desc.gone (request);
+    }
+}
+
 static struct link *
 link_of (struct MHD_Connection *connection)
 {
@@ -190,6 +214,9 @@
       = MHD_get_daemon_info (httpd->daemon, MHD_DAEMON_INFO_EPOLL_FD)
             ->epoll_fd;
   loop_watch (desc->loop, httpd->epoll_fd, LOOP_READ, on_ready, httpd);
+  httpd->gone_fd = desc->gone ? epoll_create1 (EPOLL_CLOEXEC) : -1;
+  if (httpd->gone_fd >= 0)
+    loop_watch (desc->loop, httpd->gone_fd, LOOP_READ, on_gone, httpd);
   on_sweep (httpd, timer_clock ());
   *result = httpd;
   return ERR_NONE;
@@ -210,6 +237,11 @@
     return;
   struct timer_service *timers = loop_timers (httpd->desc.loop);
   loop_unwatch (httpd->desc.loop, httpd->epoll_fd);
+  if (httpd->gone_fd >= 0)
+    {
+      loop_unwatch (httpd->desc.loop, httpd->gone_fd);
+      close (httpd->gone_fd);
+    }
   MHD_stop_daemon (httpd->daemon);
   timer_stop (timers, &httpd->timer);
   timer_stop (timers, &httpd->sweep);
@@ -253,6 +285,22 @@
                on_due, httpd);
 }
 
+void
+httpd_watch_gone (struct httpd *httpd, struct MHD_Connection *connection,
+                  void *request)
+{
+  struct link *link = link_of (connection);
+  if (!link)
+    return;
+  link->request = request;
+  if (!request || link->is_watched || httpd->gone_fd < 0)
+    return;
+  struct epoll_event event
+      = { .events = EPOLLRDHUP | EPOLLET, .data.ptr = link };
+  link->is_watched
+      = epoll_ctl (httpd->gone_fd, EPOLL_CTL_ADD, link->fd, &event) == 0;
+}
+
 bool
 httpd_is_first_request (struct MHD_Connection *connection)
 {
--- a/src/base/httpd.h
+++ b/src/base/httpd.h
@@ -28,6 +28,9 @@
   void *(*begin) (void *part, const char *target,
                   struct MHD_Connection *connection);
   MHD_RequestCompletedCallback completed; /* may be NULL */
+  /* Called when the caller of a request watched by httpd_watch_gone has
+     closed its connection; may be NULL.  */
+  void (*gone) (void *request);
   void *part;                             /* passed to both */
   int64_t connections;                    /* default 1024 */
   int64_t header_bytes;                   /* default 32 KiB */
@@ -47,6 +50,10 @@
 /* Returns whether the other end has closed CONNECTION; for suspended
    connections, which nothing else watches.  */
 bool httpd_is_gone (struct MHD_Connection *connection);
+/* Calls the listener's `gone' with REQUEST once, if the other end of
+   CONNECTION closes it; NULL ends the watch.  */
+void httpd_watch_gone (struct httpd *httpd, struct MHD_Connection *connection,
+                       void *request);
 /* Returns whether CONNECTION has served no whole request before this one.  */
 bool httpd_is_first_request (struct MHD_Connection *connection);
 /* Returns the open connections.  */
--- a/src/base/log.c
+++ b/src/base/log.c
@@ -1,10 +1,13 @@
 #include "base/log.h"
 
+#include <fcntl.h>
 #include <json-c/json.h>
 #include <log4c.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <time.h>
+#include <unistd.h>
 
 /* types */
 
@@ -14,13 +17,17 @@
   enum log_level level;
   char entry[64];
   log4c_category_t *category;
+  char *buffer; /* NULL: lines go to standard error at once */
+  size_t buffered;
+  int64_t dropped; /* lines since the last that fitted */
 } state = { .level = LOG_INFO };
 
 /* constants */
 
 enum
 {
-  LINE_MAX_BYTES = 2048
+  LINE_MAX_BYTES = 2048,
+  BUFFER_BYTES = 256 * 1024 /* a second of lines at the rates in use */
 };
 
 static const struct
@@ -50,7 +57,18 @@
 append_stderr (log4c_appender_t *appender, const log4c_logging_event_t *event)
 {
   (void)appender;
-  return fprintf (stderr, "%s\n", event->evt_rendered_msg);
+  if (!state.buffer)
+    return fprintf (stderr, "%s\n", event->evt_rendered_msg);
+  size_t size = strlen (event->evt_rendered_msg);
+  if (state.buffered + size + 1 > BUFFER_BYTES)
+    {
+      state.dropped++;
+      return 0;
+    }
+  memcpy (state.buffer + state.buffered, event->evt_rendered_msg, size);
+  state.buffered += size;
+  state.buffer[state.buffered++] = '\n';
+  return (int)size;
 }
 
 static const log4c_appender_type_t stderr_appender
@@ -129,10 +147,45 @@
 void
 log_stop (void)
 {
+  log_flush ();
+  free (state.buffer);
+  state.buffer = NULL;
   state.category = NULL;
   log4c_fini ();
 }
 
+void
+log_buffer_stdout (void)
+{
+  int flags = fcntl (STDOUT_FILENO, F_GETFL);
+  if (flags >= 0)
+    fcntl (STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+  state.buffer = malloc (BUFFER_BYTES);
+}
+
+void
+log_flush (void)
+{
+  size_t done = 0;
+  while (done < state.buffered)
+    {
+      ssize_t n = write (STDOUT_FILENO, state.buffer + done,
+                         state.buffered - done);
+      if (n <= 0)
+        break;
+      done += (size_t)n;
+    }
+  if (done > 0)
+    memmove (state.buffer, state.buffer + done, state.buffered - done);
+  state.buffered -= done;
+  if (state.dropped > 0 && state.buffered == 0)
+    {
+      int64_t dropped = state.dropped;
+      state.dropped = 0;
+      LOG (LOG_WARN, "log-lines-dropped", LOG_INT ("count", dropped));
+    }
+}
+
 void
 log_write (enum log_level level, const char *event,
            const struct log_field *fields, size_t count)
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -7,8 +7,11 @@
      LOG (LOG_INFO, "config-adopted", LOG_INT ("version", 7),
           LOG_TEXT ("source", "peer"));
 
-   Lines go to standard error, one a line, as JSON or as text.
-   Threads: any.  */
+   Lines go to standard error, one a line, as JSON or as text.  After
+   log_buffer_stdout they go to standard output through a buffer of fixed size
+   that log_flush empties as far as that is possible at once; lines that do
+   not fit are counted and the count is logged, so that a reader that has
+   stopped never delays a process.  Threads: any; with the buffer, one.  */
 #ifndef BASE_LOG_H
 #define BASE_LOG_H
 
@@ -55,6 +58,9 @@
 void log_start (enum log_format format, enum log_level level,
                 const char *entry);
 void log_stop (void);
+/* Sends all further lines to standard output, without ever waiting for it.  */
+void log_buffer_stdout (void);
+void log_flush (void);
 void log_write (enum log_level level, const char *event,
                 const struct log_field *fields, size_t count);
 
--- a/src/call/attempt.c
+++ b/src/call/attempt.c
@@ -1,6 +1,8 @@
 #include "call/attempt.h"
 
 #include <apr_strings.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -87,6 +89,11 @@
     length = strtoll (text.data, NULL, 10);
   attempt->answer_size = length;
   attempt->has_head = true;
+  /* Whoever answers early may still read the rest of the body from this
+     connection, or take the next request for it.  */
+  if (attempt->desc.body_size != 0
+      && (!*attempt->desc.body_ended || body_unread (attempt->desc.body) > 0))
+    curl_easy_setopt (attempt->transfer.easy, CURLOPT_FORBID_REUSE, 1L);
   attempt->head_at = timer_clock ();
   attempt->desc.event (attempt->desc.part, attempt, ATTEMPT_HEAD);
   return true;
@@ -169,39 +176,19 @@
   attempt->header_list = curl_slist_append (attempt->header_list, line);
 }
 
-static bool
-is_replaced (struct str name)
-{
-  static const char *const names[]
-      = { "Request-Id", "Via", "Request-Timeout-Ms", "Citroncleat-Region",
-          NULL };
-  for (int i = 0; names[i]; i++)
-    if (str_equal_nocase (name, str_from (names[i])))
-      return true;
-  return false;
-}
-
 static void
 set_headers (struct attempt *attempt)
 {
   const struct attempt_desc *desc = &attempt->desc;
-  struct str via = headers_get (desc->headers, "Via");
   for (size_t i = 0; i < desc->headers->count; i++)
     {
       const struct header *h = &desc->headers->items[i];
       if (!headers_is_hop_by_hop (desc->headers, h->name)
-          && !is_replaced (h->name))
+          && !headers_has (desc->set, h->name))
         add_header (attempt, h->name, h->value);
     }
-  add_header (attempt, STR ("Request-Id"), desc->request_id);
-  add_header (attempt, STR ("Via"),
-              str_printf (desc->pool, "%.*s%s1.1 citroncleat", STR_ARGS (via),
-                          via.size ? ", " : ""));
-  add_header (
-      attempt, STR ("Request-Timeout-Ms"),
-      str_printf (desc->pool, "%lld",
-                  (long long)((desc->deadline - timer_clock ()) / 1000)));
-  add_header (attempt, STR ("Citroncleat-Region"), desc->region);
+  for (size_t i = 0; i < desc->set->count; i++)
+    add_header (attempt, desc->set->items[i].name, desc->set->items[i].value);
   /* These suppress fields that libcurl would add by itself.  */
   attempt->header_list
       = curl_slist_append (attempt->header_list, "Accept-Encoding:");
@@ -217,12 +204,17 @@
 }
 
 static int
-set_receive_buffer (void *unused, curl_socket_t fd, curlsocktype purpose)
+set_socket (void *owner, curl_socket_t fd, curlsocktype purpose)
 {
-  (void)unused;
   (void)purpose;
+  const struct attempt *attempt = owner;
   int size = LINK_RECEIVE_BYTES;
-  setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof size);
+  unsigned int limit_ms = (unsigned int)attempt->desc.unacknowledged_ms;
+  /* Bounds what the other side may send before it is read and paced.  */
+  if (attempt->desc.link_in)
+    setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof size);
+  if (limit_ms > 0)
+    setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit_ms, sizeof limit_ms);
   return CURL_SOCKOPT_OK;
 }
 
@@ -279,9 +271,10 @@
   curl_easy_setopt (easy, CURLOPT_PREREQDATA, attempt);
   curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS,
                     (long)desc->connect_timeout_ms);
-  /* Bounds what the other side may send before it is read and paced.  */
-  if (desc->link_in)
-    curl_easy_setopt (easy, CURLOPT_SOCKOPTFUNCTION, set_receive_buffer);
+  curl_easy_setopt (easy, CURLOPT_SOCKOPTFUNCTION, set_socket);
+  curl_easy_setopt (easy, CURLOPT_SOCKOPTDATA, attempt);
+  if (desc->idle_s > 0)
+    curl_easy_setopt (easy, CURLOPT_MAXAGE_CONN, (long)desc->idle_s);
   attempt->is_kept = connection_begin (
       desc->connections, desc->new_connection ? 0 : desc->idle_connections);
   connection_count_sockets (desc->connections, easy);
--- a/src/call/attempt.h
+++ b/src/call/attempt.h
@@ -45,12 +45,17 @@
   struct str method;
   struct str target;
   struct str request_id;
-  struct str region; /* of this entry */
-  const struct headers *headers;
+  const struct headers *headers; /* the caller's, of which the hop-by-hop
+                                    ones are not passed on */
+  const struct headers *set;     /* added; replace those of the same name */
   bool is_head;
   int64_t body_size; /* -1: unknown, 0: none */
   apr_time_t deadline;
   int64_t connect_timeout_ms;
+  int64_t unacknowledged_ms; /* a connection silent for so long while it has
+                                bytes to deliver is dead; 0: the system's */
+  int64_t idle_s;            /* a connection idle for longer is not used
+                                again; 0: libcurl's default */
   struct steer_link *link_out; /* NULL within the region */
   struct steer_link *link_in;
   struct connection_count *connections; /* to the upstream */
--- a/src/call/dispatch.c
+++ b/src/call/dispatch.c
@@ -201,20 +201,41 @@
     }
 }
 
+/* Makes the fields that tell the upstream whose request this is.  */
+static const struct headers *
+own_headers (struct call *call, struct str request_id)
+{
+  struct headers *set = apr_palloc (call->pool, sizeof *set);
+  struct str via = headers_get (&call->headers, "Via");
+  headers_init (set, call->pool);
+  headers_add (set, STR ("Request-Id"), request_id);
+  headers_add (set, STR ("Via"),
+               str_printf (call->pool, "%.*s%s1.1 citroncleat",
+                           STR_ARGS (via), via.size ? ", " : ""));
+  headers_add (
+      set, STR ("Request-Timeout-Ms"),
+      str_printf (call->pool, "%lld",
+                  (long long)((call->deadline - timer_clock ()) / 1000)));
+  headers_add (set, STR ("Citroncleat-Region"),
+               call->context->settings->region);
+  return set;
+}
+
 static struct attempt *
 start_attempt (struct call *call, const struct upstream *upstream)
 {
   struct call_context *context = call->context;
+  struct str request_id
+      = str_printf (call->pool, "%s.%d", call->id.data, ++call->attempts);
   struct attempt_desc desc = {
     .curl_loop = context->curl_loop,
     .pool = call->pool,
     .address = upstream->address,
     .method = call->method,
     .target = call->target,
-    .request_id
-    = str_printf (call->pool, "%s.%d", call->id.data, ++call->attempts),
-    .region = context->settings->region,
+    .request_id = request_id,
     .headers = &call->headers,
+    .set = own_headers (call, request_id),
     .is_head = call->is_head,
     .body_size = call->body_size,
     .deadline = call->deadline,
--- a/src/call/headers.c
+++ b/src/call/headers.c
@@ -85,6 +85,15 @@
   return STR ("");
 }
 
+bool
+headers_has (const struct headers *headers, struct str name)
+{
+  for (size_t i = 0; i < headers->count; i++)
+    if (str_equal_nocase (headers->items[i].name, name))
+      return true;
+  return false;
+}
+
 bool
 headers_add_line (struct headers *headers, struct str line)
 {
--- a/src/call/headers.h
+++ b/src/call/headers.h
@@ -26,6 +26,8 @@
 void headers_add (struct headers *headers, struct str name, struct str value);
 /* Returns the first value of NAME, or an empty string.  */
 struct str headers_get (const struct headers *headers, const char *name);
+/* Returns whether there is a field NAME.  */
+bool headers_has (const struct headers *headers, struct str name);
 /* Splits a line "Name: value\r\n" and adds it; returns false if it is not
    one.  */
 bool headers_add_line (struct headers *headers, struct str line);
--- a/src/config/store.h
+++ b/src/config/store.h
@@ -31,6 +31,28 @@
 
 typedef void store_fn (void *part, const struct store_answer *answer);
 
+/* One key as it was written, or its removal.  */
+struct store_item
+{
+  struct str key;
+  struct str value;
+  int64_t index;
+  bool is_removed;
+};
+
+/* Valid during the call.  `index' is where the next follow goes on.  With
+   ERR_NOT_FOUND a follow was too late: the store has dropped that part of its
+   history, and the keys must be listed again.  */
+struct store_items
+{
+  enum err_code code;
+  const struct store_item *items;
+  size_t count;
+  int64_t index;
+};
+
+typedef void store_items_fn (void *part, const struct store_items *answer);
+
 struct store_ops
 {
   void (*get) (struct store *store, const char *key, store_fn *done,
@@ -43,6 +65,24 @@
      WAIT_MS.  */
   void (*watch) (struct store *store, const char *key, int64_t index,
                  int64_t wait_ms, store_fn *done, void *part);
+  /* The functions below may be NULL in a store that has no such calls.  */
+  /* Reads all keys that begin with PREFIX.  */
+  void (*list) (struct store *store, const char *prefix, store_items_fn *done,
+                void *part);
+  /* Reads the changes after INDEX of keys that begin with PREFIX; waits up to
+     WAIT_MS for the first one.  */
+  void (*follow) (struct store *store, const char *prefix, int64_t index,
+                  int64_t wait_ms, store_items_fn *done, void *part);
+  /* Opens a lease; `index' of the answer is its number.  */
+  void (*open_lease) (struct store *store, int64_t ttl_ms, store_fn *done,
+                      void *part);
+  /* Renews LEASE; ERR_NOT_FOUND: it has ended.  */
+  void (*keep_lease) (struct store *store, int64_t lease, store_fn *done,
+                      void *part);
+  /* Writes VALUE, which is removed when LEASE ends; ERR_NOT_FOUND: there is no
+     such lease.  */
+  void (*put) (struct store *store, const char *key, struct str value,
+               int64_t lease, store_fn *done, void *part);
 };
 
 struct store
--- a/src/config/store_kv.c
+++ b/src/config/store_kv.c
@@ -117,7 +117,9 @@
 }
 
 static const struct store_ops kv_ops
-    = { kv_get, kv_compare_and_swap, kv_watch };
+    = { .get = kv_get,
+        .compare_and_swap = kv_compare_and_swap,
+        .watch = kv_watch };
 
 /* public functions */
 
--- /dev/null
+++ b/src/fleet/fleet.c
@@ -0,0 +1,371 @@
+#include "fleet/fleet.h"
+
+#include <apr_hash.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+/* types */
+
+/* An id of the list.  */
+struct listed
+{
+  struct fleet_upstream *upstream;
+  bool seen; /* in the listing in progress */
+};
+
+struct fleet
+{
+  struct fleet_desc desc;
+  apr_pool_t *pool;
+  apr_hash_t *ids;       /* struct listed by id */
+  apr_hash_t *services;  /* struct fleet_service by name */
+  apr_hash_t *evacuated; /* zone by zone */
+  int64_t revision;      /* of the latest record */
+  size_t count;
+};
+
+/* constants */
+
+enum
+{
+  DEFAULT_LAPSE_HOLD_MS = 2000, /* lapsed entries are back within it */
+  FIRST_ROOM = 16
+};
+
+/* private functions */
+
+static void
+tell (struct fleet *fleet, const char *what,
+      const struct fleet_upstream *upstream)
+{
+  if (fleet->desc.changed)
+    fleet->desc.changed (fleet->desc.part, what, upstream);
+}
+
+static struct fleet_service *
+service_of (struct fleet *fleet, struct str name)
+{
+  struct fleet_service *service
+      = apr_hash_get (fleet->services, name.data, (apr_ssize_t)name.size);
+  if (service)
+    return service;
+  service = apr_pcalloc (fleet->pool, sizeof *service);
+  service->name = str_dup (fleet->pool, name);
+  apr_hash_set (fleet->services, service->name.data,
+                (apr_ssize_t)service->name.size, service);
+  return service;
+}
+
+static void
+join_service (struct fleet *fleet, struct fleet_upstream *upstream)
+{
+  struct fleet_service *service = service_of (fleet, upstream->service);
+  if (service->count == service->room)
+    {
+      size_t room = service->room ? 2 * service->room : FIRST_ROOM;
+      struct fleet_upstream **upstreams
+          = realloc (service->upstreams, room * sizeof (*upstreams));
+      if (!upstreams)
+        abort ();
+      service->upstreams = upstreams;
+      service->room = room;
+    }
+  service->upstreams[service->count++] = upstream;
+  fleet->count++;
+}
+
+static void
+leave_service (struct fleet *fleet, struct fleet_upstream *upstream)
+{
+  struct fleet_service *service = service_of (fleet, upstream->service);
+  for (size_t i = 0; i < service->count; i++)
+    if (service->upstreams[i] == upstream)
+      {
+        service->upstreams[i] = service->upstreams[--service->count];
+        fleet->count--;
+        return;
+      }
+}
+
+static struct fleet_upstream *
+make_upstream (const struct fleet_record *record, struct str region)
+{
+  apr_pool_t *pool;
+  apr_pool_create (&pool, NULL);
+  struct fleet_upstream *upstream = apr_pcalloc (pool, sizeof *upstream);
+  upstream->pool = pool;
+  upstream->references = 1;
+  upstream->id = str_dup (pool, record->id);
+  upstream->service = str_dup (pool, record->service);
+  upstream->address = str_dup (pool, record->address);
+  upstream->zone = str_dup (pool, record->zone);
+  upstream->region = str_dup (pool, region);
+  upstream->hash = XXH64 (record->id.data, record->id.size, 0);
+  upstream->slots = record->slots;
+  upstream->born = record->born;
+  load_init (&upstream->load, record->slots);
+  return upstream;
+}
+
+/* Takes the object of LISTED off the list.  */
+static void
+drop (struct fleet *fleet, struct listed *listed, const char *why)
+{
+  struct fleet_upstream *upstream = listed->upstream;
+  upstream->gone = true;
+  leave_service (fleet, upstream);
+  tell (fleet, why, upstream);
+  apr_hash_set (fleet->ids, upstream->id.data, (apr_ssize_t)upstream->id.size,
+                NULL);
+  free (listed);
+  fleet_upstream_unref (upstream);
+}
+
+static bool
+is_same_life (const struct fleet_upstream *upstream,
+              const struct fleet_record *record)
+{
+  return upstream->born == record->born
+         && str_equal (upstream->address, record->address)
+         && str_equal (upstream->service, record->service)
+         && str_equal (upstream->zone, record->zone);
+}
+
+static struct listed *
+add (struct fleet *fleet, const struct fleet_record *record, struct str region)
+{
+  struct listed *listed = calloc (1, sizeof *listed);
+  if (!listed)
+    abort ();
+  listed->upstream = make_upstream (record, region);
+  apr_hash_set (fleet->ids, listed->upstream->id.data,
+                (apr_ssize_t)listed->upstream->id.size, listed);
+  join_service (fleet, listed->upstream);
+  return listed;
+}
+
+static void
+set_cold (struct fleet_upstream *upstream, const struct fleet_record *record,
+          int64_t revision, apr_time_t now)
+{
+  if (record->cold_left > 0)
+    {
+      upstream->cold_until = now + record->cold_left;
+      upstream->cold_revision = revision;
+    }
+  else if (revision > upstream->cold_revision)
+    upstream->cold_until = 0;
+}
+
+/* Removes LISTED, or holds it if it may only have lapsed.  */
+static void
+vanish (struct fleet *fleet, struct listed *listed, bool lapsed,
+        apr_time_t now)
+{
+  struct fleet_upstream *upstream = listed->upstream;
+  if (!lapsed || upstream->leaving)
+    {
+      drop (fleet, listed, "removed");
+      return;
+    }
+  if (upstream->lapsed_at == 0)
+    {
+      upstream->lapsed_at = now;
+      tell (fleet, "lapsed", upstream);
+    }
+}
+
+/* public functions */
+
+struct fleet *
+fleet_create (apr_pool_t *pool, const struct fleet_desc *desc)
+{
+  struct fleet *fleet = apr_pcalloc (pool, sizeof *fleet);
+  fleet->desc = *desc;
+  if (!fleet->desc.lapse_hold)
+    fleet->desc.lapse_hold
+        = (apr_time_t)DEFAULT_LAPSE_HOLD_MS * APR_USEC_PER_SEC / 1000;
+  fleet->pool = pool;
+  fleet->ids = apr_hash_make (pool);
+  fleet->services = apr_hash_make (pool);
+  fleet->evacuated = apr_hash_make (pool);
+  return fleet;
+}
+
+void
+fleet_destroy (struct fleet *fleet)
+{
+  if (!fleet)
+    return;
+  fleet->desc.changed = NULL;
+  for (apr_hash_index_t *i = apr_hash_first (fleet->pool, fleet->ids); i;
+       i = apr_hash_next (i))
+    {
+      struct listed *listed = apr_hash_this_val (i);
+      fleet_upstream_unref (listed->upstream);
+      free (listed);
+    }
+  for (apr_hash_index_t *i = apr_hash_first (fleet->pool, fleet->services); i;
+       i = apr_hash_next (i))
+    free (((struct fleet_service *)apr_hash_this_val (i))->upstreams);
+}
+
+bool
+fleet_put (struct fleet *fleet, const struct fleet_record *record,
+           int64_t revision, apr_time_t now)
+{
+  struct str region = fleet->desc.region_of (fleet->desc.part, record->zone);
+  struct listed *listed = apr_hash_get (fleet->ids, record->id.data,
+                                        (apr_ssize_t)record->id.size);
+  if (region.size == 0)
+    return false;
+  if (revision > fleet->revision)
+    fleet->revision = revision;
+  if (listed && !is_same_life (listed->upstream, record))
+    {
+      drop (fleet, listed, "replaced");
+      listed = NULL;
+    }
+  bool is_new = !listed;
+  if (is_new)
+    listed = add (fleet, record, region);
+  struct fleet_upstream *upstream = listed->upstream;
+  bool was_leaving = upstream->leaving;
+  listed->seen = true;
+  upstream->leaving = record->leaving;
+  upstream->slots = record->slots;
+  upstream->lapsed_at = 0;
+  set_cold (upstream, record, revision, now);
+  if (is_new)
+    tell (fleet, "added", upstream);
+  else if (was_leaving != upstream->leaving)
+    tell (fleet, upstream->leaving ? "leaving" : "ready", upstream);
+  return true;
+}
+
+void
+fleet_remove (struct fleet *fleet, struct str id, bool lapsed, apr_time_t now)
+{
+  struct listed *listed
+      = apr_hash_get (fleet->ids, id.data, (apr_ssize_t)id.size);
+  if (listed)
+    vanish (fleet, listed, lapsed, now);
+}
+
+void
+fleet_begin_listing (struct fleet *fleet)
+{
+  for (apr_hash_index_t *i = apr_hash_first (NULL, fleet->ids); i;
+       i = apr_hash_next (i))
+    ((struct listed *)apr_hash_this_val (i))->seen = false;
+}
+
+void
+fleet_end_listing (struct fleet *fleet, bool lapsed, apr_time_t now)
+{
+  for (apr_hash_index_t *i = apr_hash_first (NULL, fleet->ids); i;
+       i = apr_hash_next (i))
+    {
+      struct listed *listed = apr_hash_this_val (i);
+      if (!listed->seen)
+        vanish (fleet, listed, lapsed, now);
+    }
+}
+
+void
+fleet_sweep (struct fleet *fleet, apr_time_t now)
+{
+  for (apr_hash_index_t *i = apr_hash_first (NULL, fleet->ids); i;
+       i = apr_hash_next (i))
+    {
+      struct listed *listed = apr_hash_this_val (i);
+      if (listed->upstream->lapsed_at > 0
+          && now - listed->upstream->lapsed_at > fleet->desc.lapse_hold)
+        drop (fleet, listed, "lapse not renewed");
+    }
+}
+
+void
+fleet_set_evacuated (struct fleet *fleet, struct str zone, bool evacuated,
+                     int64_t revision, apr_time_t cold_time, apr_time_t now)
+{
+  if (evacuated == fleet_is_evacuated (fleet, zone))
+    return;
+  if (evacuated)
+    {
+      struct str kept = str_dup (fleet->pool, zone);
+      apr_hash_set (fleet->evacuated, kept.data, (apr_ssize_t)kept.size,
+                    kept.data);
+      return;
+    }
+  apr_hash_set (fleet->evacuated, zone.data, (apr_ssize_t)zone.size, NULL);
+  for (apr_hash_index_t *i = apr_hash_first (NULL, fleet->ids); i;
+       i = apr_hash_next (i))
+    {
+      struct listed *listed = apr_hash_this_val (i);
+      struct fleet_upstream *upstream = listed->upstream;
+      if (!str_equal (upstream->zone, zone))
+        continue;
+      upstream->cold_until = now + cold_time;
+      upstream->cold_revision = revision;
+    }
+}
+
+bool
+fleet_is_evacuated (const struct fleet *fleet, struct str zone)
+{
+  return apr_hash_get (fleet->evacuated, zone.data, (apr_ssize_t)zone.size)
+         != NULL;
+}
+
+void
+fleet_each_evacuated (const struct fleet *fleet,
+                      void (*each) (void *part, struct str zone), void *part)
+{
+  for (apr_hash_index_t *i = apr_hash_first (NULL, fleet->evacuated); i;
+       i = apr_hash_next (i))
+    each (part, str_from (apr_hash_this_val (i)));
+}
+
+void
+fleet_suspect_cold (struct fleet *fleet, struct fleet_upstream *upstream,
+                    apr_time_t cold_time, apr_time_t now)
+{
+  upstream->cold_until = now + cold_time;
+  upstream->cold_revision = fleet->revision;
+}
+
+const struct fleet_service *
+fleet_service (const struct fleet *fleet, struct str name)
+{
+  return apr_hash_get (fleet->services, name.data, (apr_ssize_t)name.size);
+}
+
+bool
+fleet_may_take (const struct fleet *fleet,
+                const struct fleet_upstream *upstream)
+{
+  return !upstream->leaving && !upstream->gone
+         && !fleet_is_evacuated (fleet, upstream->zone);
+}
+
+size_t
+fleet_count (const struct fleet *fleet)
+{
+  return fleet->count;
+}
+
+struct fleet_upstream *
+fleet_upstream_ref (struct fleet_upstream *upstream)
+{
+  upstream->references++;
+  return upstream;
+}
+
+void
+fleet_upstream_unref (struct fleet_upstream *upstream)
+{
+  if (--upstream->references == 0)
+    apr_pool_destroy (upstream->pool);
+}
--- /dev/null
+++ b/src/gateway/dispatch.c
@@ -0,0 +1,578 @@
+/* Admission of requests, and their attempts at upstreams.  */
+#include "gateway/internal.h"
+
+#include "platform/decode.h"
+#include "platform/words.h"
+
+#include <string.h>
+
+/* constants */
+
+enum
+{
+  /* Longer than a lost first packet costs within a region, shorter than what
+     a caller would notice.  */
+  CONNECT_TIMEOUT_MS = 450,
+  /* A path that acknowledges nothing for so long is cut.  */
+  UNACKNOWLEDGED_MS = 900,
+  IDLE_CONNECTION_S = 4, /* well below the time after which upstreams close */
+  ANSWER_LIMIT_BYTES = 256 * 1024, /* held until whole; longer ones stream */
+  SENDS_MAX = 4,
+  COLD_ENTRIES = 4, /* that may send to one cold upstream */
+  OWN_MOST = 64,    /* requests of this entry at one upstream */
+  HTTP_BAD_GATEWAY = 502,
+  HTTP_UNAVAILABLE = 503,
+  HTTP_TIMEOUT = 504,
+  HTTP_MISDIRECTED = 421,
+  HTTP_SERVER_ERRORS = 500
+};
+
+/* Work before any answer was seen, in parts of the route's aim.  */
+static const double FIRST_WORK_KNOWN = 0.5;
+static const double FIRST_WORK_UNKNOWN = 0.85;
+static const double DEFAULT_AIM_US = 500000.0;
+/* Part of a cold upstream's rate that the entries use together.  Entries that
+   disagree on who they are may use it twice.  */
+static const double COLD_USE = 0.6;
+/* Less urgent requests leave a slot of each upstream in a region this full.  */
+static const double RESERVE_FROM = 0.85;
+static const double RESERVE_SLOTS = 1.0;
+
+/* private functions */
+
+static double
+fullness_of (const struct request *request)
+{
+  const struct balance_room *room = &request->service->rooms[request->region];
+  return room->slots > 0 ? room->busy / room->slots : 1.0;
+}
+
+static bool
+is_urgent (const struct request *request)
+{
+  return request->route->priority <= request->service->most_urgent;
+}
+
+/* Picks the region that serves the request; returns false if none may.  */
+static bool
+pick_region (struct request *request)
+{
+  struct gateway *gateway = request->gateway;
+  bool allowed[GATEWAY_REGIONS_MAX] = { false };
+  for (size_t i = 0; i < gateway->region_count; i++)
+    allowed[i] = plan_allows_region (request->route, gateway->regions[i])
+                 && request->service->rooms[i].slots > 0;
+  request->region
+      = spread_pick (&request->service->spread, request->object, allowed);
+  if (request->region < gateway->region_count)
+    return true;
+  request->region = gateway->own_region;
+  return false;
+}
+
+static struct balance_choice
+choose (struct request *request)
+{
+  struct gateway *gateway = request->gateway;
+  const struct plan_service *service
+      = plan_service (request->plan, request->service_name);
+  const struct fleet_service *upstreams
+      = fleet_service (gateway->fleet, request->service_name);
+  struct balance_choice none = { 0 };
+  if (!upstreams)
+    return none;
+  struct balance_request wanted = {
+    .fleet = gateway->fleet,
+    .service = upstreams,
+    .region = gateway->regions[request->region],
+    .object = request->object,
+    .work = &request->route_state->work,
+    .distance = gateway->distances[request->region],
+    .reserve = !is_urgent (request) && fullness_of (request) > RESERVE_FROM
+                   ? RESERVE_SLOTS
+                   : 0.0,
+    .cold_rate = service->cold_per_s * COLD_USE / COLD_ENTRIES,
+    .most_own = OWN_MOST,
+    .now = timer_clock (),
+    .excluded_count = request->tried_count,
+  };
+  memcpy (wanted.excluded, request->tried, sizeof request->tried);
+  return balance_choose (&wanted);
+}
+
+/* Ends the attempt's hold on its upstream.  */
+static void
+release (struct request *request, enum load_result result)
+{
+  struct attempt *attempt = request->attempt;
+  apr_time_t now = timer_clock ();
+  if (!request->attempt_held)
+    return;
+  request->attempt_held = false;
+  apr_time_t until = attempt->has_head ? attempt->head_at : now;
+  apr_time_t elapsed = until - attempt->started_at
+                       - request->gateway->distances[request->region];
+  apr_time_t expected = (apr_time_t)((double)request->attempt_work
+                                     * request->attempt_pace);
+  load_end (&request->upstream->load, result, elapsed, expected, now);
+  if (result == LOAD_ANSWERED && elapsed > 0)
+    balance_learn (&request->route_state->work, request->attempt_known,
+                   (double)elapsed / request->attempt_pace);
+  request->gateway->slot_freed = true;
+}
+
+/* Learns the way to the region from a connection that was made.  */
+static void
+learn_distance (struct request *request)
+{
+  curl_off_t connect_us = 0;
+  long connects = 0;
+  CURL *easy = request->attempt->transfer.easy;
+  curl_easy_getinfo (easy, CURLINFO_NUM_CONNECTS, &connects);
+  curl_easy_getinfo (easy, CURLINFO_CONNECT_TIME_T, &connect_us);
+  apr_time_t *distance = &request->gateway->distances[request->region];
+  if (connects > 0 && connect_us > 0)
+    *distance += (connect_us - *distance) / 4;
+}
+
+static bool
+has_time_left (const struct request *request)
+{
+  return timer_clock () + (apr_time_t)request->route_state->work.known
+         < request->deadline;
+}
+
+static bool
+may_send_again (struct request *request, bool not_run, bool has_arrived)
+{
+  if (request->answered || request->sends >= SENDS_MAX
+      || request->tried_count >= BALANCE_EXCLUDED_MAX
+      || !has_time_left (request))
+    return false;
+  if (!not_run
+      && (request->route->kind != PLAN_SAFE
+          || request->sends >= request->route->max_attempts))
+    return false;
+  if (!body_rewind (&request->body))
+    return false;
+  /* What never reached an upstream is no repeat to it.  */
+  return !has_arrived || budget_take (&request->service->retries);
+}
+
+static void
+log_failure (struct request *request, const char *reason, bool not_run)
+{
+  struct gateway *gateway = request->gateway;
+  if (!gateway_may_log (gateway))
+    return;
+  apr_time_t now = timer_clock ();
+  LOG (LOG_INFO, "attempt-failed", LOG_TEXT ("id", request->id.data),
+       LOG_TEXT ("upstream", request->upstream->id.data),
+       LOG_TEXT ("address", request->upstream->address.data),
+       LOG_TEXT ("reason", reason), LOG_INT ("not_run", not_run),
+       LOG_INT ("status", request->attempt->status),
+       LOG_INT ("busy",
+                (int64_t)load_busy (&request->upstream->load, now)),
+       LOG_INT ("cold", request->upstream->cold_until > now),
+       LOG_INT ("elapsed_ms", (now - request->attempt->started_at) / 1000));
+}
+
+/* Ends the failed attempt, and tries elsewhere if that is allowed.  */
+static void
+fail_or_retry (struct request *request, const char *reason, bool not_run)
+{
+  bool has_arrived = request->attempt->sent;
+  log_failure (request, reason, not_run);
+  if (!not_run)
+    request->maybe_run = true;
+  if (may_send_again (request, not_run, has_arrived))
+    {
+      request->tried[request->tried_count++] = request->upstream->hash;
+      dispatch_drop (request);
+      dispatch_admit (request);
+      return;
+    }
+  request->retry_after = TIMER_MS (200);
+  request_refuse (request,
+                  request->maybe_run ? HTTP_BAD_GATEWAY : HTTP_UNAVAILABLE,
+                  reason);
+}
+
+/* The upstream's answer can be passed on.  */
+static void
+give_answer (struct request *request)
+{
+  request->outcome = REQUEST_SERVED;
+  request->answer_ready = true;
+  request_wake (request);
+}
+
+static bool
+is_refusal (const struct attempt *attempt)
+{
+  return attempt->status == HTTP_MISDIRECTED
+         || headers_has (&attempt->headers, STR (PLATFORM_NOT_RUN));
+}
+
+static void
+settle_refusal (struct request *request)
+{
+  struct gateway *gateway = request->gateway;
+  const struct plan_service *service
+      = plan_service (request->plan, request->service_name);
+  bool is_other = request->attempt->status == HTTP_MISDIRECTED;
+  release (request, is_other ? LOAD_UNREACHED : LOAD_REFUSED);
+  if (is_other)
+    fleet_suspect_cold (gateway->fleet, request->upstream, service->cold_time,
+                        timer_clock ());
+  fail_or_retry (request,
+                 is_other ? "another upstream has the address"
+                          : "the upstream refused the request",
+                 true);
+}
+
+static void
+settle_failure (struct request *request, const char *reason)
+{
+  struct attempt *attempt = request->attempt;
+  bool not_run = !attempt->sent;
+  release (request, not_run ? LOAD_UNREACHED : LOAD_FAILED);
+  if (not_run)
+    {
+      /* It may come back as a new process, cold, before the list says so.  */
+      const struct plan_service *service
+          = plan_service (request->plan, request->service_name);
+      fleet_suspect_cold (request->gateway->fleet, request->upstream,
+                          service->cold_time, timer_clock ());
+    }
+  if (request->answered)
+    {
+      /* The reader ends the answer with an error, so that it cannot be taken
+         as whole.  */
+      request->maybe_run = true;
+      request->outcome = REQUEST_FAILED;
+      request_wake (request);
+      return;
+    }
+  request->answer_ready = false;
+  fail_or_retry (request, reason, not_run);
+}
+
+static void
+settle (struct request *request)
+{
+  struct attempt *attempt = request->attempt;
+  learn_distance (request);
+  if (attempt->result != CURLE_OK)
+    {
+      settle_failure (request, attempt_reason (attempt));
+      return;
+    }
+  if (request->answered)
+    {
+      release (request, LOAD_ANSWERED);
+      request_wake (request);
+      return;
+    }
+  if (is_refusal (attempt))
+    {
+      settle_refusal (request);
+      return;
+    }
+  if (!headers_has (&attempt->headers, STR (PLATFORM_SIGNATURE)))
+    {
+      settle_failure (request, "the answer is not the upstream's");
+      return;
+    }
+  if (attempt->status >= HTTP_SERVER_ERRORS
+      && request->route->kind == PLAN_SAFE
+      && may_send_again (request, false, true))
+    {
+      release (request, LOAD_FAILED);
+      log_failure (request, "the upstream failed", false);
+      request->maybe_run = true;
+      request->tried[request->tried_count++] = request->upstream->hash;
+      dispatch_drop (request);
+      dispatch_admit (request);
+      return;
+    }
+  release (request, attempt->status >= HTTP_SERVER_ERRORS ? LOAD_FAILED
+                                                          : LOAD_ANSWERED);
+  give_answer (request);
+}
+
+/* Returns whether the answer is held until it is whole.  */
+static bool
+is_held (const struct attempt *attempt)
+{
+  if (attempt->answer_size >= 0)
+    return attempt_is_held (attempt);
+  return body_unread (&attempt->answer) < attempt->desc.answer_limit / 2;
+}
+
+static void
+on_attempt (void *part, struct attempt *attempt, enum attempt_event event)
+{
+  struct request *request = part;
+  struct load_report report;
+  switch (event)
+    {
+    case ATTEMPT_HEAD:
+      if (decode_load (headers_get (&attempt->headers, PLATFORM_LOAD),
+                       &report))
+        load_report (&request->upstream->load, &report, timer_clock ());
+      break;
+    case ATTEMPT_DATA:
+      if (request->answered)
+        request_wake (request);
+      else if (!is_held (attempt) && !is_refusal (attempt)
+               && headers_has (&attempt->headers, STR (PLATFORM_SIGNATURE)))
+        give_answer (request);
+      break;
+    case ATTEMPT_SPACE:
+      if (body_space (&request->body) >= request->body.limit / 2)
+        request_wake (request);
+      break;
+    case ATTEMPT_DONE:
+      settle (request);
+      break;
+    }
+}
+
+/* Makes the fields that are set on the request to UPSTREAM.  */
+static const struct headers *
+own_headers (struct request *request, const struct fleet_upstream *upstream,
+             apr_time_t now)
+{
+  struct headers *set = apr_palloc (request->pool, sizeof *set);
+  /* The answer needs the way back.  */
+  apr_time_t left = request->deadline - now
+                    - request->gateway->distances[request->region] / 2;
+  headers_init (set, request->pool);
+  headers_add (set, STR (PLATFORM_REQUEST_ID), request->id);
+  headers_add (set, STR (PLATFORM_INSTANCE_WANTED), upstream->id);
+  headers_add (set, STR (PLATFORM_DEADLINE),
+               str_printf (request->pool, "%lld",
+                           (long long)(left > 0 ? left / 1000 : 0)));
+  return set;
+}
+
+static void
+send_request (struct request *request, const struct balance_choice *choice)
+{
+  struct gateway *gateway = request->gateway;
+  struct fleet_upstream *upstream = choice->upstream;
+  const struct plan_service *service
+      = plan_service (request->plan, request->service_name);
+  apr_time_t now = timer_clock ();
+  if (request->upstream)
+    fleet_upstream_unref (request->upstream);
+  request->upstream = fleet_upstream_ref (upstream);
+  request->attempt_work = choice->work;
+  request->attempt_known = choice->known;
+  request->attempt_pace
+      = upstream->load.pace > 0 ? upstream->load.pace : 1.0;
+  if (upstream->cold_until > now)
+    load_take_cold (&upstream->load,
+                    service->cold_per_s * COLD_USE / COLD_ENTRIES, 1.0, now);
+  load_begin (&upstream->load, now);
+  request->attempt_held = true;
+  request->sends++;
+  if (request->admitted_at == 0)
+    request->admitted_at = now;
+  struct attempt_desc desc = {
+    .curl_loop = gateway->curl_loop,
+    .pool = request->pool,
+    .address = upstream->address,
+    .method = request->method,
+    .target = request->target,
+    .request_id = request->id,
+    .headers = &request->headers,
+    .set = own_headers (request, upstream, now),
+    .is_head = request->is_head,
+    .body_size = request->body_size,
+    .deadline = request->deadline,
+    .connect_timeout_ms = CONNECT_TIMEOUT_MS,
+    .unacknowledged_ms = UNACKNOWLEDGED_MS,
+    .idle_s = IDLE_CONNECTION_S,
+    .connections = connections_get (gateway->connections, upstream->address),
+    .idle_connections = OWN_MOST,
+    .must_echo = true,
+    .body = &request->body,
+    .body_ended = &request->body_ended,
+    .answer_limit = ANSWER_LIMIT_BYTES,
+    .event = on_attempt,
+    .part = request,
+  };
+  request->attempt = attempt_start (&desc);
+}
+
+static struct admit_state
+state_of (const struct request *request, const struct balance_choice *choice)
+{
+  struct gateway *gateway = request->gateway;
+  apr_time_t now = timer_clock ();
+  const struct member *near[GATEWAY_REGIONS_MAX];
+  const struct balance_room *room = &request->service->rooms[request->region];
+  double entries = (double)members_in (gateway->members,
+                                       gateway->regions[gateway->own_region],
+                                       near, GATEWAY_REGIONS_MAX);
+  double work = request->route_state->work.unknown / APR_USEC_PER_SEC;
+  return (struct admit_state){
+    .has_slot = choice->upstream != NULL,
+    .expected = choice->expected,
+    .best = (apr_time_t)request->route_state->work.known
+            + gateway->distances[request->region],
+    .aim_left = request->aim_at - now,
+    .time_left = request->deadline - now,
+    .fullness = fullness_of (request),
+    .waiting = (double)request->service->waiting[request->region],
+    .rate = work > 0 && entries > 0 ? room->slots / work / entries : 0.0,
+    .may_be_late = is_urgent (request),
+    .chance = gateway_chance (gateway)
+  };
+}
+
+static void
+refuse_now (struct request *request, const char *reason,
+            apr_time_t retry_after)
+{
+  request->retry_after = retry_after;
+  request_refuse (request,
+                  request->maybe_run ? HTTP_BAD_GATEWAY : HTTP_UNAVAILABLE,
+                  reason);
+}
+
+static void
+on_line_timeout (void *part, apr_time_t now)
+{
+  (void)now;
+  struct request *request = part;
+  if (!dispatch_place (request))
+    refuse_now (request, "no slot became free in time", TIMER_MS (200));
+}
+
+/* Ends what a decision said; returns false if REQUEST is to wait.  */
+static bool
+carry_out (struct request *request, const struct balance_choice *choice,
+           const struct admit_verdict *verdict)
+{
+  switch (verdict->action)
+    {
+    case ADMIT_SEND:
+      line_remove (request);
+      timer_stop (loop_timers (request->gateway->loop), &request->line_timer);
+      send_request (request, choice);
+      return true;
+    case ADMIT_WAIT:
+      return false;
+    case ADMIT_REFUSE:
+      break;
+    }
+  refuse_now (request,
+              choice->upstream ? "its answer would come too late"
+                               : "no slot will be free in time",
+              verdict->retry_after);
+  return true;
+}
+
+/* public functions */
+
+void
+dispatch_admit (struct request *request)
+{
+  struct gateway *gateway = request->gateway;
+  if (!request->admitted)
+    budget_earn (&request->service->retries);
+  request->admitted = true;
+  if (request->route->priority < request->service->most_urgent)
+    request->service->most_urgent = request->route->priority;
+  if (!pick_region (request))
+    {
+      refuse_now (request, "no upstream takes requests of this service",
+                  TIMER_MS (500));
+      return;
+    }
+  struct balance_choice choice = choose (request);
+  struct admit_state state = state_of (request, &choice);
+  struct admit_verdict verdict = admit_decide (&state);
+  if (carry_out (request, &choice, &verdict))
+    return;
+  line_add (request);
+  timer_start (loop_timers (gateway->loop), &request->line_timer,
+               timer_clock () + verdict.wait, on_line_timeout, request);
+}
+
+bool
+dispatch_place (struct request *request)
+{
+  struct balance_choice choice = choose (request);
+  if (!choice.upstream)
+    return false;
+  struct admit_state state = state_of (request, &choice);
+  struct admit_verdict verdict = admit_decide (&state);
+  return carry_out (request, &choice, &verdict);
+}
+
+void
+dispatch_drop (struct request *request)
+{
+  if (!request->attempt)
+    return;
+  release (request, LOAD_CANCELLED);
+  attempt_destroy (request->attempt);
+  request->attempt = NULL;
+}
+
+void
+dispatch_on_deadline (void *part, apr_time_t now)
+{
+  (void)now;
+  struct request *request = part;
+  if (request->answer_ready && !request->answered)
+    return;
+  if (request->attempt && request->attempt->sent)
+    request->maybe_run = true;
+  if (request->answered)
+    {
+      if (request->attempt && !request->attempt->done)
+        {
+          request->outcome = REQUEST_FAILED;
+          dispatch_drop (request);
+          request_wake (request);
+        }
+      return;
+    }
+  request_refuse (request,
+                  request->maybe_run ? HTTP_TIMEOUT : HTTP_UNAVAILABLE,
+                  request->maybe_run ? "no answer before the deadline"
+                                     : "not sent before the deadline");
+}
+
+struct route_state *
+dispatch_route_state (struct gateway *gateway, const struct plan_route *route)
+{
+  struct route_state *state = apr_hash_get (gateway->routes, route->name.data,
+                                            (apr_ssize_t)route->name.size);
+  if (state)
+    return state;
+  static const char *const outcomes[REQUEST_OUTCOMES]
+      = { "", "served", "refused", "failed", "left" };
+  state = apr_pcalloc (gateway->pool, sizeof *state);
+  double aim = route->aim > 0 ? (double)route->aim : DEFAULT_AIM_US;
+  state->work = (struct balance_work){ aim * FIRST_WORK_KNOWN,
+                                       aim * FIRST_WORK_UNKNOWN };
+  for (int i = 1; i < REQUEST_OUTCOMES; i++)
+    state->ended[i] = counter_get (
+        gateway->counters, "citroncleat_requests_total",
+        str_format (gateway->pool, "route=\"%s\",outcome=\"%s\"",
+                    route->name.data, outcomes[i]),
+        "Requests of callers, by how they ended.");
+  state->seconds = histogram_get (
+      gateway->counters, "citroncleat_request_seconds",
+      str_format (gateway->pool, "route=\"%s\"", route->name.data),
+      "Time from a request's head to its answer.");
+  struct str name = str_dup (gateway->pool, route->name);
+  apr_hash_set (gateway->routes, name.data, (apr_ssize_t)name.size, state);
+  return state;
+}
--- /dev/null
+++ b/src/gateway/lookup.c
@@ -0,0 +1,112 @@
+#include "gateway/internal.h"
+
+#include "platform/words.h"
+
+#include <string.h>
+
+/* constants */
+
+enum
+{
+  HTTP_OK = 200,
+  HTTP_NOT_FOUND = 404,
+  HTTP_UNAVAILABLE = 503,
+  /* Callers keep an answer for three times its lifetime at most; an entry that
+     stops serves on for that long.  */
+  LOOKUP_LIFETIME_S = 1,
+  LOOKUP_MOST = 64 /* addresses that callers heed */
+};
+
+static const char metrics_path[] = "/metrics";
+
+/* private functions */
+
+static json_object *
+addresses_in (const struct gateway *gateway, struct str region)
+{
+  const struct member *members[LOOKUP_MOST];
+  size_t count
+      = members_in (gateway->members, region, members, LOOKUP_MOST);
+  json_object *list = json_object_new_array ();
+  for (size_t i = 0; i < count; i++)
+    json_object_array_add (
+        list, json_object_new_string (members[i]->callers.data));
+  return list;
+}
+
+static enum MHD_Result
+answer_lookup (struct gateway *gateway, struct MHD_Connection *connection)
+{
+  struct str region = httpd_argument (connection, "region");
+  json_object *list = addresses_in (gateway, region);
+  /* A region without entries is served by all others.  */
+  if (json_object_array_length (list) == 0)
+    {
+      json_object_put (list);
+      list = addresses_in (gateway, STR (""));
+    }
+  if (json_object_array_length (list) == 0 && !gateway->leaving)
+    json_object_array_add (
+        list,
+        json_object_new_string (gateway->settings.listen.callers.data));
+  json_object *object = json_object_new_object ();
+  json_object_object_add (object, "addresses", list);
+  json_object_object_add (object, "ttl_s",
+                          json_object_new_int (LOOKUP_LIFETIME_S));
+  return httpd_answer_json (connection, HTTP_OK, object);
+}
+
+static enum MHD_Result
+answer_text (struct MHD_Connection *connection, unsigned int status,
+             struct str text)
+{
+  struct MHD_Response *response = MHD_create_response_from_buffer (
+      text.size, (void *)text.data, MHD_RESPMEM_MUST_COPY);
+  MHD_add_response_header (response, "Content-Type", "text/plain");
+  enum MHD_Result result = MHD_queue_response (connection, status, response);
+  MHD_destroy_response (response);
+  return result;
+}
+
+static enum MHD_Result
+answer_metrics (struct gateway *gateway, struct MHD_Connection *connection)
+{
+  apr_pool_t *pool;
+  apr_pool_create (&pool, gateway->pool);
+  enum MHD_Result result = answer_text (
+      connection, HTTP_OK, counters_render (gateway->counters, pool));
+  apr_pool_destroy (pool);
+  return result;
+}
+
+/* public functions */
+
+bool
+lookup_is_ready (const struct gateway *gateway)
+{
+  return !gateway->leaving && watcher_plan (gateway->watcher) != NULL
+         && fleet_count (gateway->fleet) > 0;
+}
+
+enum MHD_Result
+lookup_handle (void *part, struct MHD_Connection *connection, const char *url,
+               const char *method, const char *version, const char *data,
+               size_t *size, void **context)
+{
+  (void)method;
+  (void)version;
+  (void)data;
+  (void)size;
+  (void)context;
+  struct gateway *gateway = part;
+  if (strcmp (url, PLATFORM_READINESS_PATH) == 0)
+    return lookup_is_ready (gateway)
+               ? answer_text (connection, HTTP_OK, STR ("ready\n"))
+               : answer_text (connection, HTTP_UNAVAILABLE,
+                              STR ("not ready\n"));
+  if (strcmp (url, PLATFORM_LOOKUP_PATH) == 0)
+    return answer_lookup (gateway, connection);
+  if (strcmp (url, metrics_path) == 0)
+    return answer_metrics (gateway, connection);
+  return answer_text (connection, HTTP_NOT_FOUND, STR ("no such path\n"));
+}
--- /dev/null
+++ b/src/gateway/request.c
@@ -0,0 +1,488 @@
+#include "gateway/internal.h"
+
+#include "platform/decode.h"
+#include "platform/words.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+/* constants */
+
+enum
+{
+  BODY_LIMIT_BYTES = 1024 * 1024, /* of a request, held before it is sent */
+  STREAM_BLOCK_BYTES = 16384,
+  NO_DEADLINE_MS = 30000, /* for callers that state none */
+  /* The final answer is on its way before the operators' limit.  */
+  TIMEOUT_MARGIN_MS = 10,
+  HTTP_NO_CONTENT = 204,
+  HTTP_NOT_MODIFIED = 304,
+  HTTP_BAD_REQUEST = 400,
+  HTTP_NOT_FOUND = 404,
+  HTTP_TOO_LARGE = 413,
+  HTTP_UNAVAILABLE = 503
+};
+
+/* A request returns as a first one if its time is this close to the longest
+   that callers of its route state.  */
+static const int64_t FIRST_MARGIN_MS = 20;
+
+static const char *const outcome_names[]
+    = { "?", "served", "refused", "failed", "left" };
+
+/* private functions */
+
+static enum MHD_Result
+collect_header (void *part, enum MHD_ValueKind kind, const char *name,
+                const char *value)
+{
+  (void)kind;
+  headers_add (part, str_from (name), str_from (value));
+  return MHD_YES;
+}
+
+/* Returns HOST without its port.  */
+static struct str
+host_only (struct str host)
+{
+  const char *colon = host.size ? memchr (host.data, ':', host.size) : NULL;
+  return colon ? str_view (host.data, (size_t)(colon - host.data)) : host;
+}
+
+static int64_t
+body_size_of (const struct request *request)
+{
+  struct str length = headers_get (&request->headers, "Content-Length");
+  if (headers_get (&request->headers, "Transfer-Encoding").size > 0)
+    return -1;
+  return length.size > 0 ? strtoll (length.data, NULL, 10) : 0;
+}
+
+static uint64_t
+object_of (const struct request *request)
+{
+  struct str object
+      = decode_object (headers_get (&request->headers, "Cookie"));
+  uint64_t route
+      = XXH64 (request->route->name.data, request->route->name.size, 0);
+  if (!request->route->sticky || object.size == 0)
+    return XXH64 (request->id.data, request->id.size, route);
+  return XXH64 (object.data, object.size, route);
+}
+
+/* Sets the times that bound the request.  */
+static void
+set_times (struct request *request)
+{
+  struct gateway *gateway = request->gateway;
+  struct route_state *state = request->route_state;
+  int64_t wait_ms = decode_deadline_ms (
+      headers_get (&request->headers, PLATFORM_DEADLINE));
+  int64_t spent_ms = 0;
+  if (wait_ms < 0)
+    wait_ms = NO_DEADLINE_MS;
+  else if (wait_ms > state->longest_deadline_ms)
+    state->longest_deadline_ms = wait_ms;
+  else if (state->longest_deadline_ms - wait_ms > FIRST_MARGIN_MS)
+    spent_ms = state->longest_deadline_ms - wait_ms;
+  apr_time_t most = TIMER_MS (wait_ms);
+  if (request->route->timeout > 0 && request->route->timeout < most)
+    most = request->route->timeout;
+  request->deadline = request->began_at + most - TIMER_MS (TIMEOUT_MARGIN_MS);
+  request->aim_at = request->began_at
+                    + (request->route->aim > 0 ? request->route->aim : most)
+                    - TIMER_MS (spent_ms);
+  timer_start (loop_timers (gateway->loop), &request->timer,
+               request->deadline, dispatch_on_deadline, request);
+}
+
+/* Finds the route; refuses what cannot be passed on.  */
+static void
+open_route (struct request *request)
+{
+  struct gateway *gateway = request->gateway;
+  struct plan *plan = watcher_plan (gateway->watcher);
+  struct str host = host_only (headers_get (&request->headers, "Host"));
+  if (!plan)
+    {
+      request_refuse (request, HTTP_UNAVAILABLE,
+                      "no configuration is known yet");
+      return;
+    }
+  request->plan = plan_ref (plan);
+  request->route = plan_find (plan, host, request->path);
+  if (!request->route)
+    {
+      request_refuse (request, HTTP_NOT_FOUND, "no route matches");
+      return;
+    }
+  if (request->id.size == 0)
+    {
+      request_refuse (request, HTTP_BAD_REQUEST, "the request has no id");
+      return;
+    }
+  request->route_state = dispatch_route_state (gateway, request->route);
+  request->service_name = plan_take_part (request->route)->service;
+  request->service = gateway_service (gateway, request->service_name);
+  request->object = object_of (request);
+  request->body_size = body_size_of (request);
+  int64_t most = plan_limits (plan)->body_bytes;
+  if (most > 0 && request->body_size > most)
+    {
+      request_refuse (request, HTTP_TOO_LARGE, "the body is too large");
+      return;
+    }
+  set_times (request);
+}
+
+static void
+open_request (struct request *request, struct MHD_Connection *connection,
+              const char *method, const char *url)
+{
+  request->opened = true;
+  request->connection = connection;
+  request->method = str_dup (request->pool, str_from (method));
+  request->path = str_dup (request->pool, str_from (url));
+  request->is_head = strcmp (method, "HEAD") == 0;
+  MHD_get_connection_values (connection, MHD_HEADER_KIND, collect_header,
+                             &request->headers);
+  request->id = headers_get (&request->headers, PLATFORM_REQUEST_ID);
+  open_route (request);
+}
+
+static void
+suspend (struct request *request)
+{
+  struct gateway *gateway = request->gateway;
+  request->suspended = true;
+  httpd_watch_gone (gateway->callers, request->connection, request);
+  httpd_suspend (gateway->callers, request->connection);
+}
+
+/* Gives the caller's side bytes of a streamed answer.  */
+static ssize_t
+read_answer (void *part, uint64_t position, char *out, size_t size)
+{
+  (void)position;
+  struct request *request = part;
+  struct attempt *attempt = request->attempt;
+  if (request->gone || !attempt)
+    return MHD_CONTENT_READER_END_WITH_ERROR;
+  size_t n = body_read (&attempt->answer, out, size);
+  if (n > 0)
+    {
+      attempt_continue (attempt);
+      return (ssize_t)n;
+    }
+  if (attempt->done)
+    return attempt->result == CURLE_OK ? MHD_CONTENT_READER_END_OF_STREAM
+                                       : MHD_CONTENT_READER_END_WITH_ERROR;
+  suspend (request);
+  return 0;
+}
+
+static struct MHD_Response *
+make_answer (struct request *request)
+{
+  struct attempt *attempt = request->attempt;
+  if (attempt->status == HTTP_NO_CONTENT
+      || attempt->status == HTTP_NOT_MODIFIED)
+    return MHD_create_response_from_buffer (0, NULL, MHD_RESPMEM_PERSISTENT);
+  if (request->is_head && attempt->answer_size >= 0)
+    return MHD_create_response_from_callback ((uint64_t)attempt->answer_size,
+                                              STREAM_BLOCK_BYTES, read_answer,
+                                              request, NULL);
+  if (attempt->done)
+    return MHD_create_response_from_buffer (
+        body_unread (&attempt->answer),
+        attempt->answer.data + attempt->answer.read, MHD_RESPMEM_MUST_COPY);
+  return MHD_create_response_from_callback (
+      attempt->answer_size >= 0 ? (uint64_t)attempt->answer_size
+                                : MHD_SIZE_UNKNOWN,
+      STREAM_BLOCK_BYTES, read_answer, request, NULL);
+}
+
+static void
+add_headers (const struct request *request, struct MHD_Response *response)
+{
+  const struct headers *headers = &request->attempt->headers;
+  for (size_t i = 0; i < headers->count; i++)
+    if (!headers_is_hop_by_hop (headers, headers->items[i].name))
+      MHD_add_response_header (response, headers->items[i].name.data,
+                               headers->items[i].value.data);
+}
+
+static struct MHD_Response *
+make_refusal (const struct request *request)
+{
+  json_object *body = json_object_new_object ();
+  json_object_object_add (
+      body, "outcome",
+      json_object_new_string (request->maybe_run ? "unknown" : "not-run"));
+  json_object_object_add (body, "detail",
+                          json_object_new_string (request->reason));
+  const char *text = json_object_to_json_string_ext (
+      body, JSON_C_TO_STRING_PLAIN | JSON_C_TO_STRING_NOSLASHESCAPE);
+  struct MHD_Response *response = MHD_create_response_from_buffer (
+      strlen (text), (void *)text, MHD_RESPMEM_MUST_COPY);
+  json_object_put (body);
+  MHD_add_response_header (response, "Content-Type", "application/json");
+  if (request->status == HTTP_UNAVAILABLE)
+    MHD_add_response_header (
+        response, "Retry-After",
+        str_format (request->pool, "%.3f",
+                    (double)request->retry_after / APR_USEC_PER_SEC));
+  if (request->id.size > 0)
+    MHD_add_response_header (response, PLATFORM_REQUEST_ID, request->id.data);
+  return response;
+}
+
+static enum MHD_Result
+answer (struct request *request)
+{
+  bool is_own = request->reason != NULL;
+  struct MHD_Response *response
+      = is_own ? make_refusal (request) : make_answer (request);
+  if (!is_own)
+    {
+      request->status = (unsigned int)request->attempt->status;
+      add_headers (request, response);
+    }
+  if (request->gateway->leaving)
+    MHD_add_response_header (response, "Connection", "close");
+  enum MHD_Result result
+      = MHD_queue_response (request->connection, request->status, response);
+  MHD_destroy_response (response);
+  request->answered = true;
+  return result;
+}
+
+static enum MHD_Result
+take_body (struct request *request, const char *data, size_t *size)
+{
+  if (request->discard || request->answer_ready)
+    {
+      *size = 0;
+      return MHD_YES;
+    }
+  size_t n = body_write (&request->body, data, *size);
+  *size -= n;
+  if (request->attempt)
+    attempt_continue (request->attempt);
+  if (*size == 0)
+    return MHD_YES;
+  /* It does not fit: it is sent while it arrives.  */
+  if (!request->admitted)
+    dispatch_admit (request);
+  if (!request->answer_ready)
+    suspend (request);
+  return MHD_YES;
+}
+
+static void
+end_body (struct request *request)
+{
+  if (request->body_ended)
+    return;
+  request->body_ended = true;
+  if (request->answer_ready)
+    return;
+  if (request->attempt)
+    attempt_continue (request->attempt);
+  else if (!request->admitted)
+    {
+      request->body_size = (int64_t)request->body.size;
+      dispatch_admit (request);
+    }
+}
+
+static void
+log_end (const struct request *request)
+{
+  struct gateway *gateway = request->gateway;
+  apr_time_t now = timer_clock ();
+  if (!gateway_may_log (gateway))
+    return;
+  const struct load *load
+      = request->upstream ? &request->upstream->load : NULL;
+  LOG (LOG_INFO, "request", LOG_TEXT ("id", request->id.data),
+       LOG_TEXT ("outcome", outcome_names[request->outcome]),
+       LOG_INT ("status", request->status),
+       LOG_TEXT ("reason", request->reason ? request->reason : "answered"),
+       LOG_TEXT ("route", request->route ? request->route->name.data : ""),
+       LOG_INT ("version", request->plan ? plan_version (request->plan) : 0),
+       LOG_TEXT ("upstream",
+                 request->upstream ? request->upstream->id.data : ""),
+       LOG_TEXT ("region", request->route
+                               ? gateway->regions[request->region].data
+                               : ""),
+       LOG_INT ("object", request->object & 0xffff),
+       LOG_INT ("first_choice", request->attempt_known),
+       LOG_INT ("sends", request->sends),
+       LOG_INT ("busy", load ? (int64_t)load_busy (load, now) : -1),
+       LOG_INT ("pace", (int64_t)(request->attempt_pace * 100)),
+       LOG_INT ("load_age_ms", load && load->reported_at
+                                   ? (now - load->reported_at) / 1000
+                                   : -1),
+       LOG_INT ("list_age_ms", watcher_age (gateway->watcher, now) / 1000),
+       LOG_INT ("waited_ms", request->admitted_at
+                                 ? (request->admitted_at - request->began_at)
+                                       / 1000
+                                 : -1),
+       LOG_INT ("work_ms", request->attempt_work / 1000),
+       LOG_INT ("aim_ms", (request->aim_at - request->began_at) / 1000),
+       LOG_INT ("elapsed_ms", (now - request->began_at) / 1000));
+}
+
+static void
+count_end (struct request *request)
+{
+  struct route_state *state = request->route_state;
+  if (!state)
+    return;
+  counter_add (state->ended[request->outcome], 1);
+  if (request->outcome == REQUEST_SERVED)
+    histogram_add (state->seconds, timer_clock () - request->began_at);
+}
+
+static void
+destroy (struct request *request)
+{
+  struct gateway *gateway = request->gateway;
+  struct timer_service *timers = loop_timers (gateway->loop);
+  if (request->opened)
+    {
+      if (request->outcome == 0)
+        request->outcome = REQUEST_LEFT;
+      count_end (request);
+      log_end (request);
+    }
+  line_remove (request);
+  dispatch_drop (request);
+  if (request->upstream)
+    fleet_upstream_unref (request->upstream);
+  timer_stop (timers, &request->timer);
+  timer_stop (timers, &request->line_timer);
+  if (request->ready_link)
+    {
+      *request->ready_link = request->next_ready;
+      if (request->next_ready)
+        request->next_ready->ready_link = request->ready_link;
+    }
+  body_free (&request->body);
+  plan_unref (request->plan);
+  gateway->open--;
+  apr_pool_destroy (request->pool);
+}
+
+/* public functions */
+
+void *
+request_begin (void *part, const char *target,
+               struct MHD_Connection *connection)
+{
+  (void)connection;
+  struct gateway *gateway = part;
+  apr_pool_t *pool;
+  apr_pool_create (&pool, gateway->pool);
+  struct request *request = apr_pcalloc (pool, sizeof *request);
+  request->gateway = gateway;
+  request->pool = pool;
+  request->target = str_dup (pool, str_from (target));
+  request->began_at = timer_clock ();
+  headers_init (&request->headers, pool);
+  body_init (&request->body, BODY_LIMIT_BYTES);
+  gateway->open++;
+  return request;
+}
+
+enum MHD_Result
+request_handle (void *part, struct MHD_Connection *connection, const char *url,
+                const char *method, const char *version, const char *data,
+                size_t *size, void **context)
+{
+  (void)part;
+  (void)version;
+  struct request *request = *context;
+  if (!request->opened)
+    {
+      open_request (request, connection, method, url);
+      return MHD_YES;
+    }
+  if (request->gone)
+    return MHD_NO;
+  if (*size > 0)
+    return take_body (request, data, size);
+  end_body (request);
+  if (request->answer_ready)
+    return answer (request);
+  suspend (request);
+  return MHD_YES;
+}
+
+void
+request_completed (void *part, struct MHD_Connection *connection,
+                   void **context, enum MHD_RequestTerminationCode code)
+{
+  struct gateway *gateway = part;
+  (void)code;
+  httpd_watch_gone (gateway->callers, connection, NULL);
+  if (*context)
+    destroy (*context);
+  *context = NULL;
+}
+
+void
+request_gone (void *part)
+{
+  struct request *request = part;
+  request->gone = true;
+  request->outcome = REQUEST_LEFT;
+  line_remove (request);
+  dispatch_drop (request);
+  request_wake (request);
+}
+
+void
+request_wake (struct request *request)
+{
+  struct gateway *gateway = request->gateway;
+  if (!request->suspended || request->ready_link)
+    return;
+  request->next_ready = gateway->ready;
+  request->ready_link = &gateway->ready;
+  if (request->next_ready)
+    request->next_ready->ready_link = &request->next_ready;
+  gateway->ready = request;
+}
+
+void
+request_resume_ready (struct gateway *gateway)
+{
+  while (gateway->ready)
+    {
+      struct request *request = gateway->ready;
+      gateway->ready = request->next_ready;
+      if (gateway->ready)
+        gateway->ready->ready_link = &gateway->ready;
+      request->ready_link = NULL;
+      request->suspended = false;
+      MHD_resume_connection (request->connection);
+      if (!gateway->ready)
+        httpd_run (gateway->callers);
+    }
+}
+
+void
+request_refuse (struct request *request, unsigned int status,
+                const char *reason)
+{
+  request->status = status;
+  request->reason = reason;
+  request->outcome = request->maybe_run ? REQUEST_FAILED : REQUEST_REFUSED;
+  request->answer_ready = true;
+  request->discard = true;
+  line_remove (request);
+  dispatch_drop (request);
+  request_wake (request);
+}
--- /dev/null
+++ b/src/gateway/settings.c
@@ -0,0 +1,109 @@
+#include "gateway/settings.h"
+
+#include <string.h>
+
+/* constants */
+
+#define TEXT(structure, member, of_type)                                      \
+  {                                                                           \
+    .name = #member, .type = (of_type), FIELD_AT (structure, member),         \
+    .required = true                                                          \
+  }
+#define REAL(structure, member, low, high, usual)                             \
+  {                                                                           \
+    .name = #member, .type = FIELD_REAL, FIELD_AT (structure, member),        \
+    .least = (low), .most = (high), .default_number = (usual)                 \
+  }
+#define OBJECT(member, table, must)                                           \
+  {                                                                           \
+    .name = #member, .type = FIELD_OBJECT,                                    \
+    FIELD_AT (gateway_settings, member), .sub = (table), .required = (must)   \
+  }
+
+static const struct field zone_fields[]
+    = { TEXT (gateway_zone, name, FIELD_NAME),
+        TEXT (gateway_zone, region, FIELD_NAME),
+        { 0 } };
+
+static const struct field listen_fields[]
+    = { TEXT (gateway_addresses, callers, FIELD_ADDRESS),
+        TEXT (gateway_addresses, readiness, FIELD_ADDRESS),
+        TEXT (gateway_addresses, lookups, FIELD_ADDRESS),
+        { .name = "metrics",
+          .type = FIELD_ADDRESS,
+          FIELD_AT (gateway_addresses, metrics) },
+        { 0 } };
+
+/* poll_ms: an upstream that leaves must be known within the two to four
+   seconds that the platform allows, also when one read fails.  lease_ms: a
+   dead entry is named to callers for no longer.  */
+static const struct field store_fields[] = {
+  TEXT (gateway_store, address, FIELD_ADDRESS),
+  FIELD_NUMBER (gateway_store, heartbeat_ms, 10, 60000, 1500, "ms"),
+  FIELD_NUMBER (gateway_store, poll_ms, 50, 60000, 900, "ms"),
+  FIELD_NUMBER (gateway_store, timeout_ms, 50, 60000, 700, "ms"),
+  FIELD_NUMBER (gateway_store, lease_ms, 1000, 600000, 3000, "ms"),
+  { 0 }
+};
+
+static const struct field retry_fields[]
+    = { REAL (gateway_retry, ratio, 0, 10, 0),
+        FIELD_NUMBER (gateway_retry, window_s, 1, 3600, 10, "s"),
+        REAL (gateway_retry, slack, 0, 1000000, 0),
+        { 0 } };
+
+static const struct field cold_fields[]
+    = { REAL (gateway_cold, multiplier, 0, 100, 1),
+        REAL (gateway_cold, slack, 0, 1000000, 0),
+        { 0 } };
+
+static const struct field gateway_fields[] = {
+  TEXT (gateway_settings, name, FIELD_NAME),
+  TEXT (gateway_settings, zone, FIELD_NAME),
+  TEXT (gateway_settings, region, FIELD_NAME),
+  { .name = "zones",
+    .type = FIELD_OBJECT_LIST,
+    FIELD_AT (gateway_settings, zones),
+    .sub = zone_fields,
+    .sub_size = sizeof (struct gateway_zone),
+    .required = true },
+  OBJECT (listen, listen_fields, true),
+  OBJECT (store, store_fields, true),
+  OBJECT (retry, retry_fields, false),
+  OBJECT (cold, cold_fields, false),
+  FIELD_NUMBER (gateway_settings, memory_mb, 16, 1048576, 256, "MB"),
+  REAL (gateway_settings, stop_s, 0, 3600, 10),
+  REAL (gateway_settings, lookup_most_s, 0, 3600, 5),
+  REAL (gateway_settings, region_shift, 0, 1, 1),
+  FIELD_NUMBER (gateway_settings, log_lines_per_s, 0, 100000, 40, NULL),
+  { 0 }
+};
+
+/* public functions */
+
+void
+gateway_settings_load (const char *path, apr_pool_t *pool,
+                       struct gateway_settings *settings,
+                       struct faults *faults)
+{
+  memset (settings, 0, sizeof *settings);
+  json_object *object = field_parse_file (path, pool, faults);
+  if (!object)
+    return;
+  field_read (gateway_fields, object, STR (""), settings, pool, faults);
+  json_object_put (object);
+  if (faults_count (faults) == 0
+      && gateway_settings_region (settings, settings->zone).size == 0)
+    faults_add (faults, STR ("zone"), settings->zone, "one of 'zones'");
+}
+
+struct str
+gateway_settings_region (const struct gateway_settings *settings,
+                         struct str zone)
+{
+  const struct gateway_zone *zones = settings->zones.items;
+  for (size_t i = 0; i < settings->zones.count; i++)
+    if (str_equal (zones[i].name, zone))
+      return zones[i].region;
+  return STR ("");
+}
--- /dev/null
+++ b/src/gateway/watcher.c
@@ -0,0 +1,326 @@
+#include "gateway/watcher.h"
+
+#include "platform/decode.h"
+
+/* types */
+
+struct watcher
+{
+  struct watcher_desc desc;
+  struct plan *plan;
+  struct timer timer;
+  struct timer sweep;
+  int64_t index; /* 0: nothing listed yet */
+  apr_time_t answered_at;
+  apr_time_t failed_at; /* of the latest failure */
+  int64_t failures;     /* in a row */
+  struct counter *versions;
+  struct counter *unreadable;
+};
+
+/* constants */
+
+enum
+{
+  RETRY_MS = 250, /* a call that failed is repeated well within the bounds */
+  SWEEP_MS = 250,
+  /* Keys that vanish this soon after a failure may have lapsed with it.  */
+  LAPSE_DOUBT_MS = 4000
+};
+
+/* private functions */
+
+static void on_due (void *part, apr_time_t now);
+
+static void
+again (struct watcher *watcher, int64_t wait_ms)
+{
+  timer_start (loop_timers (watcher->desc.loop), &watcher->timer,
+               timer_clock () + TIMER_MS (wait_ms), on_due, watcher);
+}
+
+static void
+take_plan (struct watcher *watcher, struct str text)
+{
+  struct plan *plan;
+  struct err err = { 0 };
+  if (decode_plan (text, &plan, &err) != ERR_NONE)
+    {
+      counter_add (watcher->unreadable, 1);
+      LOG_ERR (LOG_ERROR, "configuration-refused", &err);
+      return;
+    }
+  if (watcher->plan && plan_version (plan) <= plan_version (watcher->plan))
+    {
+      plan_unref (plan);
+      return;
+    }
+  plan_unref (watcher->plan);
+  watcher->plan = plan;
+  counter_set (watcher->versions, plan_version (plan));
+  LOG (LOG_INFO, "configuration-adopted",
+       LOG_INT ("version", plan_version (plan)),
+       LOG_INT ("routes", plan_route_count (plan)));
+}
+
+static void
+take_upstream (struct watcher *watcher, struct str id,
+               const struct store_item *item, bool lapsed, apr_time_t now)
+{
+  struct fleet_record record;
+  struct err err = { 0 };
+  apr_pool_t *pool;
+  if (item->is_removed)
+    {
+      fleet_remove (watcher->desc.fleet, id, lapsed, now);
+      return;
+    }
+  apr_pool_create (&pool, NULL);
+  if (decode_upstream (id, item->value, pool, &record, &err) != ERR_NONE
+      || !fleet_put (watcher->desc.fleet, &record, item->index, now))
+    {
+      /* It names no upstream to use, so one that had the id is gone.  */
+      counter_add (watcher->unreadable, 1);
+      LOG (LOG_WARN, "upstream-unreadable", LOG_TEXT ("id", record.id.data),
+           LOG_TEXT ("detail", err.code ? err.detail : "unknown zone"));
+      fleet_remove (watcher->desc.fleet, id, false, now);
+    }
+  apr_pool_destroy (pool);
+}
+
+static apr_time_t
+longest_cold (const struct watcher *watcher)
+{
+  return watcher->plan ? plan_longest_cold (watcher->plan) : 0;
+}
+
+static void
+take_evacuation (struct watcher *watcher, struct str zone,
+                 const struct store_item *item, apr_time_t now)
+{
+  LOG (LOG_INFO, item->is_removed ? "zone-taken-back" : "zone-evacuated",
+       LOG_TEXT ("zone", zone.data));
+  fleet_set_evacuated (watcher->desc.fleet, zone, !item->is_removed,
+                       item->index, longest_cold (watcher), now);
+}
+
+static void
+take_item (struct watcher *watcher, const struct store_item *item, bool lapsed,
+           apr_time_t now)
+{
+  struct str rest;
+  switch (decode_key (item->key, &rest))
+    {
+    case KEY_CONFIG:
+      if (!item->is_removed)
+        take_plan (watcher, item->value);
+      return;
+    case KEY_EVACUATION:
+      take_evacuation (watcher, rest, item, now);
+      return;
+    case KEY_UPSTREAM:
+      take_upstream (watcher, rest, item, lapsed, now);
+      return;
+    case KEY_OTHER:
+      break;
+    }
+  struct str prefix = members_prefix ();
+  if (!str_starts (item->key, prefix))
+    return;
+  struct str name = str_view (item->key.data + prefix.size,
+                              item->key.size - prefix.size);
+  if (item->is_removed)
+    members_remove (watcher->desc.members, name, lapsed, now);
+  else
+    members_put (watcher->desc.members, name, item->value);
+}
+
+static bool
+is_in_doubt (const struct watcher *watcher, apr_time_t now)
+{
+  return watcher->failed_at > 0
+         && now - watcher->failed_at < TIMER_MS (LAPSE_DOUBT_MS);
+}
+
+static void
+note_failure (struct watcher *watcher, const char *step, enum err_code code)
+{
+  watcher->failed_at = timer_clock ();
+  if (watcher->failures++ == 0)
+    LOG (LOG_WARN, "store-lost", LOG_TEXT ("step", step),
+         LOG_TEXT ("error", err_name (code)),
+         LOG_INT ("index", watcher->index));
+  again (watcher, RETRY_MS);
+}
+
+static void
+note_answer (struct watcher *watcher, apr_time_t now)
+{
+  if (watcher->failures > 0)
+    LOG (LOG_INFO, "store-regained", LOG_INT ("failures", watcher->failures),
+         LOG_INT ("away_ms", (now - watcher->answered_at) / 1000));
+  watcher->failures = 0;
+  watcher->answered_at = now;
+}
+
+/* Takes back the evacuations that a complete listing does not name.  */
+struct missing
+{
+  const struct store_items *listing;
+  struct str zone; /* the first one, or empty */
+};
+
+static void
+find_missing (void *part, struct str zone)
+{
+  struct missing *missing = part;
+  struct str rest;
+  for (size_t i = 0; i < missing->listing->count; i++)
+    if (decode_key (missing->listing->items[i].key, &rest) == KEY_EVACUATION
+        && str_equal (rest, zone))
+      return;
+  missing->zone = zone;
+}
+
+static void
+end_evacuations (struct watcher *watcher, const struct store_items *listing,
+                 apr_time_t now)
+{
+  struct missing missing;
+  do
+    {
+      missing = (struct missing){ listing, { NULL, 0 } };
+      fleet_each_evacuated (watcher->desc.fleet, find_missing, &missing);
+      if (missing.zone.size > 0)
+        fleet_set_evacuated (watcher->desc.fleet, missing.zone, false,
+                             listing->index, longest_cold (watcher), now);
+    }
+  while (missing.zone.size > 0);
+}
+
+static void
+on_listed (void *part, const struct store_items *listing)
+{
+  struct watcher *watcher = part;
+  apr_time_t now = timer_clock ();
+  if (listing->code != ERR_NONE)
+    {
+      note_failure (watcher, "list", listing->code);
+      return;
+    }
+  bool lapsed = is_in_doubt (watcher, now);
+  note_answer (watcher, now);
+  fleet_begin_listing (watcher->desc.fleet);
+  members_begin_listing (watcher->desc.members);
+  for (size_t i = 0; i < listing->count; i++)
+    take_item (watcher, &listing->items[i], lapsed, now);
+  fleet_end_listing (watcher->desc.fleet, lapsed, now);
+  members_end_listing (watcher->desc.members, lapsed, now);
+  end_evacuations (watcher, listing, now);
+  LOG (LOG_INFO, "store-listed", LOG_INT ("keys", listing->count),
+       LOG_INT ("index", listing->index),
+       LOG_INT ("upstreams", fleet_count (watcher->desc.fleet)));
+  watcher->index = listing->index;
+  watcher->desc.changed (watcher->desc.part);
+  again (watcher, watcher->desc.settings->store.poll_ms);
+}
+
+static void
+on_changes (void *part, const struct store_items *changes)
+{
+  struct watcher *watcher = part;
+  apr_time_t now = timer_clock ();
+  if (changes->code == ERR_NOT_FOUND)
+    {
+      LOG (LOG_WARN, "store-history-gone", LOG_INT ("index", watcher->index));
+      watcher->index = 0;
+      again (watcher, 0);
+      return;
+    }
+  if (changes->code != ERR_NONE)
+    {
+      note_failure (watcher, "follow", changes->code);
+      return;
+    }
+  bool lapsed = is_in_doubt (watcher, now);
+  note_answer (watcher, now);
+  for (size_t i = 0; i < changes->count; i++)
+    take_item (watcher, &changes->items[i], lapsed, now);
+  if (changes->index > watcher->index)
+    watcher->index = changes->index;
+  if (changes->count > 0)
+    watcher->desc.changed (watcher->desc.part);
+  again (watcher, watcher->desc.settings->store.poll_ms);
+}
+
+static void
+on_due (void *part, apr_time_t now)
+{
+  (void)now;
+  struct watcher *watcher = part;
+  struct store *store = watcher->desc.store;
+  if (watcher->index == 0)
+    store->ops->list (store, "", on_listed, watcher);
+  else
+    store->ops->follow (store, "", watcher->index, 0, on_changes, watcher);
+}
+
+static void
+on_sweep (void *part, apr_time_t now)
+{
+  struct watcher *watcher = part;
+  /* While the store is out of reach nothing can be listed again.  */
+  if (watcher->failures == 0)
+    {
+      fleet_sweep (watcher->desc.fleet, now);
+      members_sweep (watcher->desc.members, now);
+    }
+  timer_start (loop_timers (watcher->desc.loop), &watcher->sweep,
+               now + TIMER_MS (SWEEP_MS), on_sweep, watcher);
+}
+
+/* public functions */
+
+struct watcher *
+watcher_create (apr_pool_t *pool, const struct watcher_desc *desc)
+{
+  struct watcher *watcher = apr_pcalloc (pool, sizeof *watcher);
+  watcher->desc = *desc;
+  watcher->versions
+      = gauge_get (desc->counters, "citroncleat_configuration_version", "",
+                   "Version of the configuration in force.");
+  watcher->unreadable
+      = counter_get (desc->counters, "citroncleat_unreadable_items_total", "",
+                     "Items of the store that could not be used.");
+  return watcher;
+}
+
+void
+watcher_destroy (struct watcher *watcher)
+{
+  if (!watcher)
+    return;
+  timer_stop (loop_timers (watcher->desc.loop), &watcher->timer);
+  timer_stop (loop_timers (watcher->desc.loop), &watcher->sweep);
+  plan_unref (watcher->plan);
+}
+
+void
+watcher_start (struct watcher *watcher)
+{
+  watcher->answered_at = timer_clock ();
+  on_due (watcher, watcher->answered_at);
+  on_sweep (watcher, watcher->answered_at);
+}
+
+struct plan *
+watcher_plan (const struct watcher *watcher)
+{
+  return watcher->plan;
+}
+
+apr_time_t
+watcher_age (const struct watcher *watcher, apr_time_t now)
+{
+  return now - watcher->answered_at;
+}
--- a/src/main.c
+++ b/src/main.c
@@ -1,6 +1,7 @@
 /* The one binary: the entry daemon and the operators' client.  */
 #include "client/client.h"
 #include "entry/entry.h"
+#include "gateway/gateway.h"
 
 #include <apr_general.h>
 #include <curl/curl.h>
@@ -39,11 +40,32 @@
   return entry_run (&settings, pool);
 }
 
+static int
+run_gateway (int argc, char **argv, apr_pool_t *pool)
+{
+  if (argc == 2 && strcmp (argv[1], "--help") == 0)
+    {
+      puts ("Usage: citroncleat gateway -f FILE\n"
+            "Runs an entry on the platform until SIGTERM; FILE holds its "
+            "settings.");
+      return EXIT_DONE;
+    }
+  if (argc != 3 || strcmp (argv[1], "-f") != 0)
+    {
+      fputs ("citroncleat: give the settings as 'citroncleat gateway -f "
+             "FILE'\n",
+             stderr);
+      return EXIT_USAGE;
+    }
+  return gateway_run (argv[2], pool);
+}
+
 static void
 print_help (FILE *out)
 {
   fputs ("Usage: citroncleat COMMAND [ARGUMENTS]\n\nCommands:\n"
-         "  entry            run an entry\n",
+         "  entry            run an entry\n"
+         "  gateway          run an entry on the platform's VMs\n",
          out);
   for (const struct client_command *c = client_commands; c->name; c++)
     fprintf (out, "  %-16s %s\n", c->name, c->help);
@@ -75,6 +97,8 @@
     }
   if (strcmp (name, "entry") == 0)
     return run_entry (argc - 1, argv + 1, pool);
+  if (strcmp (name, "gateway") == 0)
+    return run_gateway (argc - 1, argv + 1, pool);
   for (const struct client_command *c = client_commands; c->name; c++)
     if (strcmp (name, c->name) == 0)
       return c->run (argc - 1, argv + 1);
--- /dev/null
+++ b/src/plan/plan.c
@@ -0,0 +1,237 @@
+#include "plan/plan.h"
+
+#include <apr_hash.h>
+#include <apr_tables.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* types */
+
+struct plan
+{
+  apr_pool_t *pool;
+  int references;
+  int64_t version;
+  struct plan_limits limits;
+  apr_hash_t *services;        /* struct plan_service by name */
+  apr_array_header_t *routes;  /* struct plan_route * */
+  apr_hash_t *routes_by_place; /* by host and prefix */
+};
+
+/* constants */
+
+enum
+{
+  PLACE_MAX_BYTES = 1024 /* host and prefix; longer ones match no route */
+};
+
+/* private functions */
+
+/* Writes the key of HOST and PREFIX to OUT; returns its size, 0 if it does
+   not fit.  */
+static size_t
+place_key (char *out, struct str host, struct str prefix)
+{
+  if (host.size + prefix.size > PLACE_MAX_BYTES)
+    return 0;
+  for (size_t i = 0; i < host.size; i++)
+    out[i] = (char)(host.data[i] >= 'A' && host.data[i] <= 'Z'
+                        ? host.data[i] + ('a' - 'A')
+                        : host.data[i]);
+  memcpy (out + host.size, prefix.data, prefix.size);
+  return host.size + prefix.size;
+}
+
+static enum err_code
+check_route (const struct plan *plan, const struct plan_route *route,
+             struct err *err)
+{
+  const char *name = route->name.data;
+  size_t size = route->prefix.size;
+  if (route->kind == PLAN_KIND_INVALID)
+    return err_set (err, ERR_INVALID, "check route", name, "unknown kind");
+  if (route->host.size == 0)
+    return err_set (err, ERR_INVALID, "check route", name, "no host");
+  if (size == 0 || route->prefix.data[0] != '/'
+      || route->prefix.data[size - 1] != '/')
+    return err_set (err, ERR_INVALID, "check route", name,
+                    "the prefix does not begin and end with a slash");
+  if (route->timeout < 0 || route->aim < 0 || route->max_attempts < 1)
+    return err_set (err, ERR_INVALID, "check route", name,
+                    "a time or the number of attempts is out of range");
+  int64_t weights = 0;
+  for (size_t i = 0; i < route->part_count; i++)
+    {
+      if (!plan_service (plan, route->parts[i].service))
+        return err_set (err, ERR_INVALID, "check route", name,
+                        "service '%.*s' does not exist",
+                        STR_ARGS (route->parts[i].service));
+      if (route->parts[i].weight < 0)
+        return err_set (err, ERR_INVALID, "check route", name,
+                        "a weight is below zero");
+      weights += route->parts[i].weight;
+    }
+  if (weights <= 0)
+    return err_set (err, ERR_INVALID, "check route", name,
+                    "no service has a weight above zero");
+  return ERR_NONE;
+}
+
+/* public functions */
+
+struct plan *
+plan_create (int64_t version)
+{
+  apr_pool_t *pool;
+  apr_pool_create (&pool, NULL);
+  struct plan *plan = apr_pcalloc (pool, sizeof *plan);
+  plan->pool = pool;
+  plan->references = 1;
+  plan->version = version;
+  plan->services = apr_hash_make (pool);
+  plan->routes = apr_array_make (pool, 16, sizeof (struct plan_route *));
+  plan->routes_by_place = apr_hash_make (pool);
+  return plan;
+}
+
+struct plan *
+plan_ref (struct plan *plan)
+{
+  plan->references++;
+  return plan;
+}
+
+void
+plan_unref (struct plan *plan)
+{
+  if (plan && --plan->references == 0)
+    apr_pool_destroy (plan->pool);
+}
+
+apr_pool_t *
+plan_pool (struct plan *plan)
+{
+  return plan->pool;
+}
+
+struct plan_limits *
+plan_limits (struct plan *plan)
+{
+  return &plan->limits;
+}
+
+int64_t
+plan_version (const struct plan *plan)
+{
+  return plan->version;
+}
+
+struct plan_service *
+plan_add_service (struct plan *plan, struct str name)
+{
+  struct plan_service *service = apr_pcalloc (plan->pool, sizeof *service);
+  service->name = name;
+  apr_hash_set (plan->services, name.data, (apr_ssize_t)name.size, service);
+  return service;
+}
+
+struct plan_route *
+plan_add_route (struct plan *plan, const struct plan_route *row)
+{
+  struct plan_route *route = apr_palloc (plan->pool, sizeof *route);
+  *route = *row;
+  APR_ARRAY_PUSH (plan->routes, struct plan_route *) = route;
+  return route;
+}
+
+enum err_code
+plan_finish (struct plan *plan, struct err *err)
+{
+  for (int i = 0; i < plan->routes->nelts; i++)
+    {
+      struct plan_route *route
+          = APR_ARRAY_IDX (plan->routes, i, struct plan_route *);
+      if (check_route (plan, route, err) != ERR_NONE)
+        return err->code;
+      char *key = apr_palloc (plan->pool, route->host.size
+                                              + route->prefix.size + 1);
+      size_t size = place_key (key, route->host, route->prefix);
+      if (size == 0)
+        return err_set (err, ERR_LIMIT, "check route", route->name.data,
+                        "host and prefix exceed %d bytes", PLACE_MAX_BYTES);
+      if (apr_hash_get (plan->routes_by_place, key, (apr_ssize_t)size))
+        return err_set (err, ERR_INVALID, "check route", route->name.data,
+                        "another route has the same host and prefix");
+      apr_hash_set (plan->routes_by_place, key, (apr_ssize_t)size, route);
+    }
+  return ERR_NONE;
+}
+
+struct plan_route *
+plan_find (const struct plan *plan, struct str host, struct str path)
+{
+  char key[PLACE_MAX_BYTES];
+  for (size_t size = path.size; size > 0; size--)
+    {
+      if (path.data[size - 1] != '/')
+        continue;
+      size_t n = place_key (key, host, str_view (path.data, size));
+      struct plan_route *route
+          = n ? apr_hash_get (plan->routes_by_place, key, (apr_ssize_t)n)
+              : NULL;
+      if (route)
+        return route;
+    }
+  return NULL;
+}
+
+const struct plan_service *
+plan_service (const struct plan *plan, struct str name)
+{
+  return apr_hash_get (plan->services, name.data, (apr_ssize_t)name.size);
+}
+
+apr_time_t
+plan_longest_cold (const struct plan *plan)
+{
+  apr_time_t longest = 0;
+  for (apr_hash_index_t *i = apr_hash_first (NULL, plan->services); i;
+       i = apr_hash_next (i))
+    {
+      const struct plan_service *service = apr_hash_this_val (i);
+      if (service->cold_time > longest)
+        longest = service->cold_time;
+    }
+  return longest;
+}
+
+size_t
+plan_route_count (const struct plan *plan)
+{
+  return (size_t)plan->routes->nelts;
+}
+
+const struct plan_part *
+plan_take_part (struct plan_route *route)
+{
+  struct plan_part *best = &route->parts[0];
+  int64_t total = 0;
+  if (route->part_count == 1)
+    return best;
+  for (size_t i = 0; i < route->part_count; i++)
+    {
+      struct plan_part *part = &route->parts[i];
+      part->credit += part->weight;
+      total += part->weight;
+      if (part->credit > best->credit)
+        best = part;
+    }
+  best->credit -= total;
+  return best;
+}
+
+bool
+plan_allows_region (const struct plan_route *route, struct str region)
+{
+  return route->regions.count == 0 || str_list_has (&route->regions, region);
+}
