--- a/src/balance/balance.c
+++ b/src/balance/balance.c
@@ -2,14 +2,6 @@
 
 #include <math.h>
 
-/* types */
-
-struct candidate
-{
-  struct fleet_upstream *upstream;
-  uint64_t rank;
-};
-
 /* constants */
 
 /* A silent upstream is avoided after this many usual answers.  */
@@ -19,7 +11,11 @@
 static const double FAILURE_COST = 3.0;
 /* Spreads requests for unknown objects over equally fast upstreams.  */
 static const double BUSY_COST = 0.15;
+/* Makes entries choose alike among upstreams that do not know the object.  */
+static const double RANK_COST = 0.3;
 static const double WORK_WEIGHT = 0.05; /* of the newest answer */
+static const double KNOWN_BELOW = 0.65; /* of the work where it is unknown */
+static const double LEARN_MOST = 1.5;   /* times the estimate */
 
 /* private functions */
 
@@ -52,28 +48,27 @@
          && fleet_may_take (request->fleet, upstream);
 }
 
-/* Finds the two upstreams of the object, those of the highest ranks.  */
-static void
-find_homes (const struct balance_request *request,
-            struct candidate homes[2], size_t *usable)
+/* Returns the upstream that ranks first for the object; all entries agree on
+   it without a word.  */
+static struct fleet_upstream *
+find_home (const struct balance_request *request, size_t *usable)
 {
-  homes[0] = homes[1] = (struct candidate){ 0 };
+  struct fleet_upstream *home = NULL;
+  uint64_t highest = 0;
   *usable = 0;
   for (size_t i = 0; i < request->service->count; i++)
     {
       struct fleet_upstream *upstream = request->service->upstreams[i];
       if (!is_in_reach (request, upstream))
         continue;
-      struct candidate c = { upstream, mix (upstream->hash, request->object) };
+      uint64_t rank = mix (upstream->hash, request->object);
       ++*usable;
-      if (!homes[0].upstream || c.rank > homes[0].rank)
-        {
-          homes[1] = homes[0];
-          homes[0] = c;
-        }
-      else if (!homes[1].upstream || c.rank > homes[1].rank)
-        homes[1] = c;
+      if (home && rank <= highest)
+        continue;
+      home = upstream;
+      highest = rank;
     }
+  return home;
 }
 
 static bool
@@ -95,21 +90,9 @@
          <= (double)load->slots + 0.5;
 }
 
-static double
-usual_work (const struct balance_request *request,
-            const struct fleet_upstream *upstream,
-            const struct candidate homes[2])
-{
-  const struct balance_work *work = request->work;
-  if (upstream == homes[0].upstream)
-    return work->known;
-  if (upstream == homes[1].upstream)
-    return (work->known + work->unknown) / 2;
-  return work->unknown;
-}
-
 /* Returns the time that counts against UPSTREAM: the expected time to an
-   answer, and what a likely failure and a fuller machine add.  */
+   answer, what a likely failure and a fuller machine add, and a little by
+   rank.  */
 static double
 cost_of (const struct balance_request *request,
          const struct fleet_upstream *upstream, double work)
@@ -120,8 +103,12 @@
   double full = load->slots > 0
                     ? load_busy (load, request->now) / (double)load->slots
                     : 1.0;
-  return expected + request->work->unknown * FAILURE_COST * failing
-         + request->work->unknown * BUSY_COST * full;
+  double rank = (double)(mix (upstream->hash, request->object) >> 11)
+                / (double)(1ULL << 53);
+  return expected
+         + request->work->unknown
+               * (FAILURE_COST * failing + BUSY_COST * full
+                  + RANK_COST * (1.0 - rank));
 }
 
 /* public functions */
@@ -129,17 +116,19 @@
 struct balance_choice
 balance_choose (const struct balance_request *request)
 {
-  struct candidate homes[2];
   struct balance_choice best = { 0 };
   double least = INFINITY;
-  find_homes (request, homes, &best.usable);
+  const struct fleet_upstream *home = find_home (request, &best.usable);
   for (size_t i = 0; i < request->service->count; i++)
     {
       struct fleet_upstream *upstream = request->service->upstreams[i];
       if (!is_in_reach (request, upstream)
           || is_excluded (request, upstream) || !has_room (request, upstream))
         continue;
-      double work = usual_work (request, upstream, homes);
+      bool known
+          = upstream == home
+            || memory_has (&upstream->memory, request->object, request->now);
+      double work = known ? request->work->known : request->work->unknown;
       double cost = cost_of (request, upstream, work);
       if (cost >= least)
         continue;
@@ -149,16 +138,20 @@
       best.expected
           = (apr_time_t)(work * load_factor (&upstream->load, request->now))
             + request->distance;
-      best.known = upstream == homes[0].upstream;
+      best.known = known;
     }
   return best;
 }
 
 void
-balance_learn (struct balance_work *work, bool known, double elapsed)
+balance_learn (struct balance_work *work, double elapsed)
 {
-  double *learnt = known ? &work->known : &work->unknown;
-  *learnt += WORK_WEIGHT * (elapsed - *learnt);
+  /* How long it took tells better than any record whether the object was
+     known.  A single long request must not move the estimate far.  */
+  bool was_known = elapsed < work->unknown * KNOWN_BELOW;
+  double *learnt = was_known ? &work->known : &work->unknown;
+  double most = *learnt * LEARN_MOST;
+  *learnt += WORK_WEIGHT * ((elapsed < most ? elapsed : most) - *learnt);
   if (work->known > work->unknown)
     work->known = work->unknown;
 }
--- a/src/balance/balance.h
+++ b/src/balance/balance.h
@@ -1,10 +1,11 @@
 /* Choice of an upstream for one request.
 
    Answers the load "more requests than slots, and upstreams that are faster
-   for objects they know": every object has a first and a second upstream in
-   its region by rendezvous hash, so that it is known there, and a request
-   goes where it is expected to be answered soonest among those with a free
-   slot.  Pure: time is an argument, nothing is read or sent.
+   for objects they know": a request goes where it is expected to be answered
+   soonest among the upstreams with a free slot.  Those that handled its object
+   lately, or rank first for it by rendezvous hash, are taken to know it;
+   where none of them has room, the hash decides, so that all entries make the
+   same few upstreams know an object.  Pure: time is an argument, nothing is read or sent.
 
      struct balance_choice choice = balance_choose (&request);
      if (choice.upstream) load_begin (&choice.upstream->load, now);
@@ -49,7 +50,7 @@
   struct fleet_upstream *upstream; /* NULL: none has a free slot */
   apr_time_t expected;             /* until the answer */
   apr_time_t work;                 /* of it, at an upstream as usual */
-  bool known;    /* it is the object's first upstream */
+  bool known;    /* it is taken to know the object */
   size_t usable; /* upstreams that may take requests at all */
 };
 
@@ -62,7 +63,7 @@
 
 struct balance_choice balance_choose (const struct balance_request *request);
 /* Takes the time that an answer took at an upstream as usual.  */
-void balance_learn (struct balance_work *work, bool known, double elapsed);
+void balance_learn (struct balance_work *work, double elapsed);
 struct balance_room balance_room (const struct fleet *fleet,
                                   const struct fleet_service *service,
                                   struct str region, apr_time_t now);
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -18,6 +18,7 @@
 #define FLEET_FLEET_H
 
 #include "balance/load.h"
+#include "balance/memory.h"
 #include "base/str.h"
 
 #include <apr_time.h>
@@ -53,6 +54,7 @@
   apr_time_t cold_until; /* bears few requests until then */
   int64_t cold_revision; /* only a later record may end it */
   struct load load;
+  struct memory memory;
   int references;
   apr_pool_t *pool;
 };
--- a/src/gateway/dispatch.c
+++ b/src/gateway/dispatch.c
@@ -116,8 +116,11 @@
                                      * request->attempt_pace);
   load_end (&request->upstream->load, result, elapsed, expected, now);
   if (result == LOAD_ANSWERED && elapsed > 0)
-    balance_learn (&request->route_state->work, request->attempt_known,
-                   (double)elapsed / request->attempt_pace);
+    {
+      balance_learn (&request->route_state->work,
+                     (double)elapsed / request->attempt_pace);
+      memory_note (&request->upstream->memory, request->object, now);
+    }
   request->gateway->slot_freed = true;
 }
 
