Vanished keys are in doubt only right after an outage; unit tests of the gateway

Ruled out: a late read (the tombstone came with the next poll). Change: the doubt ends 1.2 s after the last failure.

--- a/Makefile
+++ b/Makefile
@@ -35,7 +35,7 @@
 	$(CC) $(CFLAGS) $^ -o $@ $(LIBS)
 
 UNIT         = $(BUILD)/unit
-UNIT_SOURCES = $(sort $(wildcard tests/unit/*.c)) bench/steer/fleet.c
+UNIT_SOURCES = $(sort $(wildcard tests/unit/*.c)) bench/steer/crowd.c
 UNIT_OBJECTS = $(UNIT_SOURCES:%.c=$(BUILD)/%.o)
 
 $(UNIT): $(UNIT_OBJECTS) $(OBJECTS)
--- a/bench/steer/fleet.c
+++ b/bench/steer/crowd.c
@@ -1,4 +1,4 @@
-#include "bench/steer/fleet.h"
+#include "bench/steer/crowd.h"
 
 #include "base/random.h"
 #include "base/timer.h"
@@ -15,9 +15,9 @@
   MAIL_MEMBERSHIP
 };
 
-struct fleet_mail
+struct crowd_mail
 {
-  struct fleet_mail *next;
+  struct crowd_mail *next;
   enum mail_kind kind;
   int from;
   int to;
@@ -40,13 +40,13 @@
 
 /* private functions */
 
-static struct fleet_mail *
-post (struct fleet *f, enum mail_kind kind, int from, int to)
+static struct crowd_mail *
+post (struct crowd *f, enum mail_kind kind, int from, int to)
 {
-  const struct fleet_process *a = &f->processes[from];
-  const struct fleet_process *b = &f->processes[to];
+  const struct crowd_process *a = &f->processes[from];
+  const struct crowd_process *b = &f->processes[to];
   bool far = !str_equal (a->region, b->region);
-  struct fleet_mail *mail = calloc (1, sizeof *mail);
+  struct crowd_mail *mail = calloc (1, sizeof *mail);
   if (!mail)
     abort ();
   mail->kind = kind;
@@ -54,10 +54,10 @@
   mail->to = to;
   mail->incarnation = a->incarnation;
   mail->due = f->now + (far ? f->desc.distance_us : NEAR_US)
-              + (apr_time_t)fleet_pick (f, JITTER_US);
+              + (apr_time_t)crowd_pick (f, JITTER_US);
   /* A lost message is made and dropped, so that a run does not depend on
      it.  */
-  if ((double)fleet_pick (f, 1000) < 1000 * f->desc.loss || a->cut_off
+  if ((double)crowd_pick (f, 1000) < 1000 * f->desc.loss || a->cut_off
       || b->cut_off)
     mail->to = -1;
   mail->next = f->mails;
@@ -69,11 +69,11 @@
 on_send (void *part, struct str to, const struct share_message *message)
 {
   /* PART is a process, whose place tells the fleet.  */
-  struct fleet_process *p = part;
-  struct fleet *f = (struct fleet *)((char *)(p - p->index)
-                                     - offsetof (struct fleet, processes));
+  struct crowd_process *p = part;
+  struct crowd *f = (struct crowd *)((char *)(p - p->index)
+                                     - offsetof (struct crowd, processes));
   int receiver = atoi (to.data + 1);
-  struct fleet_mail *mail = post (f, MAIL_SHARE, p->index, receiver);
+  struct crowd_mail *mail = post (f, MAIL_SHARE, p->index, receiver);
   mail->share = *message;
   for (size_t i = 0; i < message->count; i++)
     {
@@ -84,7 +84,7 @@
 }
 
 static void
-divide (const struct fleet *f, struct fleet_process *p)
+divide (const struct crowd *f, struct crowd_process *p)
 {
   int64_t least
       = f->desc.no_waiting
@@ -94,9 +94,9 @@
 }
 
 static void
-start_process (struct fleet *f, int i)
+start_process (struct crowd *f, int i)
 {
-  struct fleet_process *p = &f->processes[i];
+  struct crowd_process *p = &f->processes[i];
   struct share_peer peers[FLEET_MAX];
   size_t count = 0;
   p->alive = true;
@@ -134,7 +134,7 @@
 }
 
 static void
-end_process (struct fleet *f, struct fleet_process *p)
+end_process (struct crowd *f, struct crowd_process *p)
 {
   if (f->desc.ended)
     f->desc.ended (f->desc.part, p);
@@ -147,13 +147,13 @@
 static bool
 is_gone (void *part, const struct member_record *record)
 {
-  const struct fleet *f = part;
-  const struct fleet_process *p = &f->processes[atoi (record->name.data + 1)];
+  const struct crowd *f = part;
+  const struct crowd_process *p = &f->processes[atoi (record->name.data + 1)];
   return !p->alive || p->incarnation > record->incarnation;
 }
 
 static void
-propose (struct fleet *f)
+propose (struct crowd *f)
 {
   struct member_sight sights[FLEET_MAX];
   size_t count = 0;
@@ -176,7 +176,7 @@
 }
 
 static void
-adopt (struct fleet *f, struct fleet_process *p, struct membership *membership)
+adopt (struct crowd *f, struct crowd_process *p, struct membership *membership)
 {
   if (membership->version <= p->held->version)
     return;
@@ -187,10 +187,10 @@
 }
 
 static void
-take (struct fleet *f, struct fleet_mail *mail)
+take (struct crowd *f, struct crowd_mail *mail)
 {
-  struct fleet_process *to = &f->processes[mail->to];
-  const struct fleet_process *from = &f->processes[mail->from];
+  struct crowd_process *to = &f->processes[mail->to];
+  const struct crowd_process *from = &f->processes[mail->from];
   switch (mail->kind)
     {
     case MAIL_SHARE:
@@ -209,12 +209,12 @@
 }
 
 static void
-deliver (struct fleet *f)
+deliver (struct crowd *f)
 {
-  struct fleet_mail *all = f->mails;
-  struct fleet_mail *next;
+  struct crowd_mail *all = f->mails;
+  struct crowd_mail *next;
   f->mails = NULL;
-  for (struct fleet_mail *mail = all; mail; mail = next)
+  for (struct crowd_mail *mail = all; mail; mail = next)
     {
       next = mail->next;
       bool lost = mail->to < 0 || !f->processes[mail->to].alive
@@ -234,7 +234,7 @@
 
 /* Heartbeats carry confirmations, and bring whoever is behind up to date.  */
 static void
-beat (struct fleet *f, struct fleet_process *p)
+beat (struct crowd *f, struct crowd_process *p)
 {
   for (int o = 0; o < f->desc.count; o++)
     {
@@ -247,7 +247,7 @@
 }
 
 static void
-tick (struct fleet *f, struct fleet_process *p)
+tick (struct crowd *f, struct crowd_process *p)
 {
   f->desc.want (f->desc.part, p, f->now);
   share_tick (steer_share (p->steer), f->now);
@@ -260,20 +260,20 @@
 }
 
 static void
-disturb (struct fleet *f)
+disturb (struct crowd *f)
 {
   size_t touched = (size_t)(f->desc.count - f->desc.untouched);
-  struct fleet_process *p
-      = &f->processes[f->desc.untouched + (int)fleet_pick (f, touched)];
+  struct crowd_process *p
+      = &f->processes[f->desc.untouched + (int)crowd_pick (f, touched)];
   for (int i = 0; i < f->desc.count; i++)
-    if (fleet_pick (f, 4) == 0)
+    if (crowd_pick (f, 4) == 0)
       f->processes[i].paused = f->processes[i].cut_off = false;
   if (!p->alive)
     {
       start_process (f, p->index);
       return;
     }
-  switch (fleet_pick (f, 4))
+  switch (crowd_pick (f, 4))
     {
     case 0:
       end_process (f, p);
@@ -292,10 +292,10 @@
 
 /* public functions */
 
-struct fleet *
-fleet_create (const struct fleet_desc *desc, apr_time_t now)
+struct crowd *
+crowd_create (const struct crowd_desc *desc, apr_time_t now)
 {
-  struct fleet *f = calloc (1, sizeof *f);
+  struct crowd *f = calloc (1, sizeof *f);
   if (!f)
     abort ();
   f->desc = *desc;
@@ -310,14 +310,14 @@
 }
 
 void
-fleet_destroy (struct fleet *f)
+crowd_destroy (struct crowd *f)
 {
   for (int i = 0; i < f->desc.count; i++)
     if (f->processes[i].alive)
       end_process (f, &f->processes[i]);
   while (f->mails)
     {
-      struct fleet_mail *mail = f->mails;
+      struct crowd_mail *mail = f->mails;
       f->mails = mail->next;
       membership_unref (mail->membership);
       free (mail);
@@ -328,7 +328,7 @@
 }
 
 void
-fleet_step (struct fleet *f, apr_time_t now)
+crowd_step (struct crowd *f, apr_time_t now)
 {
   f->now = now;
   deliver (f);
@@ -343,7 +343,7 @@
     f->tick_at = now + TICK_US;
   for (int i = 0; i < f->desc.count; i++)
     {
-      struct fleet_process *p = &f->processes[i];
+      struct crowd_process *p = &f->processes[i];
       if (!p->alive || p->paused)
         continue;
       /* Relays read the store; here the first two that are not cut off.  */
@@ -362,7 +362,7 @@
 }
 
 size_t
-fleet_pick (struct fleet *f, size_t n)
+crowd_pick (struct crowd *f, size_t n)
 {
   return (size_t)(random_next (&f->random) >> 11) % n;
 }
--- a/bench/steer/fleet.h
+++ b/bench/steer/crowd.h
@@ -5,8 +5,8 @@
    after their way and a random delay, or never.  The owner of a fleet moves
    the time and uses each process's `steer'.
 
-     struct fleet *fleet = fleet_create (&desc);
-     for (...) { fleet_step (fleet, now); ... use fleet->processes ... }
+     struct crowd *fleet = crowd_create (&desc);
+     for (...) { crowd_step (fleet, now); ... use fleet->processes ... }
 
    Units: microseconds.  A run is determined by its seed.  */
 #ifndef BENCH_FLEET_H
@@ -20,7 +20,7 @@
   FLEET_MAX = 16
 };
 
-struct fleet_process
+struct crowd_process
 {
   bool alive;
   bool paused;
@@ -36,7 +36,7 @@
   apr_time_t adopted_at;
 };
 
-struct fleet_desc
+struct crowd_desc
 {
   int count;
   struct str regions[3]; /* process I is in region I % region_count */
@@ -51,18 +51,18 @@
   int untouched;   /* the first so many are not */
   bool no_waiting; /* grows at once: what the membership prevents */
   /* Wants of a process, before its tick.  */
-  void (*want) (void *part, struct fleet_process *process, apr_time_t now);
+  void (*want) (void *part, struct crowd_process *process, apr_time_t now);
   /* PROCESS ends: its uses are over.  */
-  void (*ended) (void *part, struct fleet_process *process);
+  void (*ended) (void *part, struct crowd_process *process);
   void *part;
 };
 
-struct fleet
+struct crowd
 {
-  struct fleet_desc desc;
-  struct fleet_process processes[FLEET_MAX];
+  struct crowd_desc desc;
+  struct crowd_process processes[FLEET_MAX];
   struct membership *stored;
-  struct fleet_mail *mails;
+  struct crowd_mail *mails;
   apr_pool_t *pool;
   apr_time_t now;
   apr_time_t tick_at;
@@ -71,11 +71,11 @@
   uint64_t random;
 };
 
-struct fleet *fleet_create (const struct fleet_desc *desc, apr_time_t now);
-void fleet_destroy (struct fleet *fleet);
+struct crowd *crowd_create (const struct crowd_desc *desc, apr_time_t now);
+void crowd_destroy (struct crowd *fleet);
 /* Moves the clock to NOW and does all that is due.  */
-void fleet_step (struct fleet *fleet, apr_time_t now);
+void crowd_step (struct crowd *fleet, apr_time_t now);
 /* Returns a number below N.  */
-size_t fleet_pick (struct fleet *fleet, size_t n);
+size_t crowd_pick (struct crowd *fleet, size_t n);
 
 #endif
--- a/bench/steer/links.c
+++ b/bench/steer/links.c
@@ -3,7 +3,7 @@
 #include "bench/steer/links.h"
 
 #include "base/timer.h"
-#include "bench/steer/fleet.h"
+#include "bench/steer/crowd.h"
 
 #include <json-c/json.h>
 #include <stdlib.h>
@@ -14,7 +14,7 @@
 struct links
 {
   const struct links_plan *plan;
-  struct fleet *fleet;
+  struct crowd *fleet;
   struct str from;
   double owed[FLEET_MAX]; /* bytes that wait at an entry */
   int64_t bins[LINKS_WINDOW_MS];
@@ -61,20 +61,20 @@
 }
 
 static struct steer_link *
-link_of (const struct links *l, const struct fleet_process *p)
+link_of (const struct links *l, const struct crowd_process *p)
 {
   return steer_link (p->steer, l->from, STR ("south"));
 }
 
 static void
-want (void *part, struct fleet_process *p, apr_time_t now)
+want (void *part, struct crowd_process *p, apr_time_t now)
 {
   (void)part;
   steer_want_links (p->steer, now);
 }
 
 static bool
-sends (const struct links *l, const struct fleet_process *p)
+sends (const struct links *l, const struct crowd_process *p)
 {
   return p->alive && !p->paused && !str_equal (p->region, STR ("west"))
          && (l->plan->busy_entries == 0 || p->index < l->plan->busy_entries);
@@ -82,7 +82,7 @@
 
 /* Sends what may be sent in this millisecond; returns the bytes.  */
 static int64_t
-send_bytes (struct links *l, struct fleet_process *p, double demand,
+send_bytes (struct links *l, struct crowd_process *p, double demand,
             apr_time_t now)
 {
   int64_t sent = 0;
@@ -119,7 +119,7 @@
   struct links l = { .plan = plan, .from = STR ("north") };
   struct links_result result = { 0 };
   struct snapshot *snapshot = make_snapshot (plan->cap);
-  struct fleet_desc desc
+  struct crowd_desc desc
       = { .count = LINKS_ENTRIES,
           .regions = { STR ("north"), STR ("south"), STR ("west") },
           .region_count = plan->busy_entries ? 2 : 3,
@@ -133,13 +133,13 @@
           .part = &l };
   apr_time_t now = TIMER_SEC (100);
   int64_t total = 0;
-  l.fleet = fleet_create (&desc, now);
+  l.fleet = crowd_create (&desc, now);
   for (int ms = 0; ms < plan->length_ms; ms++)
     {
       int senders = 0;
       int64_t sent = 0;
       now += TIMER_MS (1);
-      fleet_step (l.fleet, now);
+      crowd_step (l.fleet, now);
       for (int i = 0; i < LINKS_ENTRIES; i++)
         senders += sends (&l, &l.fleet->processes[i]);
       double demand
@@ -156,7 +156,7 @@
     }
   result.use = (double)total * 1000 / (double)(plan->length_ms - WARM_UP_MS)
                / (double)plan->cap;
-  fleet_destroy (l.fleet);
+  crowd_destroy (l.fleet);
   snapshot_unref (snapshot);
   return result;
 }
--- /dev/null
+++ b/src/fleet/outage.c
@@ -0,0 +1,29 @@
+#include "fleet/outage.h"
+
+/* constants */
+
+/* What lapsed during an outage is told by the first answers after it, which
+   come a retry and a poll after the last failure.  */
+static const apr_time_t DOUBT_US = 1200000;
+
+/* public functions */
+
+void
+outage_failed (struct outage *outage, apr_time_t now)
+{
+  outage->failures++;
+  outage->failed_at = now;
+}
+
+void
+outage_answered (struct outage *outage, apr_time_t now)
+{
+  outage->failures = 0;
+  outage->answered_at = now;
+}
+
+bool
+outage_in_doubt (const struct outage *outage, apr_time_t now)
+{
+  return outage->failed_at > 0 && now - outage->failed_at < DOUBT_US;
+}
--- a/src/gateway/watcher.c
+++ b/src/gateway/watcher.c
@@ -1,5 +1,6 @@
 #include "gateway/watcher.h"
 
+#include "fleet/outage.h"
 #include "platform/decode.h"
 
 /* types */
@@ -11,9 +12,7 @@
   struct timer timer;
   struct timer sweep;
   int64_t index; /* 0: nothing listed yet */
-  apr_time_t answered_at;
-  apr_time_t failed_at; /* of the latest failure */
-  int64_t failures;     /* in a row */
+  struct outage outage;
   struct counter *versions;
   struct counter *unreadable;
 };
@@ -23,9 +22,7 @@
 enum
 {
   RETRY_MS = 250, /* a call that failed is repeated well within the bounds */
-  SWEEP_MS = 250,
-  /* Keys that vanish this soon after a failure may have lapsed with it.  */
-  LAPSE_DOUBT_MS = 4000
+  SWEEP_MS = 250
 };
 
 /* private functions */
@@ -135,18 +132,11 @@
     members_put (watcher->desc.members, name, item->value);
 }
 
-static bool
-is_in_doubt (const struct watcher *watcher, apr_time_t now)
-{
-  return watcher->failed_at > 0
-         && now - watcher->failed_at < TIMER_MS (LAPSE_DOUBT_MS);
-}
-
 static void
 note_failure (struct watcher *watcher, const char *step, enum err_code code)
 {
-  watcher->failed_at = timer_clock ();
-  if (watcher->failures++ == 0)
+  outage_failed (&watcher->outage, timer_clock ());
+  if (watcher->outage.failures == 1)
     LOG (LOG_WARN, "store-lost", LOG_TEXT ("step", step),
          LOG_TEXT ("error", err_name (code)),
          LOG_INT ("index", watcher->index));
@@ -156,11 +146,11 @@
 static void
 note_answer (struct watcher *watcher, apr_time_t now)
 {
-  if (watcher->failures > 0)
-    LOG (LOG_INFO, "store-regained", LOG_INT ("failures", watcher->failures),
-         LOG_INT ("away_ms", (now - watcher->answered_at) / 1000));
-  watcher->failures = 0;
-  watcher->answered_at = now;
+  if (watcher->outage.failures > 0)
+    LOG (LOG_INFO, "store-regained",
+         LOG_INT ("failures", watcher->outage.failures),
+         LOG_INT ("away_ms", (now - watcher->outage.answered_at) / 1000));
+  outage_answered (&watcher->outage, now);
 }
 
 /* Takes back the evacuations that a complete listing does not name.  */
@@ -208,7 +198,7 @@
       note_failure (watcher, "list", listing->code);
       return;
     }
-  bool lapsed = is_in_doubt (watcher, now);
+  bool lapsed = outage_in_doubt (&watcher->outage, now);
   note_answer (watcher, now);
   fleet_begin_listing (watcher->desc.fleet);
   members_begin_listing (watcher->desc.members);
@@ -242,7 +232,7 @@
       note_failure (watcher, "follow", changes->code);
       return;
     }
-  bool lapsed = is_in_doubt (watcher, now);
+  bool lapsed = outage_in_doubt (&watcher->outage, now);
   note_answer (watcher, now);
   for (size_t i = 0; i < changes->count; i++)
     take_item (watcher, &changes->items[i], lapsed, now);
@@ -270,7 +260,7 @@
 {
   struct watcher *watcher = part;
   /* While the store is out of reach nothing can be listed again.  */
-  if (watcher->failures == 0)
+  if (watcher->outage.failures == 0)
     {
       fleet_sweep (watcher->desc.fleet, now);
       members_sweep (watcher->desc.members, now);
@@ -308,9 +298,10 @@
 void
 watcher_start (struct watcher *watcher)
 {
-  watcher->answered_at = timer_clock ();
-  on_due (watcher, watcher->answered_at);
-  on_sweep (watcher, watcher->answered_at);
+  apr_time_t now = timer_clock ();
+  watcher->outage.answered_at = now;
+  on_due (watcher, now);
+  on_sweep (watcher, now);
 }
 
 struct plan *
@@ -322,5 +313,5 @@
 apr_time_t
 watcher_age (const struct watcher *watcher, apr_time_t now)
 {
-  return now - watcher->answered_at;
+  return now - watcher->outage.answered_at;
 }
--- /dev/null
+++ b/tests/unit/balance_test.c
@@ -0,0 +1,263 @@
+/* Decisions on single requests: where, whether, and in which region.  */
+#include "balance/admit.h"
+#include "balance/balance.h"
+#include "balance/spread.h"
+#include "base/timer.h"
+#include "tests/unit/unit.h"
+
+#include <math.h>
+#include <stdio.h>
+#include <string.h>
+
+enum
+{
+  UPSTREAMS = 6,
+  SLOTS = 4
+};
+
+static struct fleet *fleet;
+static apr_time_t now;
+static struct balance_work work;
+
+static struct str
+region_of (void *part, struct str zone)
+{
+  (void)part;
+  return zone;
+}
+
+static void
+open_fleet (void)
+{
+  struct fleet_desc desc = { .region_of = region_of };
+  fleet = fleet_create (test_pool, &desc);
+  now = TIMER_SEC (1000);
+  work = (struct balance_work){ 100000, 300000 };
+  for (int i = 0; i < UPSTREAMS; i++)
+    {
+      char id[16];
+      snprintf (id, sizeof id, "u%d", i);
+      struct fleet_record r = { .id = str_from (id),
+                                .service = STR ("desk"),
+                                .address = STR ("10.0.0.1:80"),
+                                .zone = STR ("north"),
+                                .slots = SLOTS,
+                                .born = 1 };
+      fleet_put (fleet, &r, i + 1, now);
+    }
+}
+
+static struct balance_request
+request (uint64_t object)
+{
+  return (struct balance_request){ .fleet = fleet,
+                                   .service
+                                   = fleet_service (fleet, STR ("desk")),
+                                   .region = STR ("north"),
+                                   .object = object,
+                                   .work = &work,
+                                   .cold_rate = 1.0,
+                                   .most_own = 100,
+                                   .now = now };
+}
+
+static void
+test_affinity (void)
+{
+  open_fleet ();
+  struct balance_request r = request (77);
+  struct balance_choice first = balance_choose (&r);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (first.upstream);
+  CU_ASSERT (first.known);
+  for (int i = 0; i < SLOTS; i++)
+    {
+      CU_ASSERT_PTR_EQUAL (balance_choose (&r).upstream, first.upstream);
+      load_begin (&first.upstream->load, now);
+    }
+  /* Full: the next one, where the object is not known yet.  */
+  struct balance_choice second = balance_choose (&r);
+  CU_ASSERT_PTR_NOT_EQUAL (second.upstream, first.upstream);
+  CU_ASSERT_FALSE (second.known);
+  memory_note (&second.upstream->memory, 77, now);
+  struct balance_choice again = balance_choose (&r);
+  CU_ASSERT_PTR_EQUAL (again.upstream, second.upstream);
+  CU_ASSERT (again.known);
+  fleet_destroy (fleet);
+}
+
+static void
+test_full (void)
+{
+  open_fleet ();
+  struct balance_request r = request (1);
+  int placed = 0;
+  for (struct balance_choice c = balance_choose (&r); c.upstream;
+       c = balance_choose (&r))
+    {
+      load_begin (&c.upstream->load, now);
+      placed++;
+    }
+  CU_ASSERT_EQUAL (placed, UPSTREAMS * SLOTS);
+  fleet_destroy (fleet);
+}
+
+/* An upstream is avoided for what is seen of it, not for what it says.  */
+static void
+test_faults (void)
+{
+  static const struct
+  {
+    const char *name;
+    enum load_result result;
+    double times; /* of what was expected */
+    int count;
+  } cases[] = { { "slow", LOAD_ANSWERED, 5.0, 4 },
+                { "failing", LOAD_FAILED, 1.0, 4 },
+                { "unreachable", LOAD_UNREACHED, 1.0, 1 } };
+  for (size_t i = 0; i < COUNT (cases); i++)
+    {
+      open_fleet ();
+      struct balance_request r = request (5);
+      struct fleet_upstream *home = balance_choose (&r).upstream;
+      for (int n = 0; n < cases[i].count; n++)
+        {
+          load_begin (&home->load, now);
+          load_end (&home->load, cases[i].result,
+                    (apr_time_t)(100000 * cases[i].times), 100000, now);
+        }
+      CU_ASSERT_PTR_NOT_EQUAL (balance_choose (&r).upstream, home);
+      r.now = now + TIMER_SEC (30);
+      CU_ASSERT_PTR_EQUAL (balance_choose (&r).upstream, home);
+      fleet_destroy (fleet);
+    }
+}
+
+static void
+test_cold (void)
+{
+  open_fleet ();
+  struct balance_request r = request (9);
+  struct fleet_upstream *home = balance_choose (&r).upstream;
+  int placed = 0;
+  home->cold_until = now + TIMER_SEC (10);
+  r.cold_rate = 4.0;
+  for (int ms = 0; ms < 5000; ms += 10)
+    {
+      r.now = now + TIMER_MS (ms);
+      struct balance_choice c = balance_choose (&r);
+      if (c.upstream != home)
+        continue;
+      CU_ASSERT (load_take_cold (&home->load, r.cold_rate, 1.0, r.now));
+      placed++;
+    }
+  CU_ASSERT (placed >= 15 && placed <= 21);
+  fleet_destroy (fleet);
+}
+
+static void
+test_learn (void)
+{
+  work = (struct balance_work){ 200000, 300000 };
+  for (int i = 0; i < 200; i++)
+    balance_learn (&work, i % 30 == 0 ? 2000000 : 100000);
+  CU_ASSERT (work.known < 115000);
+  CU_ASSERT (work.unknown < 450000);
+}
+
+static void
+test_admit (void)
+{
+  static const struct
+  {
+    const char *name;
+    struct admit_state state;
+    enum admit_action action;
+  } cases[] = {
+    { "in time",
+      { .has_slot = true, .expected = 100000, .aim_left = 300000,
+        .time_left = 900000, .fullness = 1.0 },
+      ADMIT_SEND },
+    { "late, others wait",
+      { .has_slot = true, .expected = 400000, .aim_left = 300000,
+        .time_left = 900000, .fullness = 0.95 },
+      ADMIT_REFUSE },
+    { "late, nobody waits",
+      { .has_slot = true, .expected = 400000, .aim_left = 300000,
+        .time_left = 900000, .fullness = 0.4 },
+      ADMIT_SEND },
+    { "after the caller has left",
+      { .has_slot = true, .expected = 400000, .aim_left = 300000,
+        .time_left = 350000, .fullness = 0.1 },
+      ADMIT_REFUSE },
+    { "no slot, time to wait",
+      { .best = 100000, .aim_left = 300000, .time_left = 900000,
+        .fullness = 1.0, .rate = 100, .waiting = 3 },
+      ADMIT_WAIT },
+    { "no slot, too many wait",
+      { .best = 100000, .aim_left = 300000, .time_left = 900000,
+        .fullness = 1.0, .rate = 100, .waiting = 30 },
+      ADMIT_REFUSE },
+    { "no slot, no time to wait",
+      { .best = 100000, .aim_left = 100000, .time_left = 900000,
+        .fullness = 1.0, .rate = 100 },
+      ADMIT_REFUSE },
+  };
+  for (size_t i = 0; i < COUNT (cases); i++)
+    {
+      struct admit_verdict verdict = admit_decide (&cases[i].state);
+      CU_ASSERT_EQUAL (verdict.action, cases[i].action);
+      if (verdict.action != cases[i].action)
+        printf ("  case: %s\n", cases[i].name);
+      if (verdict.action == ADMIT_REFUSE)
+        CU_ASSERT (verdict.retry_after > 0);
+    }
+}
+
+static void
+test_spread (void)
+{
+  enum
+  {
+    OBJECTS = 4000
+  };
+  struct spread spread;
+  const bool all[3] = { true, true, true };
+  struct balance_room rooms[3] = { { 36, 0 }, { 144, 0 }, { 108, 0 } };
+  int before[OBJECTS];
+  now = TIMER_SEC (1000);
+  spread_init (&spread, 3, 0, 0.03);
+  spread_update (&spread, rooms, now);
+  CU_ASSERT_DOUBLE_EQUAL (spread.parts[0], 0.375, 0.001);
+  CU_ASSERT_DOUBLE_EQUAL (spread.parts[1], 0.5, 0.001);
+  /* The own region is overrun: however it is, few objects move in 2 s.  */
+  for (int i = 0; i < OBJECTS; i++)
+    before[i] = (int)spread_pick (&spread,
+                                  (uint64_t)i * 0x9e3779b97f4a7c15ULL, all);
+  rooms[0].busy = 36;
+  for (int ms = 100; ms <= 2000; ms += 100)
+    spread_update (&spread, rooms, now + TIMER_MS (ms));
+  int moved = 0;
+  for (int i = 0; i < OBJECTS; i++)
+    moved += (int)spread_pick (&spread, (uint64_t)i * 0x9e3779b97f4a7c15ULL,
+                               all)
+             != before[i];
+  CU_ASSERT (moved > 0);
+  CU_ASSERT (moved < OBJECTS * 15 / 100);
+  double sum = spread.parts[0] + spread.parts[1] + spread.parts[2];
+  CU_ASSERT_DOUBLE_EQUAL (sum, 1.0, 1e-9);
+  const bool none[3] = { false, false, false };
+  CU_ASSERT_EQUAL (spread_pick (&spread, 5, none), SPREAD_REGIONS_MAX);
+  const bool last[3] = { false, false, true };
+  CU_ASSERT_EQUAL (spread_pick (&spread, 5, last), 2);
+}
+
+const struct unit_test balance_tests[]
+    = { { "an object's requests go where it is known", test_affinity },
+        { "no upstream gets more than its slots", test_full },
+        { "slow, failing and unreachable ones are avoided for a time",
+          test_faults },
+        { "a cold upstream gets its rate", test_cold },
+        { "work is learnt, single long requests count little", test_learn },
+        { "sent, held or refused at once", test_admit },
+        { "regions change slowly", test_spread },
+        { NULL, NULL } };
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -17,7 +17,9 @@
                { "keeper", keeper_tests }, { "peer", peer_tests },
                { "share", share_tests },   { "member", member_tests },
                { "steer", steer_tests },   { "call", call_tests },
-               { "burn", burn_tests } };
+               { "burn", burn_tests },     { "plan", plan_tests },
+               { "fleet", fleet_tests },   { "balance", balance_tests },
+               { "platform", platform_tests } };
 
 static void
 set_up (void)
--- a/tests/unit/member_test.c
+++ b/tests/unit/member_test.c
@@ -1,6 +1,6 @@
 /* Versions of the membership, and the division of caps while they overlap.  */
 #include "base/timer.h"
-#include "bench/steer/fleet.h"
+#include "bench/steer/crowd.h"
 #include "member/confirmation.h"
 #include "member/membership.h"
 #include "tests/unit/fixture.h"
@@ -177,25 +177,25 @@
 };
 
 static struct calls all[ENTRIES];
-static struct fleet *fleet;
+static struct crowd *fleet;
 static const struct service *shop;
 
 static void
-want (void *part, struct fleet_process *p, apr_time_t now)
+want (void *part, struct crowd_process *p, apr_time_t now)
 {
   (void)part;
-  steer_want (p->steer, shop, fleet_pick (fleet, 8), now);
+  steer_want (p->steer, shop, crowd_pick (fleet, 8), now);
 }
 
 static void
-on_ended (void *part, struct fleet_process *p)
+on_ended (void *part, struct crowd_process *p)
 {
   (void)part;
   all[p->index].count = 0;
 }
 
 static void
-end_calls (struct fleet_process *p, apr_time_t now)
+end_calls (struct crowd_process *p, apr_time_t now)
 {
   struct calls *calls = &all[p->index];
   for (int i = calls->count - 1; i >= 0; i--)
@@ -218,7 +218,7 @@
 }
 
 static void
-begin_call (struct fleet_process *p, apr_time_t now)
+begin_call (struct crowd_process *p, apr_time_t now)
 {
   struct calls *calls = &all[p->index];
   struct steer_request request
@@ -229,7 +229,7 @@
   int at = calls->count++;
   calls->upstream[at] = upstream_index (choice.upstream);
   calls->ends[at]
-      = now + (apr_time_t)fleet_pick (fleet, TIMER_MS (HOLD_MS - 100));
+      = now + (apr_time_t)crowd_pick (fleet, TIMER_MS (HOLD_MS - 100));
   calls->tickets[at] = steer_begin (p->steer, choice.upstream, CLASS_SHORT);
 }
 
@@ -259,7 +259,7 @@
 {
   struct snapshot *snapshot
       = fixture_shop (UPSTREAMS, SLOTS, ",'call_cap':23");
-  struct fleet_desc desc = { .count = ENTRIES,
+  struct crowd_desc desc = { .count = ENTRIES,
                              .regions = { STR ("north"), STR ("south") },
                              .region_count = 2,
                              .distance_us = TIMER_MS (10),
@@ -276,24 +276,24 @@
   apr_time_t now = TIMER_SEC (100);
   shop = snapshot_find (snapshot, KIND_SERVICE, STR ("shop"));
   memset (all, 0, sizeof all);
-  fleet = fleet_create (&desc, now);
+  fleet = crowd_create (&desc, now);
   for (int step = 0; step < STEPS; step++)
     {
-      now += (apr_time_t)fleet_pick (fleet, TIMER_MS (10));
-      fleet_step (fleet, now);
+      now += (apr_time_t)crowd_pick (fleet, TIMER_MS (10));
+      crowd_step (fleet, now);
       for (int i = 0; i < ENTRIES; i++)
         {
-          struct fleet_process *p = &fleet->processes[i];
+          struct crowd_process *p = &fleet->processes[i];
           if (!p->alive)
             continue;
           end_calls (p, now);
-          for (size_t n = fleet_pick (fleet, 12); n > 0 && !p->paused; n--)
+          for (size_t n = crowd_pick (fleet, 12); n > 0 && !p->paused; n--)
             begin_call (p, now);
           *busy += all[i].count;
         }
       over += overrun () > 0;
     }
-  fleet_destroy (fleet);
+  crowd_destroy (fleet);
   snapshot_unref (snapshot);
   return over;
 }
--- a/tests/unit/unit.h
+++ b/tests/unit/unit.h
@@ -26,5 +26,9 @@
 extern const struct unit_test steer_tests[];
 extern const struct unit_test call_tests[];
 extern const struct unit_test burn_tests[];
+extern const struct unit_test plan_tests[];
+extern const struct unit_test fleet_tests[];
+extern const struct unit_test balance_tests[];
+extern const struct unit_test platform_tests[];
 
 #endif
