--- a/src/balance/admit.c
+++ b/src/balance/admit.c
@@ -9,10 +9,10 @@
 
 enum
 {
-  WAIT_LEAST_MS = 5,      /* a shorter wait is not worth a place in line */
+  WAIT_LEAST_MS = 5,       /* a shorter wait is not worth a place in line */
   LATE_WAIT_MOST_MS = 150, /* late answers are not held long besides */
-  RETURN_FIRST_MS = 120,  /* the time in which a slot is usually freed */
-  RETURN_SPREAD_MS = 400  /* keeps callers from returning together */
+  RETURN_FIRST_MS = 120,   /* the time in which a slot is usually freed */
+  RETURN_SPREAD_MS = 400   /* keeps callers from returning together */
 };
 
 /* private functions */
--- a/src/balance/admit.h
+++ b/src/balance/admit.h
@@ -22,16 +22,16 @@
 
 struct admit_state
 {
-  bool has_slot;       /* an upstream has a free slot */
-  apr_time_t expected; /* time to its answer */
-  apr_time_t best;     /* time to an answer where the object is known */
-  apr_time_t aim_left; /* until the answer loses most of its value */
+  bool has_slot;        /* an upstream has a free slot */
+  apr_time_t expected;  /* time to its answer */
+  apr_time_t best;      /* time to an answer where the object is known */
+  apr_time_t aim_left;  /* until the answer loses most of its value */
   apr_time_t time_left; /* until the caller or the operator gives up */
-  double fullness;     /* of the upstreams in the region, 0 to 1 */
-  double waiting;      /* requests of this entry that wait there */
-  double rate;         /* requests a second that this entry places there */
-  bool may_be_late;    /* urgent enough that a late answer is worth a slot */
-  double chance;       /* random, 0 to 1; spreads the return */
+  double fullness;      /* of the upstreams in the region, 0 to 1 */
+  double waiting;       /* requests of this entry that wait there */
+  double rate;          /* requests a second that this entry places there */
+  bool may_be_late;     /* urgent enough that a late answer is worth a slot */
+  double chance;        /* random, 0 to 1; spreads the return */
 };
 
 struct admit_verdict
--- a/src/balance/balance.c
+++ b/src/balance/balance.c
@@ -122,8 +122,8 @@
   for (size_t i = 0; i < request->service->count; i++)
     {
       struct fleet_upstream *upstream = request->service->upstreams[i];
-      if (!is_in_reach (request, upstream)
-          || is_excluded (request, upstream) || !has_room (request, upstream))
+      if (!is_in_reach (request, upstream) || is_excluded (request, upstream)
+          || !has_room (request, upstream))
         continue;
       bool known
           = upstream == home
--- a/src/balance/balance.h
+++ b/src/balance/balance.h
@@ -5,7 +5,8 @@
    soonest among the upstreams with a free slot.  Those that handled its object
    lately, or rank first for it by rendezvous hash, are taken to know it;
    where none of them has room, the hash decides, so that all entries make the
-   same few upstreams know an object.  Pure: time is an argument, nothing is read or sent.
+   same few upstreams know an object.  Pure: time is an argument, nothing is
+   read or sent.
 
      struct balance_choice choice = balance_choose (&request);
      if (choice.upstream) load_begin (&choice.upstream->load, now);
@@ -50,7 +51,7 @@
   struct fleet_upstream *upstream; /* NULL: none has a free slot */
   apr_time_t expected;             /* until the answer */
   apr_time_t work;                 /* of it, at an upstream as usual */
-  bool known;    /* it is taken to know the object */
+  bool known;                      /* it is taken to know the object */
   size_t usable; /* upstreams that may take requests at all */
 };
 
--- a/src/balance/load.c
+++ b/src/balance/load.c
@@ -60,10 +60,9 @@
   double ratio = (double)elapsed / (double)expected;
   if (ratio > SLOWNESS_MOST)
     ratio = SLOWNESS_MOST;
-  double before
-      = 1.0
-        + (load->slowness - 1.0)
-              * fade (load->slowness_at, now, SLOWNESS_FADE_US);
+  double before = 1.0
+                  + (load->slowness - 1.0)
+                        * fade (load->slowness_at, now, SLOWNESS_FADE_US);
   load->slowness = before + SLOWNESS_WEIGHT * (ratio - before);
   load->slowness_at = now;
 }
@@ -137,10 +136,10 @@
 double
 load_busy (const struct load *load, apr_time_t now)
 {
-  double others = load->reported_at
-                      ? load->others
-                            * fade (load->reported_at, now, REPORT_FADE_US)
-                      : 0.0;
+  double others
+      = load->reported_at
+            ? load->others * fade (load->reported_at, now, REPORT_FADE_US)
+            : 0.0;
   return others + (double)load->own;
 }
 
@@ -148,12 +147,10 @@
 load_factor (const struct load *load, apr_time_t now)
 {
   double pace
-      = 1.0
-        + (load->pace - 1.0) * fade (load->reported_at, now, PACE_FADE_US);
-  double slowness
-      = 1.0
-        + (load->slowness - 1.0)
-              * fade (load->slowness_at, now, SLOWNESS_FADE_US);
+      = 1.0 + (load->pace - 1.0) * fade (load->reported_at, now, PACE_FADE_US);
+  double slowness = 1.0
+                    + (load->slowness - 1.0)
+                          * fade (load->slowness_at, now, SLOWNESS_FADE_US);
   return pace * (slowness > 1.0 ? slowness : 1.0);
 }
 
--- a/src/balance/load.h
+++ b/src/balance/load.h
@@ -21,10 +21,10 @@
 enum load_result
 {
   LOAD_ANSWERED = 1,
-  LOAD_REFUSED,    /* not run: full, or not this upstream */
-  LOAD_UNREACHED,  /* no connection */
-  LOAD_FAILED,     /* broken off, or an answer that says it failed */
-  LOAD_CANCELLED   /* given up here; says nothing of the upstream */
+  LOAD_REFUSED,   /* not run: full, or not this upstream */
+  LOAD_UNREACHED, /* no connection */
+  LOAD_FAILED,    /* broken off, or an answer that says it failed */
+  LOAD_CANCELLED  /* given up here; says nothing of the upstream */
 };
 
 /* What an upstream says of itself with an answer.  */
@@ -71,7 +71,8 @@
 bool load_is_silent (const struct load *load, apr_time_t limit,
                      apr_time_t now);
 /* Takes one of the requests that a cold upstream bears at RATE a second, with
-   at most BURST at once; returns false, and takes nothing, if there is none.  */
+   at most BURST at once; returns false, and takes nothing, if there is none.
+ */
 bool load_take_cold (struct load *load, double rate, double burst,
                      apr_time_t now);
 /* Returns whether load_take_cold would succeed.  */
--- a/src/balance/memory.c
+++ b/src/balance/memory.c
@@ -41,8 +41,7 @@
 {
   uint64_t row = object % MEMORY_ROWS;
   for (int i = 0; i < MEMORY_WAYS; i++)
-    if (memory->cells[row][i].object == object
-        && memory->cells[row][i].at > 0)
+    if (memory->cells[row][i].object == object && memory->cells[row][i].at > 0)
       return now - memory->cells[row][i].at < KNOWN_US;
   return false;
 }
--- a/src/balance/memory.h
+++ b/src/balance/memory.h
@@ -34,7 +34,6 @@
 void memory_note (struct memory *memory, uint64_t object, apr_time_t now);
 /* Forgets OBJECT: it was not known after all.  */
 void memory_drop (struct memory *memory, uint64_t object);
-bool memory_has (const struct memory *memory, uint64_t object,
-                 apr_time_t now);
+bool memory_has (const struct memory *memory, uint64_t object, apr_time_t now);
 
 #endif
--- a/src/balance/spread.c
+++ b/src/balance/spread.c
@@ -100,8 +100,8 @@
       spread->updated_at = now;
       return;
     }
-  double step = spread->pace * (double)(now - spread->updated_at)
-                / APR_USEC_PER_SEC;
+  double step
+      = spread->pace * (double)(now - spread->updated_at) / APR_USEC_PER_SEC;
   spread->updated_at = now;
   double own = fullness (&rooms[spread->own]);
   size_t out = least_full (spread, rooms);
--- a/src/base/httpd.h
+++ b/src/base/httpd.h
@@ -31,9 +31,9 @@
   /* Called when the caller of a request watched by httpd_watch_gone has
      closed its connection; may be NULL.  */
   void (*gone) (void *request);
-  void *part;                             /* passed to both */
-  int64_t connections;                    /* default 1024 */
-  int64_t header_bytes;                   /* default 32 KiB */
+  void *part;               /* passed to both */
+  int64_t connections;      /* default 1024 */
+  int64_t header_bytes;     /* default 32 KiB */
   int64_t header_timeout_s; /* default 15: from idle to a whole header */
   int64_t idle_timeout_s;   /* default 60: silence within a request */
 };
--- a/src/base/log.c
+++ b/src/base/log.c
@@ -169,8 +169,8 @@
   size_t done = 0;
   while (done < state.buffered)
     {
-      ssize_t n = write (STDOUT_FILENO, state.buffer + done,
-                         state.buffered - done);
+      ssize_t n
+          = write (STDOUT_FILENO, state.buffer + done, state.buffered - done);
       if (n <= 0)
         break;
       done += (size_t)n;
--- a/src/call/attempt.h
+++ b/src/call/attempt.h
@@ -52,10 +52,10 @@
   int64_t body_size; /* -1: unknown, 0: none */
   apr_time_t deadline;
   int64_t connect_timeout_ms;
-  int64_t unacknowledged_ms; /* a connection silent for so long while it has
-                                bytes to deliver is dead; 0: the system's */
-  int64_t idle_s;            /* a connection idle for longer is not used
-                                again; 0: libcurl's default */
+  int64_t unacknowledged_ms;   /* a connection silent for so long while it has
+                                  bytes to deliver is dead; 0: the system's */
+  int64_t idle_s;              /* a connection idle for longer is not used
+                                  again; 0: libcurl's default */
   struct steer_link *link_out; /* NULL within the region */
   struct steer_link *link_in;
   struct connection_count *connections; /* to the upstream */
--- a/src/call/dispatch.c
+++ b/src/call/dispatch.c
@@ -210,8 +210,8 @@
   headers_init (set, call->pool);
   headers_add (set, STR ("Request-Id"), request_id);
   headers_add (set, STR ("Via"),
-               str_printf (call->pool, "%.*s%s1.1 citroncleat",
-                           STR_ARGS (via), via.size ? ", " : ""));
+               str_printf (call->pool, "%.*s%s1.1 citroncleat", STR_ARGS (via),
+                           via.size ? ", " : ""));
   headers_add (
       set, STR ("Request-Timeout-Ms"),
       str_printf (call->pool, "%lld",
--- a/src/config/store_kv.c
+++ b/src/config/store_kv.c
@@ -116,10 +116,9 @@
   send_request (store, &http, false, done, part);
 }
 
-static const struct store_ops kv_ops
-    = { .get = kv_get,
-        .compare_and_swap = kv_compare_and_swap,
-        .watch = kv_watch };
+static const struct store_ops kv_ops = {
+  .get = kv_get, .compare_and_swap = kv_compare_and_swap, .watch = kv_watch
+};
 
 /* public functions */
 
--- a/src/gateway/dispatch.c
+++ b/src/gateway/dispatch.c
@@ -34,7 +34,7 @@
 /* Part of a cold upstream's rate that the entries use together.  Entries that
    disagree on who they are may use it twice.  */
 static const double COLD_USE = 0.6;
-/* Less urgent requests leave a slot of each upstream in a region this full.  */
+/* Less urgent requests leave a slot of each upstream in a region this full. */
 static const double RESERVE_FROM = 0.85;
 static const double RESERVE_SLOTS = 1.0;
 
@@ -112,8 +112,8 @@
   apr_time_t until = attempt->has_head ? attempt->head_at : now;
   apr_time_t elapsed = until - attempt->started_at
                        - request->gateway->distances[request->region];
-  apr_time_t expected = (apr_time_t)((double)request->attempt_work
-                                     * request->attempt_pace);
+  apr_time_t expected
+      = (apr_time_t)((double)request->attempt_work * request->attempt_pace);
   load_end (&request->upstream->load, result, elapsed, expected, now);
   if (result == LOAD_ANSWERED && elapsed > 0)
     {
@@ -174,8 +174,7 @@
        LOG_TEXT ("address", request->upstream->address.data),
        LOG_TEXT ("reason", reason), LOG_INT ("not_run", not_run),
        LOG_INT ("status", request->attempt->status),
-       LOG_INT ("busy",
-                (int64_t)load_busy (&request->upstream->load, now)),
+       LOG_INT ("busy", (int64_t)load_busy (&request->upstream->load, now)),
        LOG_INT ("cold", request->upstream->cold_until > now),
        LOG_INT ("elapsed_ms", (now - request->attempt->started_at) / 1000));
 }
@@ -373,8 +372,7 @@
   request->upstream = fleet_upstream_ref (upstream);
   request->attempt_work = choice->work;
   request->attempt_known = choice->known;
-  request->attempt_pace
-      = upstream->load.pace > 0 ? upstream->load.pace : 1.0;
+  request->attempt_pace = upstream->load.pace > 0 ? upstream->load.pace : 1.0;
   if (upstream->cold_until > now)
     load_take_cold (&upstream->load,
                     service->cold_per_s * COLD_USE / COLD_ENTRIES, 1.0, now);
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -14,7 +14,7 @@
 
 enum
 {
-  TICK_MS = 100,     /* between two looks at the load of regions */
+  TICK_MS = 100, /* between two looks at the load of regions */
   STOP_STEP_MS = 50,
   /* Callers keep a look-up for three times its lifetime of a second.  */
   STOP_SERVE_ON_MS = 3200,
@@ -47,8 +47,8 @@
   const struct fleet_service *upstreams
       = fleet_service (gateway->fleet, service->name);
   for (size_t i = 0; i < gateway->region_count; i++)
-    service->rooms[i] = balance_room (gateway->fleet, upstreams,
-                                      gateway->regions[i], now);
+    service->rooms[i]
+        = balance_room (gateway->fleet, upstreams, gateway->regions[i], now);
   spread_update (&service->spread, service->rooms, now);
 }
 
@@ -114,9 +114,8 @@
 {
   struct gateway *gateway = part;
   apr_time_t age = now - gateway->stop_began;
-  apr_time_t most
-      = (apr_time_t)(gateway->settings.stop_s * APR_USEC_PER_SEC)
-        - TIMER_MS (STOP_MARGIN_MS);
+  apr_time_t most = (apr_time_t)(gateway->settings.stop_s * APR_USEC_PER_SEC)
+                    - TIMER_MS (STOP_MARGIN_MS);
   if (!gateway->listener_closed && age >= TIMER_MS (STOP_SERVE_ON_MS))
     {
       httpd_close_listener (gateway->callers);
@@ -407,8 +406,8 @@
 struct service_state *
 gateway_service (struct gateway *gateway, struct str name)
 {
-  struct service_state *service = apr_hash_get (gateway->services, name.data,
-                                                (apr_ssize_t)name.size);
+  struct service_state *service
+      = apr_hash_get (gateway->services, name.data, (apr_ssize_t)name.size);
   if (service)
     return service;
   service = apr_pcalloc (gateway->pool, sizeof *service);
--- a/src/gateway/lookup.c
+++ b/src/gateway/lookup.c
@@ -25,12 +25,11 @@
 addresses_in (const struct gateway *gateway, struct str region)
 {
   const struct member *members[LOOKUP_MOST];
-  size_t count
-      = members_in (gateway->members, region, members, LOOKUP_MOST);
+  size_t count = members_in (gateway->members, region, members, LOOKUP_MOST);
   json_object *list = json_object_new_array ();
   for (size_t i = 0; i < count; i++)
-    json_object_array_add (
-        list, json_object_new_string (members[i]->callers.data));
+    json_object_array_add (list,
+                           json_object_new_string (members[i]->callers.data));
   return list;
 }
 
@@ -47,8 +46,7 @@
     }
   if (json_object_array_length (list) == 0 && !gateway->leaving)
     json_object_array_add (
-        list,
-        json_object_new_string (gateway->settings.listen.callers.data));
+        list, json_object_new_string (gateway->settings.listen.callers.data));
   json_object *object = json_object_new_object ();
   json_object_object_add (object, "addresses", list);
   json_object_object_add (object, "ttl_s",
--- a/src/gateway/members.c
+++ b/src/gateway/members.c
@@ -70,7 +70,10 @@
   if (answer->code == ERR_NONE)
     {
       members->is_written = !members->is_dirty;
-      again (members, members->is_dirty ? 0 : members->desc.settings->store.lease_ms / KEEPS_A_LEASE);
+      again (members,
+             members->is_dirty
+                 ? 0
+                 : members->desc.settings->store.lease_ms / KEEPS_A_LEASE);
       return;
     }
   if (answer->code == ERR_NOT_FOUND)
@@ -173,8 +176,7 @@
   json_object *callers;
   json_object *zone;
   json_object *leaving;
-  json_object *object
-      = text.size > 0 ? json_tokener_parse (text.data) : NULL;
+  json_object *object = text.size > 0 ? json_tokener_parse (text.data) : NULL;
   if (!object || !json_object_object_get_ex (object, "callers", &callers)
       || !json_object_object_get_ex (object, "zone", &zone)
       || !json_object_object_get_ex (object, "leaving", &leaving))
@@ -332,10 +334,9 @@
        i && count < most; i = apr_hash_next (i))
     {
       const struct member *member = apr_hash_this_val (i);
-      bool leaving = is_self (members, member) ? members->leaving
-                                               : member->leaving;
-      if (!leaving
-          && (region.size == 0 || str_equal (member->region, region)))
+      bool leaving
+          = is_self (members, member) ? members->leaving : member->leaving;
+      if (!leaving && (region.size == 0 || str_equal (member->region, region)))
         out[count++] = member;
     }
   return count;
--- a/src/gateway/request.c
+++ b/src/gateway/request.c
@@ -23,9 +23,10 @@
   HTTP_UNAVAILABLE = 503
 };
 
-/* A request returns as a first one if its time is this close to the longest
-   that callers of its route state.  */
-static const int64_t FIRST_MARGIN_MS = 20;
+/* Callers of one route state different times on their first attempt.  One
+   that states less than this part of the longest has spent the rest of it on
+   an earlier attempt.  */
+static const double FIRST_ATTEMPT_LEAST = 0.74;
 
 static const char *const outcome_names[]
     = { "?", "served", "refused", "failed", "left" };
@@ -83,8 +84,10 @@
     wait_ms = NO_DEADLINE_MS;
   else if (wait_ms > state->longest_deadline_ms)
     state->longest_deadline_ms = wait_ms;
-  else if (state->longest_deadline_ms - wait_ms > FIRST_MARGIN_MS)
-    spent_ms = state->longest_deadline_ms - wait_ms;
+  int64_t least
+      = (int64_t)((double)state->longest_deadline_ms * FIRST_ATTEMPT_LEAST);
+  if (wait_ms < least)
+    spent_ms = least - wait_ms;
   apr_time_t most = TIMER_MS (wait_ms);
   if (request->route->timeout > 0 && request->route->timeout < most)
     most = request->route->timeout;
@@ -92,8 +95,8 @@
   request->aim_at = request->began_at
                     + (request->route->aim > 0 ? request->route->aim : most)
                     - TIMER_MS (spent_ms);
-  timer_start (loop_timers (gateway->loop), &request->timer,
-               request->deadline, dispatch_on_deadline, request);
+  timer_start (loop_timers (gateway->loop), &request->timer, request->deadline,
+               dispatch_on_deadline, request);
 }
 
 /* Finds the route; refuses what cannot be passed on.  */
@@ -313,9 +316,8 @@
        LOG_INT ("version", request->plan ? plan_version (request->plan) : 0),
        LOG_TEXT ("upstream",
                  request->upstream ? request->upstream->id.data : ""),
-       LOG_TEXT ("region", request->route
-                               ? gateway->regions[request->region].data
-                               : ""),
+       LOG_TEXT ("region",
+                 request->route ? gateway->regions[request->region].data : ""),
        LOG_INT ("object", request->object & 0xffff),
        LOG_INT ("first_choice", request->attempt_known),
        LOG_INT ("sends", request->sends),
@@ -325,10 +327,10 @@
                                    ? (now - load->reported_at) / 1000
                                    : -1),
        LOG_INT ("list_age_ms", watcher_age (gateway->watcher, now) / 1000),
-       LOG_INT ("waited_ms", request->admitted_at
-                                 ? (request->admitted_at - request->began_at)
-                                       / 1000
-                                 : -1),
+       LOG_INT ("waited_ms",
+                request->admitted_at
+                    ? (request->admitted_at - request->began_at) / 1000
+                    : -1),
        LOG_INT ("work_ms", request->attempt_work / 1000),
        LOG_INT ("aim_ms", (request->aim_at - request->began_at) / 1000),
        LOG_INT ("elapsed_ms", (now - request->began_at) / 1000));
--- a/src/gateway/settings.c
+++ b/src/gateway/settings.c
@@ -37,14 +37,13 @@
 /* poll_ms: an upstream that leaves must be known within the two to four
    seconds that the platform allows, also when one read fails.  lease_ms: a
    dead entry is named to callers for no longer.  */
-static const struct field store_fields[] = {
-  TEXT (gateway_store, address, FIELD_ADDRESS),
-  FIELD_NUMBER (gateway_store, heartbeat_ms, 10, 60000, 1500, "ms"),
-  FIELD_NUMBER (gateway_store, poll_ms, 50, 60000, 900, "ms"),
-  FIELD_NUMBER (gateway_store, timeout_ms, 50, 60000, 700, "ms"),
-  FIELD_NUMBER (gateway_store, lease_ms, 1000, 600000, 3000, "ms"),
-  { 0 }
-};
+static const struct field store_fields[]
+    = { TEXT (gateway_store, address, FIELD_ADDRESS),
+        FIELD_NUMBER (gateway_store, heartbeat_ms, 10, 60000, 1500, "ms"),
+        FIELD_NUMBER (gateway_store, poll_ms, 50, 60000, 900, "ms"),
+        FIELD_NUMBER (gateway_store, timeout_ms, 50, 60000, 700, "ms"),
+        FIELD_NUMBER (gateway_store, lease_ms, 1000, 600000, 3000, "ms"),
+        { 0 } };
 
 static const struct field retry_fields[]
     = { REAL (gateway_retry, ratio, 0, 10, 0),
@@ -57,27 +56,26 @@
         REAL (gateway_cold, slack, 0, 1000000, 0),
         { 0 } };
 
-static const struct field gateway_fields[] = {
-  TEXT (gateway_settings, name, FIELD_NAME),
-  TEXT (gateway_settings, zone, FIELD_NAME),
-  TEXT (gateway_settings, region, FIELD_NAME),
-  { .name = "zones",
-    .type = FIELD_OBJECT_LIST,
-    FIELD_AT (gateway_settings, zones),
-    .sub = zone_fields,
-    .sub_size = sizeof (struct gateway_zone),
-    .required = true },
-  OBJECT (listen, listen_fields, true),
-  OBJECT (store, store_fields, true),
-  OBJECT (retry, retry_fields, false),
-  OBJECT (cold, cold_fields, false),
-  FIELD_NUMBER (gateway_settings, memory_mb, 16, 1048576, 256, "MB"),
-  REAL (gateway_settings, stop_s, 0, 3600, 10),
-  REAL (gateway_settings, lookup_most_s, 0, 3600, 5),
-  REAL (gateway_settings, region_shift, 0, 1, 1),
-  FIELD_NUMBER (gateway_settings, log_lines_per_s, 0, 100000, 40, NULL),
-  { 0 }
-};
+static const struct field gateway_fields[]
+    = { TEXT (gateway_settings, name, FIELD_NAME),
+        TEXT (gateway_settings, zone, FIELD_NAME),
+        TEXT (gateway_settings, region, FIELD_NAME),
+        { .name = "zones",
+          .type = FIELD_OBJECT_LIST,
+          FIELD_AT (gateway_settings, zones),
+          .sub = zone_fields,
+          .sub_size = sizeof (struct gateway_zone),
+          .required = true },
+        OBJECT (listen, listen_fields, true),
+        OBJECT (store, store_fields, true),
+        OBJECT (retry, retry_fields, false),
+        OBJECT (cold, cold_fields, false),
+        FIELD_NUMBER (gateway_settings, memory_mb, 16, 1048576, 256, "MB"),
+        REAL (gateway_settings, stop_s, 0, 3600, 10),
+        REAL (gateway_settings, lookup_most_s, 0, 3600, 5),
+        REAL (gateway_settings, region_shift, 0, 1, 1),
+        FIELD_NUMBER (gateway_settings, log_lines_per_s, 0, 100000, 40, NULL),
+        { 0 } };
 
 /* public functions */
 
--- a/src/gateway/watcher.c
+++ b/src/gateway/watcher.c
@@ -124,8 +124,8 @@
   struct str prefix = members_prefix ();
   if (!str_starts (item->key, prefix))
     return;
-  struct str name = str_view (item->key.data + prefix.size,
-                              item->key.size - prefix.size);
+  struct str name
+      = str_view (item->key.data + prefix.size, item->key.size - prefix.size);
   if (item->is_removed)
     members_remove (watcher->desc.members, name, lapsed, now);
   else
--- a/src/plan/plan.c
+++ b/src/plan/plan.c
@@ -153,8 +153,8 @@
           = APR_ARRAY_IDX (plan->routes, i, struct plan_route *);
       if (check_route (plan, route, err) != ERR_NONE)
         return err->code;
-      char *key = apr_palloc (plan->pool, route->host.size
-                                              + route->prefix.size + 1);
+      char *key
+          = apr_palloc (plan->pool, route->host.size + route->prefix.size + 1);
       size_t size = place_key (key, route->host, route->prefix);
       if (size == 0)
         return err_set (err, ERR_LIMIT, "check route", route->name.data,
--- a/src/plan/plan.h
+++ b/src/plan/plan.h
@@ -47,7 +47,7 @@
   apr_time_t aim;     /* an answer within it has its full value */
   int64_t priority;   /* 0 is served first */
   int64_t max_attempts;
-  bool sticky; /* an upstream that knows the object is faster */
+  bool sticky;             /* an upstream that knows the object is faster */
   struct str_list regions; /* where it may be served; empty: anywhere */
   struct plan_part *parts;
   size_t part_count;
--- a/tests/unit/balance_test.c
+++ b/tests/unit/balance_test.c
@@ -174,32 +174,55 @@
     enum admit_action action;
   } cases[] = {
     { "in time",
-      { .has_slot = true, .expected = 100000, .aim_left = 300000,
-        .time_left = 900000, .fullness = 1.0 },
+      { .has_slot = true,
+        .expected = 100000,
+        .aim_left = 300000,
+        .time_left = 900000,
+        .fullness = 1.0 },
       ADMIT_SEND },
     { "late, others wait",
-      { .has_slot = true, .expected = 400000, .aim_left = 300000,
-        .time_left = 900000, .fullness = 0.95 },
+      { .has_slot = true,
+        .expected = 400000,
+        .aim_left = 300000,
+        .time_left = 900000,
+        .fullness = 0.95 },
       ADMIT_REFUSE },
     { "late, nobody waits",
-      { .has_slot = true, .expected = 400000, .aim_left = 300000,
-        .time_left = 900000, .fullness = 0.4 },
+      { .has_slot = true,
+        .expected = 400000,
+        .aim_left = 300000,
+        .time_left = 900000,
+        .fullness = 0.4 },
       ADMIT_SEND },
     { "after the caller has left",
-      { .has_slot = true, .expected = 400000, .aim_left = 300000,
-        .time_left = 350000, .fullness = 0.1 },
+      { .has_slot = true,
+        .expected = 400000,
+        .aim_left = 300000,
+        .time_left = 350000,
+        .fullness = 0.1 },
       ADMIT_REFUSE },
     { "no slot, time to wait",
-      { .best = 100000, .aim_left = 300000, .time_left = 900000,
-        .fullness = 1.0, .rate = 100, .waiting = 3 },
+      { .best = 100000,
+        .aim_left = 300000,
+        .time_left = 900000,
+        .fullness = 1.0,
+        .rate = 100,
+        .waiting = 3 },
       ADMIT_WAIT },
     { "no slot, too many wait",
-      { .best = 100000, .aim_left = 300000, .time_left = 900000,
-        .fullness = 1.0, .rate = 100, .waiting = 30 },
+      { .best = 100000,
+        .aim_left = 300000,
+        .time_left = 900000,
+        .fullness = 1.0,
+        .rate = 100,
+        .waiting = 30 },
       ADMIT_REFUSE },
     { "no slot, no time to wait",
-      { .best = 100000, .aim_left = 100000, .time_left = 900000,
-        .fullness = 1.0, .rate = 100 },
+      { .best = 100000,
+        .aim_left = 100000,
+        .time_left = 900000,
+        .fullness = 1.0,
+        .rate = 100 },
       ADMIT_REFUSE },
   };
   for (size_t i = 0; i < COUNT (cases); i++)
@@ -231,16 +254,16 @@
   CU_ASSERT_DOUBLE_EQUAL (spread.parts[1], 0.5, 0.001);
   /* The own region is overrun: however it is, few objects move in 2 s.  */
   for (int i = 0; i < OBJECTS; i++)
-    before[i] = (int)spread_pick (&spread,
-                                  (uint64_t)i * 0x9e3779b97f4a7c15ULL, all);
+    before[i]
+        = (int)spread_pick (&spread, (uint64_t)i * 0x9e3779b97f4a7c15ULL, all);
   rooms[0].busy = 36;
   for (int ms = 100; ms <= 2000; ms += 100)
     spread_update (&spread, rooms, now + TIMER_MS (ms));
   int moved = 0;
   for (int i = 0; i < OBJECTS; i++)
-    moved += (int)spread_pick (&spread, (uint64_t)i * 0x9e3779b97f4a7c15ULL,
-                               all)
-             != before[i];
+    moved
+        += (int)spread_pick (&spread, (uint64_t)i * 0x9e3779b97f4a7c15ULL, all)
+           != before[i];
   CU_ASSERT (moved > 0);
   CU_ASSERT (moved < OBJECTS * 15 / 100);
   double sum = spread.parts[0] + spread.parts[1] + spread.parts[2];
--- a/tests/unit/keeper_test.c
+++ b/tests/unit/keeper_test.c
@@ -85,7 +85,8 @@
   fake_get (store, key, done, part);
 }
 
-static const struct store_ops fake_ops = { .get = fake_get, .compare_and_swap = fake_swap, .watch = fake_watch };
+static const struct store_ops fake_ops
+    = { .get = fake_get, .compare_and_swap = fake_swap, .watch = fake_watch };
 
 static struct loop *loop;
 static struct keeper *keeper;
--- a/tests/unit/plan_test.c
+++ b/tests/unit/plan_test.c
@@ -105,8 +105,7 @@
       struct plan *plan = plan_create (1);
       struct plan_part part = { .service = str_from (cases[i].service),
                                 .weight = cases[i].weight };
-      struct plan_route route
-          = row (cases[i].host, cases[i].prefix, &part, 1);
+      struct plan_route route = row (cases[i].host, cases[i].prefix, &part, 1);
       route.kind = cases[i].kind;
       route.max_attempts = cases[i].attempts;
       plan_add_service (plan, STR ("desk"));
--- a/tests/unit/platform_test.c
+++ b/tests/unit/platform_test.c
@@ -57,7 +57,10 @@
                      &err),
         ERR_NONE);
   static const char *const damaged[]
-      = { "[]", "7", "{\"version\":7}", "{\"version\":7,\"routes\":[]}",
+      = { "[]",
+          "7",
+          "{\"version\":7}",
+          "{\"version\":7,\"routes\":[]}",
           "{\"version\":\"7\",\"routes\":[],\"services\":[]}",
           "{\"version\":7,\"routes\":[{}],\"services\":[]}",
           "{\"version\":7,\"routes\":[7],\"services\":[]}",
@@ -162,9 +165,9 @@
   {
     const char *text;
     int64_t ms;
-  } deadlines[] = { { "2000", 2000 }, { "0", 0 },   { "12.7", 12 },
-                    { "-5", -1 },     { "x", -1 },  { "", -1 },
-                    { "1e99", -1 },   { "nan", -1 } };
+  } deadlines[]
+      = { { "2000", 2000 }, { "0", 0 }, { "12.7", 12 }, { "-5", -1 },
+          { "x", -1 },      { "", -1 }, { "1e99", -1 }, { "nan", -1 } };
   for (size_t i = 0; i < COUNT (deadlines); i++)
     CU_ASSERT_EQUAL (decode_deadline_ms (str_from (deadlines[i].text)),
                      deadlines[i].ms);
