--- a/src/balance/balance.c
+++ b/src/balance/balance.c
@@ -8,7 +8,7 @@
 static const double SILENT_FACTOR = 3.0;
 static const double SILENT_LEAST_US = 300000.0;
 /* An answer that fails costs the caller about this many usual answers.  */
-static const double FAILURE_COST = 3.0;
+static const double FAILURE_COST = 0.3;
 /* Spreads requests for unknown objects over equally fast upstreams.  */
 static const double BUSY_COST = 0.15;
 /* Makes entries choose alike among upstreams that do not know the object.  */
--- a/src/balance/load.c
+++ b/src/balance/load.c
@@ -128,6 +128,12 @@
     case LOAD_FAILED:
       note_failure (load, 1.0, now);
       break;
+    case LOAD_SILENT:
+      note_failure (load, 1.0, now);
+      break;
+    case LOAD_LATE:
+      note_time (load, elapsed, expected, now);
+      break;
     case LOAD_CANCELLED:
       break;
     }
--- a/src/balance/load.h
+++ b/src/balance/load.h
@@ -24,6 +24,8 @@
   LOAD_REFUSED,   /* not run: full, or not this upstream */
   LOAD_UNREACHED, /* no connection */
   LOAD_FAILED,    /* broken off, or an answer that says it failed */
+  LOAD_SILENT,    /* given up here, since no answer came in time */
+  LOAD_LATE,      /* given up here for another upstream */
   LOAD_CANCELLED  /* given up here; says nothing of the upstream */
 };
 
--- a/src/gateway/dispatch.c
+++ b/src/gateway/dispatch.c
@@ -37,6 +37,8 @@
 /* Less urgent requests leave a slot of each upstream in a region this full. */
 static const double RESERVE_FROM = 0.85;
 static const double RESERVE_SLOTS = 1.0;
+/* Times the expected work after which nearly all requests are answered.  */
+static const double SECOND_AFTER = 2.0;
 
 /* private functions */
 
@@ -359,6 +361,8 @@
   return set;
 }
 
+static void start_second_timer (struct request *request);
+
 static void
 send_request (struct request *request, const struct balance_choice *choice)
 {
@@ -406,6 +410,51 @@
     .part = request,
   };
   request->attempt = attempt_start (&desc);
+  start_second_timer (request);
+}
+
+/* Second attempts: a request that may run twice and has waited longer than
+   nearly all do is given to another upstream, if that can still answer within
+   the aim.  Answers the load "a few requests run many times longer, and some
+   answers are lost".  */
+
+static void
+on_second_due (void *part, apr_time_t now)
+{
+  struct request *request = part;
+  struct attempt *attempt = request->attempt;
+  if (!attempt || attempt->done || attempt->has_head || !request->attempt_held
+      || request->sends >= request->route->max_attempts
+      || request->tried_count >= BALANCE_EXCLUDED_MAX)
+    return;
+  request->tried[request->tried_count++] = request->upstream->hash;
+  struct balance_choice choice = choose (request);
+  if (!choice.upstream || now + choice.expected > request->aim_at
+      || !body_rewind (&request->body)
+      || !budget_take (&request->service->retries))
+    {
+      request->tried_count--;
+      return;
+    }
+  request->maybe_run |= attempt->sent;
+  log_failure (request, "late; sent to another upstream", false);
+  release (request, LOAD_LATE);
+  dispatch_drop (request);
+  send_request (request, &choice);
+}
+
+static void
+start_second_timer (struct request *request)
+{
+  struct gateway *gateway = request->gateway;
+  double expected = (double)request->attempt_work * request->attempt_pace;
+  if (request->route->kind != PLAN_SAFE
+      || request->sends >= request->route->max_attempts)
+    return;
+  timer_start (loop_timers (gateway->loop), &request->second_timer,
+               timer_clock () + (apr_time_t)(expected * SECOND_AFTER)
+                   + gateway->distances[request->region],
+               on_second_due, request);
 }
 
 static struct admit_state
@@ -533,7 +582,11 @@
   if (request->answer_ready && !request->answered)
     return;
   if (request->attempt && request->attempt->sent)
-    request->maybe_run = true;
+    {
+      request->maybe_run = true;
+      if (!request->attempt->has_head)
+        release (request, LOAD_SILENT);
+    }
   if (request->answered)
     {
       if (request->attempt && !request->attempt->done)
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -131,6 +131,7 @@
   apr_time_t aim_at;   /* an answer until then has its full value */
   struct timer timer;
   struct timer line_timer;
+  struct timer second_timer; /* a second attempt is due */
   struct request *line_next;
   struct request *line_back;
   struct request *next_ready;
--- a/src/gateway/request.c
+++ b/src/gateway/request.c
@@ -365,6 +365,7 @@
     fleet_upstream_unref (request->upstream);
   timer_stop (timers, &request->timer);
   timer_stop (timers, &request->line_timer);
+  timer_stop (timers, &request->second_timer);
   if (request->ready_link)
     {
       *request->ready_link = request->next_ready;
