--- a/src/balance/spread.c
+++ b/src/balance/spread.c
@@ -6,9 +6,11 @@
 
 /* Requests leave the region once it is this full, and come back below it:
    the way to another region costs more than a slot is worth before that.  */
-static const double FULL_OWN = 0.75;
+static const double FULL_OWN = 0.6;
 /* Two regions this close in fullness are not moved between.  */
-static const double FULL_MARGIN = 0.08;
+static const double FULL_MARGIN = 0.1;
+/* A region fuller than this takes no single requests of others.  */
+static const double FULL_OTHER = 0.65;
 /* Keeps a little traffic to each region, whose answers tell its load.  */
 static const double LEAST_PART = 0.02;
 
@@ -145,3 +147,16 @@
     }
   return last;
 }
+
+size_t
+spread_other (const struct spread *spread, const struct balance_room *rooms,
+              size_t but, const bool *allowed)
+{
+  size_t best = SPREAD_REGIONS_MAX;
+  for (size_t i = 0; i < spread->count; i++)
+    if (allowed[i] && i != but && fullness (&rooms[i]) < FULL_OTHER
+        && (best == SPREAD_REGIONS_MAX
+            || fullness (&rooms[i]) < fullness (&rooms[best])))
+      best = i;
+  return best;
+}
--- a/src/balance/spread.h
+++ b/src/balance/spread.h
@@ -39,5 +39,10 @@
    SPREAD_REGIONS_MAX without any.  */
 size_t spread_pick (const struct spread *spread, uint64_t object,
                     const bool *allowed);
+/* Returns the least full of the regions that ALLOWED marks other than BUT, or
+   SPREAD_REGIONS_MAX if none has room to spare.  */
+size_t spread_other (const struct spread *spread,
+                     const struct balance_room *rooms, size_t but,
+                     const bool *allowed);
 
 #endif
--- a/src/gateway/dispatch.c
+++ b/src/gateway/dispatch.c
@@ -55,15 +55,22 @@
   return request->route->priority <= request->service->most_urgent;
 }
 
+static void
+mark_allowed (const struct request *request, bool *allowed)
+{
+  const struct gateway *gateway = request->gateway;
+  for (size_t i = 0; i < gateway->region_count; i++)
+    allowed[i] = plan_allows_region (request->route, gateway->regions[i])
+                 && request->service->rooms[i].slots > 0;
+}
+
 /* Picks the region that serves the request; returns false if none may.  */
 static bool
 pick_region (struct request *request)
 {
   struct gateway *gateway = request->gateway;
   bool allowed[GATEWAY_REGIONS_MAX] = { false };
-  for (size_t i = 0; i < gateway->region_count; i++)
-    allowed[i] = plan_allows_region (request->route, gateway->regions[i])
-                 && request->service->rooms[i].slots > 0;
+  mark_allowed (request, allowed);
   request->region
       = spread_pick (&request->service->spread, request->object, allowed);
   if (request->region < gateway->region_count)
@@ -526,6 +533,32 @@
   return true;
 }
 
+/* Sends the request to another region, if it can have its answer within the
+   aim only there.  */
+static bool
+send_elsewhere (struct request *request)
+{
+  size_t first = request->region;
+  bool allowed[GATEWAY_REGIONS_MAX] = { false };
+  mark_allowed (request, allowed);
+  size_t other = spread_other (&request->service->spread,
+                               request->service->rooms, first, allowed);
+  if (other >= request->gateway->region_count
+      || request->service->overflow.balance < 1.0)
+    return false;
+  request->region = other;
+  struct balance_choice choice = choose (request);
+  if (choice.upstream
+      && timer_clock () + choice.expected <= request->aim_at
+      && budget_take (&request->service->overflow))
+    {
+      send_request (request, &choice);
+      return true;
+    }
+  request->region = first;
+  return false;
+}
+
 /* public functions */
 
 void
@@ -533,7 +566,10 @@
 {
   struct gateway *gateway = request->gateway;
   if (!request->admitted)
-    budget_earn (&request->service->retries);
+    {
+      budget_earn (&request->service->retries);
+      budget_earn (&request->service->overflow);
+    }
   request->admitted = true;
   if (request->route->priority < request->service->most_urgent)
     request->service->most_urgent = request->route->priority;
@@ -546,7 +582,10 @@
   struct balance_choice choice = choose (request);
   struct admit_state state = state_of (request, &choice);
   struct admit_verdict verdict = admit_decide (&state);
-  if (carry_out (request, &choice, &verdict))
+  bool in_time = verdict.action == ADMIT_SEND
+                 && state.expected <= state.aim_left;
+  if ((!in_time && state.aim_left > 0 && send_elsewhere (request))
+      || carry_out (request, &choice, &verdict))
     return;
   line_add (request);
   timer_start (loop_timers (gateway->loop), &request->line_timer,
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -37,6 +37,10 @@
    chance in which requests arrive.  */
 static const double SHIFT_USE = 0.4;
 static const double SHIFT_WINDOW_S = 2.0;
+/* Part of the requests that may leave for another region one by one, on top
+   of the slow move: well below the allowed change within the window.  */
+static const double OVERFLOW_PART = 0.04;
+static const double OVERFLOW_SAVED = 3.0;
 
 /* private functions */
 
@@ -416,6 +420,7 @@
   budget_init (&service->retries, gateway->settings.retry.ratio * RETRY_USE,
                gateway->settings.retry.slack * RETRY_SAVED);
   service->retries.balance = 0;
+  budget_init (&service->overflow, OVERFLOW_PART, OVERFLOW_SAVED);
   spread_init (&service->spread, gateway->region_count, gateway->own_region,
                gateway->settings.region_shift * SHIFT_USE / SHIFT_WINDOW_S);
   apr_hash_set (gateway->services, service->name.data,
