--- a/src/balance/spread.c
+++ b/src/balance/spread.c
@@ -1,14 +1,18 @@
 #include "balance/spread.h"
 
+#include <math.h>
 #include <string.h>
 
 /* constants */
 
-/* Requests leave the region once it is this full, and come back below it:
-   the way to another region costs more than a slot is worth before that.  */
-static const double FULL_OWN = 0.6;
+/* Slots left free, in square roots of all: as many as keep nearly every
+   request from finding its upstreams full.  */
+static const double HEADROOM = 3.2;
+static const double FULL_LEAST = 0.5;
 /* Two regions this close in fullness are not moved between.  */
 static const double FULL_MARGIN = 0.1;
+static const double FULL_BUSY = 0.45;
+static const double FULL_STEEPNESS = 0.6;
 /* A region fuller than this takes no single requests of others.  */
 static const double FULL_OTHER = 0.65;
 /* Keeps a little traffic to each region, whose answers tell its load.  */
@@ -72,6 +76,26 @@
   return best;
 }
 
+/* Returns the fullness from which single upstreams of the region of ROOM are
+   full at times: by the square-root rule, the fewer slots, the earlier.  */
+static double
+full_from (const struct balance_room *room)
+{
+  double full
+      = room->slots > 0 ? 1.0 - HEADROOM / sqrt (room->slots) : FULL_LEAST;
+  return full > FULL_LEAST ? full : FULL_LEAST;
+}
+
+/* Returns by how much the own region must be fuller than that of ROOM before
+   requests move there.  The fuller that one is, the more its slots are worth
+   to its own callers, who are near.  */
+static double
+margin_to (const struct balance_room *room)
+{
+  double over = fullness (room) - FULL_BUSY;
+  return FULL_MARGIN + (over > 0 ? over * FULL_STEEPNESS : 0.0);
+}
+
 static void
 move (struct spread *spread, size_t from, size_t to, double part)
 {
@@ -106,13 +130,14 @@
       = spread->pace * (double)(now - spread->updated_at) / APR_USEC_PER_SEC;
   spread->updated_at = now;
   double own = fullness (&rooms[spread->own]);
+  double full = full_from (&rooms[spread->own]);
   size_t out = least_full (spread, rooms);
   size_t back = fullest_used (spread, rooms);
-  if (out < spread->count && own > FULL_OWN
-      && own > fullness (&rooms[out]) + FULL_MARGIN)
+  if (out < spread->count && own > full
+      && own > fullness (&rooms[out]) + margin_to (&rooms[out]))
     move (spread, spread->own, out, step);
   else if (back < spread->count
-           && (own < FULL_OWN - FULL_MARGIN
+           && (own < full - FULL_MARGIN
                || fullness (&rooms[back]) > own + FULL_MARGIN))
     move (spread, back, spread->own, step);
 }
--- a/src/gateway/dispatch.c
+++ b/src/gateway/dispatch.c
@@ -39,6 +39,8 @@
 static const double RESERVE_SLOTS = 1.0;
 /* Times the expected work after which nearly all requests are answered.  */
 static const double SECOND_AFTER = 2.0;
+/* In a fuller region the slot is worth more to another request.  */
+static const double FULL_FOR_SECOND = 0.7;
 
 /* private functions */
 
@@ -432,7 +434,8 @@
   struct attempt *attempt = request->attempt;
   if (!attempt || attempt->done || attempt->has_head || !request->attempt_held
       || request->sends >= request->route->max_attempts
-      || request->tried_count >= BALANCE_EXCLUDED_MAX)
+      || request->tried_count >= BALANCE_EXCLUDED_MAX
+      || fullness_of (request) > FULL_FOR_SECOND)
     return;
   request->tried[request->tried_count++] = request->upstream->hash;
   struct balance_choice choice = choose (request);
