--- a/src/balance/balance.c
+++ b/src/balance/balance.c
@@ -13,6 +13,11 @@
 static const double BUSY_COST = 0.15;
 /* Makes entries choose alike among upstreams that do not know the object.  */
 static const double RANK_COST = 0.3;
+/* Bytes between zones are dear; an upstream in the own zone is worth waiting
+   this much longer for.  */
+static const double ZONE_COST_US_PER_KB = 700.0;
+/* What a new connection carries in its first round trip; doubles with each.  */
+static const double FIRST_WINDOW_BYTES = 14000.0;
 static const double WORK_WEIGHT = 0.05; /* of the newest answer */
 static const double KNOWN_BELOW = 0.65; /* of the work where it is unknown */
 static const double LEARN_MOST = 1.5;   /* times the estimate */
@@ -105,12 +110,25 @@
                     : 1.0;
   double rank = (double)(mix (upstream->hash, request->object) >> 11)
                 / (double)(1ULL << 53);
-  return expected
+  double zone = str_equal (upstream->zone, request->zone)
+                    ? 0.0
+                    : (double)request->body_bytes / 1000 * ZONE_COST_US_PER_KB;
+  return expected + zone
          + request->work->unknown
                * (FAILURE_COST * failing + BUSY_COST * full
                   + RANK_COST * (1.0 - rank));
 }
 
+/* Returns the time that the body needs beyond the first round trip.  */
+static double
+transfer_time (const struct balance_request *request)
+{
+  if ((double)request->body_bytes <= FIRST_WINDOW_BYTES)
+    return 0.0;
+  return log2 ((double)request->body_bytes / FIRST_WINDOW_BYTES)
+         * (double)request->distance;
+}
+
 /* public functions */
 
 struct balance_choice
@@ -137,7 +155,7 @@
       best.work = (apr_time_t)work;
       best.expected
           = (apr_time_t)(work * load_factor (&upstream->load, request->now))
-            + request->distance;
+            + request->distance + (apr_time_t)transfer_time (request);
       best.known = known;
     }
   return best;
--- a/src/balance/balance.h
+++ b/src/balance/balance.h
@@ -37,6 +37,8 @@
   uint64_t object;   /* hash of the object, or a random number */
   const struct balance_work *work;
   apr_time_t distance; /* there and back to REGION */
+  struct str zone;     /* of this entry */
+  int64_t body_bytes;  /* of the request; 0 if not known */
   double reserve;      /* slots of each upstream left to more urgent ones */
   double cold_rate;    /* requests a second that this entry may send to a
                           cold upstream */
--- a/src/gateway/dispatch.c
+++ b/src/gateway/dispatch.c
@@ -73,6 +73,12 @@
   struct gateway *gateway = request->gateway;
   bool allowed[GATEWAY_REGIONS_MAX] = { false };
   mark_allowed (request, allowed);
+  /* Large bodies need several round trips, which are short only here.  */
+  if (request->route->kind == PLAN_UPLOAD && allowed[gateway->own_region])
+    {
+      request->region = gateway->own_region;
+      return true;
+    }
   request->region
       = spread_pick (&request->service->spread, request->object, allowed);
   if (request->region < gateway->region_count)
@@ -99,6 +105,8 @@
     .object = request->object,
     .work = &request->route_state->work,
     .distance = gateway->distances[request->region],
+    .zone = gateway->settings.zone,
+    .body_bytes = request->body_size > 0 ? request->body_size : 0,
     .reserve = !is_urgent (request) && fullness_of (request) > RESERVE_FROM
                    ? RESERVE_SLOTS
                    : 0.0,
