--- a/src/balance/balance.c
+++ b/src/balance/balance.c
@@ -95,6 +95,29 @@
          <= (double)load->slots + 0.5;
 }
 
+/* Returns the time that the body needs beyond the first round trip.  */
+static double
+transfer_time (const struct balance_request *request)
+{
+  if ((double)request->body_bytes <= FIRST_WINDOW_BYTES)
+    return 0.0;
+  return log2 ((double)request->body_bytes / FIRST_WINDOW_BYTES)
+         * (double)request->distance;
+}
+
+/* Returns the time on the way: there and back, once more for a new
+   connection.  */
+static apr_time_t
+way_time (const struct balance_request *request,
+          const struct fleet_upstream *upstream)
+{
+  bool has_connection
+      = upstream->load.answered_at > 0
+        && request->now - upstream->load.answered_at < request->idle_time;
+  return request->distance * (has_connection ? 1 : 2)
+         + (apr_time_t)transfer_time (request);
+}
+
 /* Returns the time that counts against UPSTREAM: the expected time to an
    answer, what a likely failure and a fuller machine add, and a little by
    rank.  */
@@ -113,22 +136,12 @@
   double zone = str_equal (upstream->zone, request->zone)
                     ? 0.0
                     : (double)request->body_bytes / 1000 * ZONE_COST_US_PER_KB;
-  return expected + zone
+  return expected + zone + (double)way_time (request, upstream)
          + request->work->unknown
                * (FAILURE_COST * failing + BUSY_COST * full
                   + RANK_COST * (1.0 - rank));
 }
 
-/* Returns the time that the body needs beyond the first round trip.  */
-static double
-transfer_time (const struct balance_request *request)
-{
-  if ((double)request->body_bytes <= FIRST_WINDOW_BYTES)
-    return 0.0;
-  return log2 ((double)request->body_bytes / FIRST_WINDOW_BYTES)
-         * (double)request->distance;
-}
-
 /* public functions */
 
 struct balance_choice
@@ -155,7 +168,7 @@
       best.work = (apr_time_t)work;
       best.expected
           = (apr_time_t)(work * load_factor (&upstream->load, request->now))
-            + request->distance + (apr_time_t)transfer_time (request);
+            + way_time (request, upstream);
       best.known = known;
     }
   return best;
--- a/src/balance/balance.h
+++ b/src/balance/balance.h
@@ -38,6 +38,7 @@
   const struct balance_work *work;
   apr_time_t distance; /* there and back to REGION */
   struct str zone;     /* of this entry */
+  apr_time_t idle_time; /* for which idle connections are kept */
   int64_t body_bytes;  /* of the request; 0 if not known */
   double reserve;      /* slots of each upstream left to more urgent ones */
   double cold_rate;    /* requests a second that this entry may send to a
--- a/src/gateway/dispatch.c
+++ b/src/gateway/dispatch.c
@@ -15,7 +15,7 @@
   CONNECT_TIMEOUT_MS = 450,
   /* A path that acknowledges nothing for so long is cut.  */
   UNACKNOWLEDGED_MS = 900,
-  IDLE_CONNECTION_S = 4, /* well below the time after which upstreams close */
+  IDLE_CONNECTION_S = 6, /* well below the time after which upstreams close */
   ANSWER_LIMIT_BYTES = 256 * 1024, /* held until whole; longer ones stream */
   SENDS_MAX = 4,
   COLD_ENTRIES = 4, /* that may send to one cold upstream */
@@ -106,6 +106,7 @@
     .work = &request->route_state->work,
     .distance = gateway->distances[request->region],
     .zone = gateway->settings.zone,
+    .idle_time = TIMER_SEC (IDLE_CONNECTION_S),
     .body_bytes = request->body_size > 0 ? request->body_size : 0,
     .reserve = !is_urgent (request) && fullness_of (request) > RESERVE_FROM
                    ? RESERVE_SLOTS
