A cold upstream gets requests from five entries only

Change: the five entries that rank first for the upstream in its region share six tenths of the allowed rate, one request at a time each.

--- a/src/balance/balance.c
+++ b/src/balance/balance.c
@@ -89,7 +89,9 @@
                          request->now))
     return false;
   if (upstream->cold_until > request->now
-      && !load_has_cold (load, request->cold_rate, 1.0, request->now))
+      && (upstream->cold_part <= 0
+          || !load_has_cold (load, request->cold_rate * upstream->cold_part,
+                             1.0, request->now)))
     return false;
   return load_busy (load, request->now) + 1.0 + request->reserve
          <= (double)load->slots + 0.5;
--- a/src/balance/balance.h
+++ b/src/balance/balance.h
@@ -41,8 +41,8 @@
   apr_time_t idle_time; /* for which idle connections are kept */
   int64_t body_bytes;  /* of the request; 0 if not known */
   double reserve;      /* slots of each upstream left to more urgent ones */
-  double cold_rate;    /* requests a second that this entry may send to a
-                          cold upstream */
+  double cold_rate;    /* requests a second that all entries together send
+                          to a cold upstream */
   int64_t most_own;    /* requests of this entry at one upstream */
   apr_time_t now;
   uint64_t excluded[BALANCE_EXCLUDED_MAX]; /* hashes of upstreams */
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -53,6 +53,8 @@
   apr_time_t lapsed_at;  /* 0: listed */
   apr_time_t cold_until; /* bears few requests until then */
   int64_t cold_revision; /* only a later record may end it */
+  double cold_part;      /* of the few requests that it bears while it is
+                            cold, the part that falls to this entry */
   struct load load;
   struct memory memory;
   int references;
--- a/src/gateway/dispatch.c
+++ b/src/gateway/dispatch.c
@@ -18,7 +18,6 @@
   IDLE_CONNECTION_S = 6, /* well below the time after which upstreams close */
   ANSWER_LIMIT_BYTES = 256 * 1024, /* held until whole; longer ones stream */
   SENDS_MAX = 4,
-  COLD_ENTRIES = 4, /* that may send to one cold upstream */
   OWN_MOST = 64,    /* requests of this entry at one upstream */
   HTTP_BAD_GATEWAY = 502,
   HTTP_UNAVAILABLE = 503,
@@ -31,7 +30,7 @@
 static const double FIRST_WORK_KNOWN = 0.5;
 static const double FIRST_WORK_UNKNOWN = 0.85;
 static const double DEFAULT_AIM_US = 500000.0;
-/* Part of a cold upstream's rate that the entries use together.  Entries that
+/* Part of the rate allowed to a cold upstream that the entries use together.  Entries that
    disagree on who they are may use it twice.  */
 static const double COLD_USE = 0.6;
 /* Less urgent requests leave a slot of each upstream in a region this full. */
@@ -111,7 +110,8 @@
     .reserve = !is_urgent (request) && fullness_of (request) > RESERVE_FROM
                    ? RESERVE_SLOTS
                    : 0.0,
-    .cold_rate = service->cold_per_s * COLD_USE / COLD_ENTRIES,
+    .cold_rate = service->cold_per_s
+                 * gateway->settings.cold.multiplier * COLD_USE,
     .most_own = OWN_MOST,
     .now = timer_clock (),
     .excluded_count = request->tried_count,
@@ -397,7 +397,9 @@
   request->attempt_pace = upstream->load.pace > 0 ? upstream->load.pace : 1.0;
   if (upstream->cold_until > now)
     load_take_cold (&upstream->load,
-                    service->cold_per_s * COLD_USE / COLD_ENTRIES, 1.0, now);
+                    service->cold_per_s * gateway->settings.cold.multiplier
+                        * COLD_USE * upstream->cold_part,
+                    1.0, now);
   load_begin (&upstream->load, now);
   request->attempt_held = true;
   request->sends++;
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -14,6 +14,7 @@
 
 enum
 {
+  COLD_ENTRIES = 5, /* that may send to one cold upstream */
   TICK_MS = 100, /* between two looks at the load of regions */
   STOP_STEP_MS = 50,
   /* Callers keep a look-up for three times its lifetime of a second.  */
@@ -44,6 +45,21 @@
 
 /* private functions */
 
+/* Says which cold upstreams get requests from this entry.  */
+static void
+share_cold (struct gateway *gateway, const struct fleet_service *upstreams,
+            apr_time_t now)
+{
+  for (size_t i = 0; upstreams && i < upstreams->count; i++)
+    {
+      struct fleet_upstream *upstream = upstreams->upstreams[i];
+      if (upstream->cold_until > now)
+        upstream->cold_part
+            = members_part (gateway->members, upstream->hash,
+                            upstream->region, COLD_ENTRIES);
+    }
+}
+
 static void
 update_service (struct gateway *gateway, struct service_state *service,
                 apr_time_t now)
@@ -54,6 +70,7 @@
     service->rooms[i]
         = balance_room (gateway->fleet, upstreams, gateway->regions[i], now);
   spread_update (&service->spread, service->rooms, now);
+  share_cold (gateway, upstreams, now);
 }
 
 static void
