Session of the gateway against stand-ins for the store and upstreams

Golden session: no configuration, routes, damaged and older configurations, unreadable entries, refusing and replaced upstreams, leaving ones, lost, crossed, short and failing answers, callers that leave, evacuation, a store that is busy, silent or without history, SIGHUP, SIGKILL, SIGTERM.

--- a/src/balance/balance.c
+++ b/src/balance/balance.c
@@ -16,7 +16,7 @@
 /* Bytes between zones are dear; an upstream in the own zone is worth waiting
    this much longer for.  */
 static const double ZONE_COST_US_PER_KB = 700.0;
-/* What a new connection carries in its first round trip; doubles with each.  */
+/* What a new connection carries in its first round trip; doubles with each. */
 static const double FIRST_WINDOW_BYTES = 14000.0;
 static const double WORK_WEIGHT = 0.05; /* of the newest answer */
 static const double KNOWN_BELOW = 0.65; /* of the work where it is unknown */
--- a/src/balance/balance.h
+++ b/src/balance/balance.h
@@ -36,14 +36,14 @@
   struct str region; /* only upstreams there; empty: anywhere */
   uint64_t object;   /* hash of the object, or a random number */
   const struct balance_work *work;
-  apr_time_t distance; /* there and back to REGION */
-  struct str zone;     /* of this entry */
+  apr_time_t distance;  /* there and back to REGION */
+  struct str zone;      /* of this entry */
   apr_time_t idle_time; /* for which idle connections are kept */
-  int64_t body_bytes;  /* of the request; 0 if not known */
-  double reserve;      /* slots of each upstream left to more urgent ones */
-  double cold_rate;    /* requests a second that all entries together send
-                          to a cold upstream */
-  int64_t most_own;    /* requests of this entry at one upstream */
+  int64_t body_bytes;   /* of the request; 0 if not known */
+  double reserve;       /* slots of each upstream left to more urgent ones */
+  double cold_rate;     /* requests a second that all entries together send
+                           to a cold upstream */
+  int64_t most_own;     /* requests of this entry at one upstream */
   apr_time_t now;
   uint64_t excluded[BALANCE_EXCLUDED_MAX]; /* hashes of upstreams */
   size_t excluded_count;
--- a/src/gateway/dispatch.c
+++ b/src/gateway/dispatch.c
@@ -18,7 +18,7 @@
   IDLE_CONNECTION_S = 6, /* well below the time after which upstreams close */
   ANSWER_LIMIT_BYTES = 256 * 1024, /* held until whole; longer ones stream */
   SENDS_MAX = 4,
-  OWN_MOST = 64,    /* requests of this entry at one upstream */
+  OWN_MOST = 64, /* requests of this entry at one upstream */
   HTTP_BAD_GATEWAY = 502,
   HTTP_UNAVAILABLE = 503,
   HTTP_TIMEOUT = 504,
@@ -30,8 +30,8 @@
 static const double FIRST_WORK_KNOWN = 0.5;
 static const double FIRST_WORK_UNKNOWN = 0.85;
 static const double DEFAULT_AIM_US = 500000.0;
-/* Part of the rate allowed to a cold upstream that the entries use together.  Entries that
-   disagree on who they are may use it twice.  */
+/* Part of the rate allowed to a cold upstream that the entries use together.
+   Entries that disagree on who they are may use it twice.  */
 static const double COLD_USE = 0.6;
 /* Less urgent requests leave a slot of each upstream in a region this full. */
 static const double RESERVE_FROM = 0.85;
@@ -110,8 +110,8 @@
     .reserve = !is_urgent (request) && fullness_of (request) > RESERVE_FROM
                    ? RESERVE_SLOTS
                    : 0.0,
-    .cold_rate = service->cold_per_s
-                 * gateway->settings.cold.multiplier * COLD_USE,
+    .cold_rate
+    = service->cold_per_s * gateway->settings.cold.multiplier * COLD_USE,
     .most_own = OWN_MOST,
     .now = timer_clock (),
     .excluded_count = request->tried_count,
@@ -562,8 +562,7 @@
     return false;
   request->region = other;
   struct balance_choice choice = choose (request);
-  if (choice.upstream
-      && timer_clock () + choice.expected <= request->aim_at
+  if (choice.upstream && timer_clock () + choice.expected <= request->aim_at
       && budget_take (&request->service->overflow))
     {
       send_request (request, &choice);
@@ -596,8 +595,8 @@
   struct balance_choice choice = choose (request);
   struct admit_state state = state_of (request, &choice);
   struct admit_verdict verdict = admit_decide (&state);
-  bool in_time = verdict.action == ADMIT_SEND
-                 && state.expected <= state.aim_left;
+  bool in_time
+      = verdict.action == ADMIT_SEND && state.expected <= state.aim_left;
   if ((!in_time && state.aim_left > 0 && send_elsewhere (request))
       || carry_out (request, &choice, &verdict))
     return;
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -15,7 +15,7 @@
 enum
 {
   COLD_ENTRIES = 5, /* that may send to one cold upstream */
-  TICK_MS = 100, /* between two looks at the load of regions */
+  TICK_MS = 100,    /* between two looks at the load of regions */
   STOP_STEP_MS = 50,
   /* Callers keep a look-up for three times its lifetime of a second.  */
   STOP_SERVE_ON_MS = 3200,
@@ -54,9 +54,8 @@
     {
       struct fleet_upstream *upstream = upstreams->upstreams[i];
       if (upstream->cold_until > now)
-        upstream->cold_part
-            = members_part (gateway->members, upstream->hash,
-                            upstream->region, COLD_ENTRIES);
+        upstream->cold_part = members_part (gateway->members, upstream->hash,
+                                            upstream->region, COLD_ENTRIES);
     }
 }
 
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -50,7 +50,7 @@
   struct balance_room rooms[GATEWAY_REGIONS_MAX];
   struct budget retries;
   struct budget overflow; /* requests given to another region at once */
-  int64_t most_urgent; /* lowest priority number of its requests */
+  int64_t most_urgent;    /* lowest priority number of its requests */
   size_t waiting[GATEWAY_REGIONS_MAX];
   uint64_t full_in_run[GATEWAY_REGIONS_MAX]; /* of the line, see line_run */
 };
--- /dev/null
+++ b/tests/session/gateway.sh
@@ -0,0 +1,172 @@
+# A gateway against a store and upstreams that speak as the users' platform
+# does: configuration, routes, leaving upstreams, faults, signals, recovery.
+. tests/lib.sh
+
+store=http://127.24.9.1:7900
+service () { # IP LAST-ID
+  echo "{\"service\":\"desk\",\"address\":\"127.24.2.$1:7910\",\"zone\":\"north-a\",\"slots\":4,\"state\":\"${3:-ready}\",\"cold_remaining_ms\":0,\"sequence\":1,\"born\":$1}"
+}
+route () { # NAME PREFIX KIND
+  echo "{\"name\":\"$1\",\"host\":\"shop.example\",\"prefix\":\"$2\",\"kind\":\"$3\",\"timeout_ms\":1200,\"target_latency_ms\":400,\"priority\":1,\"service\":\"desk\",\"max_attempts\":2,\"sticky_sessions\":true,\"allowed_regions\":[]}"
+}
+config () { # VERSION ROUTES
+  echo "{\"version\":$1,\"routes\":[$2],\"services\":[{\"name\":\"desk\",\"max_connections\":100,\"cold_start_s\":1.0,\"cold_per_s\":10.0}],\"limits\":{\"max_body_bytes\":100000}}"
+}
+put () { curl -s -X PUT --data-binary "$2" "$store/_put?key=$1" -o /dev/null; }
+drop () { curl -s -X PUT "$store/_drop?key=$1" -o /dev/null; }
+mode () { curl -s -X PUT "http://$1/_mode?mode=$2" -o /dev/null; }
+runs () { curl -s "http://127.24.2.$1:7910/_runs"; }
+settings () { # NUMBER
+  cat >"$WORK/gateway$1.json" <<EOF
+{ "name": "g$1", "zone": "north-a", "region": "north",
+  "zones": [{ "name": "north-a", "region": "north" }],
+  "listen": { "callers": "127.24.1.$1:7901", "readiness": "127.24.1.$1:7902",
+              "lookups": "127.24.1.$1:7903", "metrics": "127.24.1.$1:7904" },
+  "store": { "address": "127.24.9.1:7900", "poll_ms": 100, "timeout_ms": 300, "lease_ms": 1000 },
+  "retry": { "ratio": 1, "window_s": 10, "slack": 100 },
+  "cold": { "multiplier": 1.5, "slack": 5 },
+  "stop_s": 6, "log_lines_per_s": 10000 }
+EOF
+}
+gateway () { settings "$1"; start "g$1" "$BUILD/citroncleat" gateway -f "$WORK/gateway$1.json"; }
+# call METHOD PATH [CURL-OPTIONS]: shows status and the first line of the body.
+call () {
+  local method=$1 path=$2
+  shift 2
+  echo >>"$WORK/calls"
+  curl -s -m 5 -X "$method" -H 'Host: shop.example' -H "Request-Id: call-$(wc -l <"$WORK/calls")" -H 'Deadline-Ms: 2000' \
+    -H 'Cookie: Affinity-Key=7' -w '%{http_code}\n' -o "$WORK/body" "$@" "http://127.24.1.1:7901$path"
+  echo "$(head -1 "$WORK/body" | sed 's/^i-[0-9]/i-N/')"
+}
+status () { curl -s -m 2 -o /dev/null -w '%{http_code}' "$@"; }
+is () { [ "$(status "$2")" = "$1" ]; }
+ready () { is 200 http://127.24.1.1:7902/ready; }
+serves () { is "$1" "http://127.24.1.1:7901$2" -H 'Host: shop.example'; }
+status_of () { curl -s -m 2 -o /dev/null -w '%{http_code}' -H 'Host: shop.example' -H "Request-Id: probe-$RANDOM$RANDOM" "http://127.24.1.1:7901$1"; }
+routed () { [ "$(status_of "$1")" = "$2" ]; }
+addresses () { curl -s 'http://127.24.1.1:7903/resolve?name=shop.example&region=north' | grep -o '127.24.1.[0-9]:7901' | sort | tr '\n' ' '; }
+named () { [ "$(addresses)" = "$1" ]; }
+
+start store "$BUILD/standin" metadata --listen 127.24.9.1:7900
+for i in 1 2 3; do start "w$i" "$BUILD/standin" worker --listen 127.24.2.$i:7910 --id i-$i; done
+wait_for 5 curl -s -o /dev/null "$store/kv-range?prefix=x"
+gateway 1
+gateway 2
+
+echo "# no configuration: not ready, and no request is denied"
+wait_for 5 is 503 http://127.24.1.1:7902/ready
+call GET /look/1
+
+echo "# a configuration and three upstreams"
+put op/config "$(config 7 "$(route look /look/ safe),$(route jobs /jobs/ unsafe)")"
+for i in 1 2 3; do put servers/i-$i "$(service $i)"; done
+wait_for 5 ready
+call GET '/look/1?a=b'
+call POST /jobs/1 -d order
+call GET /nowhere/1
+call POST /jobs/1 -H 'Transfer-Encoding: chunked' -d order
+head -c 200000 /dev/zero >"$WORK/large"
+call POST /jobs/1 --data-binary "@$WORK/large" -H 'Expect:'
+
+echo "# both entries are named to callers"
+wait_for 5 named "127.24.1.1:7901 127.24.1.2:7901 " && echo "named"
+
+echo "# a damaged configuration and an older one change nothing"
+put op/config '{"version":9,"routes":[{"name":"x"}],"services":[]}'
+put op/config "$(config 6 "$(route other /other/ safe)")"
+put op/config "$(config 8 "$(route look /look/ safe),$(route jobs /jobs/ unsafe),$(route more /more/ safe)")"
+wait_for 5 routed /more/1 200
+call GET /look/1
+call GET /other/1
+
+echo "# unreadable entries name no upstream, the others hold"
+put servers/i-9 '{"service":7}'
+put servers/i-8 "$(printf '\377\376')"
+call GET /look/1
+
+echo "# an upstream that refuses: another one is asked; one that is another: too"
+for i in 1 2; do mode 127.24.2.$i:7910 full; done
+for n in 1 2 3; do call POST /jobs/$n -d order; done | sort | uniq -c | sed 's/^ *//'
+for i in 1 2; do mode 127.24.2.$i:7910 normal; done
+put servers/i-3 "$(service 3)"
+drop servers/i-3
+put servers/i-7 "$(service 3 | sed 's/"born":3/"born":7/')"
+sleep 0.5
+for n in 1 2 3 4; do call POST /jobs/$n -d order; done | sort | uniq -c | sed 's/^ *//'
+drop servers/i-7
+
+echo "# leaving upstreams get nothing"
+put servers/i-1 "$(service 1 x draining)"
+sleep 0.5
+before=$(runs 1)
+for n in 1 2 3 4 5 6; do call GET /look/$n; done | sort | uniq -c | sed 's/^ *//'
+[ "$before" = "$(runs 1)" ] && echo "nothing more ran there"
+
+echo "# a lost answer: unknown, run once, answered by the route's limit"
+mode 127.24.2.2:7910 lose
+call POST /jobs/1 -d order
+mode 127.24.2.2:7910 crossed
+call POST /jobs/1 -d order
+mode 127.24.2.2:7910 short
+call POST /jobs/1 -d order
+mode 127.24.2.2:7910 fail
+call POST /jobs/1 -d order
+mode 127.24.2.2:7910 normal
+
+echo "# a caller that leaves: its work is cancelled"
+mode 127.24.2.2:7910 lose
+curl -s -m 0.3 -H 'Host: shop.example' -H 'Request-Id: leaver' -H 'Deadline-Ms: 2000' http://127.24.1.1:7901/look/1
+sleep 0.4
+runs 2 | grep -o '[0-9]* left'
+mode 127.24.2.2:7910 normal
+
+echo "# an evacuated zone gets nothing until it is taken back"
+put op/evacuate/north-a '{}'
+wait_for 5 routed /look/1 503
+call GET /look/1
+drop op/evacuate/north-a
+wait_for 5 routed /look/1 200
+# Cold until its record is newer than the end of the evacuation.
+put servers/i-2 "$(service 2)"
+sleep 0.4
+call GET /look/1
+
+echo "# the store is away: what is known stays in force"
+curl -s -X PUT "$store/_mode?mode=busy" -o /dev/null
+sleep 1.5
+call GET /look/1
+curl -s -X PUT "$store/_mode?mode=silent" -o /dev/null
+sleep 1
+call GET /look/1
+curl -s -X PUT "$store/_mode?mode=compact" -o /dev/null
+wait_for 5 grep -q store-history-gone "$WORK/g1.log" && echo "listed again"
+call GET /look/1
+
+echo "# settings are read again; bad ones change nothing"
+echo '{' >"$WORK/gateway1.json"
+kill -HUP "$(pid_of g1)"
+wait_for 5 grep -q settings-refused "$WORK/g1.log" && echo "refused"
+settings 1
+kill -HUP "$(pid_of g1)"
+wait_for 5 grep -q settings-reloaded "$WORK/g1.log" && echo "reloaded"
+call GET /look/1
+
+echo "# killed and started again: served from the store alone"
+kill -KILL "$(pid_of g1)"
+gateway 1
+wait_for 5 ready
+call GET /look/1
+
+echo "# a planned stop: not named, not ready, serves on, ends in time"
+kill -TERM "$(pid_of g1)"
+wait_for 1 is 503 http://127.24.1.1:7902/ready && echo "not ready"
+call GET /look/1
+wait_for 3 named "127.24.1.2:7901 " && echo "not named"
+while kill -0 "$(pid_of g1)" 2>/dev/null; do sleep 0.1; done
+wait "$(pid_of g1)"
+echo "status $?"
+
+echo "# nothing ran twice"
+for i in 1 2 3; do runs $i | grep -o '[0-9]* twice'; done
+echo "# a line for each request tells its cause"
+grep -c '"event":"request"' "$WORK/g1.log" | sed 's/^[1-9][0-9]*$/some/'
--- a/tests/standin/main.c
+++ b/tests/standin/main.c
@@ -14,7 +14,8 @@
   int (*run) (int argc, char **argv, apr_pool_t *pool);
 } roles[] = { { "platform", run_platform }, { "upstreams", run_upstreams },
               { "rude", run_rude },         { "callers", run_callers },
-              { "load", run_load },         { NULL, NULL } };
+              { "load", run_load },         { "metadata", run_metadata },
+              { "worker", run_worker },     { NULL, NULL } };
 
 const char *
 option (int argc, char **argv, const char *name, const char *fallback)
@@ -100,6 +101,8 @@
   for (int i = 0; argc > 1 && roles[i].name; i++)
     if (strcmp (argv[1], roles[i].name) == 0)
       return roles[i].run (argc - 1, argv + 1, pool);
-  fputs ("usage: standin platform|upstreams|rude|callers|load ...\n", stderr);
+  fputs ("usage: standin platform|upstreams|rude|callers|load|metadata|worker "
+         "...\n",
+         stderr);
   return 2;
 }
--- a/tests/standin/standin.h
+++ b/tests/standin/standin.h
@@ -13,6 +13,8 @@
 int run_rude (int argc, char **argv, apr_pool_t *pool);
 int run_callers (int argc, char **argv, apr_pool_t *pool);
 int run_load (int argc, char **argv, apr_pool_t *pool);
+int run_metadata (int argc, char **argv, apr_pool_t *pool);
+int run_worker (int argc, char **argv, apr_pool_t *pool);
 
 /* Returns the value after the option NAME, or FALLBACK.  */
 const char *option (int argc, char **argv, const char *name,
