--- a/src/gateway/dispatch.c
+++ b/src/gateway/dispatch.c
@@ -4,17 +4,19 @@
 #include "platform/decode.h"
 #include "platform/words.h"
 
+#include <errno.h>
 #include <string.h>
 
 /* constants */
 
 enum
 {
-  /* Longer than a lost first packet costs within a region, shorter than what
-     a caller would notice.  */
-  CONNECT_TIMEOUT_MS = 450,
-  /* A path that acknowledges nothing for so long is cut.  */
-  UNACKNOWLEDGED_MS = 900,
+  /* Beyond the way there and back.  A lost opening packet is sent again only
+     after a second, so a longer wait gains nothing.  */
+  CONNECT_TIMEOUT_MS = 120,
+  /* A path that acknowledges nothing for so long beyond the way there and back
+     is cut: a lost packet is sent again once or twice before that.  */
+  UNACKNOWLEDGED_MS = 600,
   IDLE_CONNECTION_S = 6, /* well below the time after which upstreams close */
   ANSWER_LIMIT_BYTES = 256 * 1024, /* held until whole; longer ones stream */
   SENDS_MAX = 4,
@@ -258,8 +260,11 @@
 {
   struct attempt *attempt = request->attempt;
   bool not_run = !attempt->sent;
-  release (request, not_run ? LOAD_UNREACHED : LOAD_FAILED);
-  if (not_run)
+  long cause = 0;
+  curl_easy_getinfo (attempt->transfer.easy, CURLINFO_OS_ERRNO, &cause);
+  bool is_dark = not_run || cause == ETIMEDOUT;
+  release (request, is_dark ? LOAD_UNREACHED : LOAD_FAILED);
+  if (is_dark)
     {
       /* It may come back as a new process, cold, before the list says so.  */
       const struct plan_service *service
@@ -405,6 +410,7 @@
   request->sends++;
   if (request->admitted_at == 0)
     request->admitted_at = now;
+  int64_t way_ms = 2 * gateway->distances[request->region] / 1000;
   struct attempt_desc desc = {
     .curl_loop = gateway->curl_loop,
     .pool = request->pool,
@@ -417,8 +423,8 @@
     .is_head = request->is_head,
     .body_size = request->body_size,
     .deadline = request->deadline,
-    .connect_timeout_ms = CONNECT_TIMEOUT_MS,
-    .unacknowledged_ms = UNACKNOWLEDGED_MS,
+    .connect_timeout_ms = CONNECT_TIMEOUT_MS + way_ms,
+    .unacknowledged_ms = UNACKNOWLEDGED_MS + way_ms,
     .idle_s = IDLE_CONNECTION_S,
     .connections = connections_get (gateway->connections, upstream->address),
     .idle_connections = OWN_MOST,
