--- a/src/balance/admit.c
+++ b/src/balance/admit.c
@@ -4,8 +4,8 @@
 
 /* Above this fullness a slot is worth more to a request that can still make
    its aim than to one that is late already.  */
-static const double FULL_FOR_LATE = 0.7;
-static const double FULL_FOR_URGENT_LATE = 0.85;
+static const double FULL_FOR_LATE = 0.3;
+static const double FULL_FOR_URGENT_LATE = 0.4;
 
 enum
 {
