--- a/src/gateway/settings.c
+++ b/src/gateway/settings.c
@@ -34,13 +34,13 @@
           FIELD_AT (gateway_addresses, metrics) },
         { 0 } };
 
-/* poll_ms: an upstream that leaves must be known within the two to four
-   seconds that the platform allows, also when one read fails.  lease_ms: a
-   dead entry is named to callers for no longer.  */
+/* lease_ms: a dead entry is named to callers for no longer.  */
 static const struct field store_fields[]
     = { TEXT (gateway_store, address, FIELD_ADDRESS),
         FIELD_NUMBER (gateway_store, heartbeat_ms, 10, 60000, 1500, "ms"),
-        FIELD_NUMBER (gateway_store, poll_ms, 50, 60000, 900, "ms"),
+        FIELD_NUMBER (gateway_store, in_force_ms, 100, 600000, 2500, "ms"),
+  FIELD_NUMBER (gateway_store, leaving_ms, 100, 600000, 2500, "ms"),
+  FIELD_NUMBER (gateway_store, poll_ms, 0, 60000, 0, "ms"),
         FIELD_NUMBER (gateway_store, timeout_ms, 50, 60000, 700, "ms"),
         FIELD_NUMBER (gateway_store, lease_ms, 1000, 600000, 3000, "ms"),
         { 0 } };
@@ -77,6 +77,10 @@
         FIELD_NUMBER (gateway_settings, log_lines_per_s, 0, 100000, 40, NULL),
         { 0 } };
 
+/* Part of the shorter bound between two reads; the rest is left for one read
+   that fails, and its repeat.  */
+static const double POLL_PART = 0.45;
+
 /* public functions */
 
 void
@@ -90,6 +94,11 @@
     return;
   field_read (gateway_fields, object, STR (""), settings, pool, faults);
   json_object_put (object);
+  struct gateway_store *store = &settings->store;
+  int64_t bound = store->in_force_ms < store->leaving_ms ? store->in_force_ms
+                                                         : store->leaving_ms;
+  if (store->poll_ms == 0)
+    store->poll_ms = (int64_t)((double)bound * POLL_PART);
   if (faults_count (faults) == 0
       && gateway_settings_region (settings, settings->zone).size == 0)
     faults_add (faults, STR ("zone"), settings->zone, "one of 'zones'");
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -28,7 +28,10 @@
 {
   struct str address;
   int64_t heartbeat_ms; /* of upstreams, in the list that the store holds */
-  int64_t poll_ms;      /* between two reads of what has changed */
+  int64_t in_force_ms;  /* within which a change must be in force */
+  int64_t leaving_ms;   /* within which an upstream that leaves gets nothing */
+  int64_t poll_ms;      /* between two reads of what has changed; default a
+                           part of the shorter of the two */
   int64_t timeout_ms;   /* of one call */
   int64_t lease_ms;     /* of this entry's own key */
 };
