--- a/Makefile
+++ b/Makefile
@@ -11,8 +11,8 @@
            libxxhash libsodium
 STANDARD = -std=gnu11 -Wall -Wextra -Werror -Isrc -I. \
            -DCITRONCLEAT_VERSION='"$(VERSION)"' \
-           $(shell pkg-config --cflags $(PACKAGES)) -MMD -MP
-LIBS     = $(shell pkg-config --libs $(PACKAGES)) -llog4c -lpthread -lm
+           $(shell pkg-config --cflags $(PACKAGES) 2>/dev/null) -MMD -MP
+LIBS     = $(shell pkg-config --libs $(PACKAGES) 2>/dev/null) -llog4c -lpthread -lm
 
 SOURCES  = $(sort $(wildcard src/*/*.c) $(wildcard platform/*.c))
 OBJECTS  = $(SOURCES:%.c=$(BUILD)/%.o)
@@ -24,7 +24,12 @@
 
 all: $(BINARY)
 
-$(BUILD)/%.o: %.c Makefile
+# Objects are made only where the libraries are, with one line if they are not.
+HAVE_PACKAGES := $(shell pkg-config --exists $(PACKAGES) 2>/dev/null && echo yes)
+packages:
+	@[ -n "$(HAVE_PACKAGES)" ] || { echo "make: libraries are missing: run 'make setup' first" >&2; exit 1; }
+
+$(BUILD)/%.o: %.c Makefile | packages
 	@mkdir -p $(@D)
 	$(CC) $(CFLAGS) $(STANDARD) -c $< -o $@
 
@@ -138,6 +143,6 @@
 -include $(OBJECTS:.o=.d) $(MAIN:.o=.d) $(STANDIN_OBJECTS:.o=.d) \
          $(UNIT_OBJECTS:.o=.d) $(BENCH_STEER_OBJECTS:.o=.d)
 
-.PHONY: all setup check check-sanitized demo lint bench bench-path bench-steer \
+.PHONY: all packages setup check check-sanitized demo lint bench bench-path bench-steer \
         bench-slopes bench-fleet bench-recover fuzz \
         install help clean
--- a/src/balance/admit.c
+++ b/src/balance/admit.c
@@ -4,8 +4,8 @@
 
 /* Above this fullness a slot is worth more to a request that can still make
    its aim than to one that is late already.  */
-static const double FULL_FOR_LATE = 0.3;
-static const double FULL_FOR_URGENT_LATE = 0.4;
+static const double full_for_late = 0.3;
+static const double full_for_urgent_late = 0.4;
 
 enum
 {
@@ -38,7 +38,7 @@
 struct admit_verdict
 admit_decide (const struct admit_state *state)
 {
-  double full = state->may_be_late ? FULL_FOR_URGENT_LATE : FULL_FOR_LATE;
+  double full = state->may_be_late ? full_for_urgent_late : full_for_late;
   bool late_is_fine = state->fullness < full;
   if (state->has_slot)
     {
--- a/src/balance/balance.c
+++ b/src/balance/balance.c
@@ -5,22 +5,22 @@
 /* constants */
 
 /* A silent upstream is avoided after this many usual answers.  */
-static const double SILENT_FACTOR = 3.0;
-static const double SILENT_LEAST_US = 300000.0;
+static const double silent_factor = 3.0;
+static const double silent_least_us = 300000.0;
 /* An answer that fails costs the caller about this many usual answers.  */
-static const double FAILURE_COST = 0.3;
+static const double failure_cost = 0.3;
 /* Spreads requests for unknown objects over equally fast upstreams.  */
-static const double BUSY_COST = 0.15;
+static const double busy_cost = 0.15;
 /* Makes entries choose alike among upstreams that do not know the object.  */
-static const double RANK_COST = 0.3;
+static const double rank_cost = 0.3;
 /* Bytes between zones are dear; an upstream in the own zone is worth waiting
    this much longer for.  */
-static const double ZONE_COST_US_PER_KB = 700.0;
+static const double zone_cost_us_per_kb = 700.0;
 /* What a new connection carries in its first round trip; doubles with each. */
-static const double FIRST_WINDOW_BYTES = 14000.0;
-static const double WORK_WEIGHT = 0.05; /* of the newest answer */
-static const double KNOWN_BELOW = 0.65; /* of the work where it is unknown */
-static const double LEARN_MOST = 1.5;   /* times the estimate */
+static const double first_window_bytes = 14000.0;
+static const double work_weight = 0.05; /* of the newest answer */
+static const double known_below = 0.65; /* of the work where it is unknown */
+static const double learn_most = 1.5;   /* times the estimate */
 
 /* private functions */
 
@@ -81,9 +81,9 @@
           const struct fleet_upstream *upstream)
 {
   const struct load *load = &upstream->load;
-  double silent = request->work->unknown * SILENT_FACTOR;
-  if (silent < SILENT_LEAST_US)
-    silent = SILENT_LEAST_US;
+  double silent = request->work->unknown * silent_factor;
+  if (silent < silent_least_us)
+    silent = silent_least_us;
   if (load->avoid_until > request->now || load->own >= request->most_own
       || load_is_silent (load, (apr_time_t)silent + request->distance,
                          request->now))
@@ -101,9 +101,9 @@
 static double
 transfer_time (const struct balance_request *request)
 {
-  if ((double)request->body_bytes <= FIRST_WINDOW_BYTES)
+  if ((double)request->body_bytes <= first_window_bytes)
     return 0.0;
-  return log2 ((double)request->body_bytes / FIRST_WINDOW_BYTES)
+  return log2 ((double)request->body_bytes / first_window_bytes)
          * (double)request->distance;
 }
 
@@ -137,11 +137,11 @@
                 / (double)(1ULL << 53);
   double zone = str_equal (upstream->zone, request->zone)
                     ? 0.0
-                    : (double)request->body_bytes / 1000 * ZONE_COST_US_PER_KB;
+                    : (double)request->body_bytes / 1000 * zone_cost_us_per_kb;
   return expected + zone + (double)way_time (request, upstream)
          + request->work->unknown
-               * (FAILURE_COST * failing + BUSY_COST * full
-                  + RANK_COST * (1.0 - rank));
+               * (failure_cost * failing + busy_cost * full
+                  + rank_cost * (1.0 - rank));
 }
 
 /* public functions */
@@ -181,10 +181,10 @@
 {
   /* How long it took tells better than any record whether the object was
      known.  A single long request must not move the estimate far.  */
-  bool was_known = elapsed < work->unknown * KNOWN_BELOW;
+  bool was_known = elapsed < work->unknown * known_below;
   double *learnt = was_known ? &work->known : &work->unknown;
-  double most = *learnt * LEARN_MOST;
-  *learnt += WORK_WEIGHT * ((elapsed < most ? elapsed : most) - *learnt);
+  double most = *learnt * learn_most;
+  *learnt += work_weight * ((elapsed < most ? elapsed : most) - *learnt);
   if (work->known > work->unknown)
     work->known = work->unknown;
 }
--- a/src/balance/load.c
+++ b/src/balance/load.c
@@ -6,15 +6,15 @@
 
 /* Other entries' requests last about this long, so a report of them is worth
    little after it.  */
-static const double REPORT_FADE_US = 1000000.0;
+static const double report_fade_us = 1000000.0;
 /* The pace of a machine changes several times a second.  */
-static const double PACE_FADE_US = 400000.0;
+static const double pace_fade_us = 400000.0;
 /* An upstream that was slow or failed is tried again within seconds.  */
-static const double SLOWNESS_FADE_US = 3000000.0;
-static const double FAILING_FADE_US = 2500000.0;
-static const double SLOWNESS_WEIGHT = 0.2; /* of the newest answer */
-static const double SLOWNESS_MOST = 6.0;   /* one long request is no sign */
-static const double FAILING_WEIGHT = 0.25; /* of the newest request */
+static const double slowness_fade_us = 3000000.0;
+static const double failing_fade_us = 2500000.0;
+static const double slowness_weight = 0.2; /* of the newest answer */
+static const double slowness_most = 6.0;   /* one long request is no sign */
+static const double failing_weight = 0.25; /* of the newest request */
 
 enum
 {
@@ -35,7 +35,7 @@
 note_failure (struct load *load, double failed, apr_time_t now)
 {
   double before = load_failing (load, now);
-  load->failing = before + FAILING_WEIGHT * (failed - before);
+  load->failing = before + failing_weight * (failed - before);
   load->failing_at = now;
 }
 
@@ -58,12 +58,12 @@
   if (expected <= 0)
     return;
   double ratio = (double)elapsed / (double)expected;
-  if (ratio > SLOWNESS_MOST)
-    ratio = SLOWNESS_MOST;
+  if (ratio > slowness_most)
+    ratio = slowness_most;
   double before = 1.0
                   + (load->slowness - 1.0)
-                        * fade (load->slowness_at, now, SLOWNESS_FADE_US);
-  load->slowness = before + SLOWNESS_WEIGHT * (ratio - before);
+                        * fade (load->slowness_at, now, slowness_fade_us);
+  load->slowness = before + slowness_weight * (ratio - before);
   load->slowness_at = now;
 }
 
@@ -144,7 +144,7 @@
 {
   double others
       = load->reported_at
-            ? load->others * fade (load->reported_at, now, REPORT_FADE_US)
+            ? load->others * fade (load->reported_at, now, report_fade_us)
             : 0.0;
   return others + (double)load->own;
 }
@@ -153,17 +153,17 @@
 load_factor (const struct load *load, apr_time_t now)
 {
   double pace
-      = 1.0 + (load->pace - 1.0) * fade (load->reported_at, now, PACE_FADE_US);
+      = 1.0 + (load->pace - 1.0) * fade (load->reported_at, now, pace_fade_us);
   double slowness = 1.0
                     + (load->slowness - 1.0)
-                          * fade (load->slowness_at, now, SLOWNESS_FADE_US);
+                          * fade (load->slowness_at, now, slowness_fade_us);
   return pace * (slowness > 1.0 ? slowness : 1.0);
 }
 
 double
 load_failing (const struct load *load, apr_time_t now)
 {
-  return load->failing * fade (load->failing_at, now, FAILING_FADE_US);
+  return load->failing * fade (load->failing_at, now, failing_fade_us);
 }
 
 bool
--- a/src/balance/memory.c
+++ b/src/balance/memory.c
@@ -4,7 +4,7 @@
 
 /* Upstreams replace the object that was handled the longest ago; under load
    that takes some tens of seconds.  */
-static const apr_time_t KNOWN_US = 20000000;
+static const apr_time_t known_us = 20000000;
 
 /* public functions */
 
@@ -42,6 +42,6 @@
   uint64_t row = object % MEMORY_ROWS;
   for (int i = 0; i < MEMORY_WAYS; i++)
     if (memory->cells[row][i].object == object && memory->cells[row][i].at > 0)
-      return now - memory->cells[row][i].at < KNOWN_US;
+      return now - memory->cells[row][i].at < known_us;
   return false;
 }
--- a/src/balance/spread.c
+++ b/src/balance/spread.c
@@ -7,16 +7,16 @@
 
 /* Slots left free, in square roots of all: as many as keep nearly every
    request from finding its upstreams full.  */
-static const double HEADROOM = 3.2;
-static const double FULL_LEAST = 0.5;
+static const double headroom = 3.2;
+static const double full_least = 0.5;
 /* Two regions this close in fullness are not moved between.  */
-static const double FULL_MARGIN = 0.1;
-static const double FULL_BUSY = 0.45;
-static const double FULL_STEEPNESS = 0.6;
+static const double full_margin = 0.1;
+static const double full_busy = 0.45;
+static const double full_steepness = 0.6;
 /* A region fuller than this takes no single requests of others.  */
-static const double FULL_OTHER = 0.65;
+static const double full_other = 0.65;
 /* Keeps a little traffic to each region, whose answers tell its load.  */
-static const double LEAST_PART = 0.02;
+static const double least_part = 0.02;
 
 /* private functions */
 
@@ -69,7 +69,7 @@
 {
   size_t best = SPREAD_REGIONS_MAX;
   for (size_t i = 0; i < spread->count; i++)
-    if (i != spread->own && spread->parts[i] > LEAST_PART
+    if (i != spread->own && spread->parts[i] > least_part
         && (best == SPREAD_REGIONS_MAX
             || fullness (&rooms[i]) > fullness (&rooms[best])))
       best = i;
@@ -82,8 +82,8 @@
 full_from (const struct balance_room *room)
 {
   double full
-      = room->slots > 0 ? 1.0 - HEADROOM / sqrt (room->slots) : FULL_LEAST;
-  return full > FULL_LEAST ? full : FULL_LEAST;
+      = room->slots > 0 ? 1.0 - headroom / sqrt (room->slots) : full_least;
+  return full > full_least ? full : full_least;
 }
 
 /* Returns by how much the own region must be fuller than that of ROOM before
@@ -92,8 +92,8 @@
 static double
 margin_to (const struct balance_room *room)
 {
-  double over = fullness (room) - FULL_BUSY;
-  return FULL_MARGIN + (over > 0 ? over * FULL_STEEPNESS : 0.0);
+  double over = fullness (room) - full_busy;
+  return full_margin + (over > 0 ? over * full_steepness : 0.0);
 }
 
 static void
@@ -137,8 +137,8 @@
       && own > fullness (&rooms[out]) + margin_to (&rooms[out]))
     move (spread, spread->own, out, step);
   else if (back < spread->count
-           && (own < full - FULL_MARGIN
-               || fullness (&rooms[back]) > own + FULL_MARGIN))
+           && (own < full - full_margin
+               || fullness (&rooms[back]) > own + full_margin))
     move (spread, back, spread->own, step);
 }
 
@@ -179,7 +179,7 @@
 {
   size_t best = SPREAD_REGIONS_MAX;
   for (size_t i = 0; i < spread->count; i++)
-    if (allowed[i] && i != but && fullness (&rooms[i]) < FULL_OTHER
+    if (allowed[i] && i != but && fullness (&rooms[i]) < full_other
         && (best == SPREAD_REGIONS_MAX
             || fullness (&rooms[i]) < fullness (&rooms[best])))
       best = i;
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -7,7 +7,7 @@
 
 /* types */
 
-/* An id of the list.  */
+/* An id of the list; lives as long as its upstream.  */
 struct listed
 {
   struct fleet_upstream *upstream;
@@ -118,7 +118,6 @@
   tell (fleet, why, upstream);
   apr_hash_set (fleet->ids, upstream->id.data, (apr_ssize_t)upstream->id.size,
                 NULL);
-  free (listed);
   fleet_upstream_unref (upstream);
 }
 
@@ -135,10 +134,9 @@
 static struct listed *
 add (struct fleet *fleet, const struct fleet_record *record, struct str region)
 {
-  struct listed *listed = calloc (1, sizeof *listed);
-  if (!listed)
-    abort ();
-  listed->upstream = make_upstream (record, region);
+  struct fleet_upstream *upstream = make_upstream (record, region);
+  struct listed *listed = apr_pcalloc (upstream->pool, sizeof *listed);
+  listed->upstream = upstream;
   apr_hash_set (fleet->ids, listed->upstream->id.data,
                 (apr_ssize_t)listed->upstream->id.size, listed);
   join_service (fleet, listed->upstream);
@@ -204,7 +202,6 @@
     {
       struct listed *listed = apr_hash_this_val (i);
       fleet_upstream_unref (listed->upstream);
-      free (listed);
     }
   for (apr_hash_index_t *i = apr_hash_first (fleet->pool, fleet->services); i;
        i = apr_hash_next (i))
--- a/src/gateway/dispatch.c
+++ b/src/gateway/dispatch.c
@@ -5,6 +5,7 @@
 #include "platform/words.h"
 
 #include <errno.h>
+#include <stdlib.h>
 #include <string.h>
 
 /* constants */
@@ -29,22 +30,34 @@
 };
 
 /* Work before any answer was seen, in parts of the route's aim.  */
-static const double FIRST_WORK_KNOWN = 0.5;
-static const double FIRST_WORK_UNKNOWN = 0.85;
-static const double DEFAULT_AIM_US = 500000.0;
+static const double first_work_known = 0.5;
+static const double first_work_unknown = 0.85;
+static const double default_aim_us = 500000.0;
 /* Part of the rate allowed to a cold upstream that the entries use together.
    Entries that disagree on who they are may use it twice.  */
-static const double COLD_USE = 0.6;
+static const double cold_use = 0.6;
 /* Less urgent requests leave a slot of each upstream in a region this full. */
-static const double RESERVE_FROM = 0.85;
-static const double RESERVE_SLOTS = 1.0;
+static const double reserve_from = 0.85;
+static const double reserve_slots = 1.0;
 /* Times the expected work after which nearly all requests are answered.  */
-static const double SECOND_AFTER = 2.0;
+static const double second_after = 2.0;
 /* In a fuller region the slot is worth more to another request.  */
-static const double FULL_FOR_SECOND = 0.7;
+static const double full_for_second = 0.7;
 
 /* private functions */
 
+/* Returns the service that the request goes to; a plan that was finished has
+   all services that its routes name.  */
+static const struct plan_service *
+service_of (const struct request *request)
+{
+  const struct plan_service *service
+      = plan_service (request->plan, request->service_name);
+  if (!service)
+    abort ();
+  return service;
+}
+
 static double
 fullness_of (const struct request *request)
 {
@@ -92,8 +105,7 @@
 choose (struct request *request)
 {
   struct gateway *gateway = request->gateway;
-  const struct plan_service *service
-      = plan_service (request->plan, request->service_name);
+  const struct plan_service *service = service_of (request);
   const struct fleet_service *upstreams
       = fleet_service (gateway->fleet, request->service_name);
   struct balance_choice none = { 0 };
@@ -109,11 +121,11 @@
     .zone = gateway->settings.zone,
     .idle_time = TIMER_SEC (IDLE_CONNECTION_S),
     .body_bytes = request->body_size > 0 ? request->body_size : 0,
-    .reserve = !is_urgent (request) && fullness_of (request) > RESERVE_FROM
-                   ? RESERVE_SLOTS
+    .reserve = !is_urgent (request) && fullness_of (request) > reserve_from
+                   ? reserve_slots
                    : 0.0,
     .cold_rate
-    = service->cold_per_s * gateway->settings.cold.multiplier * COLD_USE,
+    = service->cold_per_s * gateway->settings.cold.multiplier * cold_use,
     .most_own = OWN_MOST,
     .now = timer_clock (),
     .excluded_count = request->tried_count,
@@ -242,8 +254,7 @@
 settle_refusal (struct request *request)
 {
   struct gateway *gateway = request->gateway;
-  const struct plan_service *service
-      = plan_service (request->plan, request->service_name);
+  const struct plan_service *service = service_of (request);
   bool is_other = request->attempt->status == HTTP_MISDIRECTED;
   release (request, is_other ? LOAD_UNREACHED : LOAD_REFUSED);
   if (is_other)
@@ -267,8 +278,7 @@
   if (is_dark)
     {
       /* It may come back as a new process, cold, before the list says so.  */
-      const struct plan_service *service
-          = plan_service (request->plan, request->service_name);
+      const struct plan_service *service = service_of (request);
       fleet_suspect_cold (request->gateway->fleet, request->upstream,
                           service->cold_time, timer_clock ());
     }
@@ -391,8 +401,7 @@
 {
   struct gateway *gateway = request->gateway;
   struct fleet_upstream *upstream = choice->upstream;
-  const struct plan_service *service
-      = plan_service (request->plan, request->service_name);
+  const struct plan_service *service = service_of (request);
   apr_time_t now = timer_clock ();
   if (request->upstream)
     fleet_upstream_unref (request->upstream);
@@ -403,7 +412,7 @@
   if (upstream->cold_until > now)
     load_take_cold (&upstream->load,
                     service->cold_per_s * gateway->settings.cold.multiplier
-                        * COLD_USE * upstream->cold_part,
+                        * cold_use * upstream->cold_part,
                     1.0, now);
   load_begin (&upstream->load, now);
   request->attempt_held = true;
@@ -452,7 +461,7 @@
   if (!attempt || attempt->done || attempt->has_head || !request->attempt_held
       || request->sends >= request->route->max_attempts
       || request->tried_count >= BALANCE_EXCLUDED_MAX
-      || fullness_of (request) > FULL_FOR_SECOND)
+      || fullness_of (request) > full_for_second)
     return;
   request->tried[request->tried_count++] = request->upstream->hash;
   struct balance_choice choice = choose (request);
@@ -479,7 +488,7 @@
       || request->sends >= request->route->max_attempts)
     return;
   timer_start (loop_timers (gateway->loop), &request->second_timer,
-               timer_clock () + (apr_time_t)(expected * SECOND_AFTER)
+               timer_clock () + (apr_time_t)(expected * second_after)
                    + gateway->distances[request->region],
                on_second_due, request);
 }
@@ -671,9 +680,9 @@
   static const char *const outcomes[REQUEST_OUTCOMES]
       = { "", "served", "refused", "failed", "left" };
   state = apr_pcalloc (gateway->pool, sizeof *state);
-  double aim = route->aim > 0 ? (double)route->aim : DEFAULT_AIM_US;
-  state->work = (struct balance_work){ aim * FIRST_WORK_KNOWN,
-                                       aim * FIRST_WORK_UNKNOWN };
+  double aim = route->aim > 0 ? (double)route->aim : default_aim_us;
+  state->work = (struct balance_work){ aim * first_work_known,
+                                       aim * first_work_unknown };
   for (int i = 1; i < REQUEST_OUTCOMES; i++)
     state->ended[i] = counter_get (
         gateway->counters, "citroncleat_requests_total",
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -28,20 +28,20 @@
 };
 
 /* First guess of the way to another region and back.  */
-static const apr_time_t FIRST_DISTANCE_US = 100000;
+static const apr_time_t first_distance_us = 100000;
 /* Retries saved up at most, in parts of the slack of all entries; a dozen
    entries may each have saved up that many.  */
-static const double RETRY_SAVED = 0.03;
+static const double retry_saved = 0.03;
 /* Part of the allowed ratio that is used: the budget counts what arrives.  */
-static const double RETRY_USE = 0.85;
+static const double retry_use = 0.85;
 /* Part of the allowed move between regions that is used; the rest is left to
    chance in which requests arrive.  */
-static const double SHIFT_USE = 0.4;
-static const double SHIFT_WINDOW_S = 2.0;
+static const double shift_use = 0.4;
+static const double shift_window_s = 2.0;
 /* Part of the requests that may leave for another region one by one, on top
    of the slow move: well below the allowed change within the window.  */
-static const double OVERFLOW_PART = 0.04;
-static const double OVERFLOW_SAVED = 3.0;
+static const double overflow_part = 0.04;
+static const double overflow_saved = 3.0;
 
 /* private functions */
 
@@ -238,7 +238,7 @@
       if (str_equal (gateway->regions[r], gateway->settings.region))
         gateway->own_region = r;
       else
-        gateway->distances[r] = FIRST_DISTANCE_US;
+        gateway->distances[r] = first_distance_us;
     }
 }
 
@@ -433,12 +433,12 @@
   service = apr_pcalloc (gateway->pool, sizeof *service);
   service->name = str_dup (gateway->pool, name);
   service->most_urgent = PRIORITIES;
-  budget_init (&service->retries, gateway->settings.retry.ratio * RETRY_USE,
-               gateway->settings.retry.slack * RETRY_SAVED);
+  budget_init (&service->retries, gateway->settings.retry.ratio * retry_use,
+               gateway->settings.retry.slack * retry_saved);
   service->retries.balance = 0;
-  budget_init (&service->overflow, OVERFLOW_PART, OVERFLOW_SAVED);
+  budget_init (&service->overflow, overflow_part, overflow_saved);
   spread_init (&service->spread, gateway->region_count, gateway->own_region,
-               gateway->settings.region_shift * SHIFT_USE / SHIFT_WINDOW_S);
+               gateway->settings.region_shift * shift_use / shift_window_s);
   apr_hash_set (gateway->services, service->name.data,
                 (apr_ssize_t)service->name.size, service);
   update_service (gateway, service, timer_clock ());
--- a/src/gateway/request.c
+++ b/src/gateway/request.c
@@ -26,7 +26,7 @@
 /* Callers of one route state different times on their first attempt.  One
    that states less than this part of the longest has spent the rest of it on
    an earlier attempt.  */
-static const double FIRST_ATTEMPT_LEAST = 0.74;
+static const double first_attempt_least = 0.74;
 
 static const char *const outcome_names[]
     = { "?", "served", "refused", "failed", "left" };
@@ -85,7 +85,7 @@
   else if (wait_ms > state->longest_deadline_ms)
     state->longest_deadline_ms = wait_ms;
   int64_t least
-      = (int64_t)((double)state->longest_deadline_ms * FIRST_ATTEMPT_LEAST);
+      = (int64_t)((double)state->longest_deadline_ms * first_attempt_least);
   if (wait_ms < least)
     spent_ms = least - wait_ms;
   apr_time_t most = TIMER_MS (wait_ms);
--- a/src/gateway/settings.c
+++ b/src/gateway/settings.c
@@ -39,8 +39,8 @@
     = { TEXT (gateway_store, address, FIELD_ADDRESS),
         FIELD_NUMBER (gateway_store, heartbeat_ms, 10, 60000, 1500, "ms"),
         FIELD_NUMBER (gateway_store, in_force_ms, 100, 600000, 2500, "ms"),
-  FIELD_NUMBER (gateway_store, leaving_ms, 100, 600000, 2500, "ms"),
-  FIELD_NUMBER (gateway_store, poll_ms, 0, 60000, 0, "ms"),
+        FIELD_NUMBER (gateway_store, leaving_ms, 100, 600000, 2500, "ms"),
+        FIELD_NUMBER (gateway_store, poll_ms, 0, 60000, 0, "ms"),
         FIELD_NUMBER (gateway_store, timeout_ms, 50, 60000, 700, "ms"),
         FIELD_NUMBER (gateway_store, lease_ms, 1000, 600000, 3000, "ms"),
         { 0 } };
@@ -79,7 +79,7 @@
 
 /* Part of the shorter bound between two reads; the rest is left for one read
    that fails, and its repeat.  */
-static const double POLL_PART = 0.45;
+static const double poll_part = 0.45;
 
 /* public functions */
 
@@ -98,7 +98,7 @@
   int64_t bound = store->in_force_ms < store->leaving_ms ? store->in_force_ms
                                                          : store->leaving_ms;
   if (store->poll_ms == 0)
-    store->poll_ms = (int64_t)((double)bound * POLL_PART);
+    store->poll_ms = (int64_t)((double)bound * poll_part);
   if (faults_count (faults) == 0
       && gateway_settings_region (settings, settings->zone).size == 0)
     faults_add (faults, STR ("zone"), settings->zone, "one of 'zones'");
