--- a/src/gateway/dispatch.c
+++ b/src/gateway/dispatch.c
@@ -543,17 +543,14 @@
 carry_out (struct request *request, const struct balance_choice *choice,
            const struct admit_verdict *verdict)
 {
-  switch (verdict->action)
+  if (verdict->action == ADMIT_WAIT)
+    return false;
+  if (verdict->action == ADMIT_SEND && choice->upstream)
     {
-    case ADMIT_SEND:
       line_remove (request);
       timer_stop (loop_timers (request->gateway->loop), &request->line_timer);
       send_request (request, choice);
       return true;
-    case ADMIT_WAIT:
-      return false;
-    case ADMIT_REFUSE:
-      break;
     }
   refuse_now (request,
               choice->upstream ? "its answer would come too late"
