--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -21,7 +21,10 @@
 enum
 {
   PRIORITIES = 8, /* more urgent first; higher numbers count as the last */
-  GATEWAY_REGIONS_MAX = SPREAD_REGIONS_MAX
+  GATEWAY_REGIONS_MAX = SPREAD_REGIONS_MAX,
+  GATEWAY_IDLE_S = 6,   /* an idle connection is kept: well below the time
+                           after which upstreams close it */
+  GATEWAY_OWN_MOST = 64 /* requests of one entry at one upstream */
 };
 
 enum request_outcome
@@ -173,19 +176,35 @@
 void request_refuse (struct request *request, unsigned int status,
                      const char *reason);
 
-/* dispatch.c: admission and attempts.  */
+/* dispatch.c: admission.  */
 
 /* Sends the request, puts it in line, or refuses it.  */
 void dispatch_admit (struct request *request);
 /* Tries to send a request that waits; returns true if it waits no longer.  */
 bool dispatch_place (struct request *request);
-/* Cancels the attempt in progress, if any.  */
-void dispatch_drop (struct request *request);
 /* The final deadline's timer.  */
 void dispatch_on_deadline (void *part, apr_time_t now);
 struct route_state *dispatch_route_state (struct gateway *gateway,
                                           const struct plan_route *route);
 
+/* Returns the service that the request goes to.  */
+const struct plan_service *dispatch_service (const struct request *request);
+/* Returns how full the request's region is, 0 to 1.  */
+double dispatch_fullness (const struct request *request);
+/* Returns the requests a second that all entries send to a cold upstream.  */
+double dispatch_cold_rate (const struct request *request);
+struct balance_choice dispatch_choose (struct request *request);
+
+/* sending.c: attempts at upstreams.  */
+
+/* Starts an attempt at the upstream of CHOICE.  */
+void sending_start (struct request *request,
+                    const struct balance_choice *choice);
+/* Cancels the attempt in progress, if any.  */
+void sending_drop (struct request *request);
+/* Notes that the attempt in progress had no answer in time.  */
+void sending_give_up (struct request *request);
+
 /* line.c: requests that wait for a slot, the most urgent first.  */
 
 void line_add (struct request *request);
--- a/src/gateway/request.c
+++ b/src/gateway/request.c
@@ -360,7 +360,7 @@
       log_end (request);
     }
   line_remove (request);
-  dispatch_drop (request);
+  sending_drop (request);
   if (request->upstream)
     fleet_upstream_unref (request->upstream);
   timer_stop (timers, &request->timer);
@@ -442,7 +442,7 @@
   request->gone = true;
   request->outcome = REQUEST_LEFT;
   line_remove (request);
-  dispatch_drop (request);
+  sending_drop (request);
   request_wake (request);
 }
 
@@ -486,6 +486,6 @@
   request->answer_ready = true;
   request->discard = true;
   line_remove (request);
-  dispatch_drop (request);
+  sending_drop (request);
   request_wake (request);
 }
