--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -14,8 +14,9 @@
 
 enum
 {
-  COLD_ENTRIES = 5, /* that may send to one cold upstream */
-  TICK_MS = 100,    /* between two looks at the load of regions */
+  COLD_ENTRIES = 5,        /* that may send to one cold upstream */
+  SETTINGS_LOOK_MS = 2000, /* a stat every two seconds costs nothing */
+  TICK_MS = 100,           /* between two looks at the load of regions */
   STOP_STEP_MS = 50,
   /* Callers keep a look-up for three times its lifetime of a second.  */
   STOP_SERVE_ON_MS = 3200,
@@ -45,6 +46,15 @@
 
 /* private functions */
 
+/* Takes the bounds of second attempts from the settings.  */
+static void
+set_budget (struct gateway *gateway, struct service_state *service)
+{
+  const struct gateway_retry *retry = &gateway->settings.retry;
+  service->retries.earned = retry->ratio * retry_use;
+  service->retries.most = retry->slack * retry_saved;
+}
+
 /* Says which cold upstreams get requests from this entry.  */
 static void
 share_cold (struct gateway *gateway, const struct fleet_service *upstreams,
@@ -72,10 +82,27 @@
   share_cold (gateway, upstreams, now);
 }
 
+static void reload (struct gateway *gateway);
+
+/* Reads the settings again if their file changed without a signal.  */
+static void
+look_at_settings (struct gateway *gateway, apr_time_t now)
+{
+  struct stat file;
+  if (now - gateway->settings_seen_at < TIMER_MS (SETTINGS_LOOK_MS))
+    return;
+  gateway->settings_seen_at = now;
+  if (stat (gateway->settings_path, &file) == 0
+      && (file.st_mtime != gateway->settings_file.st_mtime
+          || file.st_size != gateway->settings_file.st_size))
+    reload (gateway);
+}
+
 static void
 on_tick (void *part, apr_time_t now)
 {
   struct gateway *gateway = part;
+  look_at_settings (gateway, now);
   for (apr_hash_index_t *i = apr_hash_first (NULL, gateway->services); i;
        i = apr_hash_next (i))
     update_service (gateway, apr_hash_this_val (i), now);
@@ -171,6 +198,7 @@
 {
   struct gateway_settings settings;
   struct faults *faults = faults_create (gateway->pool);
+  stat (gateway->settings_path, &gateway->settings_file);
   gateway_settings_load (gateway->settings_path, gateway->pool, &settings,
                          faults);
   if (faults_count (faults) > 0)
@@ -185,6 +213,9 @@
   gateway->settings.stop_s = settings.stop_s;
   gateway->settings.region_shift = settings.region_shift;
   gateway->settings.log_lines_per_s = settings.log_lines_per_s;
+  for (apr_hash_index_t *i = apr_hash_first (NULL, gateway->services); i;
+       i = apr_hash_next (i))
+    set_budget (gateway, apr_hash_this_val (i));
   LOG (LOG_INFO, "settings-reloaded");
 }
 
@@ -345,6 +376,7 @@
 load_settings (struct gateway *gateway)
 {
   struct faults *faults = faults_create (gateway->pool);
+  stat (gateway->settings_path, &gateway->settings_file);
   gateway_settings_load (gateway->settings_path, gateway->pool,
                          &gateway->settings, faults);
   for (size_t i = 0; i < faults_count (faults); i++)
@@ -433,9 +465,7 @@
   service = apr_pcalloc (gateway->pool, sizeof *service);
   service->name = str_dup (gateway->pool, name);
   service->most_urgent = PRIORITIES;
-  budget_init (&service->retries, gateway->settings.retry.ratio * retry_use,
-               gateway->settings.retry.slack * retry_saved);
-  service->retries.balance = 0;
+  set_budget (gateway, service);
   budget_init (&service->overflow, overflow_part, overflow_saved);
   spread_init (&service->spread, gateway->region_count, gateway->own_region,
                gateway->settings.region_shift * shift_use / shift_window_s);
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -18,6 +18,8 @@
 #include "plan/plan.h"
 #include "steer/budget.h"
 
+#include <sys/stat.h>
+
 enum
 {
   PRIORITIES = 8, /* more urgent first; higher numbers count as the last */
@@ -62,6 +64,8 @@
 {
   struct gateway_settings settings;
   const char *settings_path;
+  struct stat settings_file; /* as it was when it was read */
+  apr_time_t settings_seen_at;
   apr_pool_t *pool;
   struct loop *loop;
   struct counters *counters;
--- a/tests/session/gateway.sh
+++ b/tests/session/gateway.sh
@@ -149,6 +149,9 @@
 settings 1
 kill -HUP "$(pid_of g1)"
 wait_for 5 grep -q settings-reloaded "$WORK/g1.log" && echo "reloaded"
+echo >>"$WORK/gateway1.json"
+reloads () { [ "$(grep -c settings-reloaded "$WORK/g1.log")" -ge "$1" ]; }
+wait_for 5 reloads 2 && echo "reloaded without a signal"
 call GET /look/1
 
 echo "# killed and started again: served from the store alone"
