--- a/tests/unit/balance_test.c
+++ b/tests/unit/balance_test.c
@@ -113,6 +113,7 @@
     int count;
   } cases[] = { { "slow", LOAD_ANSWERED, 5.0, 4 },
                 { "failing", LOAD_FAILED, 1.0, 4 },
+                { "silent", LOAD_SILENT, 1.0, 4 },
                 { "unreachable", LOAD_UNREACHED, 1.0, 1 } };
   for (size_t i = 0; i < COUNT (cases); i++)
     {
