An entry that the store turns away learns from another one's copy

Change: after two failures in a row such an entry asks another one, a different one each poll, for the copy of what it read; a copy older than 3 s is told to nobody, one older than what is known is not taken.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -1,6 +1,7 @@
 #include "gateway/gateway.h"
 
 #include "gateway/internal.h"
+#include "platform/mirror.h"
 #include "platform/store.h"
 
 #include <signal.h>
@@ -131,6 +132,31 @@
   line_run (gateway);
 }
 
+/* Makes the next peer's interface; those made before stay until the end, since
+   calls to them may be in progress, one for each entry.  */
+static struct store *
+next_peer (void *part)
+{
+  struct gateway *gateway = part;
+  struct str address = members_next_peer (gateway->members);
+  if (address.size == 0)
+    return NULL;
+  struct store *peer
+      = apr_hash_get (gateway->peers, address.data, (apr_ssize_t)address.size);
+  if (peer)
+    return peer;
+  struct platform_store_desc desc
+      = { .client = gateway->client,
+          .counters = gateway->counters,
+          .name = "peer",
+          .address = str_dup (gateway->pool, address),
+          .timeout_ms = gateway->settings.store.timeout_ms };
+  peer = platform_store_create (gateway->pool, &desc);
+  apr_hash_set (gateway->peers, desc.address.data,
+                (apr_ssize_t)desc.address.size, peer);
+  return peer;
+}
+
 static struct str
 region_of (void *part, struct str zone)
 {
@@ -343,12 +369,16 @@
                                   .store = gateway->store,
                                   .settings = &gateway->settings };
   gateway->members = members_create (gateway->pool, &members);
+  gateway->mirror = platform_mirror_create (gateway->pool);
+  gateway->peers = apr_hash_make (gateway->pool);
   struct watcher_desc watcher = { .loop = gateway->loop,
                                   .store = gateway->store,
                                   .settings = &gateway->settings,
                                   .counters = gateway->counters,
                                   .fleet = gateway->fleet,
                                   .members = gateway->members,
+                                  .mirror = gateway->mirror,
+                                  .peer = next_peer,
                                   .changed = on_store_changed,
                                   .part = gateway };
   gateway->watcher = watcher_create (gateway->pool, &watcher);
@@ -366,6 +396,7 @@
   http_client_destroy (gateway->client);
   members_destroy (gateway->members);
   watcher_destroy (gateway->watcher);
+  platform_mirror_destroy (gateway->mirror);
   fleet_destroy (gateway->fleet);
   if (gateway->signals > 0)
     close (gateway->signals);
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -74,6 +74,8 @@
   struct fleet *fleet;
   struct members *members;
   struct watcher *watcher;
+  struct platform_mirror *mirror;
+  apr_hash_t *peers; /* struct store of other entries by address */
   struct httpd *callers;
   struct httpd *readiness;
   struct httpd *lookups;
--- a/src/gateway/lookup.c
+++ b/src/gateway/lookup.c
@@ -1,5 +1,6 @@
 #include "gateway/internal.h"
 
+#include "platform/mirror.h"
 #include "platform/words.h"
 
 #include <string.h>
@@ -14,7 +15,8 @@
   /* Callers keep an answer for three times its lifetime at most; an entry that
      stops serves on for that long.  */
   LOOKUP_LIFETIME_S = 1,
-  LOOKUP_MOST = 64 /* addresses that callers heed */
+  MIRROR_AGE_MOST_MS = 3000, /* an older copy is told to nobody */
+  LOOKUP_MOST = 64           /* addresses that callers heed */
 };
 
 static const char metrics_path[] = "/metrics";
@@ -77,6 +79,21 @@
   return result;
 }
 
+/* Tells an entry that can't reach the store what this one read there.  */
+static enum MHD_Result
+answer_mirror (struct gateway *gateway, struct MHD_Connection *connection)
+{
+  apr_pool_t *pool;
+  if (watcher_age (gateway->watcher, timer_clock ())
+      > TIMER_MS (MIRROR_AGE_MOST_MS))
+    return answer_text (connection, HTTP_UNAVAILABLE, STR ("too old\n"));
+  apr_pool_create (&pool, gateway->pool);
+  enum MHD_Result result = answer_text (
+      connection, HTTP_OK, platform_mirror_text (gateway->mirror, pool));
+  apr_pool_destroy (pool);
+  return result;
+}
+
 /* public functions */
 
 bool
@@ -104,6 +121,8 @@
                               STR ("not ready\n"));
   if (strcmp (url, PLATFORM_LOOKUP_PATH) == 0)
     return answer_lookup (gateway, connection);
+  if (strcmp (url, PLATFORM_MIRROR_PATH) == 0)
+    return answer_mirror (gateway, connection);
   if (strcmp (url, metrics_path) == 0)
     return answer_metrics (gateway, connection);
   return answer_text (connection, HTTP_NOT_FOUND, STR ("no such path\n"));
--- a/src/gateway/members.c
+++ b/src/gateway/members.c
@@ -19,6 +19,7 @@
   bool is_dirty;  /* the key must be written anew */
   bool is_asking; /* a call is in progress */
   bool leaving;
+  size_t asked; /* peers named so far */
 };
 
 /* constants */
@@ -28,7 +29,8 @@
   RETRY_MS = 300, /* well within the shortest lease */
   KEEPS_A_LEASE = 3,
   LAPSE_HOLD_MS = 2500, /* lapsed entries write their keys again within it */
-  KEY_MAX_BYTES = 128
+  KEY_MAX_BYTES = 128,
+  PEERS_MOST = 64 /* that are asked in turn */
 };
 
 static const char key_prefix[] = "citroncleat/entries/";
@@ -109,6 +111,10 @@
                           json_object_new_string (settings->zone.data));
   json_object_object_add (object, "leaving",
                           json_object_new_boolean (members->leaving));
+  if (settings->listen.metrics.size > 0)
+    json_object_object_add (
+        object, "peers",
+        json_object_new_string (settings->listen.metrics.data));
   snprintf (key, sizeof key, "%s%s", key_prefix, settings->name.data);
   members->desc.store->ops->put (
       members->desc.store, key, str_from (json_object_to_json_string (object)),
@@ -176,6 +182,7 @@
   json_object *callers;
   json_object *zone;
   json_object *leaving;
+  json_object *peers;
   json_object *object = text.size > 0 ? json_tokener_parse (text.data) : NULL;
   if (!object || !json_object_object_get_ex (object, "callers", &callers)
       || !json_object_object_get_ex (object, "zone", &zone)
@@ -195,6 +202,8 @@
   member->region
       = gateway_settings_region (members->desc.settings, member->zone);
   member->leaving = json_object_get_boolean (leaving);
+  if (json_object_object_get_ex (object, "peers", &peers))
+    member->peers = str_dup (pool, str_from (json_object_get_string (peers)));
   member->hash = XXH64 (name.data, name.size, 0);
   json_object_put (object);
   return member;
@@ -342,6 +351,21 @@
   return count;
 }
 
+struct str
+members_next_peer (struct members *members)
+{
+  const struct member *peers[PEERS_MOST];
+  size_t count = 0;
+  for (apr_hash_index_t *i = apr_hash_first (NULL, members->names);
+       i && count < PEERS_MOST; i = apr_hash_next (i))
+    {
+      const struct member *member = apr_hash_this_val (i);
+      if (!is_self (members, member) && member->peers.size > 0)
+        peers[count++] = member;
+    }
+  return count > 0 ? peers[members->asked++ % count]->peers : STR ("");
+}
+
 double
 members_part (const struct members *members, uint64_t hash, struct str region,
               size_t few)
--- a/src/gateway/members.h
+++ b/src/gateway/members.h
@@ -22,6 +22,7 @@
 {
   struct str name;
   struct str callers; /* its address for callers */
+  struct str peers;   /* where it tells what it knows; may be empty */
   struct str zone;
   struct str region;
   bool leaving;
@@ -60,6 +61,9 @@
    anywhere); returns how many.  */
 size_t members_in (const struct members *members, struct str region,
                    const struct member **out, size_t most);
+/* Returns the address of another entry that tells what it knows, a different
+   one each time, or an empty string.  */
+struct str members_next_peer (struct members *members);
 /* Returns the part of an upstream's few requests that falls to this entry: 0,
    or one of FEW equal parts.  HASH and REGION are the upstream's.  */
 double members_part (const struct members *members, uint64_t hash,
--- a/src/gateway/watcher.c
+++ b/src/gateway/watcher.c
@@ -2,6 +2,7 @@
 
 #include "fleet/outage.h"
 #include "platform/decode.h"
+#include "platform/mirror.h"
 
 /* types */
 
@@ -12,6 +13,7 @@
   struct timer timer;
   struct timer sweep;
   int64_t index; /* 0: nothing listed yet */
+  apr_time_t peer_asked_at;
   struct outage outage;
   struct counter *versions;
   struct counter *unreadable;
@@ -22,7 +24,8 @@
 enum
 {
   RETRY_MS = 250, /* a call that failed is repeated well within the bounds */
-  SWEEP_MS = 250
+  SWEEP_MS = 250,
+  FAILURES_FOR_PEER = 2 /* one call may fail by itself */
 };
 
 /* private functions */
@@ -132,6 +135,8 @@
     members_put (watcher->desc.members, name, item->value);
 }
 
+static void ask_peer (struct watcher *watcher);
+
 static void
 note_failure (struct watcher *watcher, const char *step, enum err_code code)
 {
@@ -140,6 +145,8 @@
     LOG (LOG_WARN, "store-lost", LOG_TEXT ("step", step),
          LOG_TEXT ("error", err_name (code)),
          LOG_INT ("index", watcher->index));
+  if (watcher->outage.failures >= FAILURES_FOR_PEER)
+    ask_peer (watcher);
   again (watcher, RETRY_MS);
 }
 
@@ -188,18 +195,11 @@
   while (missing.zone.size > 0);
 }
 
+/* Makes a complete LISTING what is known.  */
 static void
-on_listed (void *part, const struct store_items *listing)
+take_listing (struct watcher *watcher, const struct store_items *listing,
+              bool lapsed, const char *source, apr_time_t now)
 {
-  struct watcher *watcher = part;
-  apr_time_t now = timer_clock ();
-  if (listing->code != ERR_NONE)
-    {
-      note_failure (watcher, "list", listing->code);
-      return;
-    }
-  bool lapsed = outage_in_doubt (&watcher->outage, now);
-  note_answer (watcher, now);
   fleet_begin_listing (watcher->desc.fleet);
   members_begin_listing (watcher->desc.members);
   for (size_t i = 0; i < listing->count; i++)
@@ -207,14 +207,53 @@
   fleet_end_listing (watcher->desc.fleet, lapsed, now);
   members_end_listing (watcher->desc.members, lapsed, now);
   end_evacuations (watcher, listing, now);
-  LOG (LOG_INFO, "store-listed", LOG_INT ("keys", listing->count),
-       LOG_INT ("index", listing->index),
+  LOG (LOG_INFO, "store-listed", LOG_TEXT ("source", source),
+       LOG_INT ("keys", listing->count), LOG_INT ("index", listing->index),
        LOG_INT ("upstreams", fleet_count (watcher->desc.fleet)));
   watcher->index = listing->index;
   watcher->desc.changed (watcher->desc.part);
+}
+
+static void
+on_listed (void *part, const struct store_items *listing)
+{
+  struct watcher *watcher = part;
+  apr_time_t now = timer_clock ();
+  if (listing->code != ERR_NONE)
+    {
+      note_failure (watcher, "list", listing->code);
+      return;
+    }
+  bool lapsed = outage_in_doubt (&watcher->outage, now);
+  note_answer (watcher, now);
+  platform_mirror_take (watcher->desc.mirror, listing, true);
+  take_listing (watcher, listing, lapsed, "store", now);
   again (watcher, watcher->desc.settings->store.poll_ms);
 }
 
+/* Another entry's copy, which is never older than what is known here.  */
+static void
+on_peer_listed (void *part, const struct store_items *listing)
+{
+  struct watcher *watcher = part;
+  if (listing->code == ERR_NONE && listing->index > watcher->index
+      && watcher->outage.failures > 0)
+    take_listing (watcher, listing, false, "peer", timer_clock ());
+}
+
+static void
+ask_peer (struct watcher *watcher)
+{
+  apr_time_t now = timer_clock ();
+  if (now - watcher->peer_asked_at
+      < TIMER_MS (watcher->desc.settings->store.poll_ms))
+    return;
+  struct store *peer = watcher->desc.peer (watcher->desc.part);
+  watcher->peer_asked_at = now;
+  if (peer)
+    peer->ops->list (peer, "", on_peer_listed, watcher);
+}
+
 static void
 on_changes (void *part, const struct store_items *changes)
 {
@@ -234,6 +273,7 @@
     }
   bool lapsed = outage_in_doubt (&watcher->outage, now);
   note_answer (watcher, now);
+  platform_mirror_take (watcher->desc.mirror, changes, false);
   for (size_t i = 0; i < changes->count; i++)
     take_item (watcher, &changes->items[i], lapsed, now);
   if (changes->index > watcher->index)
--- a/src/gateway/watcher.h
+++ b/src/gateway/watcher.h
@@ -6,6 +6,8 @@
    dropped the history, all is listed again.  What was known stays in force
    while the store is out of reach.
 
+   While this entry alone can't reach it, another one is asked for its copy.
+
      watcher_start (watcher);
      struct plan *plan = watcher_plan (watcher);    NULL until one is known
 
@@ -27,6 +29,9 @@
   struct counters *counters;
   struct fleet *fleet;
   struct members *members;
+  struct platform_mirror *mirror;
+  /* Returns the store's interface at another entry, or NULL.  */
+  struct store *(*peer) (void *part);
   /* Called after changes were taken in.  */
   void (*changed) (void *part);
   void *part;
--- a/tests/session/gateway.sh
+++ b/tests/session/gateway.sh
@@ -22,7 +22,7 @@
   "zones": [{ "name": "north-a", "region": "north" }],
   "listen": { "callers": "127.24.1.$1:7901", "readiness": "127.24.1.$1:7902",
               "lookups": "127.24.1.$1:7903", "metrics": "127.24.1.$1:7904" },
-  "store": { "address": "127.24.9.1:7900", "poll_ms": 100, "timeout_ms": 300, "lease_ms": 1000 },
+  "store": { "address": "127.24.9.$((3 - $1)):7900", "poll_ms": 100, "timeout_ms": 300, "lease_ms": 1000 },
   "retry": { "ratio": 1, "window_s": 10, "slack": 100 },
   "cold": { "multiplier": 1.5, "slack": 5 },
   "stop_s": 6, "log_lines_per_s": 10000 }
@@ -47,7 +47,7 @@
 addresses () { curl -s 'http://127.24.1.1:7903/resolve?name=shop.example&region=north' | grep -o '127.24.1.[0-9]:7901' | sort | tr '\n' ' '; }
 named () { [ "$(addresses)" = "$1" ]; }
 
-start store "$BUILD/standin" metadata --listen 127.24.9.1:7900
+start store "$BUILD/standin" metadata --listen 127.24.9.1:7900 --also 127.24.9.2:7900
 for i in 1 2 3; do start "w$i" "$BUILD/standin" worker --listen 127.24.2.$i:7910 --id i-$i; done
 wait_for 5 curl -s -o /dev/null "$store/kv-range?prefix=x"
 gateway 1
@@ -142,6 +142,14 @@
 wait_for 5 grep -q store-history-gone "$WORK/g1.log" && echo "listed again"
 call GET /look/1
 
+echo "# one entry is turned away by the store: it learns from the other"
+curl -s -X PUT "$store/_mode?mode=half" -o /dev/null
+wait_for 5 grep -q store-lost "$WORK/g1.log"
+put op/config "$(config 10 "$(route look /look/ safe),$(route jobs /jobs/ unsafe),$(route peer /peer/ safe)")"
+wait_for 3 routed /peer/1 200
+call GET /peer/1
+curl -s -X PUT "$store/_mode?mode=normal" -o /dev/null
+
 echo "# settings are read again; bad ones change nothing"
 echo '{' >"$WORK/gateway1.json"
 kill -HUP "$(pid_of g1)"
--- a/tests/standin/metadata.c
+++ b/tests/standin/metadata.c
@@ -1,12 +1,13 @@
 /* The metadata store of the users' platform: keys with revisions, changes
    since a revision, leases.
 
-     standin metadata --listen IP:PORT
+     standin metadata --listen IP:PORT [--also IP:PORT]
 
    For tests, PUT /_put?key=K writes the body as the operator or an upstream
    would, PUT /_drop?key=K removes a key, and PUT /_mode?mode=M changes its
    manner: `normal', `busy' refuses every call, `silent' never answers,
-   `compact' drops the history.  */
+   `compact' drops the history, `half' refuses only callers of the second
+   address.  */
 #include "tests/standin/standin.h"
 
 #include <sodium.h>
@@ -27,6 +28,7 @@
 {
   MODE_NORMAL,
   MODE_BUSY,
+  MODE_HALF,
   MODE_SILENT
 };
 
@@ -213,6 +215,7 @@
   if (str_equal (mode, STR ("compact")))
     store.oldest = revision ();
   store.mode = str_equal (mode, STR ("busy"))     ? MODE_BUSY
+               : str_equal (mode, STR ("half"))   ? MODE_HALF
                : str_equal (mode, STR ("silent")) ? MODE_SILENT
                                                   : MODE_NORMAL;
 }
@@ -240,7 +243,7 @@
         const char *method, const char *version, const char *data,
         size_t *size, void **context)
 {
-  (void)part;
+  bool is_second = part != NULL;
   (void)method;
   (void)version;
   struct exchange *exchange = *context;
@@ -266,7 +269,7 @@
       httpd_suspend (store.httpd, connection);
       return MHD_YES;
     }
-  if (store.mode == MODE_BUSY)
+  if (store.mode == MODE_BUSY || (store.mode == MODE_HALF && is_second))
     return answer_number (connection, 503, "error", 1);
   if (strcmp (url, "/kv-range") == 0)
     return answer_items (connection, false);
@@ -327,6 +330,12 @@
       fprintf (stderr, "metadata: %s\n", err.detail);
       return 1;
     }
+  const char *also = option (argc, argv, "--also", NULL);
+  struct httpd *second;
+  desc.address = str_from (also);
+  desc.part = &store;
+  if (also && httpd_create (pool, &desc, &second, &err) != ERR_NONE)
+    return 1;
   stop_on_signal (store.loop);
   on_sweep (NULL, timer_clock ());
   loop_run (store.loop);
