Settings that nothing reads are gone; measurements of the final code

The entries that share a cold upstream are no more than the slack allows at once; the lifetime of look-ups follows the operators' limit.

--- a/src/balance/balance.c
+++ b/src/balance/balance.c
@@ -56,18 +56,16 @@
 /* Returns the upstream that ranks first for the object; all entries agree on
    it without a word.  */
 static struct fleet_upstream *
-find_home (const struct balance_request *request, size_t *usable)
+find_home (const struct balance_request *request)
 {
   struct fleet_upstream *home = NULL;
   uint64_t highest = 0;
-  *usable = 0;
   for (size_t i = 0; i < request->service->count; i++)
     {
       struct fleet_upstream *upstream = request->service->upstreams[i];
       if (!is_in_reach (request, upstream))
         continue;
       uint64_t rank = mix (upstream->hash, request->object);
-      ++*usable;
       if (home && rank <= highest)
         continue;
       home = upstream;
@@ -151,7 +149,7 @@
 {
   struct balance_choice best = { 0 };
   double least = INFINITY;
-  const struct fleet_upstream *home = find_home (request, &best.usable);
+  const struct fleet_upstream *home = find_home (request);
   for (size_t i = 0; i < request->service->count; i++)
     {
       struct fleet_upstream *upstream = request->service->upstreams[i];
--- a/src/balance/balance.h
+++ b/src/balance/balance.h
@@ -55,7 +55,6 @@
   apr_time_t expected;             /* until the answer */
   apr_time_t work;                 /* of it, at an upstream as usual */
   bool known;                      /* it is taken to know the object */
-  size_t usable; /* upstreams that may take requests at all */
 };
 
 /* How full the upstreams of a region are.  */
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -61,12 +61,17 @@
 share_cold (struct gateway *gateway, const struct fleet_service *upstreams,
             apr_time_t now)
 {
+  /* Each of them may send one at the same moment, which the slack covers.  */
+  double slack = gateway->settings.cold.slack;
+  size_t few = slack >= COLD_ENTRIES ? (size_t)COLD_ENTRIES
+               : slack >= 1          ? (size_t)slack
+                                     : 1;
   for (size_t i = 0; upstreams && i < upstreams->count; i++)
     {
       struct fleet_upstream *upstream = upstreams->upstreams[i];
       if (upstream->cold_until > now)
         upstream->cold_part = members_part (gateway->members, upstream->hash,
-                                            upstream->region, COLD_ENTRIES);
+                                            upstream->region, few);
     }
 }
 
--- a/src/gateway/lookup.c
+++ b/src/gateway/lookup.c
@@ -51,8 +51,11 @@
         list, json_object_new_string (gateway->settings.listen.callers.data));
   json_object *object = json_object_new_object ();
   json_object_object_add (object, "addresses", list);
+  double most = gateway->settings.lookup_most_s;
   json_object_object_add (object, "ttl_s",
-                          json_object_new_int (LOOKUP_LIFETIME_S));
+                          most > 0 && most < LOOKUP_LIFETIME_S
+                              ? json_object_new_double (most)
+                              : json_object_new_int (LOOKUP_LIFETIME_S));
   return httpd_answer_json (connection, HTTP_OK, object);
 }
 
--- a/src/gateway/settings.c
+++ b/src/gateway/settings.c
@@ -37,7 +37,6 @@
 /* lease_ms: a dead entry is named to callers for no longer.  */
 static const struct field store_fields[]
     = { TEXT (gateway_store, address, FIELD_ADDRESS),
-        FIELD_NUMBER (gateway_store, heartbeat_ms, 10, 60000, 1500, "ms"),
         FIELD_NUMBER (gateway_store, in_force_ms, 100, 600000, 2500, "ms"),
         FIELD_NUMBER (gateway_store, leaving_ms, 100, 600000, 2500, "ms"),
         FIELD_NUMBER (gateway_store, poll_ms, 0, 60000, 0, "ms"),
@@ -47,7 +46,6 @@
 
 static const struct field retry_fields[]
     = { REAL (gateway_retry, ratio, 0, 10, 0),
-        FIELD_NUMBER (gateway_retry, window_s, 1, 3600, 10, "s"),
         REAL (gateway_retry, slack, 0, 1000000, 0),
         { 0 } };
 
@@ -70,7 +68,6 @@
         OBJECT (store, store_fields, true),
         OBJECT (retry, retry_fields, false),
         OBJECT (cold, cold_fields, false),
-        FIELD_NUMBER (gateway_settings, memory_mb, 16, 1048576, 256, "MB"),
         REAL (gateway_settings, stop_s, 0, 3600, 10),
         REAL (gateway_settings, lookup_most_s, 0, 3600, 5),
         REAL (gateway_settings, region_shift, 0, 1, 1),
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -27,20 +27,18 @@
 struct gateway_store
 {
   struct str address;
-  int64_t heartbeat_ms; /* of upstreams, in the list that the store holds */
-  int64_t in_force_ms;  /* within which a change must be in force */
-  int64_t leaving_ms;   /* within which an upstream that leaves gets nothing */
-  int64_t poll_ms;      /* between two reads of what has changed; default a
-                           part of the shorter of the two */
-  int64_t timeout_ms;   /* of one call */
-  int64_t lease_ms;     /* of this entry's own key */
+  int64_t in_force_ms; /* within which a change must be in force */
+  int64_t leaving_ms;  /* within which an upstream that leaves gets nothing */
+  int64_t poll_ms;     /* between two reads of what has changed; default a
+                          part of the shorter of the two */
+  int64_t timeout_ms;  /* of one call */
+  int64_t lease_ms;    /* of this entry's own key */
 };
 
 /* Bounds of requests that are sent a second time, of all entries together.  */
 struct gateway_retry
 {
   double ratio; /* of a service's requests */
-  int64_t window_s;
   double slack;
 };
 
@@ -61,7 +59,6 @@
   struct gateway_store store;
   struct gateway_retry retry;
   struct gateway_cold cold;
-  int64_t memory_mb;
   double stop_s;        /* from the order to stop to the end */
   double lookup_most_s; /* lifetime of an answer that callers heed */
   double region_shift;  /* part of a region's requests that may change their
