--- a/Makefile
+++ b/Makefile
@@ -92,14 +92,14 @@
 
 # Fuzzers need clang; FUZZ_SECONDS bounds each.
 FUZZ_SECONDS ?= 20
-FUZZERS = frame resource
+FUZZERS = frame resource decode
 fuzz:
 	@EXTRA_PACKAGES="clang libclang-rt-14-dev" sh scripts/setup.sh
 	@mkdir -p build-fuzz
 	@for f in $(FUZZERS); do \
 	  clang -O1 -g -fsanitize=fuzzer,address,undefined \
 	    $(filter-out -MMD -MP,$(STANDARD)) tests/fuzz/$${f}_fuzz.c \
-	    $(filter src/base/% src/peer/% src/resource/%,$(SOURCES)) \
+	    $(filter src/base/% src/peer/% src/resource/% src/plan/% platform/decode.c,$(SOURCES)) \
 	    -o build-fuzz/$$f $(LIBS) || exit 1; \
 	  mkdir -p build-fuzz/found-$$f; \
 	  build-fuzz/$$f -max_total_time=$(FUZZ_SECONDS) -max_len=16384 \
--- /dev/null
+++ b/tests/fuzz/decode_fuzz.c
@@ -0,0 +1,41 @@
+/* Feeds arbitrary text to the readers of the platform's documents; what is
+   accepted must be usable.  */
+#include "platform/decode.h"
+
+#include <apr_general.h>
+#include <stdlib.h>
+
+int LLVMFuzzerTestOneInput (const uint8_t *data, size_t size);
+
+int
+LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
+{
+  static apr_pool_t *pool;
+  struct plan *plan;
+  struct fleet_record record;
+  struct load_report report;
+  struct str rest;
+  struct err err;
+  if (!pool)
+    {
+      apr_initialize ();
+      apr_pool_create (&pool, NULL);
+    }
+  struct str text = str_dup (pool, str_view ((const char *)data, size));
+  if (decode_plan (text, &plan, &err) == ERR_NONE)
+    {
+      plan_find (plan, STR ("h.example"), STR ("/jobs/1"));
+      plan_unref (plan);
+    }
+  if (decode_upstream (STR ("i"), text, pool, &record, &err) == ERR_NONE
+      && (record.slots < 1 || record.cold_left < 0))
+    abort ();
+  if (decode_load (text, &report) && report.slots < 1)
+    abort ();
+  decode_object (text);
+  if (decode_deadline_ms (text) < -1)
+    abort ();
+  decode_key (text, &rest);
+  apr_pool_clear (pool);
+  return 0;
+}
