--- a/src/gateway/watcher.c
+++ b/src/gateway/watcher.c
@@ -236,9 +236,13 @@
 on_peer_listed (void *part, const struct store_items *listing)
 {
   struct watcher *watcher = part;
-  if (listing->code == ERR_NONE && listing->index > watcher->index
-      && watcher->outage.failures > 0)
-    take_listing (watcher, listing, false, "peer", timer_clock ());
+  if (listing->code != ERR_NONE || listing->index <= watcher->index
+      || watcher->outage.failures == 0)
+    return;
+  /* What is followed from here on starts at this listing, in the copy for
+     others as well.  */
+  platform_mirror_take (watcher->desc.mirror, listing, true);
+  take_listing (watcher, listing, false, "peer", timer_clock ());
 }
 
 static void
--- a/tests/session/gateway.sh
+++ b/tests/session/gateway.sh
@@ -148,7 +148,15 @@
 put op/config "$(config 10 "$(route look /look/ safe),$(route jobs /jobs/ unsafe),$(route peer /peer/ safe)")"
 wait_for 3 routed /peer/1 200
 call GET /peer/1
+# What was removed meanwhile must not come back through that entry's own copy.
+drop servers/i-9
+put op/config "$(config 11 "$(route look /look/ safe),$(route jobs /jobs/ unsafe),$(route last /last/ safe)")"
+wait_for 3 routed /last/1 200
 curl -s -X PUT "$store/_mode?mode=normal" -o /dev/null
+wait_for 5 grep -q '"store-regained".*' "$WORK/g1.log"
+sleep 0.5
+curl -s "http://127.24.1.1:7904/kv-range?prefix=servers/" | grep -o 'servers/i-[0-9]*' | sort | tr '\n' ' '
+echo
 
 echo "# settings are read again; bad ones change nothing"
 echo '{' >"$WORK/gateway1.json"
