Reads of the store have time for a big configuration

Test: session gateway, answers of 600 ms where a small call has 300: 404 on the new route before, 200 now.

--- a/src/base/http_client.c
+++ b/src/base/http_client.c
@@ -198,6 +198,11 @@
   curl_easy_setopt (easy, CURLOPT_URL, request->url);
   curl_easy_setopt (easy, CURLOPT_HTTPHEADER, ex->headers);
   curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, timeout);
+  if (request->stall_s > 0)
+    {
+      curl_easy_setopt (easy, CURLOPT_LOW_SPEED_LIMIT, 1L);
+      curl_easy_setopt (easy, CURLOPT_LOW_SPEED_TIME, (long)request->stall_s);
+    }
   curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt (easy, CURLOPT_PROXY, "");
   curl_easy_setopt (easy, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
--- a/src/base/http_client.h
+++ b/src/base/http_client.h
@@ -25,6 +25,8 @@
   const char *header;  /* one more header line, or NULL */
   struct str body;     /* copied */
   int64_t timeout_ms;  /* default 2000 */
+  int64_t stall_s;     /* ends an exchange that moves no byte for so long;
+                          0: only the timeout does */
   size_t answer_limit; /* bytes, default 4 MiB */
   /* Frees what `done' would have freed, if the client is destroyed before
      the answer; may be NULL.  */
--- a/src/gateway/watcher.c
+++ b/src/gateway/watcher.c
@@ -25,7 +25,7 @@
 {
   RETRY_MS = 250, /* a call that failed is repeated well within the bounds */
   SWEEP_MS = 250,
-  FAILURES_FOR_PEER = 2 /* one call may fail by itself */
+  FAILURES_FOR_PEER = 1 /* a read that fails has taken up to two seconds */
 };
 
 /* private functions */
--- a/tests/session/gateway.sh
+++ b/tests/session/gateway.sh
@@ -158,6 +158,13 @@
 curl -s "http://127.24.1.1:7904/kv-range?prefix=servers/" | grep -o 'servers/i-[0-9]*' | sort | tr '\n' ' '
 echo
 
+echo "# answers of the store that take longer than a small call may"
+curl -s -X PUT "$store/_mode?mode=slow" -o /dev/null
+put op/config "$(config 12 "$(route look /look/ safe),$(route jobs /jobs/ unsafe),$(route slow /slow/ safe)")"
+wait_for 3 routed /slow/1 200
+call GET /slow/1
+curl -s -X PUT "$store/_mode?mode=normal" -o /dev/null
+
 echo "# settings are read again; bad ones change nothing"
 echo '{' >"$WORK/gateway1.json"
 kill -HUP "$(pid_of g1)"
--- a/tests/standin/metadata.c
+++ b/tests/standin/metadata.c
@@ -6,8 +6,8 @@
    For tests, PUT /_put?key=K writes the body as the operator or an upstream
    would, PUT /_drop?key=K removes a key, and PUT /_mode?mode=M changes its
    manner: `normal', `busy' refuses every call, `silent' never answers,
-   `compact' drops the history, `half' refuses only callers of the second
-   address.  */
+   `slow' takes 600 ms an answer, `compact' drops the history, `half' refuses
+   only callers of the second address.  */
 #include "tests/standin/standin.h"
 
 #include <sodium.h>
@@ -21,7 +21,8 @@
   LEASES_MAX = 64,
   BODY_MAX_BYTES = 1024 * 1024,
   VALUE_MAX_BYTES = 64 * 1024,
-  SWEEP_MS = 50
+  SWEEP_MS = 50,
+  SLOW_MS = 600
 };
 
 enum mode
@@ -29,6 +30,7 @@
   MODE_NORMAL,
   MODE_BUSY,
   MODE_HALF,
+  MODE_SLOW,
   MODE_SILENT
 };
 
@@ -44,7 +46,10 @@
 {
   char body[BODY_MAX_BYTES];
   size_t size;
-  bool began;
+  struct MHD_Connection *connection;
+  struct timer timer;
+  bool waits;
+  bool waited;
 };
 
 static struct
@@ -216,6 +221,7 @@
     store.oldest = revision ();
   store.mode = str_equal (mode, STR ("busy"))     ? MODE_BUSY
                : str_equal (mode, STR ("half"))   ? MODE_HALF
+               : str_equal (mode, STR ("slow"))   ? MODE_SLOW
                : str_equal (mode, STR ("silent")) ? MODE_SILENT
                                                   : MODE_NORMAL;
 }
@@ -238,6 +244,16 @@
   return true;
 }
 
+static void
+on_waited (void *part, apr_time_t now)
+{
+  (void)now;
+  struct exchange *exchange = part;
+  exchange->waits = false;
+  exchange->waited = true;
+  httpd_resume (store.httpd, exchange->connection);
+}
+
 static enum MHD_Result
 handle (void *part, struct MHD_Connection *connection, const char *url,
         const char *method, const char *version, const char *data,
@@ -271,6 +287,15 @@
     }
   if (store.mode == MODE_BUSY || (store.mode == MODE_HALF && is_second))
     return answer_number (connection, 503, "error", 1);
+  if (store.mode == MODE_SLOW && !exchange->waited)
+    {
+      exchange->connection = connection;
+      exchange->waits = true;
+      timer_start (loop_timers (store.loop), &exchange->timer,
+                   timer_clock () + TIMER_MS (SLOW_MS), on_waited, exchange);
+      httpd_suspend (store.httpd, connection);
+      return MHD_YES;
+    }
   if (strcmp (url, "/kv-range") == 0)
     return answer_items (connection, false);
   if (strcmp (url, "/kv-watch") == 0)
@@ -291,7 +316,10 @@
   (void)part;
   (void)connection;
   (void)code;
-  free (*context);
+  struct exchange *exchange = *context;
+  if (exchange && exchange->waits)
+    timer_stop (loop_timers (store.loop), &exchange->timer);
+  free (exchange);
 }
 
 /* Removes the keys of leases that have ended.  */
