--- a/src/call/answer.c
+++ b/src/call/answer.c
@@ -1,4 +1,5 @@
 #include "call/call.h"
+#include "call/relay.h"
 
 #include <apr_strings.h>
 #include <string.h>
@@ -7,9 +8,6 @@
 
 enum
 {
-  STREAM_BLOCK_BYTES = 16384,
-  HTTP_NO_CONTENT = 204,
-  HTTP_NOT_MODIFIED = 304,
   HTTP_UNAVAILABLE = 503
 };
 
@@ -24,48 +22,13 @@
 {
   (void)position;
   struct call *call = part;
-  struct attempt *attempt = call->attempt;
-  if (call->gone || !attempt)
-    return MHD_CONTENT_READER_END_WITH_ERROR;
-  size_t n = body_read (&attempt->answer, out, size);
-  if (n > 0)
+  ssize_t n = relay_read (call->gone ? NULL : call->attempt, out, size);
+  if (n == 0)
     {
-      attempt_continue (attempt);
-      return (ssize_t)n;
+      call->suspended = true;
+      httpd_suspend (call->context->httpd, call->connection);
     }
-  if (attempt->done)
-    return attempt->result == CURLE_OK ? MHD_CONTENT_READER_END_OF_STREAM
-                                       : MHD_CONTENT_READER_END_WITH_ERROR;
-  call->suspended = true;
-  httpd_suspend (call->context->httpd, call->connection);
-  return 0;
-}
-
-static bool
-has_no_body (long status)
-{
-  return status == HTTP_NO_CONTENT || status == HTTP_NOT_MODIFIED;
-}
-
-static struct MHD_Response *
-make_response (struct call *call)
-{
-  struct attempt *attempt = call->attempt;
-  if (has_no_body (attempt->status))
-    return MHD_create_response_from_buffer (0, NULL, MHD_RESPMEM_PERSISTENT);
-  if (call->is_head && attempt->answer_size >= 0)
-    return MHD_create_response_from_callback ((uint64_t)attempt->answer_size,
-                                              STREAM_BLOCK_BYTES, read_answer,
-                                              call, NULL);
-  size_t held = body_unread (&attempt->answer);
-  if (attempt->done)
-    return MHD_create_response_from_buffer (
-        held, attempt->answer.data + attempt->answer.read,
-        MHD_RESPMEM_MUST_COPY);
-  uint64_t size = attempt->answer_size >= 0 ? (uint64_t)attempt->answer_size
-                                            : MHD_SIZE_UNKNOWN;
-  return MHD_create_response_from_callback (size, STREAM_BLOCK_BYTES,
-                                            read_answer, call, NULL);
+  return n;
 }
 
 static void
@@ -134,7 +97,9 @@
   bool failed = call->err.code != ERR_NONE;
   call_drop_hedge (call);
   struct MHD_Response *response
-      = failed ? make_error (call) : make_response (call);
+      = failed
+            ? make_error (call)
+            : relay_response (call->attempt, call->is_head, read_answer, call);
   if (!failed)
     {
       call->status = (unsigned int)call->attempt->status;
--- /dev/null
+++ b/src/call/relay.c
@@ -0,0 +1,53 @@
+#include "call/relay.h"
+
+/* constants */
+
+enum
+{
+  STREAM_BLOCK_BYTES = 16384, /* what libcurl reads at a time */
+  HTTP_NO_CONTENT = 204,
+  HTTP_NOT_MODIFIED = 304
+};
+
+/* private functions */
+
+static bool
+has_no_body (long status)
+{
+  return status == HTTP_NO_CONTENT || status == HTTP_NOT_MODIFIED;
+}
+
+/* public functions */
+
+struct MHD_Response *
+relay_response (struct attempt *attempt, bool is_head,
+                MHD_ContentReaderCallback read, void *part)
+{
+  uint64_t size = attempt->answer_size >= 0 ? (uint64_t)attempt->answer_size
+                                            : MHD_SIZE_UNKNOWN;
+  if (has_no_body (attempt->status))
+    return MHD_create_response_from_buffer (0, NULL, MHD_RESPMEM_PERSISTENT);
+  if (attempt->done && !(is_head && attempt->answer_size >= 0))
+    return MHD_create_response_from_buffer (
+        body_unread (&attempt->answer),
+        attempt->answer.data + attempt->answer.read, MHD_RESPMEM_MUST_COPY);
+  return MHD_create_response_from_callback (size, STREAM_BLOCK_BYTES, read,
+                                            part, NULL);
+}
+
+ssize_t
+relay_read (struct attempt *attempt, char *out, size_t size)
+{
+  if (!attempt)
+    return MHD_CONTENT_READER_END_WITH_ERROR;
+  size_t n = body_read (&attempt->answer, out, size);
+  if (n > 0)
+    {
+      attempt_continue (attempt);
+      return (ssize_t)n;
+    }
+  if (!attempt->done)
+    return 0;
+  return attempt->result == CURLE_OK ? MHD_CONTENT_READER_END_OF_STREAM
+                                     : MHD_CONTENT_READER_END_WITH_ERROR;
+}
--- a/src/gateway/request.c
+++ b/src/gateway/request.c
@@ -1,5 +1,6 @@
 #include "gateway/internal.h"
 
+#include "call/relay.h"
 #include "platform/decode.h"
 #include "platform/words.h"
 
@@ -11,12 +12,9 @@
 enum
 {
   BODY_LIMIT_BYTES = 1024 * 1024, /* of a request, held before it is sent */
-  STREAM_BLOCK_BYTES = 16384,
-  NO_DEADLINE_MS = 30000, /* for callers that state none */
+  NO_DEADLINE_MS = 30000,         /* for callers that state none */
   /* The final answer is on its way before the operators' limit.  */
   TIMEOUT_MARGIN_MS = 10,
-  HTTP_NO_CONTENT = 204,
-  HTTP_NOT_MODIFIED = 304,
   HTTP_BAD_REQUEST = 400,
   HTTP_NOT_FOUND = 404,
   HTTP_TOO_LARGE = 413,
@@ -168,41 +166,10 @@
 {
   (void)position;
   struct request *request = part;
-  struct attempt *attempt = request->attempt;
-  if (request->gone || !attempt)
-    return MHD_CONTENT_READER_END_WITH_ERROR;
-  size_t n = body_read (&attempt->answer, out, size);
-  if (n > 0)
-    {
-      attempt_continue (attempt);
-      return (ssize_t)n;
-    }
-  if (attempt->done)
-    return attempt->result == CURLE_OK ? MHD_CONTENT_READER_END_OF_STREAM
-                                       : MHD_CONTENT_READER_END_WITH_ERROR;
-  suspend (request);
-  return 0;
-}
-
-static struct MHD_Response *
-make_answer (struct request *request)
-{
-  struct attempt *attempt = request->attempt;
-  if (attempt->status == HTTP_NO_CONTENT
-      || attempt->status == HTTP_NOT_MODIFIED)
-    return MHD_create_response_from_buffer (0, NULL, MHD_RESPMEM_PERSISTENT);
-  if (request->is_head && attempt->answer_size >= 0)
-    return MHD_create_response_from_callback ((uint64_t)attempt->answer_size,
-                                              STREAM_BLOCK_BYTES, read_answer,
-                                              request, NULL);
-  if (attempt->done)
-    return MHD_create_response_from_buffer (
-        body_unread (&attempt->answer),
-        attempt->answer.data + attempt->answer.read, MHD_RESPMEM_MUST_COPY);
-  return MHD_create_response_from_callback (
-      attempt->answer_size >= 0 ? (uint64_t)attempt->answer_size
-                                : MHD_SIZE_UNKNOWN,
-      STREAM_BLOCK_BYTES, read_answer, request, NULL);
+  ssize_t n = relay_read (request->gone ? NULL : request->attempt, out, size);
+  if (n == 0)
+    suspend (request);
+  return n;
 }
 
 static void
@@ -245,7 +212,9 @@
 {
   bool is_own = request->reason != NULL;
   struct MHD_Response *response
-      = is_own ? make_refusal (request) : make_answer (request);
+      = is_own ? make_refusal (request)
+               : relay_response (request->attempt, request->is_head,
+                                 read_answer, request);
   if (!is_own)
     {
       request->status = (unsigned int)request->attempt->status;
