--- a/src/balance/balance.c
+++ b/src/balance/balance.c
@@ -10,7 +10,7 @@
 /* An answer that fails costs the caller about this many usual answers.  */
 static const double failure_cost = 0.3;
 /* Spreads requests for unknown objects over equally fast upstreams.  */
-static const double busy_cost = 0.15;
+static const double busy_cost = 0.15; /* usual answers, where it is full */
 /* Makes entries choose alike among upstreams that do not know the object.  */
 static const double rank_cost = 0.3;
 /* Bytes between zones are dear; an upstream in the own zone is worth waiting
@@ -18,9 +18,11 @@
 static const double zone_cost_us_per_kb = 700.0;
 /* What a new connection carries in its first round trip; doubles with each. */
 static const double first_window_bytes = 14000.0;
-static const double work_weight = 0.05; /* of the newest answer */
-static const double known_below = 0.65; /* of the work where it is unknown */
-static const double learn_most = 1.5;   /* times the estimate */
+/* The estimate of other entries' requests is a fraction.  */
+static const double slot_rounding = 0.5; /* slots */
+static const double work_weight = 0.05;  /* of the newest answer */
+static const double known_below = 0.65;  /* of the work where it is unknown */
+static const double learn_most = 1.5;    /* times the estimate */
 
 /* private functions */
 
@@ -92,7 +94,7 @@
                              1.0, request->now)))
     return false;
   return load_busy (load, request->now) + 1.0 + request->reserve
-         <= (double)load->slots + 0.5;
+         <= (double)load->slots + slot_rounding;
 }
 
 /* Returns the time that the body needs beyond the first round trip.  */
--- a/src/balance/load.c
+++ b/src/balance/load.c
@@ -15,12 +15,14 @@
 static const double slowness_weight = 0.2; /* of the newest answer */
 static const double slowness_most = 6.0;   /* one long request is no sign */
 static const double failing_weight = 0.25; /* of the newest request */
+/* Of a failure: nothing is lost but a second attempt.  */
+static const double refusal_weight = 0.5;
 
 enum
 {
   AVOID_FIRST_MS = 300, /* after one failure to connect */
   AVOID_MOST_MS = 2000, /* bounds how late a return is noticed */
-  AVOID_DOUBLINGS = 3
+  AVOID_DOUBLINGS = 3   /* reach AVOID_MOST_MS */
 };
 
 /* private functions */
@@ -120,7 +122,7 @@
       note_time (load, elapsed, expected, now);
       break;
     case LOAD_REFUSED:
-      note_failure (load, 0.5, now);
+      note_failure (load, refusal_weight, now);
       break;
     case LOAD_UNREACHED:
       avoid (load, now);
--- a/src/balance/load.h
+++ b/src/balance/load.h
@@ -72,8 +72,9 @@
 /* Returns whether requests there have been silent for longer than LIMIT.  */
 bool load_is_silent (const struct load *load, apr_time_t limit,
                      apr_time_t now);
-/* Takes one of the requests that a cold upstream bears at RATE a second, with
-   at most BURST at once; returns false, and takes nothing, if there is none.
+/* Takes one of the requests that a cold upstream can serve at RATE a second,
+   with at most BURST at once; returns false, and takes nothing, if there is
+   none.
  */
 bool load_take_cold (struct load *load, double rate, double burst,
                      apr_time_t now);
--- a/src/balance/memory.h
+++ b/src/balance/memory.h
@@ -15,6 +15,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+/* 256 objects: three times what upstreams of the users' sites remember.  */
 enum
 {
   MEMORY_ROWS = 64,
--- a/src/balance/spread.c
+++ b/src/balance/spread.c
@@ -11,6 +11,8 @@
 static const double full_least = 0.5;
 /* Two regions this close in fullness are not moved between.  */
 static const double full_margin = 0.1;
+/* From this fullness of the other region on, the difference that is asked for
+   grows by the steepness times what lies beyond it.  */
 static const double full_busy = 0.45;
 static const double full_steepness = 0.6;
 /* A region fuller than this takes no single requests of others.  */
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -51,9 +51,9 @@
   bool leaving;
   bool gone;
   apr_time_t lapsed_at;  /* 0: listed */
-  apr_time_t cold_until; /* bears few requests until then */
+  apr_time_t cold_until; /* can serve few requests until then */
   int64_t cold_revision; /* only a later record may end it */
-  double cold_part;      /* of the few requests that it bears while it is
+  double cold_part;      /* of the few requests that it can serve while it is
                             cold, the part that falls to this entry */
   struct load load;
   struct memory memory;
@@ -101,7 +101,7 @@
 /* Ends holds that are over.  */
 void fleet_sweep (struct fleet *fleet, apr_time_t now);
 /* Sets whether ZONE gets no requests.  Its upstreams count as cold, for
-   COLD_TIME at most, when it is taken back at REVISION.  */
+   COLD_TIME at most, when that ends at REVISION.  */
 void fleet_set_evacuated (struct fleet *fleet, struct str zone, bool evacuated,
                           int64_t revision, apr_time_t cold_time,
                           apr_time_t now);
--- a/src/gateway/dispatch.c
+++ b/src/gateway/dispatch.c
@@ -137,7 +137,8 @@
   (void)now;
   struct request *request = part;
   if (!dispatch_place (request))
-    refuse_now (request, "no slot became free in time", TIMER_MS (200));
+    refuse_now (request, "no slot became free in time",
+                TIMER_MS (GATEWAY_RETURN_SOON_MS));
 }
 
 /* Ends what a decision said; returns false if REQUEST is to wait.  */
@@ -229,7 +230,7 @@
   if (!pick_region (request))
     {
       refuse_now (request, "no upstream takes requests of this service",
-                  TIMER_MS (500));
+                  TIMER_MS (GATEWAY_RETURN_LATER_MS));
       return;
     }
   struct balance_choice choice = dispatch_choose (request);
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -18,15 +18,17 @@
   COLD_ENTRIES = 5,        /* that may send to one cold upstream */
   SETTINGS_LOOK_MS = 2000, /* a stat every two seconds costs nothing */
   TICK_MS = 100,           /* between two looks at the load of regions */
-  STOP_STEP_MS = 50,
+  STOP_STEP_MS = 50,       /* a hundredth of the time that a stop has */
   /* Callers keep a look-up for three times its lifetime of a second.  */
   STOP_SERVE_ON_MS = 3200,
   STOP_MARGIN_MS = 300, /* left to end before the process is killed */
+  /* Together below the 3,900 descriptors that a VM has for sockets.  */
   IDLE_CONNECTIONS = 1024,
   CALLER_CONNECTIONS = 2048,
+  /* The operators' 16 KiB, and half as much for libmicrohttpd's own use.  */
   REQUEST_HEADER_BYTES = 24 * 1024,
   HEADER_TIMEOUT_S = 30, /* covers what operators allow callers to stay idle */
-  LOG_BURST_S = 1
+  LOG_BURST_S = 1        /* of the rate in the settings */
 };
 
 /* First guess of the way to another region and back.  */
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -24,9 +24,14 @@
 {
   PRIORITIES = 8, /* more urgent first; higher numbers count as the last */
   GATEWAY_REGIONS_MAX = SPREAD_REGIONS_MAX,
-  GATEWAY_IDLE_S = 6,   /* an idle connection is kept: well below the time
-                           after which upstreams close it */
-  GATEWAY_OWN_MOST = 64 /* requests of one entry at one upstream */
+  GATEWAY_IDLE_S = 6, /* an idle connection is kept: well below the time
+                         after which upstreams close it */
+  /* Requests of one entry at one upstream: several times its slots, which
+     bind first.  */
+  GATEWAY_OWN_MOST = 64,
+  GATEWAY_RETURN_SOON_MS = 200, /* the work of one slot, where it is short */
+  GATEWAY_RETURN_LATER_MS = 500 /* half of the time between two reads of the
+                                   list of upstreams */
 };
 
 enum request_outcome
--- a/src/gateway/members.c
+++ b/src/gateway/members.c
@@ -26,8 +26,8 @@
 
 enum
 {
-  RETRY_MS = 300, /* well within the shortest lease */
-  KEEPS_A_LEASE = 3,
+  RETRY_MS = 300,       /* well within the shortest lease */
+  KEEPS_A_LEASE = 3,    /* two renewals may fail */
   LAPSE_HOLD_MS = 2500, /* lapsed entries write their keys again within it */
   KEY_MAX_BYTES = 128,
   PEERS_MOST = 64 /* that are asked in turn */
--- a/src/gateway/request.c
+++ b/src/gateway/request.c
@@ -11,8 +11,11 @@
 
 enum
 {
-  BODY_LIMIT_BYTES = 1024 * 1024, /* of a request, held before it is sent */
-  NO_DEADLINE_MS = 30000,         /* for callers that state none */
+  /* Of a request, held before it is sent, so that it can be sent again: three
+     times the largest uploads of the users' sites.  */
+  BODY_LIMIT_BYTES = 1024 * 1024,
+  /* For callers that state none: several times what others state.  */
+  NO_DEADLINE_MS = 30000,
   /* The final answer is on its way before the operators' limit.  */
   TIMEOUT_MARGIN_MS = 10,
   HTTP_BAD_REQUEST = 400,
--- a/src/gateway/sending.c
+++ b/src/gateway/sending.c
@@ -18,8 +18,10 @@
   /* A path that acknowledges nothing for so long beyond the way there and back
      is cut: a lost packet is sent again once or twice before that.  */
   UNACKNOWLEDGED_MS = 600,
-  ANSWER_LIMIT_BYTES = 256 * 1024, /* held until whole; longer ones stream */
-  SENDS_MAX = 4,
+  /* Held until whole; longer ones stream.  Eight times the largest answers of
+     the users' sites.  */
+  ANSWER_LIMIT_BYTES = 256 * 1024,
+  SENDS_MAX = 4, /* with refusals, which do not count as attempts */
   HTTP_BAD_GATEWAY = 502,
   HTTP_UNAVAILABLE = 503,
   HTTP_MISDIRECTED = 421,
@@ -30,6 +32,8 @@
 static const double second_after = 2.0;
 /* In a fuller region the slot is worth more to another request.  */
 static const double full_for_second = 0.7;
+/* Of the newest connection, in the estimate of the way to its region.  */
+static const double distance_weight = 0.25;
 
 /* private functions */
 
@@ -68,7 +72,8 @@
   curl_easy_getinfo (easy, CURLINFO_CONNECT_TIME_T, &connect_us);
   apr_time_t *distance = &request->gateway->distances[request->region];
   if (connects > 0 && connect_us > 0)
-    *distance += (connect_us - *distance) / 4;
+    *distance
+        += (apr_time_t)(distance_weight * (double)(connect_us - *distance));
 }
 
 static bool
@@ -127,7 +132,7 @@
       dispatch_admit (request);
       return;
     }
-  request->retry_after = TIMER_MS (200);
+  request->retry_after = TIMER_MS (GATEWAY_RETURN_SOON_MS);
   request_refuse (request,
                   request->maybe_run ? HTTP_BAD_GATEWAY : HTTP_UNAVAILABLE,
                   reason);
@@ -243,6 +248,7 @@
 {
   if (attempt->answer_size >= 0)
     return attempt_is_held (attempt);
+  /* Half of the buffer, so that libcurl never has to wait for it.  */
   return body_unread (&attempt->answer) < attempt->desc.answer_limit / 2;
 }
 
--- a/src/gateway/watcher.c
+++ b/src/gateway/watcher.c
@@ -24,7 +24,7 @@
 enum
 {
   RETRY_MS = 250, /* a call that failed is repeated well within the bounds */
-  SWEEP_MS = 250,
+  SWEEP_MS = 250, /* an eighth of the hold that it ends */
   FAILURES_FOR_PEER = 1 /* a read that fails has taken up to two seconds */
 };
 
@@ -98,7 +98,7 @@
 take_evacuation (struct watcher *watcher, struct str zone,
                  const struct store_item *item, apr_time_t now)
 {
-  LOG (LOG_INFO, item->is_removed ? "zone-taken-back" : "zone-evacuated",
+  LOG (LOG_INFO, item->is_removed ? "zone-evacuation-ended" : "zone-evacuated",
        LOG_TEXT ("zone", zone.data));
   fleet_set_evacuated (watcher->desc.fleet, zone, !item->is_removed,
                        item->index, longest_cold (watcher), now);
@@ -160,7 +160,7 @@
   outage_answered (&watcher->outage, now);
 }
 
-/* Takes back the evacuations that a complete listing does not name.  */
+/* Ends the evacuations that a complete listing does not name.  */
 struct missing
 {
   const struct store_items *listing;
--- a/src/plan/plan.h
+++ b/src/plan/plan.h
@@ -58,7 +58,7 @@
   struct str name;
   int64_t max_connections; /* to each upstream, from all callers */
   apr_time_t cold_time;    /* after a start */
-  double cold_per_s;       /* requests that a cold upstream bears */
+  double cold_per_s;       /* requests that a cold upstream can serve */
 };
 
 /* What a caller may send.  */
--- a/tests/session/gateway.sh
+++ b/tests/session/gateway.sh
@@ -120,7 +120,7 @@
 runs 2 | grep -o '[0-9]* left'
 mode 127.24.2.2:7910 normal
 
-echo "# an evacuated zone gets nothing until it is taken back"
+echo "# an evacuated zone gets nothing until that ends"
 put op/evacuate/north-a '{}'
 wait_for 5 routed /look/1 503
 call GET /look/1
