Plan: download routes; what is not known concerns one route alone

Cause: plan_finish refused the whole configuration for the first route that it could not use.

Change: download is idempotent. Each fault is a log line, configuration-problem, and a gauge. Only a route without a host still refuses the document, since nobody can tell which requests it concerns. Limits in the plan that nothing read are removed.

--- a/src/gateway/attempts.c
+++ b/src/gateway/attempts.c
@@ -96,18 +96,25 @@
          < request->deadline;
 }
 
+/* Returns how often the request may be sent, also when no upstream ran it.  */
+static int
+max_sends (const struct request *request)
+{
+  return request->route->kind == PLAN_KIND_UNKNOWN ? 1 : SENDS_MAX;
+}
+
 /* Returns whether the request may be sent again after an attempt.  NOT_RUN:
    the upstream certainly did not run it; HAS_ARRIVED: it may have reached the
    upstream.  May take one retry from the budget.  */
 static bool
 may_retry (struct request *request, bool not_run, bool has_arrived)
 {
-  if (request->answered || request->send_count >= SENDS_MAX
+  if (request->answered || request->send_count >= max_sends (request)
       || request->tried_count >= BALANCE_EXCLUDED_MAX
       || !has_time_left (request))
     return false;
   if (!not_run
-      && (request->route->kind != PLAN_SAFE
+      && (!plan_kind_is_idempotent (request->route->kind)
           || request->send_count >= request->route->max_attempts))
     return false;
   if (!body_rewind (&request->body))
@@ -255,7 +262,8 @@
       return;
     }
   if (attempt->status >= HTTP_SERVER_ERRORS
-      && request->route->kind == PLAN_SAFE && may_retry (request, false, true))
+      && plan_kind_is_idempotent (request->route->kind)
+      && may_retry (request, false, true))
     {
       end_upstream_load (request, LOAD_FAILED);
       log_attempt_failure (request, "the upstream failed", false);
@@ -425,7 +433,7 @@
 {
   struct gateway *gateway = request->gateway;
   double expected = (double)request->service_time * request->upstream_slowdown;
-  if (request->route->kind != PLAN_SAFE
+  if (!plan_kind_is_idempotent (request->route->kind)
       || request->send_count >= request->route->max_attempts)
     return;
   timer_start (loop_timers (gateway->loop), &request->late_retry_timer,
--- a/src/gateway/request.c
+++ b/src/gateway/request.c
@@ -128,6 +128,12 @@
     }
   request->plan = plan_ref (plan);
   request->route = plan_find_route (plan, host, request->path);
+  if (!request->route && plan_has_unplaced_route (plan, host))
+    {
+      request_refuse (request, HTTP_UNAVAILABLE,
+                      "the prefix of a route of this host can't be read");
+      return;
+    }
   if (!request->route)
     {
       request_refuse (request, HTTP_NOT_FOUND, "no route matches");
@@ -139,7 +145,20 @@
       return;
     }
   request->route_state = dispatch_route_state (gateway, request->route);
-  request->service_name = plan_next_weighted_service (request->route)->service;
+  if (request->route->refusal)
+    {
+      request_refuse (request, HTTP_UNAVAILABLE, request->route->refusal);
+      return;
+    }
+  const struct plan_weighted_service *weighted
+      = plan_next_weighted_service (request->route);
+  if (weighted->is_missing)
+    {
+      request_refuse (request, HTTP_UNAVAILABLE,
+                      "the configuration has no service for this share");
+      return;
+    }
+  request->service_name = weighted->service;
   request->service = gateway_service_state (gateway, request->service_name);
   set_object (request);
   request->body_size = declared_body_size (request);
--- a/src/gateway/store_sync.c
+++ b/src/gateway/store_sync.c
@@ -12,7 +12,8 @@
   EXPIRY_CHECK_MS = 250, /* an eighth of the shortest grace period */
   /* Failed reads in a row after which another entry is asked.  Not more, since
      one may have taken two seconds.  */
-  FAILURES_BEFORE_PEER = 1
+  FAILURES_BEFORE_PEER = 1,
+  PROBLEMS_LOGGED_MAX = 20 /* of one configuration */
 };
 
 /* private functions */
@@ -26,6 +27,26 @@
                timer_clock () + TIMER_MS (wait_ms), on_read_due, store_sync);
 }
 
+/* Logs and counts what can't be used in PLAN, which was just adopted.  */
+static void
+report_problems (struct store_sync *store_sync, const struct plan *plan)
+{
+  size_t count = plan_problem_count (plan);
+  counter_set (store_sync->problem_gauge, (int64_t)count);
+  for (size_t i = 0; i < count && i < PROBLEMS_LOGGED_MAX; i++)
+    {
+      const struct plan_problem *problem = plan_problem (plan, i);
+      LOG (LOG_ERROR, "configuration-problem",
+           LOG_INT ("version", plan_version (plan)),
+           LOG_TEXT ("object", problem->object.data),
+           LOG_TEXT ("detail", problem->detail),
+           LOG_TEXT ("effect", problem->effect));
+    }
+  if (count > PROBLEMS_LOGGED_MAX)
+    LOG (LOG_ERROR, "configuration-problems",
+         LOG_INT ("version", plan_version (plan)), LOG_INT ("count", count));
+}
+
 /* Adopts the configuration TEXT if it is valid and newer than the plan in
    force.  */
 static void
@@ -51,6 +72,7 @@
   LOG (LOG_INFO, "configuration-adopted",
        LOG_INT ("version", plan_version (plan)),
        LOG_INT ("routes", plan_route_count (plan)));
+  report_problems (store_sync, plan);
 }
 
 static void
@@ -351,6 +373,9 @@
   store_sync->version_gauge
       = gauge_get (desc->counters, "citroncleat_configuration_version", "",
                    "Version of the configuration in force.");
+  store_sync->problem_gauge
+      = gauge_get (desc->counters, "citroncleat_configuration_problems", "",
+                   "What can't be used in the configuration in force.");
   store_sync->unreadable_items
       = counter_get (desc->counters, "citroncleat_unreadable_items_total", "",
                      "Items of the store that could not be used.");
--- a/src/gateway/store_sync_internal.h
+++ b/src/gateway/store_sync_internal.h
@@ -34,6 +34,7 @@
   struct timer reader_timer; /* of the query that is waited for */
   struct outage outage;      /* of the store */
   struct counter *version_gauge;
+  struct counter *problem_gauge;
   struct counter *unreadable_items;
 };
 
--- a/src/plan/plan.c
+++ b/src/plan/plan.c
@@ -16,6 +16,8 @@
   apr_hash_t *services;         /* struct plan_service by name */
   apr_array_header_t *routes;   /* struct plan_route * */
   apr_hash_t *routes_by_prefix; /* struct plan_route by host and prefix */
+  apr_hash_t *unplaced_hosts;   /* set, in lower case */
+  apr_array_header_t *problems; /* struct plan_problem */
 };
 
 /* constants */
@@ -44,48 +46,81 @@
   return host.size + prefix.size;
 }
 
-static enum err_code
-check_route (const struct plan *plan, const struct plan_route *route,
-             struct err *err)
+static const char effect_refused[] = "its requests are refused";
+
+/* Marks ROUTE as one whose requests are refused for REASON.  */
+static void
+refuse_route (struct plan *plan, struct plan_route *route, const char *reason)
+{
+  if (!route->refusal)
+    route->refusal = reason;
+  plan_add_problem (plan, route->name, effect_refused, "%s", reason);
+}
+
+/* Marks the services of ROUTE that the plan does not have.  */
+static void
+check_services (struct plan *plan, struct plan_route *route)
 {
-  const char *name = route->name.data;
-  size_t size = route->prefix.size;
-  if (route->kind == PLAN_KIND_INVALID)
-    return err_set (err, ERR_INVALID, "check route", name,
-                    "its kind is unknown: safe, unsafe or upload expected");
-  if (route->host.size == 0)
-    return err_set (err, ERR_INVALID, "check route", name, "it has no host");
-  if (size == 0 || route->prefix.data[0] != '/'
-      || route->prefix.data[size - 1] != '/')
-    return err_set (err, ERR_INVALID, "check route", name,
-                    "prefix '%.*s' does not begin and end with a slash",
-                    STR_ARGS (route->prefix));
-  if (route->timeout < 0 || route->target_latency < 0
-      || route->max_attempts < 1)
-    return err_set (err, ERR_INVALID, "check route", name,
-                    "timeout %lld ms, target latency %lld ms or %lld "
-                    "attempts: at least 0, 0 and 1 expected",
-                    (long long)route->timeout / 1000,
-                    (long long)route->target_latency / 1000,
-                    (long long)route->max_attempts);
   int64_t weights = 0;
+  int64_t usable_weights = 0;
   for (size_t i = 0; i < route->weighted_service_count; i++)
     {
-      if (!plan_service (plan, route->weighted_services[i].service))
-        return err_set (err, ERR_INVALID, "check route", name,
-                        "service '%.*s' is not in the configuration",
-                        STR_ARGS (route->weighted_services[i].service));
-      if (route->weighted_services[i].weight < 0)
-        return err_set (err, ERR_INVALID, "check route", name,
-                        "weight %lld of service '%.*s' is below zero",
-                        (long long)route->weighted_services[i].weight,
-                        STR_ARGS (route->weighted_services[i].service));
-      weights += route->weighted_services[i].weight;
+      struct plan_weighted_service *weighted = &route->weighted_services[i];
+      weighted->is_missing = !plan_service (plan, weighted->service);
+      if (weighted->weight < 0)
+        {
+          refuse_route (plan, route, "a weight of the route is below zero");
+          return;
+        }
+      weights += weighted->weight;
+      usable_weights += weighted->is_missing ? 0 : weighted->weight;
+      if (weighted->is_missing)
+        plan_add_problem (plan, route->name, "its share is refused",
+                          "service '%.*s' is not in the configuration",
+                          STR_ARGS (weighted->service));
     }
   if (weights <= 0)
-    return err_set (err, ERR_INVALID, "check route", name,
-                    "no service has a weight above zero");
-  return ERR_NONE;
+    refuse_route (plan, route, "no service of the route has a weight");
+  else if (usable_weights <= 0)
+    refuse_route (plan, route,
+                  "the configuration has no service of the route");
+}
+
+static bool
+is_valid_prefix (struct str prefix)
+{
+  return prefix.size > 0 && prefix.data[0] == '/'
+         && prefix.data[prefix.size - 1] == '/';
+}
+
+/* Makes ROUTE one that can be found by host and prefix; returns false if its
+   prefix does not allow that.  */
+static bool
+place_route (struct plan *plan, struct plan_route *route)
+{
+  char *key
+      = apr_palloc (plan->pool, route->host.size + route->prefix.size + 1);
+  size_t size = is_valid_prefix (route->prefix)
+                    ? write_key (key, route->host, route->prefix)
+                    : 0;
+  if (size == 0)
+    return false;
+  struct plan_route *other
+      = apr_hash_get (plan->routes_by_prefix, key, (apr_ssize_t)size);
+  if (other)
+    refuse_route (plan, other, "two routes have the same host and prefix");
+  else
+    apr_hash_set (plan->routes_by_prefix, key, (apr_ssize_t)size, route);
+  return true;
+}
+
+/* Records that HOST has a route without a usable prefix.  */
+static void
+add_unplaced_host (struct plan *plan, struct str host)
+{
+  char *key = apr_palloc (plan->pool, host.size + 1);
+  size_t size = write_key (key, host, STR (""));
+  apr_hash_set (plan->unplaced_hosts, key, (apr_ssize_t)size, "");
 }
 
 /* public functions */
@@ -102,6 +137,8 @@
   plan->services = apr_hash_make (pool);
   plan->routes = apr_array_make (pool, 16, sizeof (struct plan_route *));
   plan->routes_by_prefix = apr_hash_make (pool);
+  plan->unplaced_hosts = apr_hash_make (pool);
+  plan->problems = apr_array_make (pool, 4, sizeof (struct plan_problem));
   return plan;
 }
 
@@ -155,6 +192,31 @@
   return route;
 }
 
+void
+plan_add_problem (struct plan *plan, struct str object, const char *effect,
+                  const char *format, ...)
+{
+  va_list args;
+  va_start (args, format);
+  APR_ARRAY_PUSH (plan->problems, struct plan_problem)
+      = (struct plan_problem){ str_dup (plan->pool, object),
+                               str_vformat (plan->pool, format, args),
+                               effect };
+  va_end (args);
+}
+
+size_t
+plan_problem_count (const struct plan *plan)
+{
+  return (size_t)plan->problems->nelts;
+}
+
+const struct plan_problem *
+plan_problem (const struct plan *plan, size_t number)
+{
+  return &APR_ARRAY_IDX (plan->problems, number, struct plan_problem);
+}
+
 enum err_code
 plan_finish (struct plan *plan, struct err *err)
 {
@@ -162,21 +224,21 @@
     {
       struct plan_route *route
           = APR_ARRAY_IDX (plan->routes, i, struct plan_route *);
-      if (check_route (plan, route, err) != ERR_NONE)
-        return err->code;
-      char *key
-          = apr_palloc (plan->pool, route->host.size + route->prefix.size + 1);
-      size_t size = write_key (key, route->host, route->prefix);
-      if (size == 0)
-        return err_set (err, ERR_LIMIT, "check route", route->name.data,
-                        "host and prefix have %zu bytes, at most %d expected",
-                        route->host.size + route->prefix.size, KEY_MAX_BYTES);
-      if (apr_hash_get (plan->routes_by_prefix, key, (apr_ssize_t)size))
-        return err_set (
-            err, ERR_INVALID, "check route", route->name.data,
-            "another route has the same host '%.*s' and prefix '%.*s'",
-            STR_ARGS (route->host), STR_ARGS (route->prefix));
-      apr_hash_set (plan->routes_by_prefix, key, (apr_ssize_t)size, route);
+      if (route->host.size == 0 || route->host.size > KEY_MAX_BYTES)
+        return err_set (err, ERR_INVALID, "check route", route->name.data,
+                        "its host has %zu bytes, 1 to %d expected",
+                        route->host.size, KEY_MAX_BYTES);
+      if (!place_route (plan, route))
+        {
+          add_unplaced_host (plan, route->host);
+          plan_add_problem (
+              plan, route->name, "requests that match no route are refused",
+              "prefix '%.*s' of the route is not a path of at most %d bytes "
+              "with a slash at both ends",
+              STR_ARGS (route->prefix), KEY_MAX_BYTES);
+        }
+      else if (!route->refusal)
+        check_services (plan, route);
     }
   return ERR_NONE;
 }
@@ -202,6 +264,21 @@
   return NULL;
 }
 
+bool
+plan_has_unplaced_route (const struct plan *plan, struct str host)
+{
+  char key[KEY_MAX_BYTES];
+  size_t size = write_key (key, host, STR (""));
+  return size > 0
+         && apr_hash_get (plan->unplaced_hosts, key, (apr_ssize_t)size);
+}
+
+bool
+plan_kind_is_idempotent (enum plan_kind kind)
+{
+  return kind == PLAN_SAFE || kind == PLAN_DOWNLOAD;
+}
+
 const struct plan_service *
 plan_service (const struct plan *plan, struct str name)
 {
--- a/src/plan/plan.h
+++ b/src/plan/plan.h
@@ -20,8 +20,14 @@
    Requests reference the plan that they began with, so that a newer version
    does not change them.
 
+   What this version cannot read or use in one route affects that route alone:
+   its requests get the strictest treatment that the rest of it allows, or are
+   refused.  Each such fault is recorded with plan_add_problem, and
+   docs/design/09-platform.md lists the treatment of each.
+
    Units: microseconds, unless stated otherwise.  Threads: one thread.  Errors:
-   plan_finish names the first route that cannot be used.  */
+   plan_finish refuses a plan with a route that belongs to no host, since
+   nobody could tell which requests it concerns.  */
 #ifndef PLAN_PLAN_H
 #define PLAN_PLAN_H
 
@@ -34,10 +40,11 @@
 /* How often a request of a route may run.  */
 enum plan_kind
 {
-  PLAN_KIND_INVALID, /* plan_finish refuses it */
+  PLAN_KIND_UNKNOWN, /* of a later version: at most once, and sent only once */
   PLAN_SAFE,         /* idempotent: may run more than once */
   PLAN_UNSAFE,       /* at most once */
-  PLAN_UPLOAD        /* at most once, with a large body */
+  PLAN_UPLOAD,       /* at most once, with a large body */
+  PLAN_DOWNLOAD      /* idempotent, with a large response */
 };
 
 /* One service of a route, and its share of the route's requests.  */
@@ -45,6 +52,8 @@
 {
   struct str service;
   int64_t weight;         /* its share is this over the sum of all weights */
+  bool is_missing;        /* not in the plan: its share is refused; set by
+                             plan_finish */
   int64_t current_weight; /* of the smooth weighted round robin; 0 at first */
 };
 
@@ -68,27 +77,33 @@
   struct str_list regions;
   struct plan_weighted_service *weighted_services;
   size_t weighted_service_count;
+  /* Why all its requests are refused; NULL: they are served.  Set by the
+     reader of the configuration or by plan_finish.  */
+  const char *refusal;
+};
+
+/* Something in the configuration that this version cannot read or use.  */
+struct plan_problem
+{
+  struct str object;  /* name of the route or service */
+  const char *detail; /* the value, and what was expected */
+  const char *effect; /* on the requests of the object */
 };
 
 struct plan_service
 {
   struct str name;
-  int64_t max_connections; /* to each upstream, for all callers together; the
-                              gateway has a limit of its own instead */
-  apr_time_t cold_time;    /* for which an upstream is cold after a start */
+  apr_time_t cold_time; /* for which an upstream is cold after a start */
   /* Requests per second that a cold upstream can serve.  */
   double cold_rate;
 };
 
-/* Limits on what a caller may send, and how slowly; 0: not set.  The gateway
-   applies `body_bytes' to each request; for the others its listener, which
-   exists before any plan, has fixed limits (gateway.c).  */
+/* Limits on what a caller may send; 0: not set.  The limits on the head and
+   on idle connections are those of the gateway's listener, which exists before
+   any plan (gateway.c).  */
 struct plan_limits
 {
-  int64_t header_bytes;
   int64_t body_bytes;
-  int64_t header_timeout_ms;
-  int64_t idle_timeout_ms;
 };
 
 struct plan;
@@ -111,13 +126,29 @@
 /* Adds a copy of ROW; its strings and arrays are not copied.  */
 struct plan_route *plan_add_route (struct plan *plan,
                                    const struct plan_route *row);
-/* Checks all routes and makes them ready for plan_find_route.  After an error
-   the plan must only be released.  */
+/* Records that OBJECT has a fault: FORMAT and what follows state the value and
+   what was expected.  EFFECT, which is not copied, is what that means for the
+   requests.  */
+void plan_add_problem (struct plan *plan, struct str object,
+                       const char *effect, const char *format, ...)
+    __attribute__ ((format (printf, 4, 5)));
+/* Returns the number of problems, and the problem NUMBER below it.  */
+size_t plan_problem_count (const struct plan *plan);
+const struct plan_problem *plan_problem (const struct plan *plan,
+                                         size_t number);
+/* Makes all routes ready for plan_find_route.  A route that can't be served is
+   marked with its `refusal'.  After an error the plan must only be released.
+ */
 enum err_code plan_finish (struct plan *plan, struct err *err);
 /* Returns the route of HOST, which has no port, with the longest prefix of
    PATH, which has no query; or NULL.  */
 struct plan_route *plan_find_route (const struct plan *plan, struct str host,
                                     struct str path);
+/* Returns whether HOST has a route whose prefix can't be read, so that a
+   request that matches no route may belong to that one.  */
+bool plan_has_unplaced_route (const struct plan *plan, struct str host);
+/* Returns whether a request of KIND may run more than once.  */
+bool plan_kind_is_idempotent (enum plan_kind kind);
 /* Returns the service NAME, or NULL.  */
 const struct plan_service *plan_service (const struct plan *plan,
                                          struct str name);
