Long names, a list that is none, and a link's long key

Cause: the document cut names to 63 bytes before they were checked, so that a longer name replaced the resource that has its first 63; the client took the member resources for a list without looking; share_pool_find compared with a key cut to 80 bytes, so that a link between two regions with long names got a second pool, and with it its bandwidth twice.

Change: names are checked whole; apply reports the member; the key has room for two names of 63 bytes. Each has a test that failed before (resource, share; the session operator aborted).

--- a/src/client/apply.c
+++ b/src/client/apply.c
@@ -7,13 +7,21 @@
 /* private functions */
 
 /* Returns the resources of FILE as an array: FILE itself if it is one, its
-   member "resources", or FILE as the only resource.  */
+   member "resources", or FILE as the only resource.  Returns NULL, and adds to
+   FAULTS, if that member is no list.  */
 static json_object *
-resource_list (json_object *file)
+resource_list (json_object *file, struct faults *faults)
 {
   if (json_object_get_type (file) == json_type_array)
     return json_object_get (file);
   json_object *resources = json_member (file, "resources");
+  if (resources && json_object_get_type (resources) != json_type_array)
+    {
+      faults_add (faults, STR ("resources"),
+                  str_from (json_object_to_json_string (resources)),
+                  "a list of resources");
+      return NULL;
+    }
   if (resources)
     return json_object_get (resources);
   json_object *list = json_object_new_array ();
@@ -145,7 +153,13 @@
       client_print_faults (faults);
       return EXIT_INVALID;
     }
-  json_object *list = resource_list (object);
+  json_object *list = resource_list (object, faults);
+  if (!list)
+    {
+      client_print_faults (faults);
+      json_object_put (object);
+      return EXIT_INVALID;
+    }
   status = client_apply_resources (
       &line.options, list,
       operation_id->count > 0
--- a/src/resource/document.c
+++ b/src/resource/document.c
@@ -2,8 +2,8 @@
 
 #include "base/json.h"
 
-#include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 /* constants */
 
@@ -55,14 +55,26 @@
   return document;
 }
 
+/* Returns a copy of NAME as a C string, which the caller frees.  A name that
+   is too long is copied whole: cut, it would be the name of another resource,
+   which build_document could not tell from it.  */
+static char *
+copy_name (struct str name)
+{
+  char *text = strndup (name.data, name.size);
+  if (!text)
+    abort ();
+  return text;
+}
+
 static json_object *
 find_resource (json_object *root, enum resource_kind kind, struct str name)
 {
-  char text[64];
-  if (name.size >= sizeof text)
-    return NULL;
-  snprintf (text, sizeof text, "%.*s", STR_ARGS (name));
-  return json_member (json_member (root, resource_kinds[kind].plural), text);
+  char *text = copy_name (name);
+  json_object *resource
+      = json_member (json_member (root, resource_kinds[kind].plural), text);
+  free (text);
+  return resource;
 }
 
 static void
@@ -70,8 +82,7 @@
 {
   const char *plural = resource_kinds[change->kind].plural;
   json_object *resources = json_member (root, plural);
-  char name[64];
-  snprintf (name, sizeof name, "%.*s", STR_ARGS (change->name));
+  char *name = copy_name (change->name);
   if (!resources)
     {
       resources = json_object_new_object ();
@@ -80,6 +91,7 @@
   if (change->is_delete)
     {
       json_object_object_del (resources, name);
+      free (name);
       return;
     }
   json_object *resource = json_object_new_object ();
@@ -87,6 +99,7 @@
                           json_object_new_int64 (version));
   json_object_object_add (resource, "spec", json_object_get (change->spec));
   json_object_object_add (resources, name, resource);
+  free (name);
 }
 
 /* Appends operation ID to the recorded ones and drops the oldest if there are
--- a/src/share/share.c
+++ b/src/share/share.c
@@ -21,7 +21,9 @@
   MAX_PENDING_REQUESTS = 4, /* for one group */
   PEAK_DECAY_SHIFT = 2,     /* the peak decays by a quarter with each tick */
   RESERVE_SHIFT = 3,        /* an 8th of the peak is kept on top of it */
-  KEY_MAX_BYTES = 80        /* of "KIND/NAME" */
+  /* Of "KIND/NAME"; the name of a link has those of two regions, of up to 63
+     bytes each, and what separates them.  */
+  KEY_MAX_BYTES = 160
 };
 
 /* private functions */
@@ -110,7 +112,8 @@
 {
   char key[KEY_MAX_BYTES];
   int size = snprintf (key, sizeof key, "%d/%.*s", (int)kind, STR_ARGS (name));
-  return apr_hash_get (share->pools, key, size);
+  return size < (int)sizeof key ? apr_hash_get (share->pools, key, size)
+                                : NULL;
 }
 
 struct peer *
--- a/tests/session/operator.sh
+++ b/tests/session/operator.sh
@@ -26,6 +26,8 @@
 ] }
 EOF
 run apply -f "$WORK/faults.json"
+echo '{ "resources": 5 }' >"$WORK/no-list.json"
+run apply -f "$WORK/no-list.json"
 echo '{ "kind": "upstrem" }' >"$WORK/kind.json"
 run apply -f "$WORK/kind.json"
 printf '{\n  "kind": ,\n}\n' >"$WORK/syntax.json"
--- a/tests/unit/resource_test.c
+++ b/tests/unit/resource_test.c
@@ -150,6 +150,12 @@
   snapshot_unref (snapshot);
 }
 
+#define LONG_NAME                                                             \
+  STR ("aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa")
+#define TOO_LONG_NAME                                                         \
+  STR ("aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa" \
+       "aa")
+
 /* A batch of changes is applied as a whole or not at all, and only if each
    resource has the version that its change is based on, so that no operator
    overwrites a change that they have not seen.  */
@@ -196,6 +202,19 @@
       ERR_NONE,
       3 },
     { "9", { { KIND_ZONE, STR ("z"), true, 2, NULL } }, 1, ERR_CONFLICT, 3 },
+    /* A name of 63 bytes is the longest; a longer one that begins alike once
+       replaced its resource.  */
+    { "10", { { KIND_REGION, LONG_NAME, false, 0, empty } }, 1, ERR_NONE, 4 },
+    { "11",
+      { { KIND_REGION, TOO_LONG_NAME, false, 0, empty } },
+      1,
+      ERR_INVALID,
+      4 },
+    { "12",
+      { { KIND_REGION, TOO_LONG_NAME, true, 4, NULL } },
+      1,
+      ERR_CONFLICT,
+      4 },
   };
   for (size_t i = 0; i < COUNT (cases); i++)
     {
--- a/tests/unit/share_test.c
+++ b/tests/unit/share_test.c
@@ -303,7 +303,27 @@
     }
 }
 
+/* A cap has one pool, however long its name is: with two, both would be used
+   in full.  */
+static void
+test_long_names (void)
+{
+  static const int sizes[] = { 1, 63, 79, 127, 140 };
+  char name[141];
+  memset (name, 'r', sizeof name);
+  set_up_entries (1);
+  for (size_t i = 0; i < COUNT (sizes); i++)
+    {
+      struct share_cap cap
+          = { .kind = SHARE_LINK, .name = str_view (name, (size_t)sizes[i]) };
+      struct share_pool *pool = share_pool_get (entries[0], &cap);
+      CU_ASSERT_PTR_EQUAL (share_pool_get (entries[0], &cap), pool);
+    }
+  tear_down_entries ();
+}
+
 const struct unit_test share_tests[] = {
+  { "a cap has one pool, whatever its name's length", test_long_names },
   { "a loan ends after its time, but not while it is in use", test_loan },
   { "lost messages do not raise the shares above the cap",
     test_lost_messages },
