--- a/bench/gateway/policies.c
+++ b/bench/gateway/policies.c
@@ -27,25 +27,25 @@
   const struct balance_region_load *load
       = &entry->region_loads[call->target_region];
   double utilization = load->slots > 0 ? load->busy / load->slots : 1.0;
-  struct balance_request request
-      = { .fleet = entry->fleet,
-          .service = fleet_service (entry->fleet, STR ("s")),
-          .region = str_from (sim_region_names[call->target_region]),
-          .object = call->object,
-          .recurs = !sim->plan.unique_objects,
-          .service_time = &entry->service_times[call->kind],
-          .rtt
-          = 2 * sim_one_way_latency (sim, entry->region, call->target_region),
-          .own_zone = str_from (sim_region_names[entry->region]),
-          .idle_timeout = TIMER_SEC (6),
-          .max_queue_per_slot
-          = sim->plan.policy == SIM_POLICY_OWN ? max_queue_per_slot : 0.0,
-          .reserved_slots = sim_request_kinds[call->kind].priority > 0
-                                    && utilization > reserve_min_utilization
-                                ? reserved_slots
-                                : 0.0,
-          .max_in_flight = 64,
-          .now = sim->now };
+  struct balance_request request = {
+    .group = fleet_group (fleet_service (entry->fleet, STR ("s")),
+                          str_from (sim_region_names[call->target_region])),
+    .affinity = fleet_affinity (entry->fleet),
+    .object = call->object,
+    .recurs = !sim->plan.unique_objects,
+    .service_time = &entry->service_times[call->kind],
+    .rtt = 2 * sim_one_way_latency (sim, entry->region, call->target_region),
+    .own_zone = str_from (sim_region_names[entry->region]),
+    .idle_timeout = TIMER_SEC (6),
+    .max_queue_per_slot
+    = sim->plan.policy == SIM_POLICY_OWN ? max_queue_per_slot : 0.0,
+    .reserved_slots = sim_request_kinds[call->kind].priority > 0
+                              && utilization > reserve_min_utilization
+                          ? reserved_slots
+                          : 0.0,
+    .max_in_flight = 64,
+    .now = sim->now
+  };
   for (int i = 0; i < call->send_count && i < MAX_EXCLUDED; i++)
     request.excluded[request.excluded_count++]
         = entry->upstreams[call->tried_upstreams[i]]->hash;
--- a/bench/gateway/sim.c
+++ b/bench/gateway/sim.c
@@ -458,8 +458,9 @@
       struct sim_entry *entry = &sim->entries[e];
       for (int r = 0; r < SIM_REGIONS; r++)
         entry->region_loads[r] = balance_region_load (
-            entry->fleet, fleet_service (entry->fleet, STR ("s")),
-            str_from (sim_region_names[r]), sim->now);
+            fleet_group (fleet_service (entry->fleet, STR ("s")),
+                         str_from (sim_region_names[r])),
+            sim->now);
       region_split_update (&entry->region_split, entry->region_loads,
                            sim->now);
     }
@@ -508,8 +509,9 @@
                   .slots = SLOTS,
                   .incarnation = 1 };
           fleet_put_upstream (entry->fleet, &record, u + 1, 0);
-          entry->upstreams[u]
-              = fleet_service (entry->fleet, STR ("s"))->upstreams[u];
+          const struct fleet_group *group = fleet_group (
+              fleet_service (entry->fleet, STR ("s")), record.zone);
+          entry->upstreams[u] = group->members[group->count - 1].upstream;
         }
       region_split_init (&entry->region_split, SIM_REGIONS,
                          (size_t)entry->region, max_shift_per_s);
--- a/src/balance/balance.c
+++ b/src/balance/balance.c
@@ -45,6 +45,13 @@
    long request does not move it far.  */
 static const double max_response_ratio = 1.5;
 
+enum
+{
+  /* Upstreams of a group that a choice looks at.  In a region with nine of ten
+     slots in use, all of them are full once in thirty choices.  */
+  CANDIDATES_MAX = 32
+};
+
 /* private functions */
 
 static bool
@@ -57,34 +64,33 @@
   return false;
 }
 
-static bool
-is_candidate (const struct balance_request *request,
-              const struct fleet_upstream *upstream)
+/* An upstream, and its rank for the object by rendezvous hash, which is the
+   same at all entries without any message.  */
+struct candidate
 {
-  return (request->region.size == 0
-          || str_equal (upstream->region, request->region))
-         && fleet_is_eligible (request->fleet, upstream);
-}
+  uint64_t rank;
+  struct fleet_upstream *upstream;
+};
 
-/* Returns the upstream that ranks first for the object by rendezvous hash,
-   which is the same one at all entries without any message.  */
-static struct fleet_upstream *
-find_primary (const struct balance_request *request)
+/* Stores the eligible upstreams that rank first in OUT, which has room for
+   CANDIDATES_MAX, highest rank first; returns how many there are.  */
+static size_t
+find_candidates (const struct balance_request *request, struct candidate *out)
 {
-  struct fleet_upstream *primary = NULL;
-  uint64_t highest = 0;
-  for (size_t i = 0; i < request->service->count; i++)
+  size_t count = 0;
+  for (size_t i = 0; request->group && i < request->group->count; i++)
     {
-      struct fleet_upstream *upstream = request->service->upstreams[i];
-      if (!is_candidate (request, upstream))
-        continue;
-      uint64_t rank = hash_mix (upstream->hash, request->object);
-      if (primary && rank <= highest)
+      const struct fleet_member *member = &request->group->members[i];
+      uint64_t rank = hash_mix (member->hash, request->object);
+      if ((count == CANDIDATES_MAX && rank <= out[count - 1].rank)
+          || !fleet_is_eligible (member->upstream))
         continue;
-      primary = upstream;
-      highest = rank;
+      size_t at = count < CANDIDATES_MAX ? count++ : count - 1;
+      for (; at > 0 && out[at - 1].rank < rank; at--)
+        out[at] = out[at - 1];
+      out[at] = (struct candidate){ rank, member->upstream };
     }
-  return primary;
+  return count;
 }
 
 /* Returns whether the request can be sent to UPSTREAM now.  MAX_QUEUE:
@@ -157,8 +163,9 @@
    low rank for the object add to it.  */
 static double
 upstream_cost (const struct balance_request *request,
-               const struct fleet_upstream *upstream, double service_time)
+               const struct candidate *candidate, double service_time)
 {
+  const struct fleet_upstream *upstream = candidate->upstream;
   const struct load *load = &upstream->load;
   double expected = service_time * load_slowdown (load, request->now)
                     + estimate_wait (request, load);
@@ -166,9 +173,8 @@
   double utilization = load->slots > 0 ? load_in_flight (load, request->now)
                                              / (double)load->slots
                                        : 1.0;
-  double rank = (double)(hash_mix (upstream->hash, request->object) >> 11)
-                / (double)(1ULL << 53);
-  double zone = str_equal (upstream->zone, request->own_zone)
+  double rank = (double)(candidate->rank >> 11) / (double)(1ULL << 53);
+  double zone = str_equal (upstream->zone->name, request->own_zone)
                     ? 0.0
                     : (double)request->body_bytes / 1000 * zone_cost_us_per_kb;
   return expected + zone + (double)network_time (request, upstream)
@@ -184,24 +190,26 @@
 {
   struct balance_choice best = { 0 };
   double min_cost = INFINITY;
-  const struct fleet_upstream *primary = find_primary (request);
-  const struct affinity *affinity = fleet_affinity (request->fleet);
-  for (size_t i = 0; i < request->service->count; i++)
+  struct candidate candidates[CANDIDATES_MAX];
+  size_t count = find_candidates (request, candidates);
+  for (size_t i = 0; i < count; i++)
     {
-      struct fleet_upstream *upstream = request->service->upstreams[i];
-      if (!is_candidate (request, upstream) || is_excluded (request, upstream))
+      struct fleet_upstream *upstream = candidates[i].upstream;
+      if (is_excluded (request, upstream))
         continue;
-      bool cached
-          = request->recurs
-            && ((primary && upstream == primary)
-                || affinity_contains (affinity, upstream->incarnation_hash,
-                                      request->object, request->now));
+      /* The one that ranks first gets all requests for the object while it
+         can take them, so it has it cached.  */
+      bool cached = request->recurs
+                    && (i == 0
+                        || affinity_contains (request->affinity,
+                                              upstream->incarnation_hash,
+                                              request->object, request->now));
       if (!can_take (request, upstream,
                      cached ? request->max_queue_per_slot : 0.0))
         continue;
       double service_time = cached ? request->service_time->cached
                                    : request->service_time->uncached;
-      double cost = upstream_cost (request, upstream, service_time);
+      double cost = upstream_cost (request, &candidates[i], service_time);
       if (cost >= min_cost)
         continue;
       min_cost = cost;
@@ -242,22 +250,18 @@
 }
 
 struct balance_region_load
-balance_region_load (const struct fleet *fleet,
-                     const struct fleet_service *service, struct str region,
-                     apr_time_t now)
+balance_region_load (const struct fleet_group *group, apr_time_t now)
 {
   struct balance_region_load region_load = { 0 };
-  for (size_t i = 0; service && i < service->count; i++)
+  for (size_t i = 0; group && i < group->count; i++)
     {
-      const struct fleet_upstream *upstream = service->upstreams[i];
-      if (!str_equal (upstream->region, region)
-          || !fleet_is_eligible (fleet, upstream))
+      const struct fleet_upstream *upstream = group->members[i].upstream;
+      if (!fleet_is_eligible (upstream))
         continue;
-      region_load.slots += (double)upstream->load.slots;
+      double slots = (double)upstream->load.slots;
       double busy = load_in_flight (&upstream->load, now);
-      region_load.busy += busy < (double)upstream->load.slots
-                              ? busy
-                              : (double)upstream->load.slots;
+      region_load.slots += slots;
+      region_load.busy += busy < slots ? busy : slots;
     }
   return region_load;
 }
--- a/src/balance/balance.h
+++ b/src/balance/balance.h
@@ -43,10 +43,9 @@
 /* One request, and the region that it may go to.  */
 struct balance_request
 {
-  const struct fleet *fleet;
-  const struct fleet_service *service;
-  /* Only upstreams there; empty: anywhere.  */
-  struct str region;
+  /* The upstreams of the service in the region.  */
+  const struct fleet_group *group;
+  const struct affinity *affinity;
   /* Hash of the object; where it does not recur, of something unique.  */
   uint64_t object;
   /* More requests for OBJECT may follow; otherwise no upstream is assumed to
@@ -96,10 +95,13 @@
   double busy; /* estimate of the slots in use, at most `slots' */
 };
 
-/* Returns, of the upstreams that can take the request, the one of lowest cost:
-   the time until its response is expected, plus what probable failures, slots
-   in use, another zone and a low rank by hash add to it.  Changes no state:
-   the caller reports the request to balance/load.h when it is sent.  */
+/* Returns, of the upstreams that can take the request, the one of lowest cost.
+   In a large group only those are looked at that rank first for the object, so
+   that a choice costs little more with more upstreams, and all entries look at
+   the same ones.  The cost is the time until its response is expected, plus
+   what probable failures, slots in use, another zone and a low rank by hash
+   add to it.  Changes no state: the caller reports the request to
+   balance/load.h when it is sent.  */
 struct balance_choice
 balance_choose_upstream (const struct balance_request *request);
 /* Updates SERVICE_TIME by a response.  ELAPSED: time that the upstream took,
@@ -115,12 +117,10 @@
 bool balance_meets_target (const struct balance_service_time *service_time,
                            bool recurs, apr_time_t rtt,
                            apr_time_t target_latency);
-/* Returns the slots of the eligible upstreams of SERVICE in REGION, and how
-   many are in use; SERVICE may be NULL.  Called several times per second for
+/* Returns the slots of the eligible upstreams of GROUP, which may be NULL, and
+   how many are in use.  Called several times per second for
    balance/region_split.h and balance/admit.h.  */
 struct balance_region_load
-balance_region_load (const struct fleet *fleet,
-                     const struct fleet_service *service, struct str region,
-                     apr_time_t now);
+balance_region_load (const struct fleet_group *group, apr_time_t now);
 
 #endif
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -12,11 +12,13 @@
   struct fleet_desc desc;
   apr_pool_t *pool;
   struct affinity *affinity;
-  apr_hash_t *ids;             /* struct fleet_upstream by id */
-  apr_hash_t *services;        /* struct fleet_service by name */
-  apr_hash_t *evacuated_zones; /* names of zones, by themselves */
-  int64_t revision;            /* of the latest record received */
+  apr_hash_t *ids;      /* struct fleet_upstream by id */
+  apr_hash_t *services; /* struct fleet_service by name */
+  apr_hash_t *zones;    /* struct fleet_zone by name */
+  int64_t revision;     /* of the latest record received */
   size_t count;
+  size_t expired_count; /* upstreams in their grace period */
+  bool is_listing;
 };
 
 /* constants */
@@ -26,7 +28,7 @@
   DEFAULT_EXPIRY_GRACE_MS = 2000, /* owners write expired records again
                                      within it */
   INITIAL_CAPACITY = 16,
-  STRING_COUNT = 5 /* strings of an upstream, each ends with a null byte */
+  STRING_COUNT = 4 /* strings of an upstream, each ends with a null byte */
 };
 
 /* private functions */
@@ -55,23 +57,62 @@
   return service;
 }
 
+/* Returns the zone NAME, which it adds at first.  */
+static struct fleet_zone *
+get_or_add_zone (struct fleet *fleet, struct str name)
+{
+  struct fleet_zone *zone
+      = apr_hash_get (fleet->zones, name.data, (apr_ssize_t)name.size);
+  if (zone)
+    return zone;
+  zone = apr_pcalloc (fleet->pool, sizeof *zone);
+  zone->name = str_dup (fleet->pool, name);
+  apr_hash_set (fleet->zones, zone->name.data, (apr_ssize_t)zone->name.size,
+                zone);
+  return zone;
+}
+
+/* Returns the group of SERVICE in REGION, which it adds at first.  */
+static struct fleet_group *
+get_or_add_group (struct fleet *fleet, struct fleet_service *service,
+                  struct str region)
+{
+  struct fleet_group *group
+      = (struct fleet_group *)fleet_group (service, region);
+  if (group)
+    return group;
+  struct fleet_group **groups = realloc (
+      service->groups, (service->group_count + 1) * sizeof (*groups));
+  if (!groups)
+    abort ();
+  service->groups = groups;
+  group = apr_pcalloc (fleet->pool, sizeof *group);
+  group->region = str_dup (fleet->pool, region);
+  groups[service->group_count++] = group;
+  return group;
+}
+
 static void
 add_to_service (struct fleet *fleet, struct fleet_upstream *upstream)
 {
   struct fleet_service *service
       = get_or_add_service (fleet, upstream->service);
-  if (service->count == service->capacity)
+  struct fleet_group *group
+      = get_or_add_group (fleet, service, upstream->region);
+  if (group->count == group->capacity)
     {
       size_t capacity
-          = service->capacity ? 2 * service->capacity : INITIAL_CAPACITY;
-      struct fleet_upstream **upstreams
-          = realloc (service->upstreams, capacity * sizeof (*upstreams));
-      if (!upstreams)
+          = group->capacity ? 2 * group->capacity : INITIAL_CAPACITY;
+      struct fleet_member *members
+          = realloc (group->members, capacity * sizeof (*members));
+      if (!members)
         abort ();
-      service->upstreams = upstreams;
-      service->capacity = capacity;
+      group->members = members;
+      group->capacity = capacity;
     }
-  service->upstreams[service->count++] = upstream;
+  group->members[group->count++]
+      = (struct fleet_member){ upstream->hash, upstream };
+  service->count++;
   fleet->count++;
 }
 
@@ -80,15 +121,28 @@
 {
   struct fleet_service *service
       = get_or_add_service (fleet, upstream->service);
-  for (size_t i = 0; i < service->count; i++)
-    if (service->upstreams[i] == upstream)
+  struct fleet_group *group
+      = get_or_add_group (fleet, service, upstream->region);
+  for (size_t i = 0; i < group->count; i++)
+    if (group->members[i].upstream == upstream)
       {
-        service->upstreams[i] = service->upstreams[--service->count];
+        group->members[i] = group->members[--group->count];
+        service->count--;
         fleet->count--;
         return;
       }
 }
 
+/* Sets when the record of UPSTREAM vanished, perhaps only since its lease ran
+   out; 0: it is listed.  */
+static void
+set_expired_at (struct fleet *fleet, struct fleet_upstream *upstream,
+                apr_time_t at)
+{
+  fleet->expired_count += (at != 0) - (upstream->expired_at != 0);
+  upstream->expired_at = at;
+}
+
 /* Copies TEXT, with a null byte, to *AT and moves *AT behind it.  */
 static struct str
 append_copy (char **at, struct str text)
@@ -103,11 +157,11 @@
 /* Allocates the object and its strings as one block, since there may be
    thousands of upstreams.  */
 static struct fleet_upstream *
-create_upstream (const struct fleet_record *record, struct str region)
+create_upstream (const struct fleet_record *record,
+                 const struct fleet_zone *zone, struct str region)
 {
   size_t strings_size = record->id.size + record->service.size
-                        + record->address.size + record->zone.size
-                        + region.size + STRING_COUNT;
+                        + record->address.size + region.size + STRING_COUNT;
   struct fleet_upstream *upstream
       = calloc (1, sizeof *upstream + strings_size);
   if (!upstream)
@@ -117,7 +171,7 @@
   upstream->id = append_copy (&at, record->id);
   upstream->service = append_copy (&at, record->service);
   upstream->address = append_copy (&at, record->address);
-  upstream->zone = append_copy (&at, record->zone);
+  upstream->zone = zone;
   upstream->region = append_copy (&at, region);
   upstream->hash = XXH64 (record->id.data, record->id.size, 0);
   upstream->incarnation_hash = XXH64 (
@@ -134,6 +188,7 @@
                  const char *why)
 {
   upstream->removed = true;
+  set_expired_at (fleet, upstream, 0);
   remove_from_service (fleet, upstream);
   notify_changed (fleet, why, upstream);
   apr_hash_set (fleet->ids, upstream->id.data, (apr_ssize_t)upstream->id.size,
@@ -148,14 +203,15 @@
   return upstream->incarnation == record->incarnation
          && str_equal (upstream->address, record->address)
          && str_equal (upstream->service, record->service)
-         && str_equal (upstream->zone, record->zone);
+         && str_equal (upstream->zone->name, record->zone);
 }
 
 static struct fleet_upstream *
 add_upstream (struct fleet *fleet, const struct fleet_record *record,
               struct str region)
 {
-  struct fleet_upstream *upstream = create_upstream (record, region);
+  struct fleet_upstream *upstream = create_upstream (
+      record, get_or_add_zone (fleet, record->zone), region);
   apr_hash_set (fleet->ids, upstream->id.data, (apr_ssize_t)upstream->id.size,
                 upstream);
   add_to_service (fleet, upstream);
@@ -169,7 +225,8 @@
              const struct fleet_record *record, int64_t revision,
              apr_time_t now)
 {
-  if (record->cold_remaining > 0)
+  upstream->record_is_cold = record->cold_remaining > 0;
+  if (upstream->record_is_cold)
     {
       upstream->cold_until = now + record->cold_remaining;
       upstream->cold_revision = revision;
@@ -191,7 +248,7 @@
     }
   if (upstream->expired_at == 0)
     {
-      upstream->expired_at = now;
+      set_expired_at (fleet, upstream, now);
       notify_changed (fleet, "lapsed", upstream);
     }
 }
@@ -210,7 +267,7 @@
   fleet->affinity = affinity_create (pool);
   fleet->ids = apr_hash_make (pool);
   fleet->services = apr_hash_make (pool);
-  fleet->evacuated_zones = apr_hash_make (pool);
+  fleet->zones = apr_hash_make (pool);
   return fleet;
 }
 
@@ -227,7 +284,12 @@
     }
   for (apr_hash_index_t *i = apr_hash_first (fleet->pool, fleet->services); i;
        i = apr_hash_next (i))
-    free (((struct fleet_service *)apr_hash_this_val (i))->upstreams);
+    {
+      struct fleet_service *service = apr_hash_this_val (i);
+      for (size_t g = 0; g < service->group_count; g++)
+        free (service->groups[g]->members);
+      free (service->groups);
+    }
 }
 
 bool
@@ -254,15 +316,31 @@
   upstream->listed = true;
   upstream->leaving = record->leaving;
   upstream->slots = record->slots;
-  upstream->expired_at = 0;
+  set_expired_at (fleet, upstream, 0);
   update_cold (upstream, record, revision, now);
-  if (is_new)
+  if (is_new && !fleet->is_listing)
     notify_changed (fleet, "added", upstream);
-  else if (was_leaving != upstream->leaving)
+  else if (!is_new && was_leaving != upstream->leaving)
     notify_changed (fleet, upstream->leaving ? "leaving" : "ready", upstream);
   return true;
 }
 
+bool
+fleet_renew_upstream (struct fleet *fleet, struct str id, int64_t revision)
+{
+  struct fleet_upstream *upstream
+      = apr_hash_get (fleet->ids, id.data, (apr_ssize_t)id.size);
+  if (!upstream)
+    return false;
+  if (revision > fleet->revision)
+    fleet->revision = revision;
+  upstream->listed = true;
+  set_expired_at (fleet, upstream, 0);
+  if (!upstream->record_is_cold && revision > upstream->cold_revision)
+    upstream->cold_until = 0;
+  return true;
+}
+
 void
 fleet_remove_upstream (struct fleet *fleet, struct str id, bool may_be_expired,
                        apr_time_t now)
@@ -276,6 +354,7 @@
 void
 fleet_begin_listing (struct fleet *fleet)
 {
+  fleet->is_listing = true;
   for (apr_hash_index_t *i = apr_hash_first (NULL, fleet->ids); i;
        i = apr_hash_next (i))
     ((struct fleet_upstream *)apr_hash_this_val (i))->listed = false;
@@ -284,6 +363,7 @@
 void
 fleet_end_listing (struct fleet *fleet, bool may_be_expired, apr_time_t now)
 {
+  fleet->is_listing = false;
   for (apr_hash_index_t *i = apr_hash_first (NULL, fleet->ids); i;
        i = apr_hash_next (i))
     {
@@ -296,6 +376,8 @@
 void
 fleet_remove_expired (struct fleet *fleet, apr_time_t now)
 {
+  if (fleet->expired_count == 0)
+    return;
   for (apr_hash_index_t *i = apr_hash_first (NULL, fleet->ids); i;
        i = apr_hash_next (i))
     {
@@ -313,20 +395,15 @@
 {
   if (evacuated == fleet_is_zone_evacuated (fleet, zone))
     return;
+  struct fleet_zone *state = get_or_add_zone (fleet, zone);
+  state->is_evacuated = evacuated;
   if (evacuated)
-    {
-      struct str copy = str_dup (fleet->pool, zone);
-      apr_hash_set (fleet->evacuated_zones, copy.data, (apr_ssize_t)copy.size,
-                    copy.data);
-      return;
-    }
-  apr_hash_set (fleet->evacuated_zones, zone.data, (apr_ssize_t)zone.size,
-                NULL);
+    return;
   for (apr_hash_index_t *i = apr_hash_first (NULL, fleet->ids); i;
        i = apr_hash_next (i))
     {
       struct fleet_upstream *upstream = apr_hash_this_val (i);
-      if (!str_equal (upstream->zone, zone))
+      if (upstream->zone != state)
         continue;
       upstream->cold_until = now + cold_time;
       upstream->cold_revision = revision;
@@ -336,9 +413,9 @@
 bool
 fleet_is_zone_evacuated (const struct fleet *fleet, struct str zone)
 {
-  return apr_hash_get (fleet->evacuated_zones, zone.data,
-                       (apr_ssize_t)zone.size)
-         != NULL;
+  const struct fleet_zone *state
+      = apr_hash_get (fleet->zones, zone.data, (apr_ssize_t)zone.size);
+  return state && state->is_evacuated;
 }
 
 void
@@ -346,9 +423,13 @@
                                void (*each) (void *user_data, struct str zone),
                                void *user_data)
 {
-  for (apr_hash_index_t *i = apr_hash_first (NULL, fleet->evacuated_zones); i;
+  for (apr_hash_index_t *i = apr_hash_first (NULL, fleet->zones); i;
        i = apr_hash_next (i))
-    each (user_data, str_from (apr_hash_this_val (i)));
+    {
+      const struct fleet_zone *zone = apr_hash_this_val (i);
+      if (zone->is_evacuated)
+        each (user_data, zone->name);
+    }
 }
 
 void
@@ -365,12 +446,20 @@
   return apr_hash_get (fleet->services, name.data, (apr_ssize_t)name.size);
 }
 
+const struct fleet_group *
+fleet_group (const struct fleet_service *service, struct str region)
+{
+  for (size_t i = 0; service && i < service->group_count; i++)
+    if (str_equal (service->groups[i]->region, region))
+      return service->groups[i];
+  return NULL;
+}
+
 bool
-fleet_is_eligible (const struct fleet *fleet,
-                   const struct fleet_upstream *upstream)
+fleet_is_eligible (const struct fleet_upstream *upstream)
 {
   return !upstream->leaving && !upstream->removed
-         && !fleet_is_zone_evacuated (fleet, upstream->zone);
+         && !upstream->zone->is_evacuated;
 }
 
 size_t
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -21,8 +21,9 @@
    For a request, balance/balance.h chooses among the upstreams of a service:
 
      const struct fleet_service *service = fleet_service (fleet, name);
-     for (size_t i = 0; service && i < service->count; i++)
-       if (fleet_is_eligible (fleet, service->upstreams[i])) ...
+     const struct fleet_group *group = fleet_group (service, region);
+     for (size_t i = 0; group && i < group->count; i++)
+       if (fleet_is_eligible (group->members[i].upstream)) ...
 
    An upstream whose record vanishes during an outage of the store may only
    have expired (see fleet/outage.h).  It stays in use until it is listed again
@@ -56,12 +57,19 @@
   int64_t incarnation;       /* differs after a restart under the same id */
 };
 
+/* A zone that upstreams are in; never freed while the fleet exists.  */
+struct fleet_zone
+{
+  struct str name;
+  bool is_evacuated;
+};
+
 struct fleet_upstream
 {
   struct str id;
   struct str service;
   struct str address;
-  struct str zone;
+  const struct fleet_zone *zone;
   struct str region;
   uint64_t hash;             /* of the id */
   uint64_t incarnation_hash; /* hash of the id and the incarnation */
@@ -74,21 +82,41 @@
   apr_time_t cold_until; /* 0 or in the past: it is not cold */
   int64_t cold_revision; /* of the record or event that made it cold; only a
                             later record ends that */
+  bool record_is_cold;   /* the latest record said that it is cold */
   double cold_share;     /* share of the requests to it while it is cold that
                            falls to this entry, 0 to 1; set by the gateway */
+  uint64_t cold_share_version; /* of the list of entries for which `cold_share'
+                                  was computed; 0: not yet */
   struct load load;
   int references;
   bool listed; /* in the listing in progress */
 };
 
-struct fleet_service
+/* An upstream of a group.  Its hash is kept beside the pointer, since a choice
+   goes through the hashes of a whole group and looks at few upstreams.  */
+struct fleet_member
 {
-  struct str name;
-  struct fleet_upstream **upstreams; /* in no order */
+  uint64_t hash;
+  struct fleet_upstream *upstream;
+};
+
+/* The upstreams of a service in one region.  */
+struct fleet_group
+{
+  struct str region;
+  struct fleet_member *members; /* in no order */
   size_t count;
   size_t capacity;
 };
 
+struct fleet_service
+{
+  struct str name;
+  struct fleet_group **groups; /* in no order; never removed */
+  size_t group_count;
+  size_t count; /* of the upstreams of all groups */
+};
+
 struct fleet;
 
 /* Called when UPSTREAM changed.  WHAT is the change for the log: "added",
@@ -118,13 +146,19 @@
 bool fleet_put_upstream (struct fleet *fleet,
                          const struct fleet_record *record, int64_t revision,
                          apr_time_t now);
+/* The record of ID was written again at REVISION with the same content, but
+   for the count of its writes.  Returns false if there is no such upstream;
+   then the record has to be put.  */
+bool fleet_renew_upstream (struct fleet *fleet, struct str id,
+                           int64_t revision);
 /* The record of ID vanished.  MAY_BE_EXPIRED: perhaps only because its lease
    could not be renewed; the upstream then stays in use for the grace period.
    An upstream that is leaving is removed in any case.  */
 void fleet_remove_upstream (struct fleet *fleet, struct str id,
                             bool may_be_expired, apr_time_t now);
 /* Begins a complete listing.  fleet_end_listing then handles all upstreams
-   that were not put in between as fleet_remove_upstream does.  */
+   that were neither put nor renewed in between as fleet_remove_upstream does.
+   During a listing, added upstreams are not notified.  */
 void fleet_begin_listing (struct fleet *fleet);
 void fleet_end_listing (struct fleet *fleet, bool may_be_expired,
                         apr_time_t now);
@@ -152,10 +186,13 @@
 /* Returns the upstreams of the service NAME, or NULL if it never had any.  */
 const struct fleet_service *fleet_service (const struct fleet *fleet,
                                            struct str name);
+/* Returns the upstreams of SERVICE, which may be NULL, in REGION, or NULL if
+   it never had any there.  */
+const struct fleet_group *fleet_group (const struct fleet_service *service,
+                                       struct str region);
 /* Returns whether UPSTREAM may get new requests: it is neither leaving nor
    removed, and its zone is not evacuated.  */
-bool fleet_is_eligible (const struct fleet *fleet,
-                        const struct fleet_upstream *upstream);
+bool fleet_is_eligible (const struct fleet_upstream *upstream);
 /* Returns the number of upstreams of all services.  */
 size_t fleet_upstream_count (const struct fleet *fleet);
 /* Returns the record of which objects the upstreams handled recently, which
--- a/src/gateway/dispatch.c
+++ b/src/gateway/dispatch.c
@@ -103,15 +103,11 @@
 dispatch_choose_upstream (struct request *request)
 {
   struct gateway *gateway = request->gateway;
-  const struct fleet_service *upstreams
-      = fleet_service (gateway->fleet, request->service_name);
-  struct balance_choice none = { 0 };
-  if (!upstreams)
-    return none;
   struct balance_request query = {
-    .fleet = gateway->fleet,
-    .service = upstreams,
-    .region = gateway->regions[request->region],
+    .group
+    = fleet_group (fleet_service (gateway->fleet, request->service_name),
+                   gateway->regions[request->region]),
+    .affinity = fleet_affinity (gateway->fleet),
     .object = request->object,
     .recurs = request->recurs,
     .service_time = &request->route_state->service_time,
@@ -143,12 +139,9 @@
 {
   struct gateway *gateway = request->gateway;
   apr_time_t now = timer_clock ();
-  const struct registry_entry *local[GATEWAY_REGIONS_MAX];
   const struct balance_region_load *load
       = &request->service->region_loads[request->region];
-  double entries = (double)registry_find_in_region (
-      gateway->registry, gateway->regions[gateway->own_region], local,
-      GATEWAY_REGIONS_MAX);
+  double entries = (double)gateway->entries_in_region;
   double work = request->route_state->service_time.uncached / APR_USEC_PER_SEC;
   return (struct admit_state){
     .has_slot = choice->upstream != NULL,
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -65,25 +65,38 @@
       = budget_max_balance (retry->slack, registry_count (gateway->registry));
 }
 
+/* Returns how many entries may send to one cold upstream.  */
+static size_t
+cold_senders (const struct gateway *gateway)
+{
+  /* Each sender may send one request at the same moment, beyond the rate; the
+     slack must cover these.  */
+  double slack = gateway->settings.cold.slack;
+  return slack >= COLD_SENDERS_MAX ? (size_t)COLD_SENDERS_MAX
+         : slack >= 1              ? (size_t)slack
+                                   : 1;
+}
+
 /* Sets which fraction of the requests that a cold upstream can serve this
    entry may send.  */
 static void
 share_cold_upstreams (struct gateway *gateway,
                       const struct fleet_service *upstreams, apr_time_t now)
 {
-  /* Each sender may send one request at the same moment, beyond the rate; the
-     slack must cover these.  */
-  double slack = gateway->settings.cold.slack;
-  size_t max_senders = slack >= COLD_SENDERS_MAX ? (size_t)COLD_SENDERS_MAX
-                       : slack >= 1              ? (size_t)slack
-                                                 : 1;
-  for (size_t i = 0; upstreams && i < upstreams->count; i++)
-    {
-      struct fleet_upstream *upstream = upstreams->upstreams[i];
-      if (upstream->cold_until > now)
+  size_t max_senders = cold_senders (gateway);
+  uint64_t version = registry_version (gateway->registry);
+  for (size_t g = 0; upstreams && g < upstreams->group_count; g++)
+    for (size_t i = 0; i < upstreams->groups[g]->count; i++)
+      {
+        struct fleet_upstream *upstream
+            = upstreams->groups[g]->members[i].upstream;
+        if (upstream->cold_until <= now
+            || upstream->cold_share_version == version)
+          continue;
+        upstream->cold_share_version = version;
         upstream->cold_share = registry_cold_share (
             gateway->registry, upstream->hash, upstream->region, max_senders);
-    }
+      }
 }
 
 /* Updates what depends on the state of the upstreams of SERVICE: the load of
@@ -96,8 +109,8 @@
   const struct fleet_service *upstreams
       = fleet_service (gateway->fleet, service->name);
   for (size_t i = 0; i < gateway->region_count; i++)
-    service->region_loads[i] = balance_region_load (gateway->fleet, upstreams,
-                                                    gateway->regions[i], now);
+    service->region_loads[i] = balance_region_load (
+        fleet_group (upstreams, gateway->regions[i]), now);
   region_split_update (&service->region_split, service->region_loads, now);
   update_retry_budget (gateway, service);
   share_cold_upstreams (gateway, upstreams, now);
@@ -106,6 +119,12 @@
 static void
 update_services (struct gateway *gateway, apr_time_t now)
 {
+  if (gateway->entries_version != registry_version (gateway->registry))
+    {
+      gateway->entries_version = registry_version (gateway->registry);
+      gateway->entries_in_region = registry_count_in_region (
+          gateway->registry, gateway->settings.region);
+    }
   for (apr_hash_index_t *i = apr_hash_first (NULL, gateway->services); i;
        i = apr_hash_next (i))
     update_service (gateway, apr_hash_this_val (i), now);
@@ -216,7 +235,7 @@
   LOG (LOG_INFO, "upstream", LOG_TEXT ("change", what),
        LOG_TEXT ("id", upstream->id.data),
        LOG_TEXT ("service", upstream->service.data),
-       LOG_TEXT ("zone", upstream->zone.data),
+       LOG_TEXT ("zone", upstream->zone->name.data),
        LOG_TEXT ("address", upstream->address.data),
        LOG_INT ("born", upstream->incarnation),
        LOG_INT ("cold_ms", upstream->cold_until > 0
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -118,7 +118,9 @@
      connection was made there.  */
   apr_time_t rtts[GATEWAY_REGIONS_MAX];
   size_t region_count;
-  size_t own_region;                            /* index into `regions' */
+  size_t own_region;        /* index into `regions' */
+  size_t entries_in_region; /* entries there that are not leaving */
+  uint64_t entries_version; /* of the registry for which they were counted */
   struct request *queue_heads[PRIORITY_LEVELS]; /* of the wait queue */
   struct request *queue_tails[PRIORITY_LEVELS];
   uint64_t queue_scan_number;
--- a/src/gateway/lookup.c
+++ b/src/gateway/lookup.c
@@ -29,7 +29,7 @@
 
 /* Returns the addresses for callers of the entries in REGION (empty: all).  */
 static json_object *
-addresses_in (const struct gateway *gateway, struct str region)
+addresses_in (struct gateway *gateway, struct str region)
 {
   const struct registry_entry *entries[LOOKUP_ADDRESSES_MAX];
   size_t count = registry_find_in_region (gateway->registry, region, entries,
--- a/src/gateway/registry.c
+++ b/src/gateway/registry.c
@@ -1,6 +1,8 @@
 /* Lease and key of this entry, and the records of all entries.  */
 #include "gateway/registry.h"
 
+#include "base/net.h"
+
 #include <stdlib.h>
 #include <string.h>
 #include <xxhash.h>
@@ -11,7 +13,13 @@
 {
   struct registry_desc desc;
   apr_pool_t *pool;
-  apr_hash_t *entries;      /* struct registry_entry by name */
+  apr_hash_t *entries;          /* struct registry_entry by name */
+  struct registry_entry **list; /* the same, in no order */
+  size_t count;
+  size_t capacity;          /* of `list' */
+  size_t expired_count;     /* entries in their grace period */
+  size_t next_place;        /* where registry_find_in_region begins */
+  uint64_t version;         /* of the set of entries */
   apr_hash_t *listed_names; /* set; NULL: no listing in progress */
   apr_pool_t *listing_pool;
   struct timer timer;
@@ -20,8 +28,7 @@
   bool has_changed;      /* the key must be written again */
   bool call_in_progress; /* to the store; at most one */
   bool leaving;
-  size_t next_peer_number; /* of registry_next_peer_address; taken modulo the
-                              number of peers */
+  size_t next_peer_place; /* where registry_next_peer_address begins */
 };
 
 /* constants */
@@ -32,7 +39,7 @@
   RENEWALS_PER_LEASE = 3, /* so that two may fail */
   EXPIRY_GRACE_MS = 2500, /* entries write an expired key again within it */
   KEY_MAX_BYTES = 128,
-  PEERS_MAX = 64 /* among which registry_next_peer_address alternates */
+  INITIAL_CAPACITY = 16
 };
 
 static const char key_prefix[] = "citroncleat/entries/";
@@ -156,15 +163,47 @@
                              registry);
 }
 
+static void
+add_entry (struct registry *registry, struct registry_entry *entry)
+{
+  apr_hash_set (registry->entries, entry->name.data,
+                (apr_ssize_t)entry->name.size, entry);
+  if (registry->count == registry->capacity)
+    {
+      size_t capacity
+          = registry->capacity ? 2 * registry->capacity : INITIAL_CAPACITY;
+      struct registry_entry **list
+          = realloc (registry->list, capacity * sizeof (*list));
+      if (!list)
+        abort ();
+      registry->list = list;
+      registry->capacity = capacity;
+    }
+  entry->place = registry->count;
+  registry->list[registry->count++] = entry;
+  registry->version++;
+}
+
+static void
+drop_entry (struct registry *registry, struct registry_entry *entry)
+{
+  apr_hash_set (registry->entries, entry->name.data,
+                (apr_ssize_t)entry->name.size, NULL);
+  struct registry_entry *last = registry->list[--registry->count];
+  registry->list[entry->place] = last;
+  last->place = entry->place;
+  registry->expired_count -= entry->expired_at > 0;
+  registry->version++;
+  apr_pool_destroy (entry->pool);
+}
+
 static void
 remove_entry (struct registry *registry, struct registry_entry *entry,
               const char *reason)
 {
   LOG (LOG_INFO, "entry-gone", LOG_TEXT ("name", entry->name.data),
        LOG_TEXT ("reason", reason));
-  apr_hash_set (registry->entries, entry->name.data,
-                (apr_ssize_t)entry->name.size, NULL);
-  apr_pool_destroy (entry->pool);
+  drop_entry (registry, entry);
 }
 
 static bool
@@ -191,11 +230,25 @@
   else if (!may_be_expired || entry->leaving)
     remove_entry (registry, entry, "key removed");
   else if (entry->expired_at == 0)
-    entry->expired_at = now;
+    {
+      entry->expired_at = now;
+      registry->expired_count++;
+    }
+}
+
+static bool
+is_address (json_object *value)
+{
+  struct str host;
+  int port;
+  return json_object_is_type (value, json_type_string)
+         && net_split_address (str_from (json_object_get_string (value)),
+                               &host, &port);
 }
 
 /* Returns a new record of the entry NAME from TEXT, or NULL if that is not
-   valid.  */
+   valid.  Other writers can write such keys, and callers are sent to the
+   address.  */
 static struct registry_entry *
 parse_entry (struct registry *registry, struct str name, struct str text)
 {
@@ -207,7 +260,11 @@
   json_object *object = text.size > 0 ? json_tokener_parse (text.data) : NULL;
   if (!object || !json_object_object_get_ex (object, "callers", &callers)
       || !json_object_object_get_ex (object, "zone", &zone)
-      || !json_object_object_get_ex (object, "leaving", &leaving))
+      || !json_object_object_get_ex (object, "leaving", &leaving)
+      || !is_address (callers) || !json_object_is_type (zone, json_type_string)
+      || !json_object_is_type (leaving, json_type_boolean)
+      || (json_object_object_get_ex (object, "peers", &peers)
+          && !is_address (peers)))
     {
       json_object_put (object);
       return NULL;
@@ -259,14 +316,18 @@
   registry->desc = *desc;
   registry->pool = pool;
   registry->entries = apr_hash_make (pool);
+  registry->version = 1;
   return registry;
 }
 
 void
 registry_destroy (struct registry *registry)
 {
-  if (registry)
+  if (!registry)
+    return;
+  if (registry->desc.loop)
     timer_stop (loop_timers (registry->desc.loop), &registry->timer);
+  free (registry->list);
 }
 
 void
@@ -297,18 +358,13 @@
       return;
     }
   bool is_changed = !old || old->leaving != entry->leaving;
-  if (is_changed)
+  if (is_changed && !registry->listed_names)
     LOG (LOG_INFO, "entry-seen", LOG_TEXT ("name", entry->name.data),
          LOG_TEXT ("callers", entry->caller_address.data),
          LOG_INT ("leaving", entry->leaving));
   if (old)
-    {
-      apr_hash_set (registry->entries, old->name.data,
-                    (apr_ssize_t)old->name.size, NULL);
-      apr_pool_destroy (old->pool);
-    }
-  apr_hash_set (registry->entries, entry->name.data,
-                (apr_ssize_t)entry->name.size, entry);
+    drop_entry (registry, old);
+  add_entry (registry, entry);
   if (registry->listed_names)
     apr_hash_set (registry->listed_names,
                   str_dup (registry->listing_pool, entry->name).data,
@@ -338,10 +394,9 @@
 registry_end_listing (struct registry *registry, bool may_be_expired,
                       apr_time_t now)
 {
-  for (apr_hash_index_t *i = apr_hash_first (NULL, registry->entries); i;
-       i = apr_hash_next (i))
+  for (size_t i = registry->count; i-- > 0;)
     {
-      struct registry_entry *entry = apr_hash_this_val (i);
+      struct registry_entry *entry = registry->list[i];
       if (!apr_hash_get (registry->listed_names, entry->name.data,
                          (apr_ssize_t)entry->name.size))
         handle_removed_key (registry, entry, may_be_expired, now);
@@ -353,10 +408,9 @@
 void
 registry_remove_expired (struct registry *registry, apr_time_t now)
 {
-  for (apr_hash_index_t *i = apr_hash_first (NULL, registry->entries); i;
-       i = apr_hash_next (i))
+  for (size_t i = registry->expired_count > 0 ? registry->count : 0; i-- > 0;)
     {
-      struct registry_entry *entry = apr_hash_this_val (i);
+      struct registry_entry *entry = registry->list[i];
       if (entry->expired_at > 0
           && now - entry->expired_at > TIMER_MS (EXPIRY_GRACE_MS))
         remove_entry (registry, entry, "lapsed");
@@ -366,22 +420,47 @@
 size_t
 registry_count (const struct registry *registry)
 {
-  return apr_hash_count (registry->entries);
+  return registry->count;
+}
+
+uint64_t
+registry_version (const struct registry *registry)
+{
+  return registry->version;
+}
+
+/* Returns whether ENTRY takes new callers, in REGION (empty: anywhere).  */
+static bool
+takes_callers (const struct registry *registry,
+               const struct registry_entry *entry, struct str region)
+{
+  bool leaving
+      = is_self (registry, entry) ? registry->leaving : entry->leaving;
+  return !leaving && (region.size == 0 || str_equal (entry->region, region));
 }
 
 size_t
-registry_find_in_region (const struct registry *registry, struct str region,
+registry_count_in_region (const struct registry *registry, struct str region)
+{
+  size_t count = 0;
+  for (size_t i = 0; i < registry->count; i++)
+    count += takes_callers (registry, registry->list[i], region);
+  return count;
+}
+
+size_t
+registry_find_in_region (struct registry *registry, struct str region,
                          const struct registry_entry **out, size_t max_count)
 {
   size_t count = 0;
-  for (apr_hash_index_t *i = apr_hash_first (NULL, registry->entries);
-       i && count < max_count; i = apr_hash_next (i))
+  size_t first = registry->next_place;
+  for (size_t i = 0; i < registry->count && count < max_count; i++)
     {
-      const struct registry_entry *entry = apr_hash_this_val (i);
-      bool leaving
-          = is_self (registry, entry) ? registry->leaving : entry->leaving;
-      if (!leaving && (region.size == 0 || str_equal (entry->region, region)))
-        out[count++] = entry;
+      size_t place = (first + i) % registry->count;
+      if (!takes_callers (registry, registry->list[place], region))
+        continue;
+      out[count++] = registry->list[place];
+      registry->next_place = place + 1;
     }
   return count;
 }
@@ -389,17 +468,22 @@
 struct str
 registry_next_peer_address (struct registry *registry)
 {
-  const struct registry_entry *peers[PEERS_MAX];
-  size_t count = 0;
-  for (apr_hash_index_t *i = apr_hash_first (NULL, registry->entries);
-       i && count < PEERS_MAX; i = apr_hash_next (i))
+  struct str address = STR ("");
+  bool is_local = false;
+  size_t first = registry->next_peer_place++;
+  /* Another one each time, of the own zone if there is one: the first in the
+     list behind a place that advances.  */
+  for (size_t i = 0; i < registry->count && !is_local; i++)
     {
-      const struct registry_entry *entry = apr_hash_this_val (i);
-      if (!is_self (registry, entry) && entry->peer_address.size > 0)
-        peers[count++] = entry;
+      const struct registry_entry *entry
+          = registry->list[(first + i) % registry->count];
+      if (is_self (registry, entry) || entry->peer_address.size == 0)
+        continue;
+      is_local = str_equal (entry->zone, registry->desc.settings->zone);
+      if (is_local || address.size == 0)
+        address = entry->peer_address;
     }
-  return count > 0 ? peers[registry->next_peer_number++ % count]->peer_address
-                   : STR ("");
+  return address;
 }
 
 double
@@ -410,10 +494,9 @@
   uint64_t own = rendezvous_rank (XXH64 (self.data, self.size, 0), hash);
   bool own_is_local = str_equal (region, registry->desc.settings->region);
   size_t preceding = 0;
-  for (apr_hash_index_t *i = apr_hash_first (NULL, registry->entries); i;
-       i = apr_hash_next (i))
+  for (size_t i = 0; i < registry->count; i++)
     {
-      const struct registry_entry *entry = apr_hash_this_val (i);
+      const struct registry_entry *entry = registry->list[i];
       if (is_self (registry, entry))
         continue;
       bool is_local = str_equal (entry->region, region);
@@ -434,10 +517,9 @@
       = { .capacity = own_capacity (registry->desc.settings),
           .hash = XXH64 (name.data, name.size, 0) };
   size_t preceding = 0;
-  for (apr_hash_index_t *i = apr_hash_first (NULL, registry->entries); i;
-       i = apr_hash_next (i))
+  for (size_t i = 0; i < registry->count; i++)
     {
-      const struct registry_entry *entry = apr_hash_this_val (i);
+      const struct registry_entry *entry = registry->list[i];
       if (is_self (registry, entry) || entry->leaving || entry->expired_at > 0
           || entry->peer_address.size == 0
           || !str_equal (entry->zone, registry->desc.settings->zone))
--- a/src/gateway/registry.h
+++ b/src/gateway/registry.h
@@ -56,6 +56,7 @@
   apr_time_t expired_at; /* when its key vanished, perhaps only since its lease
                             expired; 0: the key exists */
   uint64_t hash;         /* of the name */
+  size_t place;          /* in the registry's list */
   apr_pool_t *pool;
 };
 
@@ -98,10 +99,16 @@
 /* Returns the number of entries whose records are kept, leaving ones included;
    this one counts once its key was read.  */
 size_t registry_count (const struct registry *registry);
+/* Returns a number above 0 that differs after each change of which entries
+   there are.  */
+uint64_t registry_version (const struct registry *registry);
+/* Returns the number of entries in REGION that are not leaving.  */
+size_t registry_count_in_region (const struct registry *registry,
+                                 struct str region);
 /* Fills OUT with up to MAX_COUNT entries in REGION (empty: anywhere) that are
-   not leaving; returns how many.  They are valid until the next change.  */
-size_t registry_find_in_region (const struct registry *registry,
-                                struct str region,
+   not leaving; returns how many.  If there are more, those follow in turn from
+   call to call.  They are valid until the next change.  */
+size_t registry_find_in_region (struct registry *registry, struct str region,
                                 const struct registry_entry **out,
                                 size_t max_count);
 /* Returns the address of another entry that serves its copy of the store, a
--- a/tests/unit/balance_test.c
+++ b/tests/unit/balance_test.c
@@ -53,16 +53,16 @@
 static struct balance_request
 request (uint64_t object)
 {
-  return (struct balance_request){ .fleet = fleet,
-                                   .service
-                                   = fleet_service (fleet, STR ("desk")),
-                                   .region = STR ("north"),
-                                   .object = object,
-                                   .recurs = true,
-                                   .service_time = &service_time,
-                                   .cold_rate = 1.0,
-                                   .max_in_flight = 100,
-                                   .now = now };
+  return (struct balance_request){
+    .group = fleet_group (fleet_service (fleet, STR ("desk")), STR ("north")),
+    .affinity = fleet_affinity (fleet),
+    .object = object,
+    .recurs = true,
+    .service_time = &service_time,
+    .cold_rate = 1.0,
+    .max_in_flight = 100,
+    .now = now
+  };
 }
 
 /* Requests wait at an upstream without a free slot only if it has their object
@@ -163,9 +163,9 @@
       set_up_fleet ();
       struct balance_request r = request (5);
       struct fleet_upstream *preferred = balance_choose_upstream (&r).upstream;
-      struct fleet_upstream *other = r.service->upstreams[0];
+      struct fleet_upstream *other = r.group->members[0].upstream;
       if (other == preferred)
-        other = r.service->upstreams[1];
+        other = r.group->members[1].upstream;
       affinity_record (fleet_affinity (fleet), other->incarnation_hash,
                        r.object, now + TIMER_SEC (20));
       affinity_record (fleet_affinity (fleet), preferred->incarnation_hash,
--- a/tests/unit/fleet_test.c
+++ b/tests/unit/fleet_test.c
@@ -41,8 +41,9 @@
 static struct fleet_upstream *
 get_only_upstream (void)
 {
-  const struct fleet_service *service = fleet_service (fleet, STR ("desk"));
-  return service && service->count == 1 ? service->upstreams[0] : NULL;
+  const struct fleet_group *group
+      = fleet_group (fleet_service (fleet, STR ("desk")), STR ("north"));
+  return group && group->count == 1 ? group->members[0].upstream : NULL;
 }
 
 /* A restart under the same id replaces the upstream; a change to leaving does
@@ -57,14 +58,14 @@
   r.leaving = true;
   fleet_put_upstream (fleet, &r, 2, now);
   CU_ASSERT_PTR_EQUAL (get_only_upstream (), first);
-  CU_ASSERT_FALSE (fleet_is_eligible (fleet, first));
+  CU_ASSERT_FALSE (fleet_is_eligible (first));
   r.leaving = false;
   r.incarnation = 2;
   fleet_put_upstream (fleet, &r, 3, now);
   CU_ASSERT_PTR_NOT_EQUAL (get_only_upstream (), first);
   CU_ASSERT (first->removed);
-  CU_ASSERT_FALSE (fleet_is_eligible (fleet, first));
-  CU_ASSERT (fleet_is_eligible (fleet, get_only_upstream ()));
+  CU_ASSERT_FALSE (fleet_is_eligible (first));
+  CU_ASSERT (fleet_is_eligible (get_only_upstream ()));
   fleet_upstream_unref (first);
   r.zone = STR ("nowhere");
   CU_ASSERT_FALSE (fleet_put_upstream (fleet, &r, 4, now));
@@ -80,7 +81,7 @@
   struct fleet_record r = make_record ("a");
   fleet_put_upstream (fleet, &r, 1, now);
   fleet_remove_upstream (fleet, r.id, true, now);
-  CU_ASSERT (fleet_is_eligible (fleet, get_only_upstream ()));
+  CU_ASSERT (fleet_is_eligible (get_only_upstream ()));
   fleet_remove_expired (fleet, now + TIMER_MS (1900));
   CU_ASSERT_PTR_NOT_NULL (get_only_upstream ());
   fleet_remove_expired (fleet, now + TIMER_MS (2100));
@@ -123,9 +124,9 @@
   struct fleet_record r = make_record ("a");
   fleet_put_upstream (fleet, &r, 1, now);
   fleet_set_zone_evacuated (fleet, r.zone, true, 2, 0, now);
-  CU_ASSERT_FALSE (fleet_is_eligible (fleet, get_only_upstream ()));
+  CU_ASSERT_FALSE (fleet_is_eligible (get_only_upstream ()));
   fleet_set_zone_evacuated (fleet, r.zone, false, 5, TIMER_SEC (3), now);
-  CU_ASSERT (fleet_is_eligible (fleet, get_only_upstream ()));
+  CU_ASSERT (fleet_is_eligible (get_only_upstream ()));
   CU_ASSERT (get_only_upstream ()->cold_until > now);
   /* A record written before the end of the evacuation does not end the cold
      start, a later one does.  */
--- a/tests/unit/registry_test.c
+++ b/tests/unit/registry_test.c
@@ -5,6 +5,7 @@
 #include "tests/unit/unit.h"
 
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 enum
@@ -39,11 +40,12 @@
   for (int i = 0; i < count; i++)
     registry_put (
         registry, str_printf (test_pool, "e%d", i),
-        str_printf (test_pool,
-                    "{\"callers\":\"10.0.0.%d:1\",\"zone\":\"%s\","
-                    "\"leaving\":%s,\"capacity\":%g,\"peers\":\"%d\"}",
-                    i, entries[i].zone, entries[i].leaving ? "true" : "false",
-                    entries[i].link_mbps, i));
+        str_printf (
+            test_pool,
+            "{\"callers\":\"10.0.0.%d:1\",\"zone\":\"%s\","
+            "\"leaving\":%s,\"capacity\":%g,\"peers\":\"10.0.0.%d:2\"}",
+            i, entries[i].zone, entries[i].leaving ? "true" : "false",
+            entries[i].link_mbps, i));
   return registry;
 }
 
@@ -119,8 +121,8 @@
           else
             {
               CU_ASSERT_FALSE (str_equal (first, second));
-              asked_mask |= 1 << (first.data[0] - '0');
-              asked_mask |= 1 << (second.data[0] - '0');
+              asked_mask |= 1 << (first.data[7] - '0');
+              asked_mask |= 1 << (second.data[7] - '0');
             }
         }
       CU_ASSERT_EQUAL (reader_count, cases[c].readers);
@@ -133,6 +135,82 @@
     }
 }
 
+/* A key of another writer, with members missing or of another type, names no
+   entry: callers would be sent to an address that is none.  */
+static void
+test_malformed_entries (void)
+{
+  static const struct
+  {
+    const char *text;
+    bool is_valid;
+  } cases[] = {
+    { "{\"callers\":\"10.0.0.1:1\",\"zone\":\"a\",\"leaving\":false}", true },
+    { "{\"callers\":\"10.0.0.1:1\",\"zone\":\"a\",\"leaving\":false,"
+      "\"peers\":\"10.0.0.1:2\"}",
+      true },
+    { "{\"callers\":5,\"zone\":\"a\",\"leaving\":false}", false },
+    { "{\"callers\":\"here\",\"zone\":\"a\",\"leaving\":false}", false },
+    { "{\"callers\":\"10.0.0.1:1\",\"zone\":7,\"leaving\":false}", false },
+    { "{\"callers\":\"10.0.0.1:1\",\"zone\":\"a\",\"leaving\":\"no\"}",
+      false },
+    { "{\"callers\":\"10.0.0.1:1\",\"zone\":\"a\",\"leaving\":false,"
+      "\"peers\":[]}",
+      false },
+    { "{\"callers\":\"10.0.0.1:1\",\"zone\":\"a\"}", false },
+    { "[]", false },
+    { "", false },
+  };
+  for (size_t i = 0; i < COUNT (cases); i++)
+    {
+      struct gateway_settings settings;
+      const struct entry_case alone = { "a", 10, false };
+      struct registry *registry = make_registry (0, &alone, 1, &settings);
+      registry_put (registry, STR ("other"), str_from (cases[i].text));
+      CU_ASSERT_EQUAL (registry_count (registry), cases[i].is_valid ? 2 : 1);
+      registry_destroy (registry);
+    }
+}
+
+/* With more entries than fit one response to a look-up, all are named in turn:
+   one that is never named would get no callers.  */
+static void
+test_look_ups_in_turn (void)
+{
+  enum
+  {
+    ENTRIES = 100,
+    NAMED = 64
+  };
+  struct gateway_settings settings;
+  const struct entry_case alone = { "a", 10, false };
+  struct registry *registry = make_registry (0, &alone, 1, &settings);
+  int named[ENTRIES] = { 0 };
+  for (int i = 1; i < ENTRIES; i++)
+    registry_put (registry, str_printf (test_pool, "e%d", i),
+                  str_printf (test_pool,
+                              "{\"callers\":\"10.0.0.%d:1\",\"zone\":\"b\","
+                              "\"leaving\":%s}",
+                              i, i == 7 ? "true" : "false"));
+  CU_ASSERT_EQUAL (registry_count_in_region (registry, STR ("north")),
+                   ENTRIES - 1);
+  CU_ASSERT_EQUAL (registry_count_in_region (registry, STR ("south")), 0);
+  for (int look_up = 0; look_up < 50; look_up++)
+    {
+      const struct registry_entry *found[NAMED];
+      CU_ASSERT_EQUAL (
+          registry_find_in_region (registry, STR ("north"), found, NAMED),
+          NAMED);
+      for (int i = 0; i < NAMED; i++)
+        named[atoi (found[i]->name.data + 1)]++;
+    }
+  for (int i = 0; i < ENTRIES; i++)
+    CU_ASSERT (i == 7 ? named[i] == 0 : named[i] >= 30 && named[i] <= 35);
+  registry_destroy (registry);
+}
+
 const struct unit_test registry_tests[]
     = { { "two entries of a zone read the store", test_readers },
+        { "a malformed key names no entry", test_malformed_entries },
+        { "all entries are named to callers in turn", test_look_ups_in_turn },
         { NULL, NULL } };
