One order of sources for the store's content; an entry is as fresh as its zone

Cause: an entry whose own read of the store failed no longer asked its readers, and fetched another entry's whole copy instead, a megabyte every 1.8 s. A reader that listed the store again lost its history, so that all entries of its zone listed the store at the same moment. A response that came late was applied over later writes: an upstream that was leaving could become ready again (test: outdated items).

Change: each round asks the readers, the store and any other entry in that order, only for changes, until one responds; one that failed is held back. What an entry serves to others states its age, and a copy that is too old is used but not relied on. The mirror keeps the changes in order, takes a listing for the changes since what it held, and ignores writes older than what is known, which replaces the handling of listings in fleet and registry (their test is replaced by one of the mirror). Records that are only renewed are no longer decoded. The first listing may be stale, at a tenth of the price; nothing is served until the changes since then were read.

--- a/src/config/store.h
+++ b/src/config/store.h
@@ -79,8 +79,10 @@
   void (*watch) (struct store *store, const char *key, int64_t index,
                  int64_t wait_ms, store_done_fn *done, void *user_data);
   /* The functions below are NULL in a store that does not support them.  */
-  /* Reads all keys that begin with PREFIX.  */
-  void (*list) (struct store *store, const char *prefix,
+  /* Reads all keys that begin with PREFIX.  MAY_BE_STALE: the result may be
+     seconds old, at a fraction of the cost to the store; its index says of
+     which moment it is.  */
+  void (*list) (struct store *store, const char *prefix, bool may_be_stale,
                 store_items_done_fn *done, void *user_data);
   /* Reads the changes after INDEX of the keys that begin with PREFIX; waits up
      to WAIT_MS for the first one.  */
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -18,7 +18,6 @@
   int64_t revision;     /* of the latest record received */
   size_t count;
   size_t expired_count; /* upstreams in their grace period */
-  bool is_listing;
 };
 
 /* constants */
@@ -313,14 +312,13 @@
   if (is_new)
     upstream = add_upstream (fleet, record, region);
   bool was_leaving = upstream->leaving;
-  upstream->listed = true;
   upstream->leaving = record->leaving;
   upstream->slots = record->slots;
   set_expired_at (fleet, upstream, 0);
   update_cold (upstream, record, revision, now);
-  if (is_new && !fleet->is_listing)
+  if (is_new)
     notify_changed (fleet, "added", upstream);
-  else if (!is_new && was_leaving != upstream->leaving)
+  else if (was_leaving != upstream->leaving)
     notify_changed (fleet, upstream->leaving ? "leaving" : "ready", upstream);
   return true;
 }
@@ -334,7 +332,6 @@
     return false;
   if (revision > fleet->revision)
     fleet->revision = revision;
-  upstream->listed = true;
   set_expired_at (fleet, upstream, 0);
   if (!upstream->record_is_cold && revision > upstream->cold_revision)
     upstream->cold_until = 0;
@@ -351,28 +348,6 @@
     handle_vanished (fleet, upstream, may_be_expired, now);
 }
 
-void
-fleet_begin_listing (struct fleet *fleet)
-{
-  fleet->is_listing = true;
-  for (apr_hash_index_t *i = apr_hash_first (NULL, fleet->ids); i;
-       i = apr_hash_next (i))
-    ((struct fleet_upstream *)apr_hash_this_val (i))->listed = false;
-}
-
-void
-fleet_end_listing (struct fleet *fleet, bool may_be_expired, apr_time_t now)
-{
-  fleet->is_listing = false;
-  for (apr_hash_index_t *i = apr_hash_first (NULL, fleet->ids); i;
-       i = apr_hash_next (i))
-    {
-      struct fleet_upstream *upstream = apr_hash_this_val (i);
-      if (!upstream->listed)
-        handle_vanished (fleet, upstream, may_be_expired, now);
-    }
-}
-
 void
 fleet_remove_expired (struct fleet *fleet, apr_time_t now)
 {
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -5,14 +5,8 @@
    replaces the old one.  Objects are grouped by service.  They stay valid
    while they are referenced, also after they were removed.
 
-   The reader of the store keeps the fleet up to date.  With a complete
-   listing, putting each of its records:
-
-     fleet_begin_listing (fleet);
-     fleet_put_upstream (fleet, &record, revision, now);
-     fleet_end_listing (fleet, may_be_expired, now);
-
-   then with each change, and several times per second:
+   The reader of the store keeps the fleet up to date, with each change, and
+   several times per second:
 
      fleet_put_upstream (fleet, &record, revision, now);
      fleet_remove_upstream (fleet, id, may_be_expired, now);
@@ -89,7 +83,6 @@
                                   was computed; 0: not yet */
   struct load load;
   int references;
-  bool listed; /* in the listing in progress */
 };
 
 /* An upstream of a group.  Its hash is kept beside the pointer, since a choice
@@ -156,12 +149,6 @@
    An upstream that is leaving is removed in any case.  */
 void fleet_remove_upstream (struct fleet *fleet, struct str id,
                             bool may_be_expired, apr_time_t now);
-/* Begins a complete listing.  fleet_end_listing then handles all upstreams
-   that were neither put nor renewed in between as fleet_remove_upstream does.
-   During a listing, added upstreams are not notified.  */
-void fleet_begin_listing (struct fleet *fleet);
-void fleet_end_listing (struct fleet *fleet, bool may_be_expired,
-                        apr_time_t now);
 /* Removes the upstreams whose grace period is over.  Not to be called during
    an outage of the store, when none can be listed again.  */
 void fleet_remove_expired (struct fleet *fleet, apr_time_t now);
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -9,6 +9,7 @@
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 #include <sys/signalfd.h>
 #include <sys/time.h>
 #include <unistd.h>
@@ -231,7 +232,11 @@
 on_fleet_changed (void *user_data, const char *what,
                   const struct fleet_upstream *upstream)
 {
-  (void)user_data;
+  struct gateway *gateway = user_data;
+  /* At the start there are thousands; the line on the listing counts them.  */
+  if (store_sync_is_listing (gateway->store_sync)
+      && strcmp (what, "added") == 0)
+    return;
   LOG (LOG_INFO, "upstream", LOG_TEXT ("change", what),
        LOG_TEXT ("id", upstream->id.data),
        LOG_TEXT ("service", upstream->service.data),
@@ -435,7 +440,7 @@
                                     .store = gateway->store,
                                     .settings = &gateway->settings };
   gateway->registry = registry_create (gateway->pool, &registry);
-  gateway->mirror = platform_mirror_create (gateway->pool);
+  gateway->mirror = platform_mirror_create (0);
   gateway->peer_stores = apr_hash_make (gateway->pool);
   struct store_sync_desc store_sync = { .loop = gateway->loop,
                                         .store = gateway->store,
--- a/src/gateway/lookup.c
+++ b/src/gateway/lookup.c
@@ -93,13 +93,13 @@
 respond_mirror (struct gateway *gateway, struct MHD_Connection *connection)
 {
   apr_pool_t *pool;
-  if (store_sync_age (gateway->store_sync, timer_clock ())
-      > TIMER_MS (MIRROR_AGE_MAX_MS))
+  apr_time_t age = store_sync_age (gateway->store_sync, timer_clock ());
+  if (age > TIMER_MS (MIRROR_AGE_MAX_MS))
     return respond_text (connection, HTTP_UNAVAILABLE, STR ("too old\n"));
   apr_pool_create (&pool, gateway->pool);
-  enum MHD_Result result
-      = respond_text (connection, HTTP_OK,
-                      platform_mirror_listing_json (gateway->mirror, pool));
+  enum MHD_Result result = respond_text (
+      connection, HTTP_OK,
+      platform_mirror_listing_json (gateway->mirror, age, pool));
   apr_pool_destroy (pool);
   return result;
 }
--- a/src/gateway/registry.c
+++ b/src/gateway/registry.c
@@ -16,12 +16,10 @@
   apr_hash_t *entries;          /* struct registry_entry by name */
   struct registry_entry **list; /* the same, in no order */
   size_t count;
-  size_t capacity;          /* of `list' */
-  size_t expired_count;     /* entries in their grace period */
-  size_t next_place;        /* where registry_find_in_region begins */
-  uint64_t version;         /* of the set of entries */
-  apr_hash_t *listed_names; /* set; NULL: no listing in progress */
-  apr_pool_t *listing_pool;
+  size_t capacity;      /* of `list' */
+  size_t expired_count; /* entries in their grace period */
+  size_t next_place;    /* where registry_find_in_region begins */
+  uint64_t version;     /* of the set of entries */
   struct timer timer;
   int64_t lease;         /* 0: none is open */
   bool is_published;     /* the key is written as it should be */
@@ -358,17 +356,13 @@
       return;
     }
   bool is_changed = !old || old->leaving != entry->leaving;
-  if (is_changed && !registry->listed_names)
+  if (is_changed)
     LOG (LOG_INFO, "entry-seen", LOG_TEXT ("name", entry->name.data),
          LOG_TEXT ("callers", entry->caller_address.data),
          LOG_INT ("leaving", entry->leaving));
   if (old)
     drop_entry (registry, old);
   add_entry (registry, entry);
-  if (registry->listed_names)
-    apr_hash_set (registry->listed_names,
-                  str_dup (registry->listing_pool, entry->name).data,
-                  (apr_ssize_t)entry->name.size, "");
 }
 
 void
@@ -381,30 +375,6 @@
     handle_removed_key (registry, entry, may_be_expired, now);
 }
 
-void
-registry_begin_listing (struct registry *registry)
-{
-  if (registry->listed_names)
-    apr_pool_destroy (registry->listing_pool);
-  apr_pool_create (&registry->listing_pool, registry->pool);
-  registry->listed_names = apr_hash_make (registry->listing_pool);
-}
-
-void
-registry_end_listing (struct registry *registry, bool may_be_expired,
-                      apr_time_t now)
-{
-  for (size_t i = registry->count; i-- > 0;)
-    {
-      struct registry_entry *entry = registry->list[i];
-      if (!apr_hash_get (registry->listed_names, entry->name.data,
-                         (apr_ssize_t)entry->name.size))
-        handle_removed_key (registry, entry, may_be_expired, now);
-    }
-  apr_pool_destroy (registry->listing_pool);
-  registry->listed_names = NULL;
-}
-
 void
 registry_remove_expired (struct registry *registry, apr_time_t now)
 {
--- a/src/gateway/registry.h
+++ b/src/gateway/registry.h
@@ -88,11 +88,6 @@
    lease ran out, so the record is kept for the grace period.  */
 void registry_remove (struct registry *registry, struct str name,
                       bool may_be_expired, apr_time_t now);
-/* Begins a complete listing of the keys; registry_end_listing then handles the
-   removal of all that were not put in between.  */
-void registry_begin_listing (struct registry *registry);
-void registry_end_listing (struct registry *registry, bool may_be_expired,
-                           apr_time_t now);
 /* Removes the records whose grace period is over.  Not to be called during an
    outage of the store, when no entry can write its key again.  */
 void registry_remove_expired (struct registry *registry, apr_time_t now);
--- a/src/gateway/store_sync.c
+++ b/src/gateway/store_sync.c
@@ -8,24 +8,16 @@
 
 enum
 {
-  RETRY_MS = 250,        /* a failed read is repeated well within the bounds */
-  EXPIRY_CHECK_MS = 250, /* an eighth of the shortest grace period */
-  /* Failed reads in a row after which another entry is asked.  Not more, since
-     one may have taken two seconds.  */
-  FAILURES_BEFORE_PEER = 1,
+  EXPIRY_CHECK_MS = 250,   /* an eighth of the shortest grace period */
   PROBLEMS_LOGGED_MAX = 20 /* of one configuration */
 };
 
-/* private functions */
-
-static void on_read_due (void *user_data, apr_time_t now);
+/* What is known is recent enough to end grace periods while it is not older
+   than this many times the age up to which other entries' copies are used: an
+   owner that could write its key again would be seen.  */
+static const double recent_factor = 2.0;
 
-void
-store_sync_schedule_read (struct store_sync *store_sync, int64_t wait_ms)
-{
-  timer_start (loop_timers (store_sync->desc.loop), &store_sync->read_timer,
-               timer_clock () + TIMER_MS (wait_ms), on_read_due, store_sync);
-}
+/* private functions */
 
 /* Logs and counts what can't be used in PLAN, which was just adopted.  */
 static void
@@ -77,8 +69,8 @@
 
 static void
 apply_upstream (struct store_sync *store_sync, struct str id,
-                const struct store_item *item, bool may_be_expired,
-                apr_time_t now)
+                const struct store_item *item, enum mirror_change change,
+                bool may_be_expired, apr_time_t now)
 {
   struct fleet_record record;
   struct err err = { 0 };
@@ -88,6 +80,9 @@
       fleet_remove_upstream (store_sync->desc.fleet, id, may_be_expired, now);
       return;
     }
+  if (change == MIRROR_RENEWED
+      && fleet_renew_upstream (store_sync->desc.fleet, id, item->index))
+    return;
   apr_pool_create (&pool, NULL);
   if (decode_upstream (id, item->value, pool, &record, &err) != ERR_NONE
       || !fleet_put_upstream (store_sync->desc.fleet, &record, item->index,
@@ -121,7 +116,7 @@
 
 static void
 apply_item (struct store_sync *store_sync, const struct store_item *item,
-            bool may_be_expired, apr_time_t now)
+            enum mirror_change change, bool may_be_expired, apr_time_t now)
 {
   struct str rest;
   switch (decode_key (item->key, &rest))
@@ -134,7 +129,7 @@
       apply_evacuation (store_sync, rest, item, now);
       return;
     case KEY_UPSTREAM:
-      apply_upstream (store_sync, rest, item, may_be_expired, now);
+      apply_upstream (store_sync, rest, item, change, may_be_expired, now);
       return;
     case KEY_OTHER:
       break;
@@ -146,221 +141,87 @@
       = str_view (item->key.data + prefix.size, item->key.size - prefix.size);
   if (item->is_removed)
     registry_remove (store_sync->desc.registry, name, may_be_expired, now);
-  else
+  else if (change == MIRROR_CHANGED)
     registry_put (store_sync->desc.registry, name, item->value);
 }
 
-static void list_from_peer (struct store_sync *store_sync);
-
-/* Records a failed call to the store, and asks another entry or repeats it. */
-static void
-handle_failed_read (struct store_sync *store_sync, const char *step,
-                    enum err_code code)
-{
-  outage_record_failure (&store_sync->outage, timer_clock ());
-  if (store_sync->outage.failures == 1)
-    LOG (LOG_WARN, "store-lost", LOG_TEXT ("step", step),
-         LOG_TEXT ("error", err_name (code)),
-         LOG_INT ("index", store_sync->index));
-  if (store_sync->outage.failures >= FAILURES_BEFORE_PEER)
-    list_from_peer (store_sync);
-  store_sync_schedule_read (store_sync, RETRY_MS);
-}
-
-/* Records that the store responded to a read, and with that the time at which
-   what is known was the store's content.  */
+/* Applies the items of RESPONSE, but for those of which a later write is
+   known.  */
 static void
-handle_read_success (struct store_sync *store_sync, apr_time_t now)
+apply_items (struct store_sync *store_sync,
+             const struct store_items_response *response, bool may_be_expired,
+             apr_time_t now)
 {
-  store_sync->current_as_of = store_sync->read_started_at;
-  if (store_sync->outage.failures > 0)
-    LOG (LOG_INFO, "store-regained",
-         LOG_INT ("failures", store_sync->outage.failures),
-         LOG_INT ("away_ms", (now - store_sync->outage.answered_at) / 1000));
-  outage_record_response (&store_sync->outage, now);
-}
-
-/* Search for an evacuated zone that a complete listing does not contain.  */
-struct unlisted_zone_search
-{
-  const struct store_items_response *listing;
-  struct str zone; /* one that was found, or empty */
-};
-
-static void
-find_unlisted_zone (void *user_data, struct str zone)
-{
-  struct unlisted_zone_search *search = user_data;
-  struct str rest;
-  for (size_t i = 0; i < search->listing->count; i++)
-    if (decode_key (search->listing->items[i].key, &rest) == KEY_EVACUATION
-        && str_equal (rest, zone))
-      return;
-  search->zone = zone;
-}
-
-/* Ends the evacuations that a complete listing does not contain.  */
-static void
-end_unlisted_evacuations (struct store_sync *store_sync,
-                          const struct store_items_response *listing,
-                          apr_time_t now)
-{
-  struct unlisted_zone_search search;
-  do
+  for (size_t i = 0; i < response->count; i++)
     {
-      search = (struct unlisted_zone_search){ listing, { NULL, 0 } };
-      fleet_for_each_evacuated_zone (store_sync->desc.fleet,
-                                     find_unlisted_zone, &search);
-      if (search.zone.size > 0)
-        fleet_set_zone_evacuated (store_sync->desc.fleet, search.zone, false,
-                                  listing->index, max_cold_time (store_sync),
-                                  now);
+      const struct store_item *item = &response->items[i];
+      enum mirror_change change = platform_mirror_put (store_sync->desc.mirror,
+                                                       item, may_be_expired);
+      if (change != MIRROR_OUTDATED)
+        apply_item (store_sync, item, change,
+                    may_be_expired || item->may_be_expired, now);
     }
-  while (search.zone.size > 0);
 }
 
-/* Replaces the known state by a complete LISTING.  */
 static void
-apply_listing (struct store_sync *store_sync,
-               const struct store_items_response *listing, bool may_be_expired,
-               const char *source, apr_time_t now)
+on_unlisted (void *user_data, const struct store_item *removal)
 {
-  fleet_begin_listing (store_sync->desc.fleet);
-  registry_begin_listing (store_sync->desc.registry);
-  for (size_t i = 0; i < listing->count; i++)
-    apply_item (store_sync, &listing->items[i], may_be_expired, now);
-  fleet_end_listing (store_sync->desc.fleet, may_be_expired, now);
-  registry_end_listing (store_sync->desc.registry, may_be_expired, now);
-  end_unlisted_evacuations (store_sync, listing, now);
-  LOG (LOG_INFO, "store-listed", LOG_TEXT ("source", source),
-       LOG_INT ("keys", listing->count), LOG_INT ("index", listing->index),
-       LOG_INT ("upstreams", fleet_upstream_count (store_sync->desc.fleet)));
-  store_sync->index = listing->index;
-  store_sync->desc.on_changed (store_sync->desc.user_data);
+  apply_item (user_data, removal, MIRROR_CHANGED, removal->may_be_expired,
+              timer_clock ());
 }
 
 static void
-on_listed (void *user_data, const struct store_items_response *listing)
+on_expiry_check (void *user_data, apr_time_t now)
 {
   struct store_sync *store_sync = user_data;
-  apr_time_t now = timer_clock ();
-  if (listing->code != ERR_NONE)
+  apr_time_t recent
+      = (apr_time_t)(recent_factor
+                     * (double)store_sync_max_copy_age (store_sync));
+  /* While nothing is heard of the store, expired keys can't be seen again, so
+     nothing is removed.  */
+  if (store_sync_age (store_sync, now) <= recent)
     {
-      handle_failed_read (store_sync, "list", listing->code);
-      return;
+      fleet_remove_expired (store_sync->desc.fleet, now);
+      registry_remove_expired (store_sync->desc.registry, now);
     }
-  bool may_be_expired = outage_is_recent (&store_sync->outage, now);
-  handle_read_success (store_sync, now);
-  platform_mirror_update (store_sync->desc.mirror, listing, true,
-                          may_be_expired);
-  apply_listing (store_sync, listing, may_be_expired, "store", now);
-  store_sync_schedule_read (store_sync,
-                            store_sync->desc.settings->store.poll_ms);
+  timer_start (loop_timers (store_sync->desc.loop), &store_sync->expiry_timer,
+               now + TIMER_MS (EXPIRY_CHECK_MS), on_expiry_check, store_sync);
 }
 
-/* Applies the listing of another entry's copy if it is newer than what is
-   known here.  */
-static void
-on_peer_listed (void *user_data, const struct store_items_response *listing)
-{
-  struct store_sync *store_sync = user_data;
-  if (listing->code != ERR_NONE || listing->index <= store_sync->index
-      || store_sync->outage.failures == 0)
-    return;
-  /* Later changes start from this listing, so the copy for other entries must
-     contain it too.  */
-  platform_mirror_update (store_sync->desc.mirror, listing, true, false);
-  apply_listing (store_sync, listing, false, "peer", timer_clock ());
-}
-
-static void
-list_from_peer (struct store_sync *store_sync)
-{
-  apr_time_t now = timer_clock ();
-  if (now - store_sync->peer_asked_at
-      < TIMER_MS (store_sync->desc.settings->store.poll_ms))
-    return;
-  struct store *peer
-      = store_sync->desc.next_peer_store (store_sync->desc.user_data);
-  store_sync->peer_asked_at = now;
-  if (peer)
-    peer->ops->list (peer, "", on_peer_listed, store_sync);
-}
+/* functions internal to the module */
 
 void
 store_sync_apply_changes (struct store_sync *store_sync,
                           const struct store_items_response *changes,
                           bool may_be_expired, apr_time_t now)
 {
-  platform_mirror_update (store_sync->desc.mirror, changes, false,
-                          may_be_expired);
-  for (size_t i = 0; i < changes->count; i++)
-    apply_item (store_sync, &changes->items[i],
-                may_be_expired || changes->items[i].may_be_expired, now);
+  apply_items (store_sync, changes, may_be_expired, now);
+  platform_mirror_set_index (store_sync->desc.mirror, changes->index);
   if (changes->index > store_sync->index)
     store_sync->index = changes->index;
   if (changes->count > 0)
     store_sync->desc.on_changed (store_sync->desc.user_data);
 }
 
-static void
-on_changes (void *user_data, const struct store_items_response *changes)
-{
-  struct store_sync *store_sync = user_data;
-  apr_time_t now = timer_clock ();
-  if (changes->code == ERR_NOT_FOUND)
-    {
-      LOG (LOG_WARN, "store-history-gone",
-           LOG_INT ("index", store_sync->index));
-      store_sync->index = 0;
-      store_sync_schedule_read (store_sync, 0);
-      return;
-    }
-  if (changes->code != ERR_NONE)
-    {
-      handle_failed_read (store_sync, "follow", changes->code);
-      return;
-    }
-  bool may_be_expired = outage_is_recent (&store_sync->outage, now);
-  handle_read_success (store_sync, now);
-  store_sync_apply_changes (store_sync, changes, may_be_expired, now);
-  store_sync_schedule_read (store_sync,
-                            store_sync->desc.settings->store.poll_ms);
-}
-
 void
-store_sync_read (struct store_sync *store_sync)
-{
-  struct store *store = store_sync->desc.store;
-  store_sync->read_started_at = timer_clock ();
-  if (store_sync->index == 0)
-    store->ops->list (store, "", on_listed, store_sync);
-  else
-    store->ops->watch_prefix (store, "", store_sync->index, 0, on_changes,
-                              store_sync);
-}
-
-static void
-on_read_due (void *user_data, apr_time_t now)
-{
-  struct store_sync *store_sync = user_data;
-  if (!store_sync_query_readers (store_sync, now))
-    store_sync_read (store_sync);
-}
-
-static void
-on_expiry_check (void *user_data, apr_time_t now)
+store_sync_apply_listing (struct store_sync *store_sync,
+                          const struct store_items_response *listing,
+                          const char *source, bool may_be_expired,
+                          apr_time_t now)
 {
-  struct store_sync *store_sync = user_data;
-  /* While the store can't be reached, expired keys can't be seen again, so
-     nothing is removed.  */
-  if (store_sync->outage.failures == 0)
-    {
-      fleet_remove_expired (store_sync->desc.fleet, now);
-      registry_remove_expired (store_sync->desc.registry, now);
-    }
-  timer_start (loop_timers (store_sync->desc.loop), &store_sync->expiry_timer,
-               now + TIMER_MS (EXPIRY_CHECK_MS), on_expiry_check, store_sync);
+  store_sync->is_listing = true;
+  platform_mirror_begin_listing (store_sync->desc.mirror);
+  apply_items (store_sync, listing, may_be_expired, now);
+  platform_mirror_end_listing (store_sync->desc.mirror, listing->index,
+                               may_be_expired, on_unlisted, store_sync);
+  store_sync->is_listing = false;
+  LOG (LOG_INFO, "store-listed", LOG_TEXT ("source", source),
+       LOG_INT ("keys", listing->count), LOG_INT ("index", listing->index),
+       LOG_INT ("upstreams", fleet_upstream_count (store_sync->desc.fleet)),
+       LOG_INT ("entries", registry_count (store_sync->desc.registry)));
+  if (listing->index > store_sync->index)
+    store_sync->index = listing->index;
+  store_sync->desc.on_changed (store_sync->desc.user_data);
 }
 
 /* public functions */
@@ -368,6 +229,9 @@
 struct store_sync *
 store_sync_create (apr_pool_t *pool, const struct store_sync_desc *desc)
 {
+  static const char *const sources[SOURCE_COUNT]
+      = { "source=\"reader\"", "source=\"second-reader\"", "source=\"store\"",
+          "source=\"peer\"" };
   struct store_sync *store_sync = apr_pcalloc (pool, sizeof *store_sync);
   store_sync->desc = *desc;
   store_sync->version_gauge
@@ -379,6 +243,14 @@
   store_sync->unreadable_items
       = counter_get (desc->counters, "citroncleat_unreadable_items_total", "",
                      "Items of the store that could not be used.");
+  for (int i = 0; i < SOURCE_COUNT; i++)
+    {
+      store_sync->queries[i].store_sync = store_sync;
+      store_sync->queries[i].source = i;
+      store_sync->answers[i] = counter_get (
+          desc->counters, "citroncleat_sync_answers_total", sources[i],
+          "Usable responses with changes or a listing, by where from.");
+    }
   return store_sync;
 }
 
@@ -387,9 +259,9 @@
 {
   if (!store_sync)
     return;
-  timer_stop (loop_timers (store_sync->desc.loop), &store_sync->read_timer);
+  timer_stop (loop_timers (store_sync->desc.loop), &store_sync->round_timer);
+  timer_stop (loop_timers (store_sync->desc.loop), &store_sync->wait_timer);
   timer_stop (loop_timers (store_sync->desc.loop), &store_sync->expiry_timer);
-  timer_stop (loop_timers (store_sync->desc.loop), &store_sync->reader_timer);
   plan_unref (store_sync->plan);
 }
 
@@ -398,15 +270,16 @@
 {
   apr_time_t now = timer_clock ();
   store_sync->outage.answered_at = now;
-  store_sync->current_as_of = now;
-  on_read_due (store_sync, now);
+  store_sync_begin_round (store_sync, now);
   on_expiry_check (store_sync, now);
 }
 
 struct plan *
 store_sync_plan (const struct store_sync *store_sync)
 {
-  return store_sync->plan;
+  /* A first listing may be seconds old; until changes were read after it,
+     upstreams that have left would be used.  */
+  return store_sync->current_as_of > 0 ? store_sync->plan : NULL;
 }
 
 apr_time_t
@@ -414,3 +287,9 @@
 {
   return now - store_sync->current_as_of;
 }
+
+bool
+store_sync_is_listing (const struct store_sync *store_sync)
+{
+  return store_sync->is_listing;
+}
--- a/src/gateway/store_sync.h
+++ b/src/gateway/store_sync.h
@@ -5,19 +5,22 @@
 
    The store is listed once at the start.  After that only the changes are
    read, several times within each bound on how long a change may take to be in
-   force.  When the store no longer has the history from the last read on, all
-   is listed again.  While the store can't be reached, the state that is known
-   stays in force.
+   force, from the first of these sources that responds in time:
 
-   In a zone of more than two entries two of them, the readers, read the store,
-   and the others get the changes from a reader.  Its response states the age
-   of its copy.  An entry that gets no response, or one that is too old, asks
-   the other reader, and then reads the store itself.  The load on the store
-   therefore does not grow with the number of entries, and the bounds hold when
-   a reader is dead, paused or cut off.
+   - In a zone of more than two entries two of them, the readers, read the
+     store, and the others get the changes from a reader.  The load on the
+   store therefore does not grow with the number of entries.
+   - The store itself.
+   - Any other entry, of the own zone first.
 
-   While this entry can't reach the store, it gets listings from other entries'
-   copies.
+   Other entries respond from their copies, with the age of these, which counts
+   on from the moment at which one of them last read the store; a copy that is
+   too old is not relied on.  An entry that can't reach the store is thus as
+   fresh as its zone, and the bounds hold when a reader is dead, paused or cut
+   off, or when the store turns some entries away.  A source that failed is not
+   asked again for a while.  What was known stays in force while no source
+   responds.  Of each key, the write with the highest index counts, whatever
+   order the responses come in.
 
      store_sync = store_sync_create (pool, &desc);
      store_sync_start (store_sync);
@@ -46,8 +49,8 @@
   struct fleet *fleet;
   struct registry *registry;
   struct platform_mirror *mirror;
-  /* Returns the interface to another entry's copy of the store, or NULL;
-     called each time that a listing is needed from one.  */
+  /* Returns the interface to another entry's copy of the store, a different
+     one each time, or NULL.  */
   struct store *(*next_peer_store) (void *user_data);
   /* Returns the interface to the copy of the reader NUMBER (below
      REGISTRY_READERS), or NULL if this entry reads the store itself.  */
@@ -71,9 +74,12 @@
    plan_ref to keep it.  */
 struct plan *store_sync_plan (const struct store_sync *store_sync);
 /* Returns the age of what is known of the store: the time since the latest
-   moment at which the store is known to have held just that, or since the
-   start before the first read.  */
+   moment at which the store is known to have held just that; more than any
+   bound before the first read.  */
 apr_time_t store_sync_age (const struct store_sync *store_sync,
                            apr_time_t now);
+/* Returns whether a listing is being applied, in which everything known before
+   the start is new.  */
+bool store_sync_is_listing (const struct store_sync *store_sync);
 
 #endif
--- a/src/gateway/store_sync_internal.h
+++ b/src/gateway/store_sync_internal.h
@@ -6,54 +6,70 @@
 #include "fleet/outage.h"
 #include "gateway/store_sync.h"
 
-/* A call to a reader.  Each reader has one of these.  */
-struct reader_query
+/* Where changes are read from.  A round asks them in the order in which
+   store_sync_sources.c lists them, until one responds.  */
+enum sync_source
+{
+  SOURCE_READER, /* NUMBER 0 and 1: entries that read the store for this one */
+  SOURCE_STORE = REGISTRY_READERS,
+  SOURCE_PEER, /* any other entry, a different one each time */
+  SOURCE_COUNT
+};
+
+/* A call to a source.  Each source has one of these.  */
+struct sync_query
 {
   struct store_sync *store_sync;
-  size_t number; /* of the reader */
+  int source;
+  struct store *store; /* that was asked */
   apr_time_t asked_at;
+  apr_time_t held_until; /* the source failed, and isn't asked before */
   bool in_progress;
   bool timed_out; /* still in progress, but not waited for */
+  bool is_listing;
 };
 
 struct store_sync
 {
   struct store_sync_desc desc;
   struct plan *plan;
-  struct timer read_timer;
+  struct timer round_timer; /* begins the next round */
+  struct timer wait_timer;  /* ends the wait for a source */
   struct timer expiry_timer;
   int64_t index; /* changes are known up to here; 0: nothing listed yet */
-  apr_time_t peer_asked_at;
-  apr_time_t read_started_at; /* the latest read of the store */
-  apr_time_t current_as_of;   /* latest time at which the store is known to
-                                 have held what is known here */
-  struct reader_query reader_queries[REGISTRY_READERS];
-  size_t preferred_reader; /* the one that is asked first */
-  bool readers_bypassed;   /* both failed, and none has responded since */
-  apr_time_t bypass_readers_until;
-  struct timer reader_timer; /* of the query that is waited for */
-  struct outage outage;      /* of the store */
+  apr_time_t current_as_of; /* latest time at which the store is known to have
+                               held what is known here; 0: never yet */
+  struct sync_query queries[SOURCE_COUNT];
+  int preferred_reader; /* the one that is asked first */
+  int round_position;   /* of the source that is waited for */
+  bool is_listing;      /* a listing is being applied */
+  /* The history after a stale listing was gone, so the next one has to be of
+     its moment.  */
+  bool needs_fresh_listing;
+  struct outage outage; /* of the store, as this entry sees it */
   struct counter *version_gauge;
   struct counter *problem_gauge;
   struct counter *unreadable_items;
+  struct counter *answers[SOURCE_COUNT];
 };
 
 /* store_sync.c  */
 
-/* Reads the store itself: a listing, or the changes since `index'.  */
-void store_sync_read (struct store_sync *store_sync);
-/* Schedules the next read, of a reader or of the store, in WAIT_MS.  */
-void store_sync_schedule_read (struct store_sync *store_sync, int64_t wait_ms);
-/* Applies CHANGES.  MAY_BE_EXPIRED: keys that they remove may be missing only
-   since their leases ran out while the store was out of reach.  */
+/* Applies what SOURCE responded.  MAY_BE_EXPIRED: keys that are removed may be
+   missing only since their leases ran out while the store was out of reach. */
 void store_sync_apply_changes (struct store_sync *store_sync,
                                const struct store_items_response *changes,
                                bool may_be_expired, apr_time_t now);
+void store_sync_apply_listing (struct store_sync *store_sync,
+                               const struct store_items_response *listing,
+                               const char *source, bool may_be_expired,
+                               apr_time_t now);
 
-/* store_sync_readers.c: readers, which read the store for this entry.  */
+/* store_sync_sources.c: the order in which sources are asked.  */
 
-/* Asks a reader for changes; returns false if this entry has to read the store
-   itself.  */
-bool store_sync_query_readers (struct store_sync *store_sync, apr_time_t now);
+/* Begins a round now; each round schedules the next one.  */
+void store_sync_begin_round (struct store_sync *store_sync, apr_time_t now);
+/* Returns the age up to which the copy of another entry is used.  */
+apr_time_t store_sync_max_copy_age (const struct store_sync *store_sync);
 
 #endif
