Readers keep up with the store; the load of a region from all its responses

Two causes, both of the size. An entry meets an upstream once in 80 s, and decayed what it had heard of it within a second, so every region seemed idle: requests of the smallest region all went home, where there was no room.

Change: a response that may be full is followed by another read at once, and by a listing when that takes fewer calls; only one that is not full makes what is known current. Two entries of a region, of different zones, read the store for the others, instead of two of each zone: each has to read everything. Those that can't reach the store ask the readers of other regions. The load of a region counts upstreams that were not heard of as the mean of what responses reported, without the bias that busy upstreams respond more often. An entry's key has a lease of 3.6 s and is renewed at half of it, a third of the calls less.

--- a/bench/gateway/policies.c
+++ b/bench/gateway/policies.c
@@ -39,7 +39,7 @@
     .idle_timeout = TIMER_SEC (6),
     .max_queue_per_slot
     = sim->plan.policy == SIM_POLICY_OWN ? max_queue_per_slot : 0.0,
-    .reserved_slots = sim_request_kinds[call->kind].priority > 0
+    .reserved_slots = sim_request_kind (sim, call->kind)->priority > 0
                               && utilization > reserve_min_utilization
                           ? reserved_slots
                           : 0.0,
@@ -57,7 +57,7 @@
                  const struct balance_choice *choice)
 {
   struct sim_entry *entry = &sim->entries[call->entry];
-  const struct sim_request_kind *kind = &sim_request_kinds[call->kind];
+  const struct sim_request_kind *kind = sim_request_kind (sim, call->kind);
   const struct balance_region_load *load
       = &entry->region_loads[call->target_region];
   double service_time
@@ -119,7 +119,8 @@
   struct balance_choice choice = choose (sim, call);
   if (choice.upstream
       && sim->now + choice.expected_latency
-             <= call->arrived_at + sim_request_kinds[call->kind].target_latency
+             <= call->arrived_at
+                    + sim_request_kind (sim, call->kind)->target_latency
       && budget_try_withdraw (&entry->overflow_budget))
     {
       *decision = send_to (sim, call, &choice);
@@ -142,7 +143,7 @@
                      || balance_meets_target (
                          &entry->service_times[call->kind], false,
                          2 * sim_one_way_latency (sim, entry->region, r),
-                         sim_request_kinds[call->kind].target_latency);
+                         sim_request_kind (sim, call->kind)->target_latency);
       call->target_region = (int)region_split_pick (&entry->region_split,
                                                     call->object, allowed);
     }
@@ -177,7 +178,7 @@
   int in_flight = view->reported_in_flight > view->own_in_flight
                       ? view->reported_in_flight
                       : view->own_in_flight;
-  return in_flight < SLOTS && is_own_region == own_region
+  return in_flight < sim->slots && is_own_region == own_region
          && !was_tried (call, upstream);
 }
 
--- a/bench/gateway/scenarios.h
+++ b/bench/gateway/scenarios.h
@@ -15,6 +15,8 @@
   /* Queueing calls at upstreams that cache their object has more value here
      than using free slots only.  */
   bool queueing_helps;
+  /* Takes seconds of processor time; the unit tests run it once.  */
+  bool is_large;
 } sim_scenarios[] = {
   { .name = "objects", .plan = { .demand = 0.9, .slowdown_noise = 0.2 } },
   { .name = "overload",
@@ -55,6 +57,22 @@
               .slowdown_noise = 0.2,
               .entries = 36,
               .queue_capacity = 32 } },
+  { .name = "hundreds",
+    .is_large = true,
+    .plan = { .demand = 0.62,
+              .long_requests = true,
+              .connections_close = true,
+              .tail_fraction = 0.03,
+              .objects = 963,
+              .cache_capacity = 15,
+              .upstreams = 1176,
+              .first_region_upstreams = 117,
+              .demand_swing = 0.55,
+              .demand_period = TIMER_SEC (36),
+              .replaced_fraction = 0.4,
+              .slowdown_noise = 0.4,
+              .entries = 294,
+              .queue_capacity = 27 } },
   { .name = "insistent",
     .plan
     = { .demand = 1.5, .slowdown_noise = 0.2, .immediate_retries = true },
--- a/src/balance/balance.c
+++ b/src/balance/balance.c
@@ -45,6 +45,13 @@
    long request does not move it far.  */
 static const double max_response_ratio = 1.5;
 
+/* Reports of the last seconds count for a region's load; demand may double in
+   ten seconds.  */
+static const double reports_decay_us = 2000000.0;
+/* Weight of the reports from which on their mean is relied on in full, about
+   that of one report of an idle upstream.  */
+static const double min_report_weight = 1.0;
+
 enum
 {
   /* Upstreams of a group that a choice looks at.  In a region with nine of ten
@@ -183,6 +190,15 @@
                   + rank_cost * (1.0 - rank));
 }
 
+/* Returns the factor by which the weight of REPORTS has decayed.  */
+static double
+reports_decay (const struct balance_reports *reports, apr_time_t now)
+{
+  return now <= reports->updated_at
+             ? 1.0
+             : exp (-(double)(now - reports->updated_at) / reports_decay_us);
+}
+
 /* public functions */
 
 struct balance_choice
@@ -249,17 +265,46 @@
          <= (double)target_latency;
 }
 
+void
+balance_add_report (struct balance_reports *reports, int64_t requests,
+                    apr_time_t now)
+{
+  double kept = reports_decay (reports, now);
+  reports->busy_count = reports->busy_count * kept + (requests > 0);
+  reports->inverse_sum
+      = reports->inverse_sum * kept + 1.0 / (1.0 + (double)requests);
+  reports->updated_at = now;
+}
+
+double
+balance_mean_requests (const struct balance_reports *reports, apr_time_t now)
+{
+  /* An upstream responds the more often the more requests it has, so the plain
+     mean of its reports would be too high.  If the requests at an upstream
+     vary like a Poisson process, this estimate has no such bias: with a mean
+     of M, a fraction of 1 - exp (-M) finds others, and the mean of the
+     inverses is that fraction over M.  */
+  double weight = reports->inverse_sum * reports_decay (reports, now);
+  double trust = weight < min_report_weight ? weight / min_report_weight : 1.0;
+  return reports->inverse_sum > 0
+             ? trust * reports->busy_count / reports->inverse_sum
+             : 0.0;
+}
+
 struct balance_region_load
-balance_region_load (const struct fleet_group *group, apr_time_t now)
+balance_region_load (const struct fleet_group *group,
+                     const struct balance_reports *reports, apr_time_t now)
 {
   struct balance_region_load region_load = { 0 };
+  double mean = balance_mean_requests (reports, now);
   for (size_t i = 0; group && i < group->count; i++)
     {
       const struct fleet_upstream *upstream = group->members[i].upstream;
       if (!fleet_is_eligible (upstream))
         continue;
       double slots = (double)upstream->load.slots;
-      double busy = load_in_flight (&upstream->load, now);
+      double busy = load_in_flight (&upstream->load, now)
+                    + (1.0 - load_report_weight (&upstream->load, now)) * mean;
       region_load.slots += slots;
       region_load.busy += busy < slots ? busy : slots;
     }
--- a/src/balance/balance.h
+++ b/src/balance/balance.h
@@ -88,6 +88,15 @@
   bool object_cached;
 };
 
+/* What the responses of a region's upstreams reported lately.  Starts as all
+   zeros.  */
+struct balance_reports
+{
+  double busy_count;  /* reports of upstreams with requests */
+  double inverse_sum; /* of 1 / (1 + requests), over all reports */
+  apr_time_t updated_at;
+};
+
 /* Slots of the upstreams of a service in one region.  */
 struct balance_region_load
 {
@@ -117,10 +126,22 @@
 bool balance_meets_target (const struct balance_service_time *service_time,
                            bool recurs, apr_time_t rtt,
                            apr_time_t target_latency);
+/* Adds a report of REQUESTS, running and waiting at an upstream that just
+   responded, without the one that it responded to.  */
+void balance_add_report (struct balance_reports *reports, int64_t requests,
+                         apr_time_t now);
+/* Returns the estimate of the mean number of requests at an upstream; 0
+   without recent reports.  */
+double balance_mean_requests (const struct balance_reports *reports,
+                              apr_time_t now);
 /* Returns the slots of the eligible upstreams of GROUP, which may be NULL, and
-   how many are in use.  Called several times per second for
-   balance/region_split.h and balance/admit.h.  */
+   how many are in use.  An upstream that has not responded to this entry
+   lately counts as the mean of REPORTS: among hundreds of entries, one hears
+   of each upstream too seldom to know its load, but often enough of some in
+   the region.  Called several times per second for balance/region_split.h and
+   balance/admit.h.  */
 struct balance_region_load
-balance_region_load (const struct fleet_group *group, apr_time_t now);
+balance_region_load (const struct fleet_group *group,
+                     const struct balance_reports *reports, apr_time_t now);
 
 #endif
--- a/src/balance/load.c
+++ b/src/balance/load.c
@@ -160,14 +160,18 @@
     }
 }
 
+double
+load_report_weight (const struct load *load, apr_time_t now)
+{
+  return load->reported_at ? decay (load->reported_at, now, report_decay_us)
+                           : 0.0;
+}
+
 double
 load_in_flight (const struct load *load, apr_time_t now)
 {
-  double others = load->reported_at
-                      ? load->others_in_flight
-                            * decay (load->reported_at, now, report_decay_us)
-                      : 0.0;
-  return others + (double)load->in_flight;
+  return load->others_in_flight * load_report_weight (load, now)
+         + (double)load->in_flight;
 }
 
 double
--- a/src/balance/load.h
+++ b/src/balance/load.h
@@ -80,6 +80,8 @@
 /* Returns the estimate of all entries' requests at the upstream, running and
    waiting.  */
 double load_in_flight (const struct load *load, apr_time_t now);
+/* Returns the weight of the latest report in that estimate, 0 to 1.  */
+double load_report_weight (const struct load *load, apr_time_t now);
 /* Returns the factor by which work takes longer there now than the service
    time, as reported and observed.  */
 double load_slowdown (const struct load *load, apr_time_t now);
--- a/src/config/store.h
+++ b/src/config/store.h
@@ -49,9 +49,9 @@
 };
 
 /* The response to a list or a watch_prefix, valid during the call.  The next
-   watch_prefix starts at `index'.  ERR_NOT_FOUND from watch_prefix means that
-   the store no longer has the changes after the requested index: the keys must
-   be listed again.  */
+   watch_prefix starts at `index', which may be before the store's own.
+   ERR_NOT_FOUND from watch_prefix means that the store no longer has the
+   changes after the requested index: the keys must be listed again.  */
 struct store_items_response
 {
   enum err_code code;
@@ -59,6 +59,9 @@
   size_t count;
   int64_t index;
   apr_time_t age; /* of the data, if it is another entry's copy; else 0 */
+  /* As large as the store makes a response, so that there may be more changes
+     after `index' already.  */
+  bool is_full;
 };
 
 typedef void store_items_done_fn (void *user_data,
--- a/src/gateway/attempts.c
+++ b/src/gateway/attempts.c
@@ -303,7 +303,12 @@
     case ATTEMPT_HEAD:
       if (decode_load (headers_get (&attempt->headers, PLATFORM_LOAD),
                        &report))
-        load_apply_report (&request->upstream->load, &report, timer_clock ());
+        {
+          apr_time_t now = timer_clock ();
+          load_apply_report (&request->upstream->load, &report, now);
+          balance_add_report (&request->service->reports[request->region],
+                              report.running + report.waiting, now);
+        }
       break;
     case ATTEMPT_DATA:
       if (request->answered)
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -110,8 +110,9 @@
   const struct fleet_service *upstreams
       = fleet_service (gateway->fleet, service->name);
   for (size_t i = 0; i < gateway->region_count; i++)
-    service->region_loads[i] = balance_region_load (
-        fleet_group (upstreams, gateway->regions[i]), now);
+    service->region_loads[i]
+        = balance_region_load (fleet_group (upstreams, gateway->regions[i]),
+                               &service->reports[i], now);
   region_split_update (&service->region_split, service->region_loads, now);
   update_retry_budget (gateway, service);
   share_cold_upstreams (gateway, upstreams, now);
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -78,6 +78,7 @@
   struct str name;
   struct region_split region_split;
   struct balance_region_load region_loads[GATEWAY_REGIONS_MAX];
+  struct balance_reports reports[GATEWAY_REGIONS_MAX];
   struct budget retry_budget;
   /* For requests that are sent to another region than `region_split' picked,
      see dispatch.c.  */
--- a/src/gateway/registry.c
+++ b/src/gateway/registry.c
@@ -26,7 +26,7 @@
   bool has_changed;      /* the key must be written again */
   bool call_in_progress; /* to the store; at most one */
   bool leaving;
-  size_t next_peer_place; /* where registry_next_peer_address begins */
+  size_t next_peer; /* of registry_next_peer_address */
 };
 
 /* constants */
@@ -34,10 +34,11 @@
 enum
 {
   RETRY_MS = 300,         /* well within the shortest lease */
-  RENEWALS_PER_LEASE = 3, /* so that two may fail */
+  RENEWALS_PER_LEASE = 2, /* half of a lease is left for retries */
   EXPIRY_GRACE_MS = 2500, /* entries write an expired key again within it */
   KEY_MAX_BYTES = 128,
-  INITIAL_CAPACITY = 16
+  INITIAL_CAPACITY = 16,
+  REGIONS_MAX = 64 /* whose readers registry_next_peer_address knows */
 };
 
 static const char key_prefix[] = "citroncleat/entries/";
@@ -305,6 +306,70 @@
                                     : a->hash > b->hash;
 }
 
+/* Returns this entry as others see it.  */
+static struct registry_entry
+own_entry (const struct registry *registry)
+{
+  const struct gateway_settings *settings = registry->desc.settings;
+  return (struct registry_entry){ .name = settings->name,
+                                  .peer_address = settings->listen.metrics,
+                                  .zone = settings->zone,
+                                  .region = settings->region,
+                                  .capacity = own_capacity (settings),
+                                  .leaving = registry->leaving,
+                                  .hash = XXH64 (settings->name.data,
+                                                 settings->name.size, 0) };
+}
+
+/* Returns whether ENTRY can read the store for others in REGION.  */
+static bool
+can_read (const struct registry_entry *entry, struct str region)
+{
+  return !entry->leaving && entry->expired_at == 0
+         && entry->peer_address.size > 0 && str_equal (entry->region, region);
+}
+
+/* Stores the readers of REGION in READERS, with NULL in place of those that
+   there are not: the most preferred entry, and the most preferred one of
+   another zone, since a zone may be lost as a whole.  SELF is this entry.
+   Returns how many entries there are to choose from.  */
+static size_t
+find_readers (const struct registry *registry,
+              const struct registry_entry *self, struct str region,
+              const struct registry_entry **readers)
+{
+  const struct registry_entry *best = NULL;
+  const struct registry_entry *elsewhere = NULL;
+  const struct registry_entry *beside = NULL;
+  size_t count = 0;
+  for (size_t i = 0; i <= registry->count; i++)
+    {
+      const struct registry_entry *entry
+          = i < registry->count ? registry->list[i] : self;
+      if ((entry != self && is_self (registry, entry))
+          || !can_read (entry, region))
+        continue;
+      count++;
+      if (!best || is_preferred_reader (entry, best))
+        best = entry;
+    }
+  for (size_t i = 0; i <= registry->count; i++)
+    {
+      const struct registry_entry *entry
+          = i < registry->count ? registry->list[i] : self;
+      if ((entry != self && is_self (registry, entry)) || entry == best
+          || !can_read (entry, region))
+        continue;
+      const struct registry_entry **second
+          = str_equal (entry->zone, best->zone) ? &beside : &elsewhere;
+      if (!*second || is_preferred_reader (entry, *second))
+        *second = entry;
+    }
+  readers[0] = best;
+  readers[1] = elsewhere ? elsewhere : beside;
+  return count;
+}
+
 /* public functions */
 
 struct registry *
@@ -435,27 +500,6 @@
   return count;
 }
 
-struct str
-registry_next_peer_address (struct registry *registry)
-{
-  struct str address = STR ("");
-  bool is_local = false;
-  size_t first = registry->next_peer_place++;
-  /* Another one each time, of the own zone if there is one: the first in the
-     list behind a place that advances.  */
-  for (size_t i = 0; i < registry->count && !is_local; i++)
-    {
-      const struct registry_entry *entry
-          = registry->list[(first + i) % registry->count];
-      if (is_self (registry, entry) || entry->peer_address.size == 0)
-        continue;
-      is_local = str_equal (entry->zone, registry->desc.settings->zone);
-      if (is_local || address.size == 0)
-        address = entry->peer_address;
-    }
-  return address;
-}
-
 double
 registry_cold_share (const struct registry *registry, uint64_t hash,
                      struct str region, size_t max_senders)
@@ -481,32 +525,41 @@
 struct str
 registry_reader_address (const struct registry *registry, size_t number)
 {
-  const struct registry_entry *readers[REGISTRY_READERS] = { NULL };
-  struct str name = registry->desc.settings->name;
-  const struct registry_entry self
-      = { .capacity = own_capacity (registry->desc.settings),
-          .hash = XXH64 (name.data, name.size, 0) };
-  size_t preceding = 0;
-  for (size_t i = 0; i < registry->count; i++)
+  const struct registry_entry *readers[REGISTRY_READERS];
+  struct registry_entry self = own_entry (registry);
+  size_t count = find_readers (registry, &self, self.region, readers);
+  bool is_reader = false;
+  for (size_t i = 0; i < REGISTRY_READERS && readers[i]; i++)
+    is_reader |= readers[i] == &self;
+  if (is_reader || count <= REGISTRY_READERS)
+    return STR ("");
+  return readers[(self.hash + number) % REGISTRY_READERS]->peer_address;
+}
+
+struct str
+registry_next_peer_address (struct registry *registry)
+{
+  struct registry_entry self = own_entry (registry);
+  struct str regions[REGIONS_MAX];
+  size_t region_count = 0;
+  const struct registry_entry *peers[REGIONS_MAX * REGISTRY_READERS];
+  size_t peer_count = 0;
+  for (size_t i = 0; i < registry->count && region_count < REGIONS_MAX; i++)
     {
-      const struct registry_entry *entry = registry->list[i];
-      if (is_self (registry, entry) || entry->leaving || entry->expired_at > 0
-          || entry->peer_address.size == 0
-          || !str_equal (entry->zone, registry->desc.settings->zone))
+      struct str region = registry->list[i]->region;
+      struct str_list known = { regions, region_count };
+      if (str_list_contains (&known, region))
         continue;
-      preceding += is_preferred_reader (entry, &self);
-      for (size_t r = 0; r < REGISTRY_READERS && entry; r++)
-        if (!readers[r] || is_preferred_reader (entry, readers[r]))
-          {
-            const struct registry_entry *next = readers[r];
-            readers[r] = entry;
-            entry = next;
-          }
+      regions[region_count++] = region;
+      const struct registry_entry *readers[REGISTRY_READERS];
+      find_readers (registry, &self, region, readers);
+      for (size_t r = 0; r < REGISTRY_READERS && readers[r]; r++)
+        if (readers[r] != &self)
+          peers[peer_count++] = readers[r];
     }
-  if (!readers[REGISTRY_READERS - 1]
-      || (preceding < REGISTRY_READERS && !registry->leaving))
-    return STR ("");
-  return readers[(self.hash + number) % REGISTRY_READERS]->peer_address;
+  return peer_count > 0
+             ? peers[registry->next_peer++ % peer_count]->peer_address
+             : STR ("");
 }
 
 struct str
--- a/src/gateway/registry.h
+++ b/src/gateway/registry.h
@@ -37,7 +37,7 @@
 
 enum
 {
-  /* Entries of a zone that read the store for the others; with two, one may
+  /* Entries of a region that read the store for the others; with two, one may
      fail.  */
   REGISTRY_READERS = 2
 };
@@ -106,17 +106,18 @@
 size_t registry_find_in_region (struct registry *registry, struct str region,
                                 const struct registry_entry **out,
                                 size_t max_count);
-/* Returns the address of another entry that serves its copy of the store, a
-   different one each time (round robin), or an empty string.  */
-struct str registry_next_peer_address (struct registry *registry);
 /* Returns the address of an entry that reads the store for this one, or an
-   empty string if this one reads it itself.  In each zone of more than two
-   entries the two of largest capacity read, with ties decided by the hash of
-   the name; entries that are leaving or have no address for others don't
-   count.  The others ask one of them, NUMBER 0, and if that fails the other
-   one, NUMBER 1.  */
+   empty string if this one reads it itself.  In each region of more than two
+   entries two read: the one of largest capacity, and of those in other zones
+   again the one of largest capacity, with ties decided by the hash of the
+   name; entries that are leaving or have no address for others don't count.
+   The others ask one of them, NUMBER 0, and if that fails the other one,
+   NUMBER 1.  */
 struct str registry_reader_address (const struct registry *registry,
                                     size_t number);
+/* Returns the address of another entry that reads the store, in any region, a
+   different one each time (round robin), or an empty string.  */
+struct str registry_next_peer_address (struct registry *registry);
 /* Returns this entry's share of the requests that a cold upstream can serve:
    1 / MAX_SENDERS (at least 1), or 0.  The MAX_SENDERS entries that rank first
    by rendezvous hash get a share, those in the upstream's region before all
--- a/src/gateway/settings.c
+++ b/src/gateway/settings.c
@@ -44,7 +44,7 @@
         FIELD_NUMBER (gateway_store, leaving_ms, 100, 600000, 2500, "ms"),
         FIELD_NUMBER (gateway_store, poll_ms, 0, 60000, 0, "ms"),
         FIELD_NUMBER (gateway_store, timeout_ms, 50, 60000, 700, "ms"),
-        FIELD_NUMBER (gateway_store, lease_ms, 1000, 600000, 3000, "ms"),
+        FIELD_NUMBER (gateway_store, lease_ms, 1000, 600000, 3600, "ms"),
         { 0 } };
 
 static const struct field retry_fields[]
--- a/src/gateway/store_sync.h
+++ b/src/gateway/store_sync.h
@@ -16,9 +16,9 @@
    Other entries respond from their copies, with the age of these, which counts
    on from the moment at which one of them last read the store; a copy that is
    too old is not relied on.  An entry that can't reach the store is thus as
-   fresh as its zone, and the bounds hold when a reader is dead, paused or cut
-   off, or when the store turns some entries away.  A source that failed is not
-   asked again for a while.  What was known stays in force while no source
+   fresh as the others, and the bounds hold when a reader is dead, paused or
+   cut off, or when the store turns some entries away.  A source that failed is
+   not asked again for a while.  What was known stays in force while no source
    responds.  Of each key, the write with the highest index counts, whatever
    order the responses come in.
 
--- a/src/gateway/store_sync_internal.h
+++ b/src/gateway/store_sync_internal.h
@@ -27,6 +27,7 @@
   bool in_progress;
   bool timed_out; /* still in progress, but not waited for */
   bool is_listing;
+  int full_count; /* full responses in a row */
 };
 
 struct store_sync
--- a/src/gateway/store_sync_sources.c
+++ b/src/gateway/store_sync_sources.c
@@ -3,6 +3,7 @@
    source that fails is held back for a while.  */
 #include "gateway/store_sync_internal.h"
 
+#include "fleet/fleet.h"
 #include "platform/words.h"
 
 /* constants */
@@ -16,7 +17,11 @@
   /* An entry with readers doubles the time for which it does not ask the store
      after each failure, up to this many reads, so that hundreds of them don't
      ask one that is down.  */
-  MAX_HOLD_POLLS = 4
+  MAX_HOLD_POLLS = 4,
+  /* Full responses in a row, beside those that a listing would take, after
+     which all is listed.  */
+  MIN_FULL_RESPONSES = 3,
+  PAGE_KEYS = 400 /* of one page of a listing */
 };
 
 /* As fractions of the time between two reads of the store, which is 0.45 of
@@ -141,6 +146,20 @@
   hold_source (query, true, now);
 }
 
+/* Begins to wait for a response to QUERY.  */
+static void
+start_wait (struct sync_query *query, apr_time_t now)
+{
+  struct store_sync *store_sync = query->store_sync;
+  timer_start (
+      loop_timers (store_sync->desc.loop), &store_sync->wait_timer,
+      now
+          + fraction_of_poll (store_sync, query->source == SOURCE_STORE
+                                              ? store_wait_fraction
+                                              : copy_wait_fraction),
+      on_wait_over, query);
+}
+
 static void on_response (void *user_data,
                          const struct store_items_response *response);
 
@@ -166,6 +185,18 @@
                              on_response, query);
 }
 
+/* Returns whether a listing takes fewer calls than the changes that are left,
+   after the latest response in a row that was full.  */
+static bool
+is_far_behind (struct sync_query *query)
+{
+  struct store_sync *store_sync = query->store_sync;
+  query->full_count++;
+  size_t keys = fleet_upstream_count (store_sync->desc.fleet)
+                + registry_count (store_sync->desc.registry);
+  return (size_t)query->full_count > MIN_FULL_RESPONSES + keys / PAGE_KEYS;
+}
+
 static void
 on_urgent_changes (void *user_data, const struct store_items_response *changes)
 {
@@ -198,12 +229,7 @@
   bool is_first = store_sync->index == 0;
   /* Nothing can be served before the first listing, so it is waited for.  */
   if (!is_first || source != SOURCE_STORE)
-    timer_start (loop_timers (store_sync->desc.loop), &store_sync->wait_timer,
-                 now
-                     + fraction_of_poll (store_sync, source == SOURCE_STORE
-                                                         ? store_wait_fraction
-                                                         : copy_wait_fraction),
-                 on_wait_over, query);
+    start_wait (query, now);
   send_query (query, is_first, now);
   return true;
 }
@@ -276,7 +302,7 @@
     store_sync_apply_listing (store_sync, response,
                               is_store ? "store" : "entry", may_be_expired,
                               now);
-  if (is_stale || response->index < store_sync->index)
+  if (is_stale || response->is_full || response->index < store_sync->index)
     return false;
   apr_time_t as_of = query->asked_at - response->age;
   if (as_of > store_sync->current_as_of)
@@ -296,6 +322,21 @@
   query->timed_out = false;
   if (was_waited_for)
     timer_stop (loop_timers (store_sync->desc.loop), &store_sync->wait_timer);
+  if (response->code == ERR_NONE && response->is_full)
+    {
+      /* The store changes by more than one response holds between two reads:
+         only the response that is not full shows that nothing is missing.  */
+      apply_response (query, response, now);
+      bool is_listing = is_far_behind (query);
+      if (is_listing)
+        query->full_count = 0;
+      send_query (query, is_listing, now);
+      query->timed_out = !was_waited_for;
+      if (was_waited_for)
+        start_wait (query, now);
+      return;
+    }
+  query->full_count = 0;
   if (response->code == ERR_NOT_FOUND && !query->is_listing)
     {
       handle_history_gone (query, was_waited_for, now);
