Region load: the split among regions uses what was heard, admission the likely load

Change: two estimates. In the split, whose thresholds are for what an entry hears, the mean counts the less the more upstreams were heard of; admission uses it in full.

--- a/tests/unit/balance_test.c
+++ b/tests/unit/balance_test.c
@@ -311,7 +311,8 @@
   };
   struct region_split split;
   const bool all_regions[3] = { true, true, true };
-  struct balance_region_load loads[3] = { { 36, 0 }, { 144, 0 }, { 108, 0 } };
+  struct balance_region_load loads[3]
+      = { { 36, 0, 0 }, { 144, 0, 0 }, { 108, 0, 0 } };
   int before[OBJECTS];
   now = TIMER_SEC (1000);
   region_split_init (&split, 3, 0, 0.03);
@@ -322,7 +323,7 @@
   for (int i = 0; i < OBJECTS; i++)
     before[i] = (int)region_split_pick (
         &split, (uint64_t)i * 0x9e3779b97f4a7c15ULL, all_regions);
-  loads[0].busy = 36;
+  loads[0].known_busy = 36;
   for (int ms = 100; ms <= 2000; ms += 100)
     region_split_update (&split, loads, now + TIMER_MS (ms));
   int moved = 0;
@@ -375,6 +376,90 @@
   fleet_destroy (fleet);
 }
 
+/* The load of a region: what upstreams reported lately, and for those that
+   were not heard of the mean of the others, of which admission sees all and
+   the split among regions the less the more were heard of.  An entry among
+   hundreds hears of hardly any; with nothing in the place of the others, each
+   region seems idle.  */
+static void
+test_region_load (void)
+{
+  static const struct
+  {
+    int heard;        /* of the UPSTREAMS, each with 2 other requests */
+    apr_time_t later; /* when the load is estimated */
+    double known_busy;
+    double busy;
+  } cases[] = {
+    { 0, 0, 0.0, 0.0 },
+    /* The mean is 3: those that report 2 had a third, the one that ended.  A
+       sixth was heard of, two thirds of the quarter at which the mean does not
+       count for the split.  */
+    { 1, 0, 2.0 + 5.0, 2.0 + 15.0 },
+    { 3, 0, 6.0, 6.0 + 9.0 },
+    { UPSTREAMS, 0, 12.0, 12.0 },
+    /* Reports of seconds ago count less and less, as does their mean.  */
+    { UPSTREAMS, TIMER_SEC (30), 0.0, 0.0 },
+  };
+  for (size_t i = 0; i < COUNT (cases); i++)
+    {
+      set_up_fleet ();
+      const struct fleet_group *group
+          = fleet_group (fleet_service (fleet, STR ("desk")), STR ("north"));
+      struct balance_reports reports = { 0 };
+      const struct load_report report = { 2, 0, SLOTS, 100 };
+      for (int u = 0; u < cases[i].heard; u++)
+        {
+          load_apply_report (&group->members[u].upstream->load, &report, now);
+          balance_add_report (&reports, 2, now);
+        }
+      /* Enough reports for the mean to be relied on.  */
+      for (int n = 0; n < 3 && cases[i].heard > 0; n++)
+        balance_add_report (&reports, 2, now);
+      struct balance_region_load load
+          = balance_region_load (group, &reports, now + cases[i].later);
+      CU_ASSERT_DOUBLE_EQUAL (load.slots, UPSTREAMS * SLOTS, 1e-9);
+      CU_ASSERT_DOUBLE_EQUAL (load.known_busy, cases[i].known_busy, 0.01);
+      CU_ASSERT_DOUBLE_EQUAL (load.busy, cases[i].busy, 0.01);
+      fleet_destroy (fleet);
+    }
+}
+
+/* Upstreams are heard of in proportion to their requests; the estimate of the
+   mean has no such bias.  */
+static void
+test_mean_of_reports (void)
+{
+  static const double means[] = { 0.5, 2.0, 6.0 };
+  uint64_t random = 1;
+  for (size_t m = 0; m < COUNT (means); m++)
+    {
+      struct balance_reports reports = { 0 };
+      double sum = 0.0;
+      int estimates = 0;
+      for (int n = 0; n < 4000; n++)
+        {
+          /* The other requests that a request finds: Poisson.  */
+          double limit = exp (-means[m]);
+          int requests = -1;
+          for (double product = 1.0; product > limit; requests++)
+            {
+              random
+                  = random * 6364136223846793005ULL + 1442695040888963407ULL;
+              product *= (double)(random >> 11) / (double)(1ULL << 53);
+            }
+          balance_add_report (&reports, requests,
+                              now + n * (apr_time_t)TIMER_MS (50));
+          if (n < 200)
+            continue;
+          sum += balance_mean_requests (&reports,
+                                        now + n * (apr_time_t)TIMER_MS (50));
+          estimates++;
+        }
+      CU_ASSERT_DOUBLE_EQUAL (sum / estimates, means[m], 0.08 * means[m]);
+    }
+}
+
 const struct unit_test balance_tests[]
     = { { "an object's requests go where it is cached", test_affinity },
         { "requests wait only where their object is cached", test_queue },
@@ -388,4 +473,8 @@
           test_service_time },
         { "requests are sent, wait or are refused at once", test_admit },
         { "the split among regions changes slowly", test_region_split },
+        { "the load of a region counts upstreams that were not heard of",
+          test_region_load },
+        { "the mean of reports is not that of the busiest upstreams",
+          test_mean_of_reports },
         { NULL, NULL } };
