--- a/src/gateway/registry.c
+++ b/src/gateway/registry.c
@@ -557,9 +557,19 @@
         if (readers[r] != &self)
           peers[peer_count++] = readers[r];
     }
-  return peer_count > 0
-             ? peers[registry->next_peer++ % peer_count]->peer_address
-             : STR ("");
+  size_t number = registry->next_peer++;
+  if (peer_count > 0)
+    return peers[number % peer_count]->peer_address;
+  /* After an outage of the store all keys may have expired, while the entries
+     are still there.  */
+  for (size_t i = 0; i < registry->count; i++)
+    {
+      const struct registry_entry *entry
+          = registry->list[(number + i) % registry->count];
+      if (!is_self (registry, entry) && entry->peer_address.size > 0)
+        return entry->peer_address;
+    }
+  return STR ("");
 }
 
 struct str
--- a/src/gateway/registry.h
+++ b/src/gateway/registry.h
@@ -116,7 +116,8 @@
 struct str registry_reader_address (const struct registry *registry,
                                     size_t number);
 /* Returns the address of another entry that reads the store, in any region, a
-   different one each time (round robin), or an empty string.  */
+   different one each time (round robin); if the keys of all of them are gone,
+   that of any other entry whose record is kept; or an empty string.  */
 struct str registry_next_peer_address (struct registry *registry);
 /* Returns this entry's share of the requests that a cold upstream can serve:
    1 / MAX_SENDERS (at least 1), or 0.  The MAX_SENDERS entries that rank first
--- a/tests/unit/registry_test.c
+++ b/tests/unit/registry_test.c
@@ -185,6 +185,32 @@
     }
 }
 
+/* An entry that can't reach the store asks the readers of all regions in turn,
+   and once the keys of all entries have expired, entries whose records are
+   kept: with none to ask, it stays at what it knows.  */
+static void
+test_peers (void)
+{
+  static const struct entry_case entries[] = {
+    { "a", 90, false }, { "a", 10, false }, { "b", 90, false },
+    { "s", 10, false }, { "s", 90, false }, { "s", 20, false },
+  };
+  struct gateway_settings settings;
+  struct registry *registry
+      = make_registry (0, entries, COUNT (entries), &settings);
+  for (int expired = 0; expired <= 1; expired++)
+    {
+      int asked = 0;
+      for (int i = 0; i < 12; i++)
+        asked |= 1 << (registry_next_peer_address (registry).data[7] - '0');
+      /* Of the own region the other reader, of the other region both.  */
+      CU_ASSERT_EQUAL (asked, expired ? 0x3e : 1 << 2 | 1 << 4 | 1 << 5);
+      for (int i = 1; i < (int)COUNT (entries); i++)
+        registry_remove (registry, str_printf (test_pool, "e%d", i), true, 1);
+    }
+  registry_destroy (registry);
+}
+
 /* With more entries than fit one response to a look-up, all are named in turn:
    one that is never named would get no callers.  */
 static void
@@ -224,6 +250,8 @@
 
 const struct unit_test registry_tests[]
     = { { "two entries of a region read the store", test_readers },
+        { "who can't reach the store asks the readers of all regions",
+          test_peers },
         { "a malformed key names no entry", test_malformed_entries },
         { "all entries are named to callers in turn", test_look_ups_in_turn },
         { NULL, NULL } };
