Session readers: upstreams that write more than one response of the store holds

The stand-in of the store limits a response to 500 changes, as the platform does. 5,000 renewals are followed by a configuration: in force in time at all entries.

--- a/tests/session/readers.sh
+++ b/tests/session/readers.sh
@@ -81,13 +81,17 @@
 echo "# a change"
 change second 1 2 3 4 5 6
 
+echo "# upstreams write more than a response of the store holds"
+curl -s -X PUT "$store/_renew?key=servers/i-2&count=5000" -o /dev/null
+change many 1 2 3 4 5 6
+
 echo "# one upstream leaves, another one only renews its registry entry"
 put servers/i-2 "$(upstream_record 2 ready 2)"
 put servers/i-1 "$(upstream_record 1 draining 2)"
 sleep 2.5
 runs () { curl -s "http://127.27.2.1:7910/_runs" | sed 's/ ran.*//'; }
 ran=$(runs)
-all_have_status 200 second 1 2 3 4 5 6 && echo "served"
+all_have_status 200 many 1 2 3 4 5 6 && echo "served"
 [ "$(runs)" = "$ran" ] && echo "nothing more ran there"
 put servers/i-1 "$(upstream_record 1 ready 3)"
 
--- a/tests/standin/metadata.c
+++ b/tests/standin/metadata.c
@@ -3,10 +3,12 @@
 
      standin metadata --listen IP:PORT [--also IP:PORT]
 
-   Both addresses serve the same data.
+   Both addresses serve the same data.  A response holds at most 500 changes,
+   as the platform's do; its revision is then that of the last of them.
 
    For tests, PUT /_put?key=K writes the request body as the value of K, as an
-   operator or an upstream would, PUT /_drop?key=K removes a key, and
+   operator or an upstream would, PUT /_drop?key=K removes a key,
+   PUT /_renew?key=K&count=N writes the value of K again N times, and
    PUT /_mode?mode=M sets the mode:
      normal   serves every request
      busy     refuses every request with 503
@@ -25,6 +27,7 @@
 enum
 {
   MAX_EVENTS = 64 * 1024,
+  MAX_CHANGES = 500, /* in one response */
   MAX_LEASES = 4096,
   MAX_BODY_BYTES = 1024 * 1024,
   MAX_VALUE_BYTES = 64 * 1024,
@@ -135,9 +138,15 @@
   int64_t after_revision = changes ? strtoll (after_text.data, NULL, 10) : 0;
   json_object *list = json_object_new_array ();
   json_object *object = json_object_new_object ();
+  int64_t revision = current_revision ();
   for (size_t i = 0; i < store.event_count; i++)
     {
       const struct event *event = &store.events[i];
+      if (changes && json_object_array_length (list) == MAX_CHANGES)
+        {
+          revision = store.events[i - 1].revision;
+          break;
+        }
       if (!str_starts_with (str_from (event->key), prefix))
         continue;
       if (changes ? event->revision > after_revision
@@ -147,7 +156,7 @@
   json_object_object_add (object, changes ? "events" : "items", list);
   json_object_object_add (object, "has_more", json_object_new_boolean (false));
   json_object_object_add (object, "current_rev",
-                          json_object_new_int64 (current_revision ()));
+                          json_object_new_int64 (revision));
   return httpd_queue_json (
       connection,
       changes && after_revision < store.compacted_revision ? 410 : 200,
@@ -251,6 +260,21 @@
   append_event (key, text, 0);
 }
 
+/* Writes the value of KEY again COUNT times.  */
+static void
+renew (const char *key, int64_t count)
+{
+  for (size_t i = store.event_count; i-- > 0;)
+    if (strcmp (store.events[i].key, key) == 0 && store.events[i].value)
+      {
+        char *value = strdup (store.events[i].value);
+        while (count-- > 0)
+          append_event (key, value, 0);
+        free (value);
+        return;
+      }
+}
+
 static void
 set_mode (struct str mode)
 {
@@ -273,6 +297,9 @@
     put_body (key.data, request);
   else if (strcmp (url, "/_drop") == 0)
     append_event (key.data, NULL, 0);
+  else if (strcmp (url, "/_renew") == 0)
+    renew (key.data, strtoll (httpd_query_parameter (connection, "count").data,
+                              NULL, 10));
   else if (strcmp (url, "/_mode") == 0)
     set_mode (httpd_query_parameter (connection, "mode"));
   else
