Faults found by readers: attempts, reload, statuses of the store, methods, secrets, ejection, outcomes

- Attempts that an upstream refused no longer count against max_attempts: only those that may have run do.
- A reload applies region_shift to services that exist already.
- /v1/apply, operations, watch, status, burn and version refuse other methods with 405 (session operator; they were served).
- A secret file of more than 255 bytes is a fault; it was cut.
- An ejection lasts 15 s at most; it was 16 s (steer test).
- A call whose caller left while it was queued counts as not run, and one whose first attempt may have run as unknown.
The tests of methods, secrets and ejection failed before; the others were read, and have no test of their own yet.

--- a/bench/gateway/sim.c
+++ b/bench/gateway/sim.c
@@ -30,13 +30,12 @@
 
 const char *const sim_region_names[SIM_REGIONS] = { "r0", "r1", "r2" };
 
-/* Parameters as in src/gateway/gateway.c and src/gateway/dispatch.c, except
-   that overflow_max_balance is 3 there.  */
+/* Parameters as in src/gateway/gateway.c and src/gateway/dispatch.c.  */
 static const double retry_budget_per_call = 0.17;
 static const double retry_slack = 64.0; /* of all entries together, as in the
                                            users' deployment */
 static const double overflow_budget_per_call = 0.04;
-static const double overflow_max_balance = 2.0;
+static const double overflow_max_balance = 3.0;
 static const double max_shift_per_s = 0.03; /* fraction of the requests */
 /* First estimates of the service times, as fractions of the target latency. */
 static const double initial_cached_fraction = 0.5;
--- a/src/call/call.c
+++ b/src/call/call.c
@@ -266,8 +266,11 @@
   timer_stop (loop_timers (context->loop), &call->timer);
   timer_stop (loop_timers (context->loop), &call->hedge_timer);
   queue_remove (context->queue, &call->queue_item);
-  if (call->attempt && !call->attempt->done)
-    call->outcome = call_is_sent (call) ? OUTCOME_UNKNOWN : OUTCOME_NOT_RUN;
+  /* The caller left before its response was complete.  */
+  if ((call->attempt && !call->attempt->done) || call->outcome == 0)
+    call->outcome = call->may_have_run || call_is_sent (call)
+                        ? OUTCOME_UNKNOWN
+                        : OUTCOME_NOT_RUN;
   if (call->ready_link)
     {
       *call->ready_link = call->next_ready;
--- a/src/gateway/attempts.c
+++ b/src/gateway/attempts.c
@@ -115,7 +115,7 @@
     return false;
   if (!not_run
       && (!plan_kind_is_idempotent (request->route->kind)
-          || request->send_count >= request->route->max_attempts))
+          || request->run_count + 1 >= request->route->max_attempts))
     return false;
   if (!body_rewind (&request->body))
     return false;
@@ -153,6 +153,7 @@
     request->may_have_run = true;
   if (may_retry (request, not_run, has_arrived))
     {
+      request->run_count += !not_run;
       request->tried_upstreams[request->tried_count++]
           = request->upstream->hash;
       attempts_cancel (request);
@@ -268,6 +269,7 @@
       end_upstream_load (request, LOAD_FAILED);
       log_attempt_failure (request, "the upstream failed", false);
       request->may_have_run = true;
+      request->run_count++;
       request->tried_upstreams[request->tried_count++]
           = request->upstream->hash;
       attempts_cancel (request);
@@ -413,7 +415,8 @@
   struct attempt *attempt = request->attempt;
   if (!attempt || attempt->done || attempt->has_head
       || !request->load_is_counted
-      || request->send_count >= request->route->max_attempts
+      || request->run_count + 1 >= request->route->max_attempts
+      || request->send_count >= max_sends (request)
       || request->tried_count >= BALANCE_EXCLUDED_MAX
       || dispatch_utilization (request) > late_retry_max_utilization)
     return;
@@ -427,6 +430,7 @@
       return;
     }
   request->may_have_run |= attempt->sent;
+  request->run_count += attempt->sent;
   log_attempt_failure (request, "late; sent to another upstream", false);
   end_upstream_load (request, LOAD_SUPERSEDED);
   attempts_cancel (request);
@@ -439,7 +443,7 @@
   struct gateway *gateway = request->gateway;
   double expected = (double)request->service_time * request->upstream_slowdown;
   if (!plan_kind_is_idempotent (request->route->kind)
-      || request->send_count >= request->route->max_attempts)
+      || request->run_count + 1 >= request->route->max_attempts)
     return;
   timer_start (loop_timers (gateway->loop), &request->late_retry_timer,
                timer_clock () + (apr_time_t)(expected * late_retry_factor)
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -56,6 +56,15 @@
 
 /* private functions */
 
+/* Returns the largest fraction of the requests that may move to another region
+   in a second.  */
+static double
+max_shift_per_s (const struct gateway *gateway)
+{
+  return gateway->settings.region_shift * region_shift_fraction
+         / shift_window_s;
+}
+
 /* Sets the bounds of retries from the settings and the number of entries.  */
 static void
 update_retry_budget (struct gateway *gateway, struct service_state *service)
@@ -312,6 +321,12 @@
   gateway->settings.stop_s = settings.stop_s;
   gateway->settings.region_shift = settings.region_shift;
   gateway->settings.log_lines_per_s = settings.log_lines_per_s;
+  for (apr_hash_index_t *i = apr_hash_first (NULL, gateway->services); i;
+       i = apr_hash_next (i))
+    {
+      struct service_state *service = apr_hash_this_val (i);
+      service->region_split.max_shift_per_s = max_shift_per_s (gateway);
+    }
   LOG (LOG_INFO, "settings-reloaded");
 }
 
@@ -573,9 +588,8 @@
   update_retry_budget (gateway, service);
   budget_init (&service->overflow_budget, overflow_earned,
                overflow_max_balance);
-  region_split_init (
-      &service->region_split, gateway->region_count, gateway->own_region,
-      gateway->settings.region_shift * region_shift_fraction / shift_window_s);
+  region_split_init (&service->region_split, gateway->region_count,
+                     gateway->own_region, max_shift_per_s (gateway));
   apr_hash_set (gateway->services, service->name.data,
                 (apr_ssize_t)service->name.size, service);
   update_service (gateway, service, timer_clock ());
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -197,6 +197,7 @@
   bool load_is_counted; /* load_begin_request was called for the attempt and
                            load_end_request not yet */
   int send_count;
+  int run_count; /* ended attempts that an upstream may have run */
   uint64_t tried_upstreams[BALANCE_EXCLUDED_MAX]; /* hashes of their ids */
   size_t tried_count;
   unsigned int status; /* HTTP, of the response */
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -4,9 +4,9 @@
      gateway_settings_load (path, pool, &settings, faults);
 
    The file may be read again at any time.  gateway.c then applies `retry',
-   `cold', `stop_s' and `log_lines_per_s', and `region_shift' to services that
-   get their first request later; the others, such as addresses and names,
-   count only at the start.  Members are named like the keys of the file.
+   `cold', `stop_s', `region_shift' and `log_lines_per_s'; the others, such as
+   addresses and names, count only at the start.  Members are named like the
+   keys of the file.
 
    Errors: each invalid value is added to `faults' with its path and what was
    expected.  Threads: the result is read-only.  */
--- a/src/operator/api.c
+++ b/src/operator/api.c
@@ -11,6 +11,7 @@
 struct handler
 {
   const char *path; /* first segment after /v1/ */
+  const char *method;
   void (*handle) (struct request *request);
 };
 
@@ -36,13 +37,14 @@
   request_finish (request, STATUS_OK, response);
 }
 
-static const struct handler handlers[] = { { "apply", handle_apply },
-                                           { "operations", handle_operation },
-                                           { "watch", handle_watch },
-                                           { "status", handle_status },
-                                           { "burn", handle_burn },
-                                           { "version", handle_version },
-                                           { NULL, NULL } };
+static const struct handler handlers[]
+    = { { "apply", "POST", handle_apply },
+        { "operations", "GET", handle_operation },
+        { "watch", "GET", handle_watch },
+        { "status", "GET", handle_status },
+        { "burn", "GET", handle_burn },
+        { "version", "GET", handle_version },
+        { NULL, NULL, NULL } };
 
 /* Sets `segments' from the path after /v1/; segments after the third are
    ignored, since no path has more than two.  */
@@ -125,7 +127,12 @@
     if (request->segment_count > 0
         && str_equal (request->segments[0], str_from (h->path)))
       {
-        h->handle (request);
+        if (str_equal (request->method, str_from (h->method)))
+          h->handle (request);
+        else
+          request_fail (request, STATUS_NOT_ALLOWED, "not-allowed",
+                        "%s /v1/%s is not possible: %s expected",
+                        request->method.data, h->path, h->method);
         return;
       }
   handle_resources (request);
--- a/src/settings/settings.c
+++ b/src/settings/settings.c
@@ -149,8 +149,8 @@
 
 /* private functions */
 
-/* Returns the secret VALUE or the content of FILE, of which at most
-   MAX_SECRET_BYTES are read, without final line ends.  Exactly one must be
+/* Returns the secret VALUE or the content of FILE, which has at most
+   MAX_SECRET_BYTES, without final line ends.  Exactly one must be
    given, else a fault at PATH is added, as for a file that cannot be read.  */
 static struct str
 read_secret (struct str value, struct str file, const char *path,
@@ -165,7 +165,8 @@
   if (value.size > 0)
     return value;
   apr_file_t *handle;
-  char *text = apr_pcalloc (pool, MAX_SECRET_BYTES + 1);
+  /* One byte more, to tell one that is too long.  */
+  char *text = apr_pcalloc (pool, MAX_SECRET_BYTES + 2);
   apr_size_t size = 0;
   if (apr_file_open (&handle, file.data, APR_FOPEN_READ, APR_OS_DEFAULT, pool)
       != APR_SUCCESS)
@@ -174,8 +175,14 @@
                   "a file that can be read");
       return STR ("");
     }
-  apr_file_read_full (handle, text, MAX_SECRET_BYTES, &size);
+  apr_file_read_full (handle, text, MAX_SECRET_BYTES + 1, &size);
   apr_file_close (handle);
+  if (size > MAX_SECRET_BYTES)
+    {
+      faults_add (faults, str_printf (pool, "%s_file", path), file,
+                  "a file of at most %d bytes", MAX_SECRET_BYTES);
+      return STR ("");
+    }
   while (size > 0 && (text[size - 1] == '\n' || text[size - 1] == '\r'))
     size--;
   text[size] = 0;
--- a/src/steer/steer.c
+++ b/src/steer/steer.c
@@ -10,7 +10,7 @@
 {
   EJECT_AFTER_FAILURES = 3, /* in a row */
   MIN_EJECT_MS = 500,
-  EJECT_DOUBLED_BELOW_MS = 15000 /* so that it is at most 16 s */
+  MAX_EJECT_MS = 15000
 };
 
 /* Weight of a new response time in the moving average.  */
@@ -37,8 +37,10 @@
 {
   int doublings = state->consecutive_failures - EJECT_AFTER_FAILURES;
   int64_t ms = MIN_EJECT_MS;
-  while (doublings-- > 0 && ms < EJECT_DOUBLED_BELOW_MS)
+  while (doublings-- > 0 && ms < MAX_EJECT_MS)
     ms *= 2;
+  if (ms > MAX_EJECT_MS)
+    ms = MAX_EJECT_MS;
   state->ejected_until = now + ms * 1000;
 }
 
--- a/tests/session/operator.sh
+++ b/tests/session/operator.sh
@@ -57,6 +57,10 @@
 run get
 run lookup shop --entry 127.23.0.3:7600 --region south --caller c
 run lookup nothing --entry 127.23.0.3:7600
+echo "# a path that is only read, or only written to, refuses other methods"
+for path in status apply; do
+  curl -s -X PUT -H "Authorization: Bearer $CITRONCLEAT_TOKEN" -d '{}' -w '%{http_code}\n' "http://127.23.0.1:7800/v1/$path"
+done
 echo "# settings are checked like resources"
 cat >"$WORK/settings.json" <<EOF
 // a settings file with faults
@@ -69,3 +73,6 @@
 write_settings 1 north-a north >/dev/null
 run check-settings -f "$WORK/e1.json"
 run check-settings -f "$WORK/none.json"
+head -c 300 /dev/zero | tr '\0' t >"$WORK/token"
+sed "s#\"token\": \"demonstration-token\"#\"token_file\": \"$WORK/token\"#" "$WORK/e1.json" >"$WORK/long-token.json"
+run check-settings -f "$WORK/long-token.json"
--- a/tests/unit/steer_test.c
+++ b/tests/unit/steer_test.c
@@ -226,7 +226,8 @@
   tear_down_steer ();
 }
 
-/* Three failures in a row eject an upstream, for a second.  */
+/* Three failures in a row eject an upstream, for a second, and more of them
+   for 15 s at most.  */
 static void
 test_ejection (void)
 {
@@ -243,6 +244,15 @@
   CU_ASSERT_TRUE (steer_query_upstream (steer, STR ("n0"), now).ejected);
   now += TIMER_SEC (1);
   CU_ASSERT_FALSE (steer_query_upstream (steer, STR ("n0"), now).ejected);
+  /* However often it fails, it is tried again after 15 s.  */
+  for (int i = 0; i < 12; i++)
+    {
+      struct steer_attempt attempt
+          = steer_begin_attempt (steer, n0, CLASS_SHORT);
+      steer_end_attempt (steer, &attempt, RESULT_FAILED, 100, now);
+    }
+  now += TIMER_SEC (15);
+  CU_ASSERT_FALSE (steer_query_upstream (steer, STR ("n0"), now).ejected);
   tear_down_steer ();
 }
 
