Entries share which upstreams they can't reach; the mean load only where hardly any upstream is heard of

Cause 1: when upstreams fall silent, and their addresses go to others, the store says so after 4.5 s. Change 1: entries report to a reader, twice a second, what they could not reach, and avoid what it lists: one refusal is enough, or the silence to two entries; not for long, and not an upstream that answers the entry itself. The decisions are in fleet/unreachable, without I/O.

Change 2: the mean counts only if less than a twentieth is heard of, as in the large deployment (one in eighty); the thresholds of admission are 0.3 and 0.4 again.

--- a/bench/gateway/sim.c
+++ b/bench/gateway/sim.c
@@ -35,7 +35,7 @@
 static const double retry_slack = 64.0; /* of all entries together, as in the
                                            users' deployment */
 static const double overflow_budget_per_call = 0.04;
-static const double overflow_max_balance = 3.0;
+static const double overflow_max_balance = 2.0;
 static const double max_shift_per_s = 0.03; /* fraction of the requests */
 /* First estimates of the service times, as fractions of the target latency. */
 static const double initial_cached_fraction = 0.5;
--- a/src/balance/admit.c
+++ b/src/balance/admit.c
@@ -5,8 +5,8 @@
 /* From this utilization on, a slot is worth more to a request that can still
    meet its target latency than to one that is late already.  The limit is
    higher for a late request that is urgent.  */
-static const double max_utilization_for_late = 0.5;
-static const double max_utilization_for_urgent_late = 0.6;
+static const double max_utilization_for_late = 0.3;
+static const double max_utilization_for_urgent_late = 0.4;
 
 enum
 {
--- a/src/balance/balance.c
+++ b/src/balance/balance.c
@@ -50,7 +50,7 @@
 static const double reports_decay_us = 2000000.0;
 /* Fraction of the upstreams of a region of which an entry hears within a
    second from which on the others are not counted as the mean.  */
-static const double max_heard_fraction = 0.25;
+static const double max_heard_fraction = 0.05;
 /* Weight of the reports from which on their mean is relied on in full, about
    that of one report of an idle upstream.  */
 static const double min_report_weight = 1.0;
@@ -202,15 +202,10 @@
              : exp (-(double)(now - reports->updated_at) / reports_decay_us);
 }
 
-static double
-min_of (double a, double b)
-{
-  return a < b ? a : b;
-}
-
 /* Returns how much the mean counts for upstreams of GROUP that were not heard
    of lately, 0 to 1: less the more were heard of, since the others are then
-   those with few requests.  */
+   those with few requests, and the thresholds of region_split.h and admit.h
+   are for what an entry hears.  */
 static double
 unheard_weight (const struct fleet_group *group, apr_time_t now)
 {
@@ -318,19 +313,18 @@
                      const struct balance_reports *reports, apr_time_t now)
 {
   struct balance_region_load region_load = { 0 };
-  double mean = balance_mean_requests (reports, now);
-  double known_mean = mean * unheard_weight (group, now);
+  double mean
+      = balance_mean_requests (reports, now) * unheard_weight (group, now);
   for (size_t i = 0; group && i < group->count; i++)
     {
       const struct fleet_upstream *upstream = group->members[i].upstream;
       if (!fleet_is_eligible (upstream))
         continue;
       double slots = (double)upstream->load.slots;
-      double heard = load_in_flight (&upstream->load, now);
       double unheard = 1.0 - load_report_weight (&upstream->load, now);
+      double busy = load_in_flight (&upstream->load, now) + unheard * mean;
       region_load.slots += slots;
-      region_load.known_busy += min_of (slots, heard + unheard * known_mean);
-      region_load.busy += min_of (slots, heard + unheard * mean);
+      region_load.busy += busy < slots ? busy : slots;
     }
   return region_load;
 }
--- a/src/balance/balance.h
+++ b/src/balance/balance.h
@@ -97,18 +97,11 @@
   apr_time_t updated_at;
 };
 
-/* Slots of the upstreams of a service in one region, and how many are in use.
-   At most as many as there are count of each upstream.  */
+/* Slots of the upstreams of a service in one region.  */
 struct balance_region_load
 {
   double slots;
-  /* By what the upstreams reported lately.  For moves between regions, which
-     cost every request a round trip.  If nearly all upstreams were not heard
-     of, they count as in `busy'.  */
-  double known_busy;
-  /* Upstreams that were not heard of lately count as the mean of the others.
-     For admission.  */
-  double busy;
+  double busy; /* estimate of the slots in use, at most `slots' */
 };
 
 /* Returns, of the upstreams that can take the request, the one of lowest cost.
@@ -143,9 +136,10 @@
                               apr_time_t now);
 /* Returns the slots of the eligible upstreams of GROUP, which may be NULL, and
    how many are in use.  Among hundreds of entries, one hears of each upstream
-   too seldom to know its load, but often enough of some to know the mean.
-   Called several times per second for balance/region_split.h and
-   balance/admit.h.  */
+   too seldom to know its load, but often enough of some to know the mean: if
+   nearly none of them was heard of in the last second, the others count as the
+   mean of REPORTS.  Called several times per second for balance/region_split.h
+   and balance/admit.h.  */
 struct balance_region_load
 balance_region_load (const struct fleet_group *group,
                      const struct balance_reports *reports, apr_time_t now);
--- a/src/balance/load.c
+++ b/src/balance/load.c
@@ -25,6 +25,10 @@
 /* What a refusal counts of a failure: it costs only a second attempt.  */
 static const double refusal_weight = 0.5;
 
+/* For so long after its response an upstream is not avoided since others could
+   not reach it.  */
+static const apr_time_t trusted_answer_us = 1000000;
+
 /* An upstream that cannot be connected to is avoided, twice as long after each
    further failure.  */
 enum
@@ -135,6 +139,7 @@
   switch (result)
     {
     case LOAD_ANSWERED:
+      load->answered_at = now;
       load->connect_failures = 0;
       load->avoid_until = 0;
       update_failure_rate (load, 0.0, now);
@@ -160,6 +165,16 @@
     }
 }
 
+bool
+load_avoid (struct load *load, apr_time_t until, apr_time_t now)
+{
+  if (load->answered_at > 0 && now - load->answered_at < trusted_answer_us)
+    return false;
+  if (until > load->avoid_until)
+    load->avoid_until = until;
+  return true;
+}
+
 double
 load_report_weight (const struct load *load, apr_time_t now)
 {
--- a/src/balance/load.h
+++ b/src/balance/load.h
@@ -55,6 +55,7 @@
   double observed_slowdown; /* time of responses over the expected time */
   apr_time_t observed_at;
   apr_time_t last_activity_at; /* a request ended, or the first one began */
+  apr_time_t answered_at;      /* the latest response; 0: none yet */
   int64_t connect_failures;    /* in a row */
   double failure_rate;         /* moving average, 0 to 1 */
   apr_time_t failure_rate_at;
@@ -77,6 +78,10 @@
 void load_end_request (struct load *load, enum load_result result,
                        apr_time_t elapsed, apr_time_t expected,
                        apr_time_t now);
+/* Keeps new requests from the upstream until UNTIL, since other entries could
+   not reach it.  Returns false, changing nothing, if it has responded to this
+   entry within the last second.  */
+bool load_avoid (struct load *load, apr_time_t until, apr_time_t now);
 /* Returns the estimate of all entries' requests at the upstream, running and
    waiting.  */
 double load_in_flight (const struct load *load, apr_time_t now);
--- a/src/balance/region_split.c
+++ b/src/balance/region_split.c
@@ -36,8 +36,7 @@
 static double
 utilization (const struct balance_region_load *region_load)
 {
-  return region_load->slots > 0 ? region_load->known_busy / region_load->slots
-                                : 2.0;
+  return region_load->slots > 0 ? region_load->busy / region_load->slots : 2.0;
 }
 
 /* Sets the first fractions as if the demand were equal in all regions: a
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -437,6 +437,12 @@
          && !upstream->zone->is_evacuated;
 }
 
+struct fleet_upstream *
+fleet_find (const struct fleet *fleet, struct str id)
+{
+  return apr_hash_get (fleet->ids, id.data, (apr_ssize_t)id.size);
+}
+
 size_t
 fleet_upstream_count (const struct fleet *fleet)
 {
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -180,6 +180,8 @@
 /* Returns whether UPSTREAM may get new requests: it is neither leaving nor
    removed, and its zone is not evacuated.  */
 bool fleet_is_eligible (const struct fleet_upstream *upstream);
+/* Returns the upstream ID, or NULL.  */
+struct fleet_upstream *fleet_find (const struct fleet *fleet, struct str id);
 /* Returns the number of upstreams of all services.  */
 size_t fleet_upstream_count (const struct fleet *fleet);
 /* Returns the record of which objects the upstreams handled recently, which
--- /dev/null
+++ b/src/fleet/unreachable.c
@@ -0,0 +1,123 @@
+#include "fleet/unreachable.h"
+
+#include <string.h>
+
+/* constants */
+
+enum
+{
+  ID_MAX_BYTES = 64 /* upstreams with longer ids are not listed */
+};
+
+/* Two silences further apart may have different causes.  */
+static const apr_time_t confirm_us = 2000000;
+/* Several exchanges of the entries with their reader.  */
+static const apr_time_t first_listing_us = 1000000;
+/* Bounds how late the return of an upstream is noticed.  */
+static const apr_time_t longest_listing_us = 4000000;
+
+/* types */
+
+struct item
+{
+  char id[ID_MAX_BYTES];
+  size_t id_size; /* 0: not in use */
+  int64_t incarnation;
+  uint64_t reporter; /* of the latest silence */
+  apr_time_t reported_at;
+  apr_time_t listed_until; /* 0: never listed */
+  apr_time_t duration;     /* of the latest listing */
+};
+
+struct unreachable
+{
+  struct item items[UNREACHABLE_MAX];
+};
+
+/* private functions */
+
+static bool
+is_outdated (const struct item *item, apr_time_t now)
+{
+  return now - item->reported_at > confirm_us
+         && now - item->listed_until > item->duration;
+}
+
+/* Returns the item of the upstream in REPORT, one that may be overwritten, or
+   NULL if there is none.  */
+static struct item *
+find_item (struct unreachable *list, const struct unreachable_report *report,
+           apr_time_t now)
+{
+  struct item *unused = NULL;
+  for (size_t i = 0; i < UNREACHABLE_MAX; i++)
+    {
+      struct item *item = &list->items[i];
+      if (item->id_size == report->id.size
+          && item->incarnation == report->incarnation
+          && memcmp (item->id, report->id.data, item->id_size) == 0)
+        return item;
+      if (!unused && (item->id_size == 0 || is_outdated (item, now)))
+        unused = item;
+    }
+  return unused;
+}
+
+/* public functions */
+
+struct unreachable *
+unreachable_create (apr_pool_t *pool)
+{
+  return apr_pcalloc (pool, sizeof (struct unreachable));
+}
+
+void
+unreachable_report (struct unreachable *list,
+                    const struct unreachable_report *report, apr_time_t now)
+{
+  struct item *item = report->id.size > 0 && report->id.size < ID_MAX_BYTES
+                          ? find_item (list, report, now)
+                          : NULL;
+  if (!item)
+    return;
+  bool is_known = item->id_size == report->id.size
+                  && item->incarnation == report->incarnation
+                  && memcmp (item->id, report->id.data, item->id_size) == 0;
+  if (!is_known || is_outdated (item, now))
+    {
+      *item = (struct item){ .id_size = report->id.size,
+                             .incarnation = report->incarnation };
+      memcpy (item->id, report->id.data, report->id.size);
+    }
+  bool is_confirmed
+      = report->is_certain
+        || (item->reported_at > 0 && item->reporter != report->reporter
+            && now - item->reported_at <= confirm_us)
+        || item->listed_until > 0;
+  item->reporter = report->reporter;
+  item->reported_at = now;
+  if (!is_confirmed || now < item->listed_until)
+    return;
+  item->duration
+      = item->listed_until > 0 ? 2 * item->duration : first_listing_us;
+  if (item->duration > longest_listing_us)
+    item->duration = longest_listing_us;
+  item->listed_until = now + item->duration;
+}
+
+size_t
+unreachable_query (const struct unreachable *list, apr_time_t now,
+                   struct unreachable_warning *out, size_t max_count)
+{
+  size_t count = 0;
+  for (size_t i = 0; i < UNREACHABLE_MAX && count < max_count; i++)
+    {
+      const struct item *item = &list->items[i];
+      if (item->listed_until > now)
+        out[count++]
+            = (struct unreachable_warning){ str_view (item->id, item->id_size),
+                                            item->incarnation,
+                                            item->listed_until - now };
+    }
+  return count;
+}
--- a/src/gateway/attempts.c
+++ b/src/gateway/attempts.c
@@ -193,8 +193,11 @@
   end_upstream_load (request,
                      is_misdirected ? LOAD_UNREACHABLE : LOAD_REFUSED);
   if (is_misdirected)
-    fleet_mark_cold (gateway->fleet, request->upstream, service->cold_time,
-                     timer_clock ());
+    {
+      fleet_mark_cold (gateway->fleet, request->upstream, service->cold_time,
+                       timer_clock ());
+      reachability_report (gateway->reachability, request->upstream, true);
+    }
   fail_or_retry (request,
                  is_misdirected ? "another upstream has the address"
                                 : "the upstream refused the request",
@@ -220,6 +223,8 @@
       const struct plan_service *service = dispatch_service (request);
       fleet_mark_cold (request->gateway->fleet, request->upstream,
                        service->cold_time, timer_clock ());
+      reachability_report (request->gateway->reachability, request->upstream,
+                           cause == ECONNREFUSED);
     }
   if (request->answered)
     {
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -52,7 +52,7 @@
    top of the slow shift, and how many of them may be saved up.  The fraction
    is well below the allowed shift within the window.  */
 static const double overflow_earned = 0.04;
-static const double overflow_max_balance = 3.0;
+static const double overflow_max_balance = 2.0;
 
 /* private functions */
 
@@ -231,6 +231,13 @@
                      registry_reader_address (gateway->registry, number));
 }
 
+static struct str
+reader_address (void *user_data)
+{
+  struct gateway *gateway = user_data;
+  return registry_reader_address (gateway->registry, 0);
+}
+
 static struct str
 region_of_zone (void *user_data, struct str zone)
 {
@@ -470,6 +477,14 @@
                                         .on_changed = on_store_changed,
                                         .user_data = gateway };
   gateway->store_sync = store_sync_create (gateway->pool, &store_sync);
+  struct reachability_desc reachability = { .loop = gateway->loop,
+                                            .client = gateway->client,
+                                            .counters = gateway->counters,
+                                            .fleet = gateway->fleet,
+                                            .name = gateway->settings.name,
+                                            .reader_address = reader_address,
+                                            .user_data = gateway };
+  gateway->reachability = reachability_create (gateway->pool, &reachability);
   return create_listeners (gateway, err);
 }
 
@@ -484,6 +499,7 @@
   http_client_destroy (gateway->client);
   registry_destroy (gateway->registry);
   store_sync_destroy (gateway->store_sync);
+  reachability_destroy (gateway->reachability);
   platform_mirror_destroy (gateway->mirror);
   fleet_destroy (gateway->fleet);
   if (gateway->signal_fd > 0)
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -21,6 +21,7 @@
 #include "base/httpd.h"
 #include "base/log.h"
 #include "call/attempt.h"
+#include "gateway/reachability.h"
 #include "gateway/registry.h"
 #include "gateway/settings.h"
 #include "gateway/store_sync.h"
@@ -104,6 +105,7 @@
   struct fleet *fleet;
   struct registry *registry;
   struct store_sync *store_sync;
+  struct reachability *reachability;
   struct platform_mirror *mirror; /* copy of the store, served to peers */
   apr_hash_t *peer_stores; /* struct store of other entries by address */
   struct httpd *caller_listener;
--- a/src/gateway/lookup.c
+++ b/src/gateway/lookup.c
@@ -123,6 +123,23 @@
   return result;
 }
 
+/* Takes what another entry found out about upstreams, and sends what this one
+   knows as its reader.  */
+static enum MHD_Result
+respond_reachability (struct gateway *gateway,
+                      struct MHD_Connection *connection)
+{
+  apr_pool_t *pool;
+  apr_pool_create (&pool, gateway->pool);
+  struct str text = reachability_handle (
+      gateway->reachability,
+      httpd_query_parameter (connection, reachability_seen),
+      httpd_query_parameter (connection, reachability_from), pool);
+  enum MHD_Result result = respond_text (connection, HTTP_OK, text);
+  apr_pool_destroy (pool);
+  return result;
+}
+
 /* public functions */
 
 bool
@@ -154,6 +171,8 @@
     return respond_mirror (gateway, connection);
   if (strcmp (url, PLATFORM_CHANGES_PATH) == 0)
     return respond_changes (gateway, connection);
+  if (strcmp (url, reachability_path) == 0)
+    return respond_reachability (gateway, connection);
   if (strcmp (url, metrics_path) == 0)
     return respond_metrics (gateway, connection);
   return respond_text (connection, HTTP_NOT_FOUND, STR ("no such path\n"));
--- a/tests/unit/balance_test.c
+++ b/tests/unit/balance_test.c
@@ -311,8 +311,7 @@
   };
   struct region_split split;
   const bool all_regions[3] = { true, true, true };
-  struct balance_region_load loads[3]
-      = { { 36, 0, 0 }, { 144, 0, 0 }, { 108, 0, 0 } };
+  struct balance_region_load loads[3] = { { 36, 0 }, { 144, 0 }, { 108, 0 } };
   int before[OBJECTS];
   now = TIMER_SEC (1000);
   region_split_init (&split, 3, 0, 0.03);
@@ -323,7 +322,7 @@
   for (int i = 0; i < OBJECTS; i++)
     before[i] = (int)region_split_pick (
         &split, (uint64_t)i * 0x9e3779b97f4a7c15ULL, all_regions);
-  loads[0].known_busy = 36;
+  loads[0].busy = 36;
   for (int ms = 100; ms <= 2000; ms += 100)
     region_split_update (&split, loads, now + TIMER_MS (ms));
   int moved = 0;
@@ -376,50 +375,63 @@
   fleet_destroy (fleet);
 }
 
-/* The load of a region: what upstreams reported lately, and for those that
-   were not heard of the mean of the others, of which admission sees all and
-   the split among regions the less the more were heard of.  An entry among
-   hundreds hears of hardly any; with nothing in the place of the others, each
-   region seems idle.  */
+/* The load of a region: what upstreams reported lately, and if hardly any was
+   heard of, for the others the mean of those.  An entry among hundreds hears
+   of one in eighty; with nothing in the place of the others, each region seems
+   idle.  */
 static void
 test_region_load (void)
 {
+  enum
+  {
+    MANY = 100
+  };
   static const struct
   {
-    int heard;        /* of the UPSTREAMS, each with 2 other requests */
+    int heard;        /* of MANY upstreams, each with 2 other requests */
     apr_time_t later; /* when the load is estimated */
-    double known_busy;
     double busy;
   } cases[] = {
-    { 0, 0, 0.0, 0.0 },
-    /* The mean is 3: those that report 2 had a third, the one that ended.  A
-       sixth was heard of, two thirds of the quarter at which the mean does not
-       count for the split.  */
-    { 1, 0, 2.0 + 5.0, 2.0 + 15.0 },
-    { 3, 0, 6.0, 6.0 + 9.0 },
-    { UPSTREAMS, 0, 12.0, 12.0 },
-    /* Reports of seconds ago count less and less, as does their mean.  */
-    { UPSTREAMS, TIMER_SEC (30), 0.0, 0.0 },
+    { 0, 0, 0.0 },
+    /* The mean is 3: those that report 2 had a third, the one that ended.  It
+       counts the less the more were heard of, up to a twentieth.  */
+    { 1, 0, 2.0 + 99 * 3.0 * 0.8 },
+    { 4, 0, 8.0 + 96 * 3.0 * 0.2 },
+    { 5, 0, 10.0 },
+    { MANY, 0, 200.0 },
+    /* Reports of long ago do not count, nor does their mean.  */
+    { 1, TIMER_SEC (30), 0.0 },
   };
   for (size_t i = 0; i < COUNT (cases); i++)
     {
-      set_up_fleet ();
+      struct fleet_desc desc = { .find_region = find_region };
+      fleet = fleet_create (test_pool, &desc);
+      now = TIMER_SEC (1000);
+      for (int u = 0; u < MANY; u++)
+        {
+          struct fleet_record r = { .id = str_printf (test_pool, "u%d", u),
+                                    .service = STR ("desk"),
+                                    .address = STR ("10.0.0.1:80"),
+                                    .zone = STR ("north"),
+                                    .slots = SLOTS,
+                                    .incarnation = 1 };
+          fleet_put_upstream (fleet, &r, u + 1, now);
+        }
       const struct fleet_group *group
           = fleet_group (fleet_service (fleet, STR ("desk")), STR ("north"));
       struct balance_reports reports = { 0 };
       const struct load_report report = { 2, 0, SLOTS, 100 };
-      for (int u = 0; u < cases[i].heard; u++)
+      /* At least three reports, for the mean to be relied on.  */
+      for (int u = 0; u < cases[i].heard || (u < 3 && cases[i].heard); u++)
         {
-          load_apply_report (&group->members[u].upstream->load, &report, now);
+          if (u < cases[i].heard)
+            load_apply_report (&group->members[u].upstream->load, &report,
+                               now);
           balance_add_report (&reports, 2, now);
         }
-      /* Enough reports for the mean to be relied on.  */
-      for (int n = 0; n < 3 && cases[i].heard > 0; n++)
-        balance_add_report (&reports, 2, now);
       struct balance_region_load load
           = balance_region_load (group, &reports, now + cases[i].later);
-      CU_ASSERT_DOUBLE_EQUAL (load.slots, UPSTREAMS * SLOTS, 1e-9);
-      CU_ASSERT_DOUBLE_EQUAL (load.known_busy, cases[i].known_busy, 0.01);
+      CU_ASSERT_DOUBLE_EQUAL (load.slots, MANY * SLOTS, 1e-9);
       CU_ASSERT_DOUBLE_EQUAL (load.busy, cases[i].busy, 0.01);
       fleet_destroy (fleet);
     }
--- a/tests/unit/fleet_test.c
+++ b/tests/unit/fleet_test.c
@@ -4,8 +4,10 @@
 #include "base/timer.h"
 #include "fleet/fleet.h"
 #include "fleet/outage.h"
+#include "fleet/unreachable.h"
 #include "tests/unit/unit.h"
 
+#include <stdio.h>
 #include <string.h>
 
 static struct fleet *fleet;
@@ -166,6 +168,107 @@
         cases[i].is_recent);
 }
 
+/* Which reports of entries make others avoid an upstream, and for how long. If
+   one silence did, an entry that is cut off would take upstreams from all; if
+   none did, each of hundreds of entries would lose requests to find out.  */
+static void
+test_unreachable (void)
+{
+  static const struct
+  {
+    const char *name;
+    struct
+    {
+      int64_t at_ms;
+      uint64_t reporter;
+      bool is_certain;
+    } reports[6];
+    int count;
+    int64_t listed_ms; /* after the last report, for how long; 0: not at all */
+  } cases[] = {
+    { "one silence", { { 0, 1, false } }, 1, 0 },
+    { "one entry twice", { { 0, 1, false }, { 500, 1, false } }, 2, 0 },
+    { "two entries", { { 0, 1, false }, { 500, 2, false } }, 2, 1000 },
+    { "two entries, long apart",
+      { { 0, 1, false }, { 2500, 2, false } },
+      2,
+      0 },
+    { "refused", { { 0, 1, true } }, 1, 1000 },
+    { "while it is listed", { { 0, 1, true }, { 400, 2, true } }, 2, 600 },
+    { "again soon after", { { 0, 1, true }, { 1100, 1, false } }, 2, 2000 },
+    { "again and again",
+      { { 0, 1, true },
+        { 1100, 1, true },
+        { 3200, 1, true },
+        { 7300, 1, true } },
+      4,
+      4000 },
+    { "again long after", { { 0, 1, true }, { 9000, 1, true } }, 2, 1000 },
+  };
+  for (size_t c = 0; c < COUNT (cases); c++)
+    {
+      struct unreachable *list = unreachable_create (test_pool);
+      struct unreachable_warning warning;
+      apr_time_t at = 0;
+      for (int i = 0; i < cases[c].count; i++)
+        {
+          at = TIMER_SEC (1000) + TIMER_MS (cases[c].reports[i].at_ms);
+          struct unreachable_report report
+              = { STR ("i-1"), 7, cases[c].reports[i].reporter,
+                  cases[c].reports[i].is_certain };
+          unreachable_report (list, &report, at);
+        }
+      size_t count = unreachable_query (list, at, &warning, 1);
+      CU_ASSERT_EQUAL (count, cases[c].listed_ms > 0 ? 1 : 0);
+      if (count > 0)
+        CU_ASSERT_EQUAL (warning.left, TIMER_MS (cases[c].listed_ms));
+      if (count != (cases[c].listed_ms > 0 ? 1U : 0U)
+          || (count > 0 && warning.left != TIMER_MS (cases[c].listed_ms)))
+        printf ("# %s\n", cases[c].name);
+      CU_ASSERT_EQUAL (unreachable_query (list,
+                                          at + TIMER_MS (cases[c].listed_ms),
+                                          &warning, 1),
+                       0);
+    }
+}
+
+/* The list is bounded, ids that are too long are left out, and another
+   incarnation under the same id is not avoided.  */
+static void
+test_unreachable_bounds (void)
+{
+  static struct unreachable_warning warnings[UNREACHABLE_MAX + 1];
+  struct unreachable *list = unreachable_create (test_pool);
+  char longest[100];
+  memset (longest, 'i', sizeof longest);
+  struct unreachable_report report
+      = { str_view (longest, sizeof longest), 1, 1, true };
+  unreachable_report (list, &report, TIMER_SEC (1));
+  for (int i = 0; i < 2 * UNREACHABLE_MAX; i++)
+    {
+      report.id = str_printf (test_pool, "i-%d", i);
+      unreachable_report (list, &report, TIMER_SEC (1));
+    }
+  CU_ASSERT_EQUAL (
+      unreachable_query (list, TIMER_SEC (1), warnings, UNREACHABLE_MAX + 1),
+      UNREACHABLE_MAX);
+  CU_ASSERT_EQUAL (warnings[0].incarnation, 1);
+  set_up_fleet ();
+  struct fleet_record r = make_record ("i-1");
+  fleet_put_upstream (fleet, &r, 1, now);
+  struct load *load = &fleet_find (fleet, STR ("i-1"))->load;
+  CU_ASSERT_PTR_NULL (fleet_find (fleet, STR ("i-2")));
+  CU_ASSERT (load_avoid (load, now + 100, now));
+  CU_ASSERT_EQUAL (load->avoid_until, now + 100);
+  /* One that answers this entry is used, whatever others found.  */
+  load_begin_request (load, now);
+  load_end_request (load, LOAD_ANSWERED, 100, 100, now);
+  CU_ASSERT_FALSE (load_avoid (load, now + 200, now + 100));
+  CU_ASSERT_EQUAL (load->avoid_until, 0);
+  CU_ASSERT (load_avoid (load, now + TIMER_SEC (3), now + TIMER_SEC (2)));
+  fleet_destroy (fleet);
+}
+
 const struct unit_test fleet_tests[] = {
   { "a restart is a new upstream", test_incarnations },
   { "an expired upstream is used until its grace period ends", test_expiry },
@@ -173,5 +276,8 @@
   { "an evacuated zone gets no requests and is cold afterwards",
     test_evacuation },
   { "a record that vanishes long after an outage was removed", test_outage },
+  { "an upstream that others could not reach is avoided for a while",
+    test_unreachable },
+  { "what others could not reach is bounded", test_unreachable_bounds },
   { NULL, NULL }
 };
