--- a/bench/gateway/sim.c
+++ b/bench/gateway/sim.c
@@ -479,7 +479,10 @@
 {
   char id[32];
   const struct sim_upstream *upstream = &sim->upstreams[number];
-  snprintf (id, sizeof id, "u%d-%d", number, upstream->generation);
+  if (upstream->generation > 0)
+    snprintf (id, sizeof id, "u%d-%d", number, upstream->generation);
+  else
+    snprintf (id, sizeof id, "u%d", number);
   struct fleet_record record
       = { .id = str_from (id),
           .service = STR ("s"),
@@ -531,11 +534,14 @@
   for (int e = 0; e < sim->entry_count && sim_is_own_policy (sim); e++)
     {
       struct sim_entry *entry = &sim->entries[e];
+      double weight = balance_unheard_weight (
+          fleet_service (entry->fleet, STR ("s")), sim->now);
       for (int r = 0; r < SIM_REGIONS; r++)
         entry->region_loads[r] = balance_region_load (
             fleet_group (fleet_service (entry->fleet, STR ("s")),
                          str_from (sim_region_names[r])),
-            &entry->reports[r], sim->now);
+            weight * balance_mean_requests (&entry->reports[r], sim->now),
+            sim->now);
       region_split_update (&entry->region_split, entry->region_loads,
                            sim->now);
     }
--- a/src/balance/balance.c
+++ b/src/balance/balance.c
@@ -202,20 +202,6 @@
              : exp (-(double)(now - reports->updated_at) / reports_decay_us);
 }
 
-/* Returns how much the mean counts for upstreams of GROUP that were not heard
-   of lately, 0 to 1: less the more were heard of, since the others are then
-   those with few requests, and the thresholds of region_split.h and admit.h
-   are for what an entry hears.  */
-static double
-unheard_weight (const struct fleet_group *group, apr_time_t now)
-{
-  double heard = 0.0;
-  for (size_t i = 0; group && i < group->count; i++)
-    heard += load_report_weight (&group->members[i].upstream->load, now);
-  double max_heard = max_heard_fraction * (group ? (double)group->count : 0.0);
-  return heard < max_heard ? 1.0 - heard / max_heard : 0.0;
-}
-
 /* public functions */
 
 struct balance_choice
@@ -308,13 +294,24 @@
              : 0.0;
 }
 
+double
+balance_unheard_weight (const struct fleet_service *service, apr_time_t now)
+{
+  double heard = 0.0;
+  for (size_t g = 0; service && g < service->group_count; g++)
+    for (size_t i = 0; i < service->groups[g]->count; i++)
+      heard += load_report_weight (
+          &service->groups[g]->members[i].upstream->load, now);
+  double max_heard
+      = max_heard_fraction * (service ? (double)service->count : 0.0);
+  return heard < max_heard ? 1.0 - heard / max_heard : 0.0;
+}
+
 struct balance_region_load
-balance_region_load (const struct fleet_group *group,
-                     const struct balance_reports *reports, apr_time_t now)
+balance_region_load (const struct fleet_group *group, double unheard_requests,
+                     apr_time_t now)
 {
   struct balance_region_load region_load = { 0 };
-  double mean
-      = balance_mean_requests (reports, now) * unheard_weight (group, now);
   for (size_t i = 0; group && i < group->count; i++)
     {
       const struct fleet_upstream *upstream = group->members[i].upstream;
@@ -322,7 +319,8 @@
         continue;
       double slots = (double)upstream->load.slots;
       double unheard = 1.0 - load_report_weight (&upstream->load, now);
-      double busy = load_in_flight (&upstream->load, now) + unheard * mean;
+      double busy
+          = load_in_flight (&upstream->load, now) + unheard * unheard_requests;
       region_load.slots += slots;
       region_load.busy += busy < slots ? busy : slots;
     }
--- a/src/balance/balance.h
+++ b/src/balance/balance.h
@@ -134,14 +134,22 @@
    without recent reports.  */
 double balance_mean_requests (const struct balance_reports *reports,
                               apr_time_t now);
+/* Returns how much the mean counts for upstreams of SERVICE, which may be
+   NULL, that were not heard of lately, 0 to 1.  Among hundreds of entries, one
+   hears of each upstream too seldom to know its load, but often enough of some
+   to know the mean.  Where it hears of a twentieth of them within a second,
+   the mean does not count: the others are then mostly those with few requests,
+   and the thresholds of region_split.h and admit.h are for what an entry
+   hears.  */
+double balance_unheard_weight (const struct fleet_service *service,
+                               apr_time_t now);
 /* Returns the slots of the eligible upstreams of GROUP, which may be NULL, and
-   how many are in use.  Among hundreds of entries, one hears of each upstream
-   too seldom to know its load, but often enough of some to know the mean: if
-   nearly none of them was heard of in the last second, the others count as the
-   mean of REPORTS.  Called several times per second for balance/region_split.h
-   and balance/admit.h.  */
+   how many are in use.  An upstream that was not heard of lately counts for
+   UNHEARD_REQUESTS: the mean of the region's reports times the weight above.
+   Called several times per second for balance/region_split.h and
+   balance/admit.h.  */
 struct balance_region_load
-balance_region_load (const struct fleet_group *group,
-                     const struct balance_reports *reports, apr_time_t now);
+balance_region_load (const struct fleet_group *group, double unheard_requests,
+                     apr_time_t now);
 
 #endif
