--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -118,10 +118,11 @@
 {
   const struct fleet_service *upstreams
       = fleet_service (gateway->fleet, service->name);
+  double weight = balance_unheard_weight (upstreams, now);
   for (size_t i = 0; i < gateway->region_count; i++)
-    service->region_loads[i]
-        = balance_region_load (fleet_group (upstreams, gateway->regions[i]),
-                               &service->reports[i], now);
+    service->region_loads[i] = balance_region_load (
+        fleet_group (upstreams, gateway->regions[i]),
+        weight * balance_mean_requests (&service->reports[i], now), now);
   region_split_update (&service->region_split, service->region_loads, now);
   update_retry_budget (gateway, service);
   share_cold_upstreams (gateway, upstreams, now);
