--- a/src/gateway/registry.c
+++ b/src/gateway/registry.c
@@ -361,7 +361,7 @@
           || !can_read (entry, region))
         continue;
       const struct registry_entry **second
-          = str_equal (entry->zone, best->zone) ? &beside : &elsewhere;
+          = best && str_equal (entry->zone, best->zone) ? &beside : &elsewhere;
       if (!*second || is_preferred_reader (entry, *second))
         *second = entry;
     }
