--- a/bench/gateway/main.c
+++ b/bench/gateway/main.c
@@ -3,10 +3,12 @@
 
      bench-rush [SCENARIO...]
 
-   Runs the scenarios named, or all.  Prints a line for each scenario and
+   Runs the scenarios named, or all, and then also measures the processor time
+   of decisions (cost.h).  Prints a line for each scenario and
    policy, then a "figure" line with the value of the gateway's own policy and
    of the best baseline, and the weighted fraction that the own policy answers
    within the target latency, also relative to the ideal one.  */
+#include "bench/gateway/cost.h"
 #include "bench/gateway/sim.h"
 
 #include <apr_general.h>
@@ -62,6 +64,8 @@
               own.within_target_fraction / own.ideal_fraction,
               own.value > best ? "ok" : "short");
     }
+  if (argc == 1)
+    cost_print ();
   apr_terminate ();
   return 0;
 }
