A silence that one entry reports counts, unless that entry reports many

Change: one report is enough; of an entry that finds more than eight upstreams silent within two seconds, which may be cut off itself, only those that another one confirms.

--- a/src/fleet/unreachable.c
+++ b/src/fleet/unreachable.c
@@ -6,7 +6,10 @@
 
 enum
 {
-  ID_MAX_BYTES = 64 /* upstreams with longer ids are not listed */
+  ID_MAX_BYTES = 64, /* upstreams with longer ids are not listed */
+  REPORTERS = 1024,  /* entries that share a place count together */
+  /* Silent upstreams that one entry can list within the time below.  */
+  SILENCES_MAX = 8
 };
 
 /* Two silences further apart may have different causes.  */
@@ -29,9 +32,17 @@
   apr_time_t duration;     /* of the latest listing */
 };
 
+/* An entry that reports.  */
+struct reporter
+{
+  apr_time_t since;
+  int silences; /* since then */
+};
+
 struct unreachable
 {
   struct item items[UNREACHABLE_MAX];
+  struct reporter reporters[REPORTERS];
 };
 
 /* private functions */
@@ -63,6 +74,17 @@
   return unused;
 }
 
+/* Counts a silence that REPORTER reports; returns whether it counts by
+   itself.  */
+static bool
+may_list_silence (struct unreachable *list, uint64_t reporter, apr_time_t now)
+{
+  struct reporter *count = &list->reporters[reporter % REPORTERS];
+  if (count->since == 0 || now - count->since > confirm_us)
+    *count = (struct reporter){ .since = now };
+  return count->silences++ < SILENCES_MAX;
+}
+
 /* public functions */
 
 struct unreachable *
@@ -93,7 +115,8 @@
       = report->is_certain
         || (item->reported_at > 0 && item->reporter != report->reporter
             && now - item->reported_at <= confirm_us)
-        || item->listed_until > 0;
+        || item->listed_until > 0
+        || may_list_silence (list, report->reporter, now);
   item->reporter = report->reporter;
   item->reported_at = now;
   if (!is_confirmed || now < item->listed_until)
--- a/src/fleet/unreachable.h
+++ b/src/fleet/unreachable.h
@@ -9,10 +9,11 @@
      count = unreachable_query (list, now, warnings, UNREACHABLE_MAX);
 
    An upstream is listed once an entry reports that another one has its address
-   or that nothing listens there, or once two entries got no answer within two
-   seconds: one alone may be cut off itself.  It is listed for a second, and
-   twice as long each time that it is reported again soon after that, up to
-   four seconds.
+   or that nothing listens there, or that it is silent.  An entry that finds
+   many of them silent may be cut off itself: of more than eight within two
+   seconds, only those are listed that another entry finds silent too.  An
+   upstream is listed for a second, and twice as long each time that it is
+   reported again soon after that, up to four seconds.
 
    Units: microseconds.  Threads: one thread.  */
 #ifndef FLEET_UNREACHABLE_H
--- a/tests/unit/fleet_test.c
+++ b/tests/unit/fleet_test.c
@@ -168,9 +168,8 @@
         cases[i].is_recent);
 }
 
-/* Which reports of entries make others avoid an upstream, and for how long. If
-   one silence did, an entry that is cut off would take upstreams from all; if
-   none did, each of hundreds of entries would lose requests to find out.  */
+/* Which reports of entries make others avoid an upstream, and for how long.
+   Without them each of hundreds of entries would lose requests to find out. */
 static void
 test_unreachable (void)
 {
@@ -186,13 +185,12 @@
     int count;
     int64_t listed_ms; /* after the last report, for how long; 0: not at all */
   } cases[] = {
-    { "one silence", { { 0, 1, false } }, 1, 0 },
-    { "one entry twice", { { 0, 1, false }, { 500, 1, false } }, 2, 0 },
-    { "two entries", { { 0, 1, false }, { 500, 2, false } }, 2, 1000 },
+    { "one silence", { { 0, 1, false } }, 1, 1000 },
+    { "one entry twice", { { 0, 1, false }, { 500, 1, false } }, 2, 500 },
     { "two entries, long apart",
       { { 0, 1, false }, { 2500, 2, false } },
       2,
-      0 },
+      1000 },
     { "refused", { { 0, 1, true } }, 1, 1000 },
     { "while it is listed", { { 0, 1, true }, { 400, 2, true } }, 2, 600 },
     { "again soon after", { { 0, 1, true }, { 1100, 1, false } }, 2, 2000 },
@@ -232,6 +230,28 @@
     }
 }
 
+/* An entry that is cut off finds all upstreams silent.  Only eight of them are
+   avoided by others at its word, and the rest if another entry finds them
+   silent too.  */
+static void
+test_cut_off_reporter (void)
+{
+  struct unreachable_warning warnings[64];
+  struct unreachable *list = unreachable_create (test_pool);
+  apr_time_t at = TIMER_SEC (1000);
+  for (int i = 0; i < 40; i++)
+    {
+      struct unreachable_report report
+          = { str_printf (test_pool, "i-%d", i), 1, 5, false };
+      unreachable_report (list, &report, at);
+    }
+  CU_ASSERT_EQUAL (unreachable_query (list, at, warnings, 64), 8);
+  struct unreachable_report second = { STR ("i-30"), 1, 6, false };
+  unreachable_report (list, &second, at + TIMER_MS (100));
+  CU_ASSERT_EQUAL (unreachable_query (list, at + TIMER_MS (100), warnings, 64),
+                   9);
+}
+
 /* The list is bounded, ids that are too long are left out, and another
    incarnation under the same id is not avoided.  */
 static void
@@ -278,6 +298,8 @@
   { "a record that vanishes long after an outage was removed", test_outage },
   { "an upstream that others could not reach is avoided for a while",
     test_unreachable },
+  { "an entry that is cut off takes few upstreams from the others",
+    test_cut_off_reporter },
   { "what others could not reach is bounded", test_unreachable_bounds },
   { NULL, NULL }
 };
