Bytes without end: heads and trailers bounded; an estimate above every deadline is tested

Cause 1: libcurl keeps all fields of a response, trailers and those of interim heads included, and only their number in the final head was limited: memory grew by 960 MB in two seconds (287 MB with four callers). Change 1: an attempt ends with more than 64 KB of heads and trailers.

Cause 2: after the fault the route's estimated service time was above its timeout, so every request was refused as too late, and none corrected the estimate: refused until a restart, with the upstream idle. Change 2: if no request of a route was sent for a second, the next one is sent whatever is expected (unit balance, failed before).

Also: leaks of the unit tests under the sanitizer (registry, calls queued at the end of a simulation).

--- a/bench/gateway/sim.c
+++ b/bench/gateway/sim.c
@@ -741,6 +741,9 @@
   struct sim_result result = sim->result;
   while (sim_next_event (sim, INT64_MAX, &event))
     free (event.call);
+  for (int u = 0; u < sim->upstream_count; u++)
+    while (sim->upstreams[u].queue_length > 0)
+      free (sim->upstreams[u].queue[--sim->upstreams[u].queue_length]);
   for (int e = 0; e < sim->entry_count; e++)
     {
       while (sim->entries[e].queue_length > 0)
--- a/src/balance/admit.c
+++ b/src/balance/admit.c
@@ -12,6 +12,7 @@
 {
   MIN_WAIT_MS = 5,        /* a shorter wait is not worth queueing for */
   MAX_LATE_WAIT_MS = 150, /* a request that is late already waits no longer */
+  PROBE_AFTER_MS = 1000,  /* without a request, the estimate is tested */
   RETRY_BASE_MS = 120,    /* within which a slot is usually freed */
   RETRY_JITTER_MS = 400   /* keeps callers from retrying at the same moment */
 };
@@ -44,7 +45,8 @@
   bool may_be_late = state->utilization < max_utilization;
   if (state->has_slot)
     {
-      if (state->expected_latency <= state->target_left
+      if (state->since_sent > from_ms (PROBE_AFTER_MS)
+          || state->expected_latency <= state->target_left
           || (may_be_late && state->expected_latency <= state->deadline_left))
         return (struct admit_verdict){ .action = ADMIT_SEND };
       return refuse (state);
--- a/src/balance/admit.h
+++ b/src/balance/admit.h
@@ -48,6 +48,8 @@
   /* Requests per second that this entry can send there; 0: not known, and the
      queue is then taken to cost no time.  */
   double dispatch_rate;
+  /* Time since a request of the same kind was last sent.  */
+  apr_time_t since_sent;
   /* Of the highest priority: a late response is worth a slot even in a region
      that is a little busier.  */
   bool is_urgent;
@@ -65,10 +67,12 @@
 
 /* Decides on one request.  With a slot, it is sent if its response is expected
    within the target latency, or within the deadline while the region has
-   capacity to spare, and is refused otherwise.  Without a slot, it may wait
-   for as long as a response could still meet the target latency, or, while the
-   region has capacity to spare, the deadline; it is refused if the requests
-   ahead of it are expected to take longer than that.  */
+   capacity to spare, and is refused otherwise.  If none of its kind was sent
+   for a second, it is sent whatever is expected: an estimate that keeps all
+   requests from being sent would never be corrected.  Without a slot, it may
+   wait for as long as a response could still meet the target latency, or,
+   while the region has capacity to spare, the deadline; it is refused if the
+   requests ahead of it are expected to take longer than that.  */
 struct admit_verdict admit_decide (const struct admit_state *state);
 
 #endif
--- a/src/call/attempt.c
+++ b/src/call/attempt.c
@@ -14,6 +14,7 @@
   EXPECT_MIN_BYTES = 65536,  /* larger bodies wait for "100 Continue" */
   EXPECT_MAX_WAIT_MS = 1000, /* then the body is sent without it */
   MAX_HEADERS = 256, /* fields of a response; the attempt fails with more */
+  MAX_HEAD_BYTES = 64 * 1024,        /* the same of its heads and trailers */
   LINK_RECEIVE_BUFFER_BYTES = 65536, /* of sockets to another region */
   HTTP_CONTINUE = 100,
   HTTP_OK = 200
@@ -114,6 +115,10 @@
 {
   struct attempt *attempt = user_data;
   size *= item_size;
+  /* Of all heads, interim ones and trailers included: libcurl keeps them.  */
+  attempt->head_bytes += size;
+  if (attempt->head_bytes > MAX_HEAD_BYTES)
+    return 0;
   /* Lines after the body are trailers, which are not forwarded.  */
   if (attempt->has_head)
     return size;
--- a/src/call/attempt.h
+++ b/src/call/attempt.h
@@ -106,6 +106,7 @@
   apr_time_t started_at;
   apr_time_t head_at; /* when the response's head was complete */
   bool sent;          /* the request may have reached the upstream */
+  size_t head_bytes;  /* received in heads and trailers */
   bool has_head;
   bool echo_mismatch; /* the response belongs to another request */
   bool refused;       /* set by the owner: the upstream reports that it did
--- a/src/gateway/attempts.c
+++ b/src/gateway/attempts.c
@@ -376,6 +376,7 @@
   load_begin_request (&upstream->load, now);
   request->load_is_counted = true;
   request->send_count++;
+  request->route_state->sent_at = now;
   if (request->first_sent_at == 0)
     request->first_sent_at = now;
   int64_t margin_ms = 2 * gateway->rtts[request->region] / 1000;
--- a/src/gateway/dispatch.c
+++ b/src/gateway/dispatch.c
@@ -157,6 +157,7 @@
     .queued = (double)request->service->queued[request->region],
     .dispatch_rate
     = work > 0 && entries > 0 ? load->slots / work / entries : 0.0,
+    .since_sent = now - request->route_state->sent_at,
     .is_urgent = is_top_priority (request),
     .jitter = gateway_random_fraction (gateway)
   };
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -66,6 +66,7 @@
 {
   struct balance_service_time
       service_time;           /* of its requests at an upstream */
+  apr_time_t sent_at;         /* the latest attempt began; 0: none yet */
   int64_t longest_timeout_ms; /* that callers have stated; taken for what a
                                  caller states on its first attempt */
   struct counter *outcome_counts[REQUEST_OUTCOMES];
--- a/tests/standin/faulty_upstream.c
+++ b/tests/standin/faulty_upstream.c
@@ -15,6 +15,8 @@
               connection 100 ms later
      cut      half of a response whose body is too large for an entry to
               buffer; closes the connection 100 ms later
+   and those of the table `endless', which never end: bytes that are no
+   response, or no more of one, until the caller closes.
    Requests are counted by their X-Caller-Token; GET /_runs/TOKEN returns the
    count as the response's token.  */
 #include "base/net.h"
@@ -25,6 +27,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 enum
@@ -33,7 +36,9 @@
   MAX_TOKENS = 4096,
   LATE_RESPONSE_MS = 1500,
   CLOSE_DELAY_MS = 100,
-  LARGE_BODY_BYTES = 400000
+  LARGE_BODY_BYTES = 400000,
+  PIECES_BYTES = 4096,
+  SLOW_PIECE_MS = 20
 };
 
 struct request_head
@@ -45,6 +50,44 @@
   size_t body_size;
 };
 
+/* Faults that send `start', in which %s is the request's id, and then `piece'
+   again and again.  */
+static const struct
+{
+  const char *name;
+  const char *start;
+  const char *piece;
+  bool is_slow; /* a piece each 20 ms, else as fast as the caller reads */
+} endless[] = {
+  { "endless-status", "HTTP/1.1 200 ", "O", false },
+  { "endless-field", "HTTP/1.1 200 OK\r\nX-Long: ", "y", false },
+  { "endless-fields", "HTTP/1.1 200 OK\r\n", "X-Many: z\r\n", false },
+  { "endless-interim", "", "HTTP/1.1 100 Continue\r\n\r\n", false },
+  { "endless-size",
+    "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: s\r\n"
+    "Transfer-Encoding: chunked\r\n\r\n",
+    "0", false },
+  { "endless-chunks",
+    "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: s\r\n"
+    "Transfer-Encoding: chunked\r\n\r\n",
+    "1\r\nb\r\n", false },
+  { "endless-trailer",
+    "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: s\r\n"
+    "Transfer-Encoding: chunked\r\n\r\n0\r\n",
+    "X-Trailer: z\r\n", false },
+  { "endless-body",
+    "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: s\r\n\r\n", "b",
+    false },
+  { "endless-tail",
+    "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: s\r\n"
+    "Content-Length: 5\r\n\r\nwhole",
+    "b", false },
+  { "slow-head", "HTTP/1.1 200 OK\r\nX-Slow: ", "y", true },
+  { "slow-body",
+    "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: s\r\n\r\n", "b",
+    true },
+};
+
 static pthread_mutex_t mutex = PTHREAD_MUTEX_INITIALIZER;
 static struct request_head last_request; /* of any connection */
 static struct
@@ -136,7 +179,7 @@
   int size
       = snprintf (text, sizeof text,
                   "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n"
-                  "Content-Length: %zu\r\n\r\n%.*s",
+                  "Server-Stamp: s\r\nContent-Length: %zu\r\n\r\n%.*s",
                   source->id, length, (int)(length - omitted_bytes), body);
   if (write (fd, text, (size_t)size) != size)
     return;
@@ -160,6 +203,31 @@
   free (zeros);
 }
 
+/* Sends the endless fault NUMBER until the caller closes the connection.  */
+static void
+write_endless (int fd, const struct request_head *request, size_t number)
+{
+  char pieces[PIECES_BYTES];
+  char start[512];
+  const char *piece = endless[number].piece;
+  size_t size = 0;
+  do
+    {
+      memcpy (pieces + size, piece, strlen (piece));
+      size += strlen (piece);
+    }
+  while (!endless[number].is_slow && size + strlen (piece) <= sizeof pieces);
+  int start_size
+      = snprintf (start, sizeof start, endless[number].start, request->id);
+  ssize_t sent = send (fd, start, (size_t)start_size, MSG_NOSIGNAL);
+  while (sent >= 0)
+    {
+      if (endless[number].is_slow)
+        usleep (SLOW_PIECE_MS * 1000);
+      sent = send (fd, pieces, size, MSG_NOSIGNAL);
+    }
+}
+
 /* Responds to REQUEST; returns false if the connection is to be closed.
    DUPLICATE is the request whose response is sent again first, or has an empty
    id; it is set for the next request.  */
@@ -186,6 +254,12 @@
   pthread_mutex_unlock (&mutex);
   if (strcmp (request->fault, "close") == 0)
     return false;
+  for (size_t i = 0; i < sizeof endless / sizeof *endless; i++)
+    if (strcmp (request->fault, endless[i].name) == 0)
+      {
+        write_endless (fd, request, i);
+        return false;
+      }
   if (strcmp (request->fault, "late") == 0)
     usleep (LATE_RESPONSE_MS * 1000);
   bool is_half_body = strcmp (request->fault, "half") == 0;
--- a/tests/unit/balance_test.c
+++ b/tests/unit/balance_test.c
@@ -265,6 +265,16 @@
         .deadline_left = 350000,
         .utilization = 0.1 },
       ADMIT_REFUSE },
+    /* Long work, or a fault, can raise an estimate above every deadline.  With
+       all requests refused, nothing would lower it again.  */
+    { "after the deadline, none was sent for long",
+      { .has_slot = true,
+        .expected_latency = 400000,
+        .target_left = 300000,
+        .deadline_left = 350000,
+        .utilization = 0.1,
+        .since_sent = 1100000 },
+      ADMIT_SEND },
     { "no slot, time to wait",
       { .min_latency = 100000,
         .target_left = 300000,
--- a/tests/unit/registry_test.c
+++ b/tests/unit/registry_test.c
@@ -137,6 +137,7 @@
               asked_mask |= 1 << (first.data[7] - '0');
               asked_mask |= 1 << (second.data[7] - '0');
             }
+          registry_destroy (registry);
         }
       CU_ASSERT_EQUAL (reader_count, cases[c].readers);
       CU_ASSERT_EQUAL (reader_mask & cases[c].required, cases[c].required);
