Gateway: a line on each request that the end of a stop cuts

Nothing told which requests a stop cuts, when they came and on which connection: the process ended with buffered lines unwritten. request-cut has arrival, sending and deadline relative to the signal; the log is flushed before the modules go.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -286,8 +286,12 @@
   if ((gateway->listener_closed && gateway->open_requests == 0)
       || age >= max_age)
     {
+      for (const struct request *request = gateway->requests; request;
+           request = request->next)
+        request_log_cut (request, now);
       LOG (LOG_INFO, "stopped", LOG_INT ("open", gateway->open_requests),
            LOG_INT ("after_ms", age / 1000));
+      log_flush ();
       loop_stop (gateway->loop);
       return;
     }
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -131,6 +131,7 @@
   bool slot_freed; /* an attempt ended in this event loop iteration */
   struct request *resume_list; /* requests to be resumed at the end of this
                                   event loop iteration */
+  struct request *requests; /* all that are open */
   int64_t open_requests;
   bool leaving;         /* a graceful stop is in progress */
   bool listener_closed; /* the one for callers, during a stop */
@@ -183,6 +184,8 @@
   struct timer deadline_timer;
   struct timer queue_timer;
   struct timer late_retry_timer;
+  struct request *next;  /* in the list of open requests */
+  struct request **link; /* the pointer to this request there */
   struct request *queue_next;
   struct request *queue_prev;
   struct request *resume_next;
@@ -234,6 +237,9 @@
 /* Resumes the requests that are scheduled; called at the end of each event
    loop iteration.  */
 void request_resume_scheduled (struct gateway *gateway);
+/* Logs one line on REQUEST, which the end of a stop at NOW leaves without an
+   answer; times count from the signal.  */
+void request_log_cut (const struct request *request, apr_time_t now);
 /* Ends the request with a response of this entry's own: HTTP STATUS, and
    REASON in the body.  REASON must live as long as the request.  */
 void request_refuse (struct request *request, unsigned int status,
--- a/src/gateway/request.c
+++ b/src/gateway/request.c
@@ -391,6 +391,9 @@
     }
   body_free (&request->body);
   plan_unref (request->plan);
+  *request->link = request->next;
+  if (request->next)
+    request->next->link = request->link;
   gateway->open_requests--;
   apr_pool_destroy (request->pool);
 }
@@ -412,6 +415,11 @@
   request->began_at = timer_clock ();
   headers_init (&request->headers, pool);
   body_init (&request->body, BODY_BUFFER_BYTES);
+  request->next = gateway->requests;
+  request->link = &gateway->requests;
+  if (request->next)
+    request->next->link = &request->next;
+  gateway->requests = request;
   gateway->open_requests++;
   return request;
 }
@@ -493,6 +501,29 @@
     }
 }
 
+void
+request_log_cut (const struct request *request, apr_time_t now)
+{
+  apr_time_t signal_at = request->gateway->stop_started_at;
+  const struct attempt *attempt = request->attempt;
+  LOG (LOG_WARN, "request-cut", LOG_TEXT ("id", request->id.data),
+       LOG_TEXT ("route", request->route ? request->route->name.data : ""),
+       LOG_TEXT ("upstream",
+                 request->upstream ? request->upstream->id.data : ""),
+       LOG_INT ("kept_connection",
+                request->connection
+                    && !httpd_is_first_request (request->connection)),
+       LOG_INT ("body_complete", request->body_complete),
+       LOG_INT ("sent", attempt && attempt->sent),
+       LOG_INT ("sends", request->send_count),
+       LOG_INT ("answer_began", attempt && attempt->has_head),
+       LOG_INT ("arrived_ms", (request->began_at - signal_at) / 1000),
+       LOG_INT ("sent_ms", attempt ? (attempt->started_at - signal_at) / 1000
+                                   : 0),
+       LOG_INT ("deadline_ms", (request->deadline - signal_at) / 1000),
+       LOG_INT ("cut_ms", (now - signal_at) / 1000));
+}
+
 void
 request_refuse (struct request *request, unsigned int status,
                 const char *reason)
