A stop takes no request that it can't finish, and answers what is left

Callers saw: a request that reached an entry up to 5 s after SIGTERM on a connection kept open was sent to its upstream and cut without an answer 0.6 s later; so was whatever was in progress at the exit.

Cause: a stop bounded when the process exits, but not what it takes. At the exit libmicrohttpd aborted (status 134), since requests were suspended, so the lines on what was cut were lost too.

Change: call/stop_limits.h has the time limits of a stop as pure functions. After 2.7 s (look-ups that callers have cached no longer name the entry) a request is taken only if its deadline is before the stop ends its requests; another one is refused at once as not run, with Connection: close. Admission, second attempts and late retries count with the end of the stop. 0.4 s before the kill each request that is left gets its final response, which says whether it may have run, and only then does the process exit. The limits are those of the settings at the signal.

Test: session gateway-stop failed before (three lines and status 134), unit call/a stop takes no request whose deadline is after its end.

--- a/src/gateway/dispatch.c
+++ b/src/gateway/dispatch.c
@@ -152,7 +152,8 @@
                        : request->route_state->service_time.uncached)
       + gateway->rtts[request->region],
     .target_left = request->target_at - now,
-    .deadline_left = request->deadline - now,
+    .deadline_left
+    = stop_limits_deadline (&gateway->stop_limits, request->deadline) - now,
     .utilization = dispatch_utilization (request),
     .queued = (double)request->service->queued[request->region],
     .dispatch_rate
@@ -184,6 +185,17 @@
                              TIMER_MS (GATEWAY_RETRY_AFTER_SLOT_MS));
 }
 
+/* Returns false if this entry will have stopped when the response of the
+   upstream CHOICE is expected.  */
+static bool
+is_expected_before_stop (const struct request *request,
+                         const struct balance_choice *choice)
+{
+  apr_time_t expected_at = timer_clock () + choice->expected_latency;
+  return stop_limits_deadline (&request->gateway->stop_limits, expected_at)
+         == expected_at;
+}
+
 /* Sends or refuses REQUEST as VERDICT says; returns false if it is to wait for
    a slot, and then does nothing.  */
 static bool
@@ -192,6 +204,13 @@
 {
   if (verdict->action == ADMIT_WAIT)
     return false;
+  if (verdict->action == ADMIT_SEND && choice->upstream
+      && !is_expected_before_stop (request, choice))
+    {
+      refuse_with_retry_after (
+          request, "the entry stops before its answer is expected", 0);
+      return true;
+    }
   if (verdict->action == ADMIT_SEND && choice->upstream)
     {
       wait_queue_remove (request);
@@ -313,11 +332,13 @@
   return apply_verdict (request, &choice, &verdict);
 }
 
-void
-dispatch_on_deadline (void *user_data, apr_time_t now)
+/* Ends REQUEST without a whole response of an upstream: with STATUS_IF_RUN and
+   REASON_IF_RUN if it may have run.  One whose response is being forwarded
+   ends there.  */
+static void
+end_unanswered (struct request *request, unsigned int status_if_run,
+                const char *reason_if_run, const char *reason_if_not_run)
 {
-  (void)now;
-  struct request *request = user_data;
   if (request->response_ready && !request->answered)
     return;
   attempts_record_timeout (request);
@@ -332,9 +353,24 @@
       return;
     }
   request_refuse (request,
-                  request->may_have_run ? HTTP_TIMEOUT : HTTP_UNAVAILABLE,
-                  request->may_have_run ? "no answer before the deadline"
-                                        : "not sent before the deadline");
+                  request->may_have_run ? status_if_run : HTTP_UNAVAILABLE,
+                  request->may_have_run ? reason_if_run : reason_if_not_run);
+}
+
+void
+dispatch_on_deadline (void *user_data, apr_time_t now)
+{
+  (void)now;
+  end_unanswered (user_data, HTTP_TIMEOUT, "no answer before the deadline",
+                  "not sent before the deadline");
+}
+
+void
+dispatch_end_for_stop (struct request *request)
+{
+  end_unanswered (request, HTTP_BAD_GATEWAY,
+                  "the entry stopped before its answer came",
+                  "the entry stopped before it was sent");
 }
 
 struct route_state *
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -22,12 +22,6 @@
   SETTINGS_CHECK_MS = 2000, /* between two checks of the file; a stat so
                                seldom costs nothing */
   TICK_MS = 100,            /* between two updates of the load of regions */
-  STOP_STEP_MS = 50,        /* between two checks whether a stop is finished; a
-                               hundredth of the time that a stop has */
-  /* The listener stays open for so long after a stop began: callers use the
-     result of a look-up for three times its lifetime of a second.  */
-  STOP_KEEP_SERVING_MS = 3200,
-  STOP_MARGIN_MS = 300, /* left to exit before the process is killed */
   /* Together below the 3,900 descriptors that a VM has for sockets.  */
   IDLE_CONNECTIONS = 1024,
   CALLER_CONNECTIONS = 2048,
@@ -266,51 +260,6 @@
                                : 0));
 }
 
-/* Graceful stop.  */
-
-static void
-on_stop_step (void *user_data, apr_time_t now)
-{
-  struct gateway *gateway = user_data;
-  apr_time_t age = now - gateway->stop_started_at;
-  apr_time_t max_age
-      = (apr_time_t)(gateway->settings.stop_s * APR_USEC_PER_SEC)
-        - TIMER_MS (STOP_MARGIN_MS);
-  if (!gateway->listener_closed && age >= TIMER_MS (STOP_KEEP_SERVING_MS))
-    {
-      httpd_close_listener (gateway->caller_listener);
-      gateway->listener_closed = true;
-      LOG (LOG_INFO, "listener-closed",
-           LOG_INT ("open", gateway->open_requests));
-    }
-  if ((gateway->listener_closed && gateway->open_requests == 0)
-      || age >= max_age)
-    {
-      for (const struct request *request = gateway->requests; request;
-           request = request->next)
-        request_log_cut (request, now);
-      LOG (LOG_INFO, "stopped", LOG_INT ("open", gateway->open_requests),
-           LOG_INT ("after_ms", age / 1000));
-      log_flush ();
-      loop_stop (gateway->loop);
-      return;
-    }
-  timer_start (loop_timers (gateway->loop), &gateway->stop_timer,
-               now + TIMER_MS (STOP_STEP_MS), on_stop_step, gateway);
-}
-
-static void
-begin_stop (struct gateway *gateway)
-{
-  if (gateway->leaving)
-    return;
-  gateway->leaving = true;
-  gateway->stop_started_at = timer_clock ();
-  LOG (LOG_INFO, "stopping", LOG_INT ("open", gateway->open_requests));
-  registry_announce_leaving (gateway->registry);
-  on_stop_step (gateway, gateway->stop_started_at);
-}
-
 /* Reads the settings file again and applies what may change while the process
    runs.  An invalid file changes nothing.  */
 static void
@@ -353,7 +302,7 @@
   if (info.ssi_signo == SIGHUP)
     reload_settings (gateway);
   else
-    begin_stop (gateway);
+    stop_begin (gateway);
 }
 
 static enum err_code
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -21,6 +21,7 @@
 #include "base/httpd.h"
 #include "base/log.h"
 #include "call/attempt.h"
+#include "call/stop_limits.h"
 #include "gateway/reachability.h"
 #include "gateway/registry.h"
 #include "gateway/settings.h"
@@ -36,6 +37,8 @@
      share the last queue.  */
   PRIORITY_LEVELS = 8,
   GATEWAY_REGIONS_MAX = REGION_SPLIT_MAX_REGIONS,
+  /* Of the response to a look-up.  */
+  GATEWAY_LOOKUP_LIFETIME_S = 1,
   /* A connection to an upstream that was idle for longer is not reused; well
      below the time after which upstreams close idle connections.  */
   GATEWAY_MAX_IDLE_S = 6,
@@ -131,11 +134,12 @@
   bool slot_freed; /* an attempt ended in this event loop iteration */
   struct request *resume_list; /* requests to be resumed at the end of this
                                   event loop iteration */
-  struct request *requests; /* all that are open */
+  struct request *requests;    /* all that are open */
   int64_t open_requests;
-  bool leaving;         /* a graceful stop is in progress */
+  bool leaving;         /* a planned stop is in progress */
   bool listener_closed; /* the one for callers, during a stop */
-  apr_time_t stop_started_at;
+  bool requests_ended;  /* by the stop */
+  struct stop_limits stop_limits;
   struct timer stop_timer;
   struct timer tick_timer;
   int signal_fd;
@@ -237,8 +241,8 @@
 /* Resumes the requests that are scheduled; called at the end of each event
    loop iteration.  */
 void request_resume_scheduled (struct gateway *gateway);
-/* Logs one line on REQUEST, which the end of a stop at NOW leaves without an
-   answer; times count from the signal.  */
+/* Logs one line on REQUEST, which a stop ends at NOW before an upstream has
+   answered; times count from the signal.  */
 void request_log_cut (const struct request *request, apr_time_t now);
 /* Ends the request with a response of this entry's own: HTTP STATUS, and
    REASON in the body.  REASON must live as long as the request.  */
@@ -260,6 +264,8 @@
 bool dispatch_try_send (struct request *request);
 /* Callback of the deadline's timer; USER_DATA is the request.  */
 void dispatch_on_deadline (void *user_data, apr_time_t now);
+/* Ends REQUEST, since this entry stops.  */
+void dispatch_end_for_stop (struct request *request);
 /* Returns the state of ROUTE, which it creates at first.  */
 struct route_state *dispatch_route_state (struct gateway *gateway,
                                           const struct plan_route *route);
@@ -311,6 +317,12 @@
    knows a plan and upstreams.  */
 bool lookup_is_ready (const struct gateway *gateway);
 
+/* stop.c: the planned stop.  */
+
+/* Begins the stop, which ends with loop_stop; no effect if it is in
+   progress.  */
+void stop_begin (struct gateway *gateway);
+
 /* gateway.c  */
 
 /* Returns a pseudo-random number from 0 to below 1.  */
--- a/src/gateway/lookup.c
+++ b/src/gateway/lookup.c
@@ -16,9 +16,6 @@
   HTTP_NOT_FOUND = 404,
   HTTP_GONE = 410,
   HTTP_UNAVAILABLE = 503,
-  /* Callers use the addresses for at most three times their lifetime; an entry
-     that stops keeps serving for that long.  */
-  LOOKUP_LIFETIME_S = 1,
   MIRROR_AGE_MAX_MS = 3000, /* an older copy of the store is not served */
   LOOKUP_ADDRESSES_MAX = 64 /* in one response; callers use no more */
 };
@@ -58,10 +55,11 @@
   json_object *object = json_object_new_object ();
   json_object_object_add (object, "addresses", list);
   double max_lifetime = gateway->settings.lookup_most_s;
-  json_object_object_add (object, "ttl_s",
-                          max_lifetime > 0 && max_lifetime < LOOKUP_LIFETIME_S
-                              ? json_object_new_double (max_lifetime)
-                              : json_object_new_int (LOOKUP_LIFETIME_S));
+  json_object_object_add (
+      object, "ttl_s",
+      max_lifetime > 0 && max_lifetime < GATEWAY_LOOKUP_LIFETIME_S
+          ? json_object_new_double (max_lifetime)
+          : json_object_new_int (GATEWAY_LOOKUP_LIFETIME_S));
   return httpd_queue_json (connection, HTTP_OK, object);
 }
 
--- a/src/gateway/request.c
+++ b/src/gateway/request.c
@@ -169,6 +169,10 @@
       return;
     }
   set_deadlines (request);
+  if (!stop_limits_take (&gateway->stop_limits, request->began_at,
+                         request->deadline))
+    request_refuse (request, HTTP_UNAVAILABLE,
+                    "the entry stops before the deadline");
 }
 
 static void
@@ -504,7 +508,7 @@
 void
 request_log_cut (const struct request *request, apr_time_t now)
 {
-  apr_time_t signal_at = request->gateway->stop_started_at;
+  apr_time_t signal_at = request->gateway->stop_limits.began_at;
   const struct attempt *attempt = request->attempt;
   LOG (LOG_WARN, "request-cut", LOG_TEXT ("id", request->id.data),
        LOG_TEXT ("route", request->route ? request->route->name.data : ""),
@@ -518,8 +522,8 @@
        LOG_INT ("sends", request->send_count),
        LOG_INT ("answer_began", attempt && attempt->has_head),
        LOG_INT ("arrived_ms", (request->began_at - signal_at) / 1000),
-       LOG_INT ("sent_ms", attempt ? (attempt->started_at - signal_at) / 1000
-                                   : 0),
+       LOG_INT ("sent_ms",
+                attempt ? (attempt->started_at - signal_at) / 1000 : 0),
        LOG_INT ("deadline_ms", (request->deadline - signal_at) / 1000),
        LOG_INT ("cut_ms", (now - signal_at) / 1000));
 }
--- a/tests/session/gateway-stop.sh
+++ b/tests/session/gateway-stop.sh
@@ -4,8 +4,12 @@
 
 store=http://127.27.9.1:7900
 put () { curl -s -X PUT --data-binary "$2" "$store/_put?key=$1" -o /dev/null; }
-set_mode () { curl -s -X PUT "http://127.27.2.1:7910/_mode?mode=$1" -o /dev/null; }
-run_count () { curl -s http://127.27.2.1:7910/_runs | grep -o '^[0-9]*'; }
+set_mode () {
+  for i in 1 2; do curl -s -X PUT "http://127.27.2.$i:7910/_mode?mode=$1" -o /dev/null; done
+}
+run_counts () {
+  for i in 1 2; do curl -s http://127.27.2.$i:7910/_runs | grep -o '^[0-9]*'; done
+}
 is_ready () { [ "$(curl -s -m 2 -o /dev/null -w '%{http_code}' http://127.27.1.1:7902/ready)" = 200 ]; }
 # send CONNECTION ID DEADLINE-MS: sends one request on a connection kept open.
 send () {
@@ -28,7 +32,7 @@
 }
 sleep_until () { # SECONDS after the signal
   local now=$EPOCHREALTIME
-  sleep "$(awk -v t="$signal_at" -v s="$1" -v n="$now" 'BEGIN { w = t + s - n; print w > 0 ? w : 0 }')"
+  sleep "$(awk -v t="$signal_at" -v s="$1" -v n="$now" 'BEGIN { w = t + s - n; print (w > 0 ? w : 0) }')"
 }
 
 cat >"$WORK/gateway.json" <<E2
@@ -41,11 +45,15 @@
   "stop_s": 6, "log_lines_per_s": 10000 }
 E2
 start store "$BUILD/standin" metadata --listen 127.27.9.1:7900
-start w1 "$BUILD/standin" worker --listen 127.27.2.1:7910 --id i-1 --work-ms 30 --slots 8
+for i in 1 2; do
+  start w$i "$BUILD/standin" worker --listen 127.27.2.$i:7910 --id i-$i --work-ms 30 --slots 8
+done
 wait_for 5 curl -s -o /dev/null "$store/kv-range?prefix=x"
 start g1 "$BUILD/citroncleat" gateway -f "$WORK/gateway.json"
 put op/config '{"version":1,"routes":[{"name":"jobs","host":"shop.example","prefix":"/jobs/","kind":"unsafe","timeout_ms":20000,"target_latency_ms":400,"priority":1,"service":"desk","max_attempts":1,"sticky_sessions":false,"allowed_regions":[]}],"services":[{"name":"desk","max_connections":100,"cold_start_s":1.0,"cold_per_s":10.0}],"limits":{"max_body_bytes":100000}}'
-put servers/i-1 '{"service":"desk","address":"127.27.2.1:7910","zone":"north-a","slots":8,"state":"ready","cold_remaining_ms":0,"sequence":1,"born":1}'
+for i in 1 2; do
+  put servers/i-$i "{\"service\":\"desk\",\"address\":\"127.27.2.$i:7910\",\"zone\":\"north-a\",\"slots\":8,\"state\":\"ready\",\"cold_remaining_ms\":0,\"sequence\":1,\"born\":$i}"
+done
 wait_for 5 is_ready
 
 for c in soon short long open; do
@@ -67,10 +75,10 @@
 send "$short" short 700
 echo "late, its deadline before the end of the stop: $(receive "$short")"
 set_mode lose
-before=$(run_count)
+before=$(run_counts)
 send "$long" long 12000
 echo "late, its deadline after the end of the stop: $(receive "$long")"
-[ "$before" = "$(run_count)" ] && echo "it did not run"
+[ "$before" = "$(run_counts)" ] && echo "it did not run"
 echo "in progress at the end of the stop: $(receive "$open")"
 while kill -0 "$(pid_of g1)" 2>/dev/null; do sleep 0.1; done
 wait "$(pid_of g1)"
--- a/tests/unit/call_test.c
+++ b/tests/unit/call_test.c
@@ -9,6 +9,7 @@
 #include "call/headers.h"
 #include "call/lookup.h"
 #include "call/queue.h"
+#include "call/stop_limits.h"
 #include "tests/unit/fixture.h"
 #include "tests/unit/unit.h"
 
@@ -294,6 +295,48 @@
     }
 }
 
+/* Stops of the users' sites, of 6 and 10 s, and a very short one; times in ms
+   after the signal.  */
+static void
+test_stop_limits (void)
+{
+  static const struct
+  {
+    int64_t duration;
+    int64_t arrived;
+    int64_t deadline;
+    bool is_taken;
+    int64_t ends_at; /* when it is ended at the latest */
+  } cases[] = {
+    { 6000, -500, 9000, true, 5600 },   { 6000, 0, 8000, true, 5600 },
+    { 6000, 2700, 8000, true, 5600 },   { 6000, 2701, 5600, true, 5600 },
+    { 6000, 2701, 5601, false, 5600 },  { 6000, 3000, 9000, false, 5600 },
+    { 6000, 5000, 5400, true, 5400 },   { 6000, 5650, 5700, false, 5600 },
+    { 10000, 2700, 18000, true, 9600 }, { 10000, 3001, 12000, false, 9600 },
+    { 10000, 3001, 9600, true, 9600 },  { 600, 300, 5000, true, 300 },
+    { 600, 301, 5000, false, 300 },
+  };
+  for (size_t i = 0; i < COUNT (cases); i++)
+    {
+      struct stop_limits_desc desc
+          = { TIMER_MS (cases[i].duration), TIMER_SEC (3) };
+      struct stop_limits none = { 0 };
+      struct stop_limits limits = stop_limits_begin (&desc, TIMER_SEC (100));
+      apr_time_t arrived = TIMER_SEC (100) + TIMER_MS (cases[i].arrived);
+      apr_time_t deadline = TIMER_SEC (100) + TIMER_MS (cases[i].deadline);
+      CU_ASSERT_EQUAL (stop_limits_take (&limits, arrived, deadline),
+                       cases[i].is_taken);
+      CU_ASSERT_EQUAL (stop_limits_deadline (&limits, deadline),
+                       TIMER_SEC (100) + TIMER_MS (cases[i].ends_at));
+      CU_ASSERT_TRUE (stop_limits_take (&none, arrived, deadline));
+      CU_ASSERT_EQUAL (stop_limits_deadline (&none, deadline), deadline);
+      CU_ASSERT_TRUE (limits.open_until <= limits.listen_until
+                      && limits.listen_until <= limits.answer_by
+                      && limits.answer_by <= limits.exit_at
+                      && limits.exit_at < TIMER_SEC (100) + desc.duration);
+    }
+}
+
 const struct unit_test call_tests[] = {
   { "a body is not rewound after bytes of it were dropped", test_body },
   { "headers of one connection are not forwarded", test_hop_by_hop },
@@ -303,5 +346,7 @@
   { "a look-up returns only entries that serve, nearest first", test_lookup },
   { "an entry with queued calls is returned first less often",
     test_lookup_headroom },
+  { "a stop takes no request whose deadline is after its end",
+    test_stop_limits },
   { NULL, NULL }
 };
