Soak: callers that keep connections, long work, and series of planned stops

The soak and its judge could not see a planned stop that takes requests until its end and cuts them: - No stop lasted.

Now keepers use a connection until the entry closes it or answers `Connection: close', pause up to 6 s, and send work of 0.5 to 6.5 s with a deadline of 9 s; 3 % of the other work takes 7 times as long; upstreams have slots for that.

Rules "lost", "stop" and "exit" follow the users' bounds. "lost" holds for all requests around a stop or a reload, also for those that the entry answers itself, but for work that lasts into the last sixth of the stop on a request sent in its first 3 s, a deadline that is reached (that of the attempt, where 2.9 s was assumed, which a second attempt does not have), and an upstream that ends. A stop that begins frozen counts from the end of the pause.

--- a/tests/soak/judge.awk
+++ b/tests/soak/judge.awk
@@ -8,20 +8,23 @@
 #   disturbed NAME CAUSE       a fault of a process or of the path to it begins
 #   undisturbed NAME           and ends
 #   started NAME, term NAME, exited NAME STATUS   a process; term: SIGTERM is sent
+#   hup NAME                   SIGHUP is sent
 #   try config VERSION SERVICE, ack config VERSION SERVICE   a configuration is
 #                              written, and was written; SERVICE has route /move/
 #   ack evacuate ZONE, restore ZONE   an evacuation was written, and is removed
 #   calm begins, calm ends     the phase without faults at the end of the run
-#   leaving WORKER             an upstream says that it leaves
-#   sent REQUEST ADDRESS METHOD PATH SIZE HASH   a caller sends one attempt of a
-#                              call: REQUEST is CALL.ATTEMPT
+#   leaving WORKER, gone WORKER   an upstream says that it leaves, and ends
+#   sent REQUEST ADDRESS METHOD PATH SIZE HASH [DEADLINE]   a caller sends one
+#                              attempt of a call: REQUEST is CALL.ATTEMPT; it
+#                              closes its connection after DEADLINE milliseconds
 #   got REQUEST STATUS WORKER WHOLE   its response; STATUS 0: none that is whole
 #   left REQUEST               the caller closes its connection before that
 #   named ADDRESS,...          entries in a response of the directory
 #   run REQUEST WORKER SERVICE ZONE METHOD PATH SIZE HASH   an upstream executes
-#   end REQUEST WORKER         and has finished with it
+#   end REQUEST WORKER [cut]   and has finished with it; cut: its connection ended
+#                              while it was at work
 #   refused REQUEST WORKER SERVICE STATUS   or refuses it
-# Others (fault, born) only explain a log to its reader.
+# Others (fault, born, again) only explain a log to its reader.
 # NAME is "store", "proxy", an entry "eN" or a worker slot "wN"; WORKER is
 # "wN-INCARNATION".
 BEGIN {
@@ -31,9 +34,12 @@
   MAX_LEAVING = 2500000       # from a worker's notice until it gets no new request
   MAX_EVACUATION = 5000000    # from its write until the zone gets no new request
   ROUTE_TIMEOUT = 1500000     # timeout_ms of the routes in soak.sh
+  SLOW_TIMEOUT = 9000000      # and of route /slow/
+  DEADLINE = 3000000          # of a request without one
   GRACE = 500000              # beyond that timeout, and after a caller has left
+  STOP_TIME = 6000000         # stop_s in soak.sh
   MAX_STOP = 6500000          # from SIGTERM to the end of an entry
-  CUT_RACE = 200000           # an entry that stops may cut a request that it got less than this before
+  CUT_RACE = 200000           # an entry may cut a request that it got less than this before and that has not run
   MAX_NAMED_AFTER_EXIT = 7000000   # until the directory names an ended entry no more
   BUDGET_WINDOW = 10          # seconds, of the retry budget
   BUDGET_RATIO = 0.2          # of the requests, that may be retries; as in soak.sh
@@ -61,6 +67,7 @@
 function up_to_date(entry, from, to) {
   return undisturbed(entry, from, to) && undisturbed("store", from, to)
 }
+function timeout_of(id) { return path[id] ~ /^\/slow\// ? SLOW_TIMEOUT : ROUTE_TIMEOUT }
 # wN of wN-INCARNATION.
 function slot_of(worker) { sub(/-.*/, "", worker); return worker }
 # Entry N listens on an address that ends in .N.
@@ -71,10 +78,12 @@
   if (FNR == 1) start = $1
   if ($2 == "disturbed") {
     if (open[$3]++ == 0) { begins[$3, ++disturbances[$3]] = $1; ends[$3, disturbances[$3]] = 9e18 }
+    if ($4 == "pause") has_pause[$3, disturbances[$3]] = 1
   }
   else if ($2 == "undisturbed") { if (--open[$3] == 0) ends[$3, disturbances[$3]] = $1 }
   else if ($2 == "term") { term_at[$3, ++terms[$3]] = $1; ended_at[$3, terms[$3]] = 9e18 }
   else if ($2 == "exited") { if ($3 in terms && ended_at[$3, terms[$3]] > 8e18) ended_at[$3, terms[$3]] = $1 }
+  else if ($2 == "hup") hup_at[$3, ++hups[$3]] = $1
   else if ($2 == "try" && $3 == "config") { tried_at[++configs] = $1; acked_at[configs] = 9e18; number[$4] = configs; move_service[configs] = $5 }
   else if ($2 == "ack" && $3 == "config") acked_at[number[$4]] = $1
   else if ($2 == "ack" && $3 == "evacuate") { evacuated_at[$4, ++evacuations[$4]] = $1; restored_at[$4, evacuations[$4]] = 9e18 }
@@ -87,23 +96,38 @@
 
 # Second pass.
 # An entry ends with status 0 within MAX_STOP of SIGTERM, or by a fault's
-# SIGKILL (status 137).
+# SIGKILL (status 137).  A pause at SIGTERM delays the stop; the time isn't judged
+# if a disturbance lasted until the end.
+$2 == "disturbed" && $4 == "kill" { kill_at[$3] = $1 }
 $2 == "exited" && $3 ~ /^e/ {
-  stopped = killed = 0
+  stopped = held = 0
   for (i = 1; i <= terms[$3]; i++) if (ended_at[$3, i] == $1) stopped = term_at[$3, i]
-  for (i = 1; i <= disturbances[$3]; i++) if (begins[$3, i] <= $1 && $1 <= ends[$3, i] + 1000000) killed = 1
-  if (stopped && !killed && ($4 != 0 || $1 - stopped > MAX_STOP))
+  killed = $4 == 137 && ($3 in kill_at)
+  begun = stopped
+  for (i = 1; i <= disturbances[$3]; i++) {
+    if (begins[$3, i] <= $1 && $1 <= ends[$3, i] + 1000000 && !(begins[$3, i] == kill_at[$3])) held = 1
+    if (has_pause[$3, i] && begins[$3, i] <= stopped && stopped <= ends[$3, i]) begun = ends[$3, i]
+  }
+  if (stopped && ($4 != 0 && !killed || $1 - begun > MAX_STOP && !held))
     broken("stop", $3 " ended with " $4 " after " ($1 - stopped) / 1e6 " s")
-  if (!stopped && !($4 == 137 && killed))
+  if (!stopped && !killed)
     broken("exit", $3 " ended by itself with " $4)
   exited_at[$3] = $1
 }
-$2 == "started" { delete exited_at[$3] }
+# What still ran at an upstream that ends was broken off by the upstream.
+$2 == "gone" {
+  for (key in running) {
+    split(key, parts, SUBSEP)
+    if (parts[2] == $3) { broke_off[parts[1]] = 1; delete running[key] }
+  }
+}
+$2 == "started" { delete exited_at[$3]; delete kill_at[$3] }
 
 $2 == "sent" {
   requests++
   id = $3
   sent_at[id] = $1; entry_by[id] = entry_of($4); method[id] = $5; path[id] = $6; size[id] = $7; hash[id] = $8
+  deadline[id] = NF > 8 ? $9 * 1000 : DEADLINE
   second = int(($1 - start) / 1e6)
   # Route /move/ changes between the two services: its requests count for both.
   if ($6 ~ /^\/move\//) { demand["shed", second]++; demand["desk", second]++ }
@@ -157,7 +181,10 @@
 # judged by rule "calm": a further one may come after the phase.
 $2 == "sent" && calm_end && $1 > calm_end - 1000000 { call = $3; if (sub(/\.[1-9][0-9]*$/, "", call)) retried_late[call] = 1 }
 
-$2 == "end" { delete running[$3, $4]; finished_at[$3] = $1 }
+$2 == "end" {
+  delete running[$3, $4]; finished_at[$3] = $1
+  if ($5 == "cut") was_cut[$3, $4] = 1
+}
 
 $2 == "left" { left_at[$3] = $1; left_running[$3] = runs[$3] > 0 && (($3, worker_of[$3]) in running); answered_at[$3] = $1 }
 
@@ -177,6 +204,7 @@
   if (status >= 300 && status < 500 && status != 408 && status != 429 && status != 421 && worker == "-" && up_to_date(entry, sent_at[id], $1))
     broken("denied", id " got " status " by " entry)
   if (status == 0) check_cut(id, entry, took)
+  else if (worker == "-" && runs[id] > 0 && (is_running(id) || (id, worker_of[id]) in was_cut) && took < timeout_of(id)) check_lost(id, entry, took, status)
   if (calm_begin && sent_at[id] >= calm_begin && $1 <= calm_end) {
     calm_requests++
     call = id; sub(/\.[0-9]+$/, "", call)
@@ -184,17 +212,41 @@
   }
 }
 
+# Whether the upstream is at work on request ID.
+function is_running(id) { return runs[id] > 0 && ((id, worker_of[id]) in running) }
+
 # A connection that ended without a whole response after TOOK.  Callers close it
-# themselves after 3 s.  An entry that stops cuts no request (rule "lost") but
-# one that has not run and came less than CUT_RACE before.  Otherwise only a
-# disturbance of the entry or the upstream excuses a cut (rule "cut").
-function check_cut(id, entry, took,   i, is_upstream_ok) {
+# themselves at the deadline.  An entry that stops cuts no request (rule "lost").
+# Otherwise only a disturbance of the entry or the upstream excuses a cut (rule
+# "cut").
+function check_cut(id, entry, took) {
+  if (check_lost(id, entry, took, 0) && runs[id] > 0) cut_requests++
+}
+
+# Request ID ended after TOOK without its upstream's response: with STATUS of the
+# entry's own while the upstream was at work, or, with 0, without any.  Returns
+# whether neither its deadline, nor the upstream, nor a disturbance of the entry
+# or the upstream excuses that.  If not, rule "lost" is broken
+#   after SIGTERM, unless the upstream was at work in the last sixth of the stop
+#   time on a request that was sent no later than 3 s after the signal;
+#   without a response, also after SIGHUP, for requests sent up to MAX_IN_FORCE
+#   after it;
+# but for a request that has not run and came less than CUT_RACE before.
+function check_lost(id, entry, took, status,   i, is_upstream_ok, what, at_work_until) {
   is_upstream_ok = !(id in worker_of) || undisturbed(slot_of(worker_of[id]), sent_at[id], $1)
-  if (!undisturbed(entry, sent_at[id], $1) || !is_upstream_ok || took > 2900000) return
-  for (i = 1; i <= terms[entry]; i++)
-    if (term_at[entry, i] <= $1 && sent_at[id] <= ended_at[entry, i] && (runs[id] > 0 || took > CUT_RACE) && sent_at[id] < term_at[entry, i] + 3000000)
-      broken("lost", id " was cut at the stop of " entry " after " took / 1e6 " s, " runs[id] + 0 " runs")
-  if (runs[id] > 0) cut_requests++
+  if (!undisturbed(entry, sent_at[id], $1) || !is_upstream_ok || broke_off[id] || took > deadline[id] - 100000) return 0
+  if (runs[id] == 0 && took <= CUT_RACE) return 1
+  what = id (status == 0 ? " was cut" : " got " status) " at the %s of " entry " after " took / 1e6 " s, " runs[id] + 0 " runs"
+  at_work_until = is_running(id) ? $1 : id in finished_at ? finished_at[id] : 0
+  for (i = 1; i <= terms[entry]; i++) {
+    if (term_at[entry, i] > $1 || sent_at[id] > ended_at[entry, i]) continue
+    if (sent_at[id] <= term_at[entry, i] + 3000000 && at_work_until >= term_at[entry, i] + STOP_TIME * 5 / 6) return 0
+    broken("lost", sprintf(what, "stop") ", sent " (sent_at[id] - term_at[entry, i]) / 1e6 " s after SIGTERM")
+    return 1
+  }
+  for (i = 1; status == 0 && i <= hups[entry]; i++)
+    if (hup_at[entry, i] <= $1 && sent_at[id] <= hup_at[entry, i] + MAX_IN_FORCE) { broken("lost", sprintf(what, "reload")); return 1 }
+  return 1
 }
 
 # The directory names no entry that ended long ago.
@@ -208,9 +260,10 @@
 
 END {
   for (id in sent_at) {
+    limit = timeout_of(id)
     took = (id in answered_at ? answered_at[id] : 9e18) - sent_at[id]
-    if (id in left_at || !undisturbed(entry_by[id], sent_at[id], sent_at[id] + ROUTE_TIMEOUT + GRACE) || (calm_end && sent_at[id] > calm_end - 3000000)) continue
-    if (took > ROUTE_TIMEOUT) { over_timeout++; if (took > ROUTE_TIMEOUT + GRACE) late++ }
+    if (id in left_at || !undisturbed(entry_by[id], sent_at[id], sent_at[id] + limit + GRACE) || (calm_end && sent_at[id] > calm_end - limit - 1500000)) continue
+    if (took > limit) { over_timeout++; if (took > limit + GRACE) late++ }
   }
   for (call in calm_failure) if (calm_failure[call] != "" && !(call in retried_late)) broken("calm", calm_failure[call])
   if (late >= MIN_VIOLATIONS && late > over_timeout / 4) broken("timeout", late " of " over_timeout " long requests are answered late")
--- a/tests/soak/soak.sh
+++ b/tests/soak/soak.sh
@@ -6,9 +6,10 @@
 #
 #   tests/soak/soak.sh SEED
 #
-# SOAK_SECONDS=25 of faults, SOAK_ENTRIES=7, SOAK_WORKERS=9, SOAK_CALLERS=12;
-# SOAK_KEEP=DIRECTORY keeps the logs.  SOAK_SLOT=N (0 to 19) selects the network,
-# since runs at the same time need one each; by default it depends on the pid.
+# SOAK_SECONDS=25 of faults, SOAK_ENTRIES=7, SOAK_WORKERS=9, SOAK_CALLERS=12,
+# SOAK_KEEPERS=42 callers that keep their connections; SOAK_KEEP=DIRECTORY keeps
+# the logs.  SOAK_SLOT=N (0 to 19) selects the network, since runs at the same
+# time need one each; by default it depends on the pid.
 # The seed determines which faults come and when; the processes' own timing
 # differs from run to run.  Ends with "soak SEED: N requests (STATUS:N ... ),
 # N calm, N faults, N broken" and fails if any rule is broken.
@@ -21,6 +22,7 @@
 entries=${SOAK_ENTRIES:-7}
 workers=${SOAK_WORKERS:-9}
 callers=${SOAK_CALLERS:-12}
+keepers=${SOAK_KEEPERS:-$((6 * entries))}
 recovery_s=8 # after the last fault, before the calm phase begins
 calm_s=5     # the calm phase, in which every call must get status 200
 net=127.$((40 + ${SOAK_SLOT:-$$ % 150 + 20}))
@@ -82,21 +84,21 @@
   [ $(($1 % 3)) != 0 ] || service=shed
   [ $(($2 % 2)) = 0 ] || quiet=yes
   note "started w$1"
-  launch "w$1" "$BUILD/standin" worker --listen "$net.2.$1:7910" --id "w$1-$2" --work-ms 30 --slots 6 \
+  launch "w$1" "$BUILD/standin" worker --listen "$net.2.$1:7910" --id "w$1-$2" --work-ms 30 --slots 12 --long-tail yes \
     --service $service --zone "$(worker_zone $(($1 / 3)))" --advertise "$net.3.$1:7910" \
     --store "$net.9.1:7900" --quiet $quiet --events "$WORK/workers.events"
 }
 
 put () { curl -s -m 5 -X PUT --data-binary @- "$store/_put?key=$1" -o /dev/null; }
 drop () { curl -s -m 5 -X PUT "$store/_drop?key=$1" -o /dev/null; }
-route () { # NAME KIND SERVICE
-  echo "{\"name\":\"$1\",\"host\":\"shop.example\",\"prefix\":\"/$1/\",\"kind\":\"$2\",\"timeout_ms\":1500,\"target_latency_ms\":400,\"priority\":1,\"service\":\"$3\",\"max_attempts\":2,\"sticky_sessions\":true,\"allowed_regions\":[]}"
+route () { # NAME KIND SERVICE [TIMEOUT-MS TARGET-MS]
+  echo "{\"name\":\"$1\",\"host\":\"shop.example\",\"prefix\":\"/$1/\",\"kind\":\"$2\",\"timeout_ms\":${4:-1500},\"target_latency_ms\":${5:-400},\"priority\":1,\"service\":\"$3\",\"max_attempts\":2,\"sticky_sessions\":true,\"allowed_regions\":[]}"
 }
 # Writes configuration $version, in which route /move/ leads to SERVICE and there
 # are N more routes.
 configure () { # SERVICE N
   local routes i
-  routes="$(route look safe desk),$(route jobs unsafe desk),$(route photo upload desk),$(route move unsafe "$1")"
+  routes="$(route look safe desk),$(route jobs unsafe desk),$(route photo upload desk),$(route move unsafe "$1"),$(route slow unsafe desk 9000 8000)"
   for i in $(seq "$2"); do routes="$routes,$(route "extra-$version-$i" safe desk)"; done
   note "try config $version $1"
   put op/config <<EOF
@@ -123,8 +125,7 @@
   note "undisturbed e$1"
   unlock "e$1"
 }
-fault_stop () { # ENTRY
-  lock "e$1" || return
+stop_and_wait () { # ENTRY
   note "term e$1"
   send TERM "e$1"
   for _ in $(seq 80); do
@@ -136,10 +137,62 @@
     send KILL "e$1"
     note "undisturbed e$1"
   fi
+}
+fault_stop () { # ENTRY
+  lock "e$1" || return
+  stop_and_wait "$1"
   sleep 0.2
   start_entry "$1"
   unlock "e$1"
 }
+# As fault_stop, with another signal MS after the first one: a second SIGTERM, or
+# a SIGHUP for settings that are damaged or not.  With `again' a second stop
+# follows as soon as the entry is ready, unless the time of faults is over.
+fault_stop_in_series () { # ENTRY none|term|hup|hup-damaged|again MS
+  lock "e$1" || return
+  stop_and_wait "$1" &
+  local stop=$!
+  sleep_ms "$3"
+  case $2 in
+    term) note "again e$1" && send TERM "e$1" ;;
+    hup) note "hup e$1" && send HUP "e$1" ;;
+    hup-damaged) echo '{' >"$WORK/e$1.json" && note "hup e$1" && send HUP "e$1" ;;
+  esac
+  wait $stop
+  write_settings "$1" 1000
+  sleep 0.2
+  start_entry "$1"
+  if [ "$2" = again ] && [ "$(date +%s)" -lt $end ] && wait_for 10 curl -sf -m 1 -o /dev/null "http://$net.1.$1:7902/ready"; then
+    stop_and_wait "$1"
+    sleep 0.2
+    start_entry "$1"
+  fi
+  unlock "e$1"
+}
+# Stops some of the entries, half at most, shortly one after the other.  A series
+# begins before the stops of the last one are over.  It has a random sequence of
+# its own, so that it doesn't change which other faults the seed determines.
+stop_in_series () {
+  local stops="" extra ms first count interval
+  RANDOM=$(((seed + 7919) % 32768))
+  while [ "$(date +%s)" -lt $end ]; do
+    pick "$entries"; first=$R
+    pick $(((entries + 1) / 2)); count=$((1 + R))
+    pick 4; interval=$((R * R * 50))
+    for i in $(seq "$count"); do
+      pick 8; extra=$R
+      pick 5500; ms=$R
+      set -- fault_stop_in_series $((1 + (first + i) % entries)) "${series_extras[$extra]}" "$ms"
+      note "fault $*"
+      "$@" &
+      stops="$stops $!"
+      sleep_ms "$interval"
+    done
+    pick 3000
+    sleep_ms $((2500 + R))
+  done
+  wait $stops
+}
 fault_all () { # MS
   local i kills=""
   for i in $(seq "$entries"); do
@@ -159,6 +212,7 @@
   # Locked, since an entry that is started with damaged settings ends at once.
   lock "e$1" || return
   if [ "$2" = 0 ]; then echo '{' >"$WORK/e$1.json"; else write_settings "$1" $((500 + 10 * $2)); fi
+  note "hup e$1"
   send HUP "e$1"
   sleep_ms 500
   write_settings "$1" 1000
@@ -213,6 +267,7 @@
 
 worker_modes=(full lose fail crossed short long)
 store_modes=(busy silent slow compact)
+series_extras=(none none none term hup hup hup-damaged again)
 path_modes=(delay reset silent there back)
 # Draws a fault and starts it, and in one case of four a new configuration too.
 # Whatever a fault may need is drawn first, so that the random sequence doesn't
@@ -287,11 +342,13 @@
 done
 until=$(($(date +%s) + seconds + recovery_s + calm_s))
 launch directory-callers "$BUILD/standin" directory-callers --lookups "${lookups#,}" --events "$WORK/directory-callers.events" \
-  --callers "$callers" --seed "$seed" --until $((until + 600))
+  --callers "$callers" --keepers "$keepers" --seed "$seed" --until $((until + 600))
 sleep 1
 faults=0
 running=""
 end=$(($(date +%s) + seconds))
+stop_in_series &
+running="$running $!"
 while [ "$(date +%s)" -lt $end ]; do
   inject
   pick 1500
--- a/tests/standin/directory_callers.c
+++ b/tests/standin/directory_callers.c
@@ -2,7 +2,7 @@
    directory (GET /resolve).
 
      standin directory-callers --lookups IP:PORT,... --events FILE
-       [--callers N] [--until UNIX-SECONDS] [--seed N]
+       [--callers N] [--keepers N] [--until UNIX-SECONDS] [--seed N]
 
    Each caller uses a response of the directory for its lifetime, keeps its
    connections open and makes one call after another.  An attempt that ends
@@ -13,9 +13,15 @@
    in 25 is aborted by closing the connection.  After --until no call is
    begun; the process runs until it is stopped by a signal.
 
+   In addition to the callers, keepers have one connection each and use it
+   until the entry closes it or answers `Connection: close', whatever the
+   directory says.  Half of their pauses are up to 6 s long.  One call in three
+   is for /slow/N, N milliseconds of work, with a deadline of 9 s.
+
    Each attempt has an id of its own, CALL.ATTEMPT, and writes two lines to the
    event file:
-     sent ID ENTRY METHOD PATH SIZE HASH
+     sent ID ENTRY METHOD PATH SIZE HASH DEADLINE-MS kept|other
+       (kept: on a keeper's open connection)
      got ID STATUS WORKER whole|other   (STATUS 0: no complete response;
                                          other: not the expected body)
    or, if the caller closes its connection first,
@@ -24,9 +30,12 @@
 #include "tests/standin/events.h"
 #include "tests/standin/standin.h"
 
+#include <errno.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 #include <xxhash.h>
 
 enum
@@ -36,9 +45,14 @@
   MAX_TEXT_BYTES = 1024,
   MAX_TRIES = 3,
   DEADLINE_MS = 3000, /* of a call with all its attempts */
+  SLOW_DEADLINE_MS = 9000,
   LOOKUP_TIMEOUT_MS = 1000,
   CONNECT_TIMEOUT_MS = 1000,
-  MAX_PAUSE_MS = 60,         /* between two calls */
+  MAX_PAUSE_MS = 60, /* between two calls */
+  MAX_KEEPER_PAUSE_MS = 6000,
+  SLOW_INTERVAL = 3, /* one call of a keeper in so many is slow */
+  MIN_SLOW_WORK_MS = 500,
+  MAX_SLOW_WORK_MS = 6500,
   STALE_CALLER_INTERVAL = 3, /* one caller in so many keeps entries longer */
   STALE_LIFETIME_FACTOR = 3, /* of the lifetime, for those callers */
   ABORT_INTERVAL = 25,       /* one call in so many is aborted */
@@ -58,10 +72,12 @@
               { "POST", "/jobs/", 25, 40, false },
               { "POST", "/move/", 20, 40, false },
               { "POST", "/photo/", 10, MAX_UPLOAD_BYTES, false } };
+static const struct call_kind slow_kind = { "POST", "/slow/", 0, 40, false };
 
 struct caller
 {
   struct curl_transfer transfer;
+  struct curl_loop *connections; /* for calls; a keeper has its own */
   struct curl_slist *headers;
   struct timer timer;
   struct timer abort_timer;
@@ -84,6 +100,8 @@
   char echoed_id[MAX_ADDRESS_BYTES]; /* the response's Request-Id */
   double retry_after;
   bool keeps_stale_entries;
+  bool is_keeper;
+  int kept_fd; /* a keeper's connection; -1: none */
 };
 
 static struct
@@ -151,6 +169,46 @@
                                       : CURL_PREREQFUNC_ABORT;
 }
 
+/* CURLOPT_OPENSOCKETFUNCTION and CURLOPT_CLOSESOCKETFUNCTION of keepers.  */
+static curl_socket_t
+open_kept_connection (void *user_data, curlsocktype purpose,
+                      struct curl_sockaddr *address)
+{
+  struct caller *caller = user_data;
+  (void)purpose;
+  caller->kept_fd
+      = socket (address->family, address->socktype, address->protocol);
+  return caller->kept_fd;
+}
+
+static int
+close_kept_connection (void *user_data, curl_socket_t fd)
+{
+  struct caller *caller = user_data;
+  if (fd == caller->kept_fd)
+    caller->kept_fd = -1;
+  return close (fd);
+}
+
+/* Returns whether the caller is a keeper with a connection that the entry
+   hasn't closed.  */
+static bool
+has_open_connection (const struct caller *caller)
+{
+  char byte;
+  return caller->kept_fd >= 0
+         && recv (caller->kept_fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0
+         && (errno == EAGAIN || errno == EINTR);
+}
+
+static int
+draw_pause_ms (const struct caller *caller)
+{
+  return rand ()
+         % (caller->is_keeper && rand () % 2 ? MAX_KEEPER_PAUSE_MS
+                                             : MAX_PAUSE_MS);
+}
+
 static void
 on_call_due (void *user_data, apr_time_t now)
 {
@@ -186,10 +244,10 @@
 {
   struct caller *caller = user_data;
   (void)now;
-  curl_loop_remove (state.curl_loop, &caller->transfer);
+  curl_loop_remove (caller->connections, &caller->transfer);
   events_write ("left %s", caller->id);
   release_transfer (caller);
-  schedule (caller, rand () % MAX_PAUSE_MS, on_call_due);
+  schedule (caller, draw_pause_ms (caller), on_call_due);
 }
 
 /* Returns whether the response is the worker's complete response to this
@@ -231,7 +289,7 @@
   if (delay_ms > (double)remaining / 3000)
     delay_ms = (double)remaining / 3000;
   if (!may_retry || ++caller->tries >= MAX_TRIES || remaining <= 0)
-    schedule (caller, rand () % MAX_PAUSE_MS, on_call_due);
+    schedule (caller, draw_pause_ms (caller), on_call_due);
   else
     schedule (caller, delay_ms, on_attempt_due);
 }
@@ -307,10 +365,21 @@
   curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, allow_one_request);
   curl_easy_setopt (easy, CURLOPT_PREREQDATA, caller);
   curl_easy_setopt (easy, CURLOPT_HTTPHEADER, caller->headers);
-  events_write ("sent %s %s %s %s %zu %016llx", caller->id,
+  if (caller->is_keeper)
+    {
+      curl_easy_setopt (easy, CURLOPT_OPENSOCKETFUNCTION,
+                        open_kept_connection);
+      curl_easy_setopt (easy, CURLOPT_OPENSOCKETDATA, caller);
+      curl_easy_setopt (easy, CURLOPT_CLOSESOCKETFUNCTION,
+                        close_kept_connection);
+      curl_easy_setopt (easy, CURLOPT_CLOSESOCKETDATA, caller);
+    }
+  events_write ("sent %s %s %s %s %zu %016llx %lld %s", caller->id,
                 caller->entries[caller->entry], kind->method, caller->path,
-                caller->body_bytes, (unsigned long long)body_hash (caller));
-  curl_loop_add (state.curl_loop, &caller->transfer);
+                caller->body_bytes, (unsigned long long)body_hash (caller),
+                (long long)remaining,
+                has_open_connection (caller) ? "kept" : "other");
+  curl_loop_add (caller->connections, &caller->transfer);
   if (rand () % ABORT_INTERVAL == 0)
     timer_start (loop_timers (state.loop), &caller->abort_timer,
                  timer_clock () + TIMER_MS (1 + rand () % MAX_ABORT_DELAY_MS),
@@ -378,7 +447,12 @@
 start_attempt (struct caller *caller)
 {
   char url[MAX_TEXT_BYTES];
-  if (timer_clock () < caller->entries_expire_at && caller->entry_count > 0)
+  bool has_connection = caller->entry >= 0 && has_open_connection (caller);
+  if (caller->is_keeper && !has_connection)
+    caller->entry = -1;
+  if (has_connection
+      || (timer_clock () < caller->entries_expire_at
+          && caller->entry_count > 0))
     {
       if (caller->entry < 0)
         caller->entry = rand () % (int)caller->entry_count;
@@ -404,15 +478,20 @@
     return;
   while (number >= kind->percent)
     number -= kind++->percent;
+  bool is_slow = caller->is_keeper && rand () % SLOW_INTERVAL == 0;
+  if (is_slow)
+    kind = &slow_kind;
   caller->kind = kind;
   caller->number = state.calls++;
   caller->tries = 0;
   caller->body_bytes = kind->max_body_bytes > 0
                            ? 1 + (size_t)(rand () % kind->max_body_bytes)
                            : 0;
-  caller->deadline = timer_clock () + TIMER_MS (DEADLINE_MS);
+  caller->deadline
+      = timer_clock () + TIMER_MS (is_slow ? SLOW_DEADLINE_MS : DEADLINE_MS);
+  int range = is_slow ? MAX_SLOW_WORK_MS - MIN_SLOW_WORK_MS : 1000;
   snprintf (caller->path, sizeof caller->path, "%s%d", kind->path,
-            rand () % 1000);
+            rand () % range + (is_slow ? MIN_SLOW_WORK_MS : 0));
   start_attempt (caller);
 }
 
@@ -424,6 +503,7 @@
   char *rest = NULL;
   long caller_count
       = strtol (option (argc, argv, "--callers", "12"), NULL, 10);
+  long keeper_count = strtol (option (argc, argv, "--keepers", "0"), NULL, 10);
   srand ((unsigned int)strtol (option (argc, argv, "--seed", "1"), NULL, 10));
   events_open (option (argc, argv, "--events", NULL));
   for (char *address = strtok_r (lookups, ",", &rest);
@@ -442,11 +522,20 @@
              != ERR_NONE)
     return 1;
   stop_on_signal (state.loop);
-  struct caller *callers = calloc ((size_t)caller_count, sizeof *callers);
-  for (long i = 0; i < caller_count; i++)
+  struct caller *callers
+      = calloc ((size_t)(caller_count + keeper_count), sizeof *callers);
+  for (long i = 0; i < caller_count + keeper_count; i++)
     {
       callers[i].entry = -1;
+      callers[i].kept_fd = -1;
+      callers[i].connections = state.curl_loop;
       callers[i].keeps_stale_entries = i % STALE_CALLER_INTERVAL == 0;
+      callers[i].is_keeper = i >= caller_count;
+      if (callers[i].is_keeper
+          && curl_loop_create (pool, state.loop, 1, &callers[i].connections,
+                               &err)
+                 != ERR_NONE)
+        return 1;
       schedule (&callers[i], rand () % MAX_PAUSE_MS, on_call_due);
     }
   loop_run (state.loop);
--- a/tests/standin/worker.c
+++ b/tests/standin/worker.c
@@ -2,11 +2,14 @@
    that requests may expect, and load reports in its response headers.
 
      standin worker --listen IP:PORT --id ID [--work-ms N] [--slots N]
-       [--events FILE] [--store IP:PORT ...]
+       [--events FILE] [--store IP:PORT ...] [--long-tail yes]
 
    With --store it keeps a registry entry there; registration.h has the other
    options.  SIGTERM makes it leave as registration_leave describes.
 
+   With --long-tail yes, 3 % of the requests take 7 times as long, and one for
+   /slow/N takes N milliseconds.
+
    A request beyond the slots is refused with 503 and `Not-Executed: 1', and
    one with an Expect-Instance header of another id with 421.
 
@@ -37,7 +40,9 @@
   MAX_RUNS = 4096,
   MAX_ID_BYTES = 64,
   MAX_TEXT_BYTES = 512,
-  LONG_WORK_MS = 1000
+  LONG_WORK_MS = 1000, /* in mode `long' */
+  TAIL_PERCENT = 3,
+  TAIL_FACTOR = 7
 };
 
 struct worker_request
@@ -62,6 +67,7 @@
   const char *service;
   const char *zone;
   int64_t work_ms;
+  bool has_long_tail;
   int64_t slots;
   int64_t running;
   int64_t closed_early; /* callers that closed while their request ran */
@@ -158,6 +164,21 @@
   httpd_resume (worker.httpd, request->connection);
 }
 
+static int64_t
+work_time_ms (const struct worker_request *request, const char *url)
+{
+  long ms = 0;
+  if (strcmp (request->mode, "long") == 0)
+    return LONG_WORK_MS;
+  if (!worker.has_long_tail)
+    return worker.work_ms;
+  if (sscanf (url, "/slow/%ld", &ms) == 1)
+    return ms;
+  bool is_in_tail
+      = XXH64 (request->id, strlen (request->id), 0) % 100 < TAIL_PERCENT;
+  return is_in_tail ? worker.work_ms * TAIL_FACTOR : worker.work_ms;
+}
+
 /* Starts the work of a request whose body is complete, or refuses it.  */
 static enum MHD_Result
 start_work (struct worker_request *request, const char *url,
@@ -187,10 +208,7 @@
   httpd_watch_caller_close (worker.httpd, request->connection, request);
   if (strcmp (request->mode, "lose") != 0)
     timer_start (loop_timers (worker.loop), &request->timer,
-                 timer_clock ()
-                     + TIMER_MS (strcmp (request->mode, "long") == 0
-                                     ? LONG_WORK_MS
-                                     : worker.work_ms),
+                 timer_clock () + TIMER_MS (work_time_ms (request, url)),
                  on_work_done, request);
   httpd_suspend (worker.httpd, request->connection);
   return MHD_YES;
@@ -243,7 +261,7 @@
     return;
   request->is_suspended = false;
   worker.closed_early++;
-  events_write ("end %s %s", request->id, worker.id);
+  events_write ("end %s %s cut", request->id, worker.id);
   timer_stop (loop_timers (worker.loop), &request->timer);
   httpd_resume (worker.httpd, request->connection);
 }
@@ -268,6 +286,7 @@
 static void
 on_registration_left (void)
 {
+  events_write ("gone %s", worker.id);
   loop_stop (worker.loop);
 }
 
@@ -293,6 +312,8 @@
           .caller_closed = on_caller_closed };
   worker.id = option (argc, argv, "--id", "i-1");
   worker.work_ms = strtoll (option (argc, argv, "--work-ms", "20"), NULL, 10);
+  worker.has_long_tail
+      = strcmp (option (argc, argv, "--long-tail", "no"), "yes") == 0;
   worker.slots = strtoll (option (argc, argv, "--slots", "4"), NULL, 10);
   if (loop_create (pool, &worker.loop, &err) != ERR_NONE)
     return 1;
