Soak: no SIGTERM before an entry listens

A stop now begins when the entry answers on its readiness address, whatever the status. The rule on the exit status stays.

--- a/tests/soak/soak.sh
+++ b/tests/soak/soak.sh
@@ -125,7 +125,9 @@
   note "undisturbed e$1"
   unlock "e$1"
 }
+# Before an entry listens it has its signals' default actions and no requests.
 stop_and_wait () { # ENTRY
+  wait_for 1 curl -s -m 0.3 -o /dev/null "http://$net.1.$1:7902/ready"
   note "term e$1"
   send TERM "e$1"
   for _ in $(seq 80); do
