Log and count the store's epoch and responses that are not used

A listing below the known index was dropped without a line, and no line said which history of the store an index belongs to, so that dropped, failed and refused listings looked alike.

--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -9,7 +9,7 @@
 ls src/*.c src/*/*.c platform/*.c | xargs -P "$(nproc)" -n 4 sh -c '
   flags=$0
   clang-tidy --quiet --warnings-as-errors="*" "$@" -- $flags 2>/dev/null' "$flags"
-platform_names='Deadline-Ms|Expect-Instance|Affinity-Key|Server-Stamp|Not-Executed|Server-Load|Instance-Id|Cold-Ms'
+platform_names='Deadline-Ms|Expect-Instance|Affinity-Key|Server-Stamp|Not-Executed|Server-Load|Instance-Id|Cold-Ms|Store-Era'
 platform_names="$platform_names|kv-(key|range|watch|txn|lease|keep)|op/(config|evacuate)|\"servers/|\"/resolve|\"/ready"
 platform_names="$platform_names|weighted_backends|allowed_regions|sticky_sessions|target_latency_ms|cold_remaining_ms"
 platform_names="$platform_names|CITRONCLEAT_NODE_FILE|has_more|current_rev|tombstone"
--- a/src/base/http_client.c
+++ b/src/base/http_client.c
@@ -28,6 +28,8 @@
   size_t response_size;
   size_t max_response_bytes;
   int64_t index;
+  const char *number_header; /* may be NULL */
+  int64_t number;
   bool request_sent; /* the request may have reached the peer */
 };
 
@@ -66,8 +68,9 @@
 on_done (void *user_data, CURLcode result)
 {
   struct exchange *ex = user_data;
-  struct http_response response
-      = { .request_sent = ex->request_sent, .index = ex->index };
+  struct http_response response = { .request_sent = ex->request_sent,
+                                    .index = ex->index,
+                                    .number = ex->number };
   if (result == CURLE_OK)
     curl_easy_getinfo (ex->transfer.easy, CURLINFO_RESPONSE_CODE,
                        &response.status);
@@ -97,14 +100,25 @@
   return size;
 }
 
+/* Sets *NUMBER to the value of the header NAME, which ends with its colon, if
+   the line DATA of SIZE bytes is that header.  */
+static void
+read_number_header (const char *data, size_t size, const char *name,
+                    int64_t *number)
+{
+  size_t n = strlen (name);
+  if (size > n && strncasecmp (data, name, n) == 0)
+    *number = strtoll (data + n, NULL, 10);
+}
+
 static size_t
 on_header (char *data, size_t item_size, size_t size, void *user_data)
 {
   struct exchange *ex = user_data;
-  size_t n = sizeof index_header - 1;
   size *= item_size;
-  if (size > n && strncasecmp (data, index_header, n) == 0)
-    ex->index = strtoll (data + n, NULL, 10);
+  read_number_header (data, size, index_header, &ex->index);
+  if (ex->number_header)
+    read_number_header (data, size, ex->number_header, &ex->number);
   return size;
 }
 
@@ -186,6 +200,7 @@
   ex->done = done;
   ex->free_user_data = request->free_user_data;
   ex->user_data = user_data;
+  ex->number_header = request->number_header;
   ex->max_response_bytes = request->max_response_bytes
                                ? request->max_response_bytes
                                : (size_t)DEFAULT_MAX_RESPONSE_BYTES;
--- a/src/base/http_client.h
+++ b/src/base/http_client.h
@@ -28,8 +28,11 @@
   const char *method; /* default: GET, or POST with a body */
   const char *url;
   const char *extra_header; /* one more header line, or NULL */
-  struct str body;          /* copied; sent as application/json */
-  int64_t timeout_ms;       /* for the whole exchange, default 2000 */
+  /* Name of a response header, with its colon, whose whole number is wanted;
+     NULL: none.  Must stay valid until the request has ended.  */
+  const char *number_header;
+  struct str body;    /* copied; sent as application/json */
+  int64_t timeout_ms; /* for the whole exchange, default 2000 */
   /* Aborts the exchange if no byte is transferred for so many seconds; 0: only
      the timeout applies.  */
   int64_t stall_timeout_s;
@@ -46,6 +49,7 @@
   bool request_sent;  /* the request may have reached the peer */
   struct str body;    /* ends with a NUL; valid during the call only */
   int64_t index;      /* the X-Consul-Index header, or 0 */
+  int64_t number;     /* of the request's `number_header', or 0 */
   const char *reason; /* libcurl's error text if the status is 0 */
 };
 
--- a/src/config/store.h
+++ b/src/config/store.h
@@ -17,6 +17,10 @@
    GET and PUT /v1/kv/KEY with ?raw, ?cas=INDEX, ?index=INDEX&wait=MSms, and
    the X-Consul-Index header.
 
+   A store that comes back from an older copy has lost what it acknowledged
+   since, and gives indexes out again.  Its epoch, a number above 0, is then
+   greater than before; indexes of different epochs can't be compared.
+
    Units: milliseconds, except `age' in microseconds.  Threads: the loop's
    thread only.  */
 #ifndef CONFIG_STORE_H
@@ -32,6 +36,7 @@
   enum err_code code;
   int64_t index;    /* of the key's last write; of a new lease: its number */
   struct str value; /* valid during the call */
+  int64_t epoch;    /* of the store; 0: not stated */
 };
 
 typedef void store_done_fn (void *user_data,
@@ -62,6 +67,7 @@
   /* As large as the store makes a response, so that there may be more changes
      after `index' already.  */
   bool is_full;
+  int64_t epoch; /* of the store, or of the copy; 0: not stated */
 };
 
 typedef void store_items_done_fn (void *user_data,
--- a/src/config/store_kv.c
+++ b/src/config/store_kv.c
@@ -56,8 +56,9 @@
 on_response (void *user_data, const struct http_response *http)
 {
   struct request *request = user_data;
-  struct store_response response
-      = { result_code (request, http), http->index, http->body };
+  struct store_response response = { .code = result_code (request, http),
+                                     .index = http->index,
+                                     .value = http->body };
   if (response.code == ERR_UNAVAILABLE || response.code == ERR_UNKNOWN)
     counter_add (request->kv->failures, 1);
   request->done (request->user_data, &response);
--- a/src/gateway/registry.c
+++ b/src/gateway/registry.c
@@ -61,7 +61,8 @@
   registry->call_in_progress = false;
   if (response->code == ERR_NOT_FOUND)
     {
-      LOG (LOG_WARN, "lease-lost", LOG_INT ("lease", registry->lease));
+      LOG (LOG_WARN, "lease-lost", LOG_INT ("lease", registry->lease),
+           LOG_INT ("epoch", response->epoch));
       registry->lease = 0;
       registry->is_published = false;
       schedule_call (registry, 0);
--- a/src/gateway/store_sync.c
+++ b/src/gateway/store_sync.c
@@ -216,7 +216,8 @@
                                may_be_expired, on_unlisted, store_sync);
   store_sync->is_listing = false;
   LOG (LOG_INFO, "store-listed", LOG_TEXT ("source", source),
-       LOG_INT ("keys", listing->count), LOG_INT ("index", listing->index),
+       LOG_INT ("keys", listing->count), LOG_INT ("epoch", listing->epoch),
+       LOG_INT ("index", listing->index),
        LOG_INT ("upstreams", fleet_upstream_count (store_sync->desc.fleet)),
        LOG_INT ("entries", registry_count (store_sync->desc.registry)));
   if (listing->index > store_sync->index)
@@ -243,6 +244,12 @@
   store_sync->unreadable_items
       = counter_get (desc->counters, "citroncleat_unreadable_items_total", "",
                      "Items of the store that could not be used.");
+  store_sync->outdated_answers = counter_get (
+      desc->counters, "citroncleat_sync_outdated_answers_total", "",
+      "Usable responses that were older than what is known, and not used.");
+  store_sync->epoch_gauge
+      = gauge_get (desc->counters, "citroncleat_store_epoch", "",
+                   "Epoch of the store; greater after it lost writes.");
   for (int i = 0; i < SOURCE_COUNT; i++)
     {
       store_sync->queries[i].store_sync = store_sync;
--- a/src/gateway/store_sync_internal.h
+++ b/src/gateway/store_sync_internal.h
@@ -38,6 +38,7 @@
   struct timer wait_timer;  /* ends the wait for a source */
   struct timer expiry_timer;
   int64_t index; /* changes are known up to here; 0: nothing listed yet */
+  int64_t epoch; /* of the store, in its latest response; 0: not stated */
   apr_time_t current_as_of; /* latest time at which the store is known to have
                                held what is known here; 0: never yet */
   struct sync_query queries[SOURCE_COUNT];
@@ -52,6 +53,8 @@
   struct counter *problem_gauge;
   struct counter *unreadable_items;
   struct counter *answers[SOURCE_COUNT];
+  struct counter *outdated_answers;
+  struct counter *epoch_gauge;
 };
 
 /* store_sync.c  */
--- a/src/gateway/store_sync_sources.c
+++ b/src/gateway/store_sync_sources.c
@@ -282,6 +282,37 @@
   query->timed_out = !was_waited_for;
 }
 
+/* Logs and counts that RESPONSE is older than what is known.  */
+static void
+log_outdated (const struct sync_query *query,
+              const struct store_items_response *response)
+{
+  counter_add (query->store_sync->outdated_answers, 1);
+  LOG (LOG_INFO, "store-answer-outdated", LOG_INT ("source", query->source),
+       LOG_INT ("listing", query->is_listing),
+       LOG_INT ("epoch", response->epoch), LOG_INT ("index", response->index),
+       LOG_INT ("known_epoch", query->store_sync->epoch),
+       LOG_INT ("known_index", query->store_sync->index));
+}
+
+/* Logs that the store has another epoch than before.  */
+static void
+record_epoch (struct sync_query *query,
+              const struct store_items_response *response)
+{
+  struct store_sync *store_sync = query->store_sync;
+  if (response->epoch == 0 || response->epoch == store_sync->epoch)
+    return;
+  if (store_sync->epoch > 0)
+    LOG (LOG_WARN, "store-restored", LOG_INT ("source", query->source),
+         LOG_INT ("old_epoch", store_sync->epoch),
+         LOG_INT ("epoch", response->epoch),
+         LOG_INT ("old_index", store_sync->index),
+         LOG_INT ("index", response->index));
+  store_sync->epoch = response->epoch;
+  counter_set (store_sync->epoch_gauge, store_sync->epoch);
+}
+
 /* Applies RESPONSE, which has content.  Returns whether this makes what is
    known current.  */
 static bool
@@ -296,12 +327,15 @@
                   && !store_sync->needs_fresh_listing;
   if (is_store)
     record_store_response (store_sync, now);
+  record_epoch (query, response);
   if (!query->is_listing)
     store_sync_apply_changes (store_sync, response, may_be_expired, now);
   else if (response->index >= store_sync->index)
     store_sync_apply_listing (store_sync, response,
                               is_store ? "store" : "entry", may_be_expired,
                               now);
+  else
+    log_outdated (query, response);
   if (is_stale || response->is_full || response->index < store_sync->index)
     return false;
   apr_time_t as_of = query->asked_at - response->age;
--- a/tests/unit/config_test.c
+++ b/tests/unit/config_test.c
@@ -37,8 +37,9 @@
   (void)store;
   (void)key;
   struct store_response response
-      = { fake.index ? ERR_NONE : ERR_NOT_FOUND, fake.index,
-          str_view (fake.value, fake.size) };
+      = { .code = fake.index ? ERR_NONE : ERR_NOT_FOUND,
+          .index = fake.index,
+          .value = str_view (fake.value, fake.size) };
   if (fake.reads == FAULT_UNAVAILABLE)
     response.code = ERR_UNAVAILABLE;
   done (user_data, &response);
@@ -58,7 +59,8 @@
 {
   (void)store;
   (void)key;
-  struct store_response response = { ERR_CONFLICT, fake.index, STR ("") };
+  struct store_response response
+      = { .code = ERR_CONFLICT, .index = fake.index, .value = STR ("") };
   enum store_fault fault = fake.next_write;
   fake.next_write = FAULT_NONE;
   fake.writes++;
