--- a/tests/standin/metadata.c
+++ b/tests/standin/metadata.c
@@ -4,12 +4,15 @@
      standin metadata --listen IP:PORT [--also IP:PORT]
 
    Both addresses serve the same data.  A response holds at most 500 changes,
-   as the platform's do; its revision is then that of the last of them.
+   as the platform's do; its revision is then that of the last of them.  Every
+   response states the era in the header Store-Era.
 
    For tests, PUT /_put?key=K writes the request body as the value of K, as an
    operator or an upstream would, PUT /_drop?key=K removes a key,
-   PUT /_renew?key=K&count=N writes the value of K again N times, and
-   PUT /_mode?mode=M sets the mode:
+   PUT /_renew?key=K&count=N writes the value of K again N times, PUT /_copy
+   takes a copy of keys and leases, PUT /_restore puts that copy in their place
+   and begins a new era, in which revisions and leases since the copy are given
+   out again, and PUT /_mode?mode=M sets the mode:
      normal   serves every request
      busy     refuses every request with 503
      silent   never responds
@@ -77,6 +80,9 @@
     apr_time_t expires_at;
   } leases[MAX_LEASES];
   int64_t last_lease;
+  int64_t era;
+  size_t copied_events; /* of the copy that was taken */
+  int64_t copied_lease;
   enum mode mode;
   struct timer lease_check_timer;
 } store;
@@ -87,6 +93,25 @@
   return (int64_t)store.event_count + 1;
 }
 
+/* Queues OBJECT, and frees it.  */
+static enum MHD_Result
+queue_json (struct MHD_Connection *connection, unsigned int status,
+            json_object *object)
+{
+  char era[32];
+  const char *text = json_object_to_json_string_ext (
+      object, JSON_C_TO_STRING_PLAIN | JSON_C_TO_STRING_NOSLASHESCAPE);
+  struct MHD_Response *response = MHD_create_response_from_buffer (
+      strlen (text), (void *)text, MHD_RESPMEM_MUST_COPY);
+  json_object_put (object);
+  snprintf (era, sizeof era, "%lld", (long long)store.era);
+  MHD_add_response_header (response, "Content-Type", "application/json");
+  MHD_add_response_header (response, "Store-Era", era);
+  enum MHD_Result result = MHD_queue_response (connection, status, response);
+  MHD_destroy_response (response);
+  return result;
+}
+
 static bool
 is_latest (size_t i)
 {
@@ -157,10 +182,10 @@
   json_object_object_add (object, "has_more", json_object_new_boolean (false));
   json_object_object_add (object, "current_rev",
                           json_object_new_int64 (revision));
-  return httpd_queue_json (
-      connection,
-      changes && after_revision < store.compacted_revision ? 410 : 200,
-      object);
+  bool is_gone = changes
+                 && (after_revision < store.compacted_revision
+                     || after_revision > current_revision ());
+  return queue_json (connection, is_gone ? 410 : 200, object);
 }
 
 static enum MHD_Result
@@ -169,7 +194,7 @@
 {
   json_object *object = json_object_new_object ();
   json_object_object_add (object, name, json_object_new_int64 (number));
-  return httpd_queue_json (connection, status, object);
+  return queue_json (connection, status, object);
 }
 
 static int64_t
@@ -275,6 +300,35 @@
       }
 }
 
+/* Undoes what was written and which leases were opened since the copy.  */
+static void
+restore (void)
+{
+  while (store.event_count > store.copied_events)
+    {
+      struct event *event = &store.events[--store.event_count];
+      free (event->key);
+      free (event->value);
+    }
+  for (size_t i = 0; i < store.event_count; i++)
+    {
+      store.events[i].is_superseded = false;
+      for (size_t later = i + 1;
+           later < store.event_count && !store.events[i].is_superseded;
+           later++)
+        store.events[i].is_superseded
+            = strcmp (store.events[i].key, store.events[later].key) == 0;
+    }
+  apr_time_t now = timer_clock ();
+  for (int i = 0; i < MAX_LEASES; i++)
+    if (store.leases[i].id > store.copied_lease)
+      store.leases[i].id = 0;
+    else
+      store.leases[i].expires_at = now + TIMER_MS (store.leases[i].ttl_ms);
+  store.last_lease = store.copied_lease;
+  store.era++;
+}
+
 static void
 set_mode (struct str mode)
 {
@@ -300,6 +354,13 @@
   else if (strcmp (url, "/_renew") == 0)
     renew (key.data, strtoll (httpd_query_parameter (connection, "count").data,
                               NULL, 10));
+  else if (strcmp (url, "/_copy") == 0)
+    {
+      store.copied_events = store.event_count;
+      store.copied_lease = store.last_lease;
+    }
+  else if (strcmp (url, "/_restore") == 0)
+    restore ();
   else if (strcmp (url, "/_mode") == 0)
     set_mode (httpd_query_parameter (connection, "mode"));
   else
@@ -430,6 +491,7 @@
   if (second_address
       && httpd_create (pool, &desc, &second_httpd, &err) != ERR_NONE)
     return 1;
+  store.era = 1;
   stop_on_signal (store.loop);
   on_lease_check (NULL, timer_clock ());
   loop_run (store.loop);
