Order what is known of the store by its epoch, then by its index

Cause: listings, changes and keys were ordered by the store's index alone. The restored store gives indexes out again: its listings were below the known one and dropped, and when it reached that index again a watch from there succeeded without what had been written below it.

Now a response states the store's epoch, a reader's copy too. A watch that is answered from another epoch is not applied, whatever its index is there: its source is listed, and the listing replaces what is known. Responses of an earlier epoch, or from an index of one, are not used. The fleet's revisions grow on over epochs. What has an order of its own keeps it: configurations by version, upstreams' records by incarnation and count of writes, entries' keys by the start of the process and its writes. What the copy lacks may be expired; what had left and is listed again is held back until it is written again, or until a lease would have run out (6 s). The evacuation of a zone that the copy lacks stays in force for 4 s. An entry opens a new lease and writes its key again unless it is listed as it wrote it last; a lease number of an earlier epoch isn't used.

--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -1,4 +1,5 @@
 #include "fleet/fleet.h"
+#include "fleet/departed.h"
 
 #include <apr_hash.h>
 #include <stdlib.h>
@@ -12,12 +13,18 @@
   struct fleet_desc desc;
   apr_pool_t *pool;
   struct affinity *affinity;
-  apr_hash_t *ids;      /* struct fleet_upstream by id */
-  apr_hash_t *services; /* struct fleet_service by name */
-  apr_hash_t *zones;    /* struct fleet_zone by name */
-  int64_t revision;     /* of the latest record received */
+  apr_hash_t *ids;           /* struct fleet_upstream by id */
+  apr_hash_t *services;      /* struct fleet_service by name */
+  apr_hash_t *zones;         /* struct fleet_zone by name */
+  struct departed *departed; /* upstreams that were removed, by id */
+  int64_t revision;          /* of the latest record received */
+  int64_t restored_revision; /* of the latest one before the store came back
+                                from an older copy; 0: it never did */
+  bool is_restoring;         /* the listing of that copy is being applied */
   size_t count;
   size_t expired_count; /* upstreams in their grace period */
+  size_t held_count;    /* upstreams that are held back */
+  size_t lost_count;    /* evacuations in their grace period */
 };
 
 /* constants */
@@ -26,6 +33,11 @@
 {
   DEFAULT_EXPIRY_GRACE_MS = 2000, /* owners write expired records again
                                      within it */
+  /* Longer than the three heartbeats after which the store removes the record
+     of an upstream that writes nothing, and a read after that.  */
+  HOLD_MS = 6000,
+  /* Twice the time within which the keys of others are written again.  */
+  EVACUATION_GRACE_MS = 4000,
   INITIAL_CAPACITY = 16,
   STRING_COUNT = 4 /* strings of an upstream, each ends with a null byte */
 };
@@ -142,6 +154,24 @@
   upstream->expired_at = at;
 }
 
+/* Sets until when UPSTREAM is held back; 0: it isn't.  */
+static void
+set_held_until (struct fleet *fleet, struct fleet_upstream *upstream,
+                apr_time_t until)
+{
+  fleet->held_count += (until != 0) - (upstream->held_until != 0);
+  upstream->held_until = until;
+}
+
+/* Sets since when the evacuation of ZONE is missing in a restored store.  */
+static void
+set_evacuation_lost_at (struct fleet *fleet, struct fleet_zone *zone,
+                        apr_time_t at)
+{
+  fleet->lost_count += (at != 0) - (zone->evacuation_lost_at != 0);
+  zone->evacuation_lost_at = at;
+}
+
 /* Copies TEXT, with a null byte, to *AT and moves *AT behind it.  */
 static struct str
 append_copy (char **at, struct str text)
@@ -188,6 +218,7 @@
 {
   upstream->removed = true;
   set_expired_at (fleet, upstream, 0);
+  set_held_until (fleet, upstream, 0);
   remove_from_service (fleet, upstream);
   notify_changed (fleet, why, upstream);
   apr_hash_set (fleet->ids, upstream->id.data, (apr_ssize_t)upstream->id.size,
@@ -240,8 +271,9 @@
 handle_vanished (struct fleet *fleet, struct fleet_upstream *upstream,
                  bool may_be_expired, apr_time_t now)
 {
-  if (!may_be_expired || upstream->leaving)
+  if (!may_be_expired || upstream->leaving || upstream->held_until > 0)
     {
+      departed_add (fleet->departed, upstream->id, upstream->incarnation, now);
       remove_upstream (fleet, upstream, "removed");
       return;
     }
@@ -252,6 +284,56 @@
     }
 }
 
+/* Returns whether RECORD is older than what was known of UPSTREAM before the
+   store came back from an older copy.  */
+static bool
+is_outdated (const struct fleet *fleet, const struct fleet_upstream *upstream,
+             const struct fleet_record *record)
+{
+  return upstream->revision <= fleet->restored_revision
+         && record->incarnation > 0
+         && (record->incarnation < upstream->incarnation
+             || (record->incarnation == upstream->incarnation
+                 && record->write_count < upstream->write_count));
+}
+
+/* Ends the evacuation of ZONE at REVISION of the store.  */
+static void
+end_evacuation (struct fleet *fleet, struct fleet_zone *zone, int64_t revision,
+                apr_time_t cold_time, const char *why, apr_time_t now)
+{
+  set_evacuation_lost_at (fleet, zone, 0);
+  zone->is_evacuated = false;
+  for (apr_hash_index_t *i = apr_hash_first (NULL, fleet->ids); i;
+       i = apr_hash_next (i))
+    {
+      struct fleet_upstream *upstream = apr_hash_this_val (i);
+      if (upstream->zone != zone)
+        continue;
+      upstream->cold_until = now + cold_time;
+      upstream->cold_revision = revision;
+      if (why)
+        notify_changed (fleet, why, upstream);
+    }
+}
+
+static void
+end_lost_evacuations (struct fleet *fleet, apr_time_t now)
+{
+  if (fleet->lost_count == 0)
+    return;
+  for (apr_hash_index_t *i = apr_hash_first (NULL, fleet->zones); i;
+       i = apr_hash_next (i))
+    {
+      struct fleet_zone *zone = apr_hash_this_val (i);
+      if (zone->evacuation_lost_at > 0
+          && now - zone->evacuation_lost_at
+                 > (apr_time_t)EVACUATION_GRACE_MS * APR_USEC_PER_SEC / 1000)
+        end_evacuation (fleet, zone, zone->lost_revision, zone->cold_time,
+                        "evacuation not renewed", now);
+    }
+}
+
 /* public functions */
 
 struct fleet *
@@ -264,6 +346,7 @@
         = (apr_time_t)DEFAULT_EXPIRY_GRACE_MS * APR_USEC_PER_SEC / 1000;
   fleet->pool = pool;
   fleet->affinity = affinity_create (pool);
+  fleet->departed = departed_create ();
   fleet->ids = apr_hash_make (pool);
   fleet->services = apr_hash_make (pool);
   fleet->zones = apr_hash_make (pool);
@@ -276,6 +359,7 @@
   if (!fleet)
     return;
   fleet->desc.upstream_changed = NULL;
+  departed_destroy (fleet->departed);
   for (apr_hash_index_t *i = apr_hash_first (fleet->pool, fleet->ids); i;
        i = apr_hash_next (i))
     {
@@ -299,10 +383,23 @@
       = fleet->desc.find_region (fleet->desc.user_data, record->zone);
   struct fleet_upstream *upstream = apr_hash_get (
       fleet->ids, record->id.data, (apr_ssize_t)record->id.size);
+  int64_t departed_incarnation = 0;
   if (region.size == 0)
     return false;
   if (revision > fleet->revision)
     fleet->revision = revision;
+  bool has_departed
+      = !upstream
+        && departed_find (fleet->departed, record->id, &departed_incarnation);
+  if (upstream && is_outdated (fleet, upstream, record))
+    {
+      if (record->incarnation == upstream->incarnation)
+        set_expired_at (fleet, upstream, 0);
+      return true;
+    }
+  if (has_departed && fleet->is_restoring
+      && record->incarnation < departed_incarnation)
+    return true;
   if (upstream && !is_same_incarnation (upstream, record))
     {
       remove_upstream (fleet, upstream, "replaced");
@@ -316,8 +413,23 @@
   upstream->slots = record->slots;
   set_expired_at (fleet, upstream, 0);
   update_cold (upstream, record, revision, now);
-  if (is_new)
+  bool is_released = upstream->held_until > 0
+                     && record->write_count > upstream->write_count;
+  if (is_released)
+    set_held_until (fleet, upstream, 0);
+  if (has_departed && fleet->is_restoring
+      && record->incarnation == departed_incarnation)
+    set_held_until (fleet, upstream,
+                    now + (apr_time_t)HOLD_MS * APR_USEC_PER_SEC / 1000);
+  departed_forget (fleet->departed, upstream->id);
+  upstream->write_count = record->write_count;
+  upstream->revision = revision;
+  if (upstream->held_until > 0 && is_new)
+    notify_changed (fleet, "held back", upstream);
+  else if (is_new)
     notify_changed (fleet, "added", upstream);
+  else if (is_released)
+    notify_changed (fleet, "ready", upstream);
   else if (was_leaving != upstream->leaving)
     notify_changed (fleet, upstream->leaving ? "leaving" : "ready", upstream);
   return true;
@@ -328,7 +440,8 @@
 {
   struct fleet_upstream *upstream
       = apr_hash_get (fleet->ids, id.data, (apr_ssize_t)id.size);
-  if (!upstream)
+  if (!upstream || upstream->held_until > 0
+      || upstream->revision <= fleet->restored_revision)
     return false;
   if (revision > fleet->revision)
     fleet->revision = revision;
@@ -348,10 +461,25 @@
     handle_vanished (fleet, upstream, may_be_expired, now);
 }
 
+void
+fleet_begin_restore (struct fleet *fleet)
+{
+  fleet->is_restoring = true;
+  fleet->restored_revision = fleet->revision;
+}
+
+void
+fleet_end_restore (struct fleet *fleet)
+{
+  fleet->is_restoring = false;
+}
+
 void
 fleet_remove_expired (struct fleet *fleet, apr_time_t now)
 {
-  if (fleet->expired_count == 0)
+  departed_expire (fleet->departed, now);
+  end_lost_evacuations (fleet, now);
+  if (fleet->expired_count == 0 && fleet->held_count == 0)
     return;
   for (apr_hash_index_t *i = apr_hash_first (NULL, fleet->ids); i;
        i = apr_hash_next (i))
@@ -360,6 +488,12 @@
       if (upstream->expired_at > 0
           && now - upstream->expired_at > fleet->desc.expiry_grace)
         remove_upstream (fleet, upstream, "lapse not renewed");
+      else if (upstream->held_until > 0 && now > upstream->held_until)
+        {
+          set_held_until (fleet, upstream, 0);
+          notify_changed (fleet, upstream->leaving ? "leaving" : "ready",
+                          upstream);
+        }
     }
 }
 
@@ -368,21 +502,22 @@
                           int64_t revision, apr_time_t cold_time,
                           apr_time_t now)
 {
-  if (evacuated == fleet_is_zone_evacuated (fleet, zone))
+  if (!evacuated && !fleet_is_zone_evacuated (fleet, zone))
     return;
   struct fleet_zone *state = get_or_add_zone (fleet, zone);
-  state->is_evacuated = evacuated;
   if (evacuated)
-    return;
-  for (apr_hash_index_t *i = apr_hash_first (NULL, fleet->ids); i;
-       i = apr_hash_next (i))
     {
-      struct fleet_upstream *upstream = apr_hash_this_val (i);
-      if (upstream->zone != state)
-        continue;
-      upstream->cold_until = now + cold_time;
-      upstream->cold_revision = revision;
+      state->is_evacuated = true;
+      set_evacuation_lost_at (fleet, state, 0);
+    }
+  else if (fleet->is_restoring)
+    {
+      set_evacuation_lost_at (fleet, state, now);
+      state->lost_revision = revision;
+      state->cold_time = cold_time;
     }
+  else
+    end_evacuation (fleet, state, revision, cold_time, NULL, now);
 }
 
 bool
@@ -433,7 +568,7 @@
 bool
 fleet_is_eligible (const struct fleet_upstream *upstream)
 {
-  return !upstream->leaving && !upstream->removed
+  return !upstream->leaving && !upstream->removed && upstream->held_until == 0
          && !upstream->zone->is_evacuated;
 }
 
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -23,6 +23,18 @@
    have expired (see fleet/outage.h).  It stays in use until it is listed again
    or the grace period is over, whichever comes first.
 
+   A store that comes back from an older copy lists records that are older than
+   those known here.  Between fleet_begin_restore and fleet_end_restore its
+   listing is applied:
+
+   - a record of an earlier incarnation, or with a lower count of writes than
+     the one known, changes nothing;
+   - an upstream that had left is held back: it gets no requests until its
+     record is written again, or stays listed for so long that its lease must
+     have been renewed;
+   - the evacuation of a zone that isn't listed stays in force for 4 s, in
+     which the operator writes it again.
+
    A cold upstream has started a short while ago and can serve only few
    requests; how many is up to the caller.
 
@@ -48,7 +60,9 @@
   int64_t slots;             /* requests that it runs at once */
   bool leaving;              /* it takes no new requests */
   apr_time_t cold_remaining; /* for how long it stays cold; 0: it is not */
-  int64_t incarnation;       /* differs after a restart under the same id */
+  int64_t incarnation;       /* differs after a restart under the same id, and
+                                grows; 0: not stated */
+  int64_t write_count;       /* of the record, by this incarnation */
 };
 
 /* A zone that upstreams are in; never freed while the fleet exists.  */
@@ -56,6 +70,11 @@
 {
   struct str name;
   bool is_evacuated;
+  /* When the evacuation was found missing in a restored store; 0: it was
+     not.  */
+  apr_time_t evacuation_lost_at;
+  int64_t lost_revision; /* of the store then */
+  apr_time_t cold_time;  /* of the upstreams after the evacuation */
 };
 
 struct fleet_upstream
@@ -67,8 +86,12 @@
   struct str region;
   uint64_t hash;             /* of the id */
   uint64_t incarnation_hash; /* hash of the id and the incarnation */
-  int64_t slots;       /* as in the record; `load' has the reported number */
-  int64_t incarnation; /* as in the record */
+  int64_t slots;         /* as in the record; `load' has the reported number */
+  int64_t incarnation;   /* as in the record */
+  int64_t write_count;   /* as in the latest record that was put */
+  int64_t revision;      /* of that record */
+  apr_time_t held_until; /* a restored store lists it though it had left; 0: it
+                            is not held back */
   bool leaving;
   bool removed;          /* no longer in the fleet, only referenced */
   apr_time_t expired_at; /* when its record vanished, perhaps only since its
@@ -113,8 +136,8 @@
 struct fleet;
 
 /* Called when UPSTREAM changed.  WHAT is the change for the log: "added",
-   "ready", "leaving", "lapsed", "removed", "replaced" or "lapse not renewed".
- */
+   "ready", "leaving", "held back", "lapsed", "removed", "replaced", "lapse not
+   renewed" or "evacuation not renewed".  */
 typedef void fleet_changed_fn (void *user_data, const char *what,
                                const struct fleet_upstream *upstream);
 
@@ -134,13 +157,15 @@
    rest is freed with the pool.  FLEET may be NULL.  */
 void fleet_destroy (struct fleet *fleet);
 /* Adds or updates the upstream of RECORD, which was written to the store at
-   REVISION.  Returns false, changing nothing, if its zone has no
-   region.  */
+   REVISION.  Revisions grow from write to write, also when the store comes
+   back from an older copy.  Returns false, changing nothing, if its zone has
+   no region.  */
 bool fleet_put_upstream (struct fleet *fleet,
                          const struct fleet_record *record, int64_t revision,
                          apr_time_t now);
 /* The record of ID was written again at REVISION with the same content, but
-   for the count of its writes.  Returns false if there is no such upstream;
+   for the count of its writes.  Returns false if there is no such upstream, or
+   the record tells more than what is known of it since the store was restored;
    then the record has to be put.  */
 bool fleet_renew_upstream (struct fleet *fleet, struct str id,
                            int64_t revision);
@@ -149,12 +174,19 @@
    An upstream that is leaving is removed in any case.  */
 void fleet_remove_upstream (struct fleet *fleet, struct str id,
                             bool may_be_expired, apr_time_t now);
-/* Removes the upstreams whose grace period is over.  Not to be called during
-   an outage of the store, when none can be listed again.  */
+/* The store came back from an older copy, and its listing follows, with the
+   keys that it lacks as removals that may be expired.  */
+void fleet_begin_restore (struct fleet *fleet);
+void fleet_end_restore (struct fleet *fleet);
+/* Ends the grace periods that are over: of upstreams and of evacuations that
+   are not listed, and of upstreams that are held back.  Not to be called
+   during an outage of the store, when none can be listed again.  */
 void fleet_remove_expired (struct fleet *fleet, apr_time_t now);
 /* Sets whether ZONE is evacuated: its upstreams get no new requests.  When
    that ends, at REVISION of the store, they count as cold until a later record
-   says otherwise, for COLD_TIME at most.  No effect if nothing changes.  */
+   says otherwise, for COLD_TIME at most.  No effect if nothing changes.  An
+   evacuation that ends while a restored store is listed may only be lost, and
+   stays in force for the grace period.  */
 void fleet_set_zone_evacuated (struct fleet *fleet, struct str zone,
                                bool evacuated, int64_t revision,
                                apr_time_t cold_time, apr_time_t now);
@@ -178,7 +210,7 @@
 const struct fleet_group *fleet_group (const struct fleet_service *service,
                                        struct str region);
 /* Returns whether UPSTREAM may get new requests: it is neither leaving nor
-   removed, and its zone is not evacuated.  */
+   removed nor held back, and its zone is not evacuated.  */
 bool fleet_is_eligible (const struct fleet_upstream *upstream);
 /* Returns the upstream ID, or NULL.  */
 struct fleet_upstream *fleet_find (const struct fleet *fleet, struct str id);
--- a/src/fleet/outage.c
+++ b/src/fleet/outage.c
@@ -23,6 +23,12 @@
   outage->answered_at = now;
 }
 
+void
+outage_record_loss (struct outage *outage, apr_time_t now)
+{
+  outage->failed_at = now;
+}
+
 bool
 outage_is_recent (const struct outage *outage, apr_time_t now)
 {
--- a/src/fleet/outage.h
+++ b/src/fleet/outage.h
@@ -15,6 +15,11 @@
      may_be_expired = outage_is_recent (&outage, now);
      outage_record_response (&outage, now);
 
+   A store that came back without what it had acknowledged has lost leases
+   too:
+
+     outage_record_loss (&outage, now);
+
    MAY_BE_EXPIRED is then an argument of fleet_remove_upstream and
    fleet_end_listing for what the response contains.
 
@@ -38,6 +43,9 @@
 void outage_record_failure (struct outage *outage, apr_time_t now);
 /* Records that a call to the store had a response.  */
 void outage_record_response (struct outage *outage, apr_time_t now);
+/* Records that the store lost what it had acknowledged, which counts as a
+   failure for outage_is_recent.  */
+void outage_record_loss (struct outage *outage, apr_time_t now);
 /* Returns whether a call to the store failed so shortly before NOW, within
    1.2 s, that a key which vanishes now may only have expired.  */
 bool outage_is_recent (const struct outage *outage, apr_time_t now);
--- a/src/gateway/lookup.c
+++ b/src/gateway/lookup.c
@@ -19,8 +19,9 @@
   /* Callers use the addresses for at most three times their lifetime; an entry
      that stops keeps serving for that long.  */
   LOOKUP_LIFETIME_S = 1,
-  MIRROR_AGE_MAX_MS = 3000, /* an older copy of the store is not served */
-  LOOKUP_ADDRESSES_MAX = 64 /* in one response; callers use no more */
+  MIRROR_AGE_MAX_MS = 3000,  /* an older copy of the store is not served */
+  LOOKUP_ADDRESSES_MAX = 64, /* in one response; callers use no more */
+  NUMBER_MAX_BYTES = 24      /* of a number as text */
 };
 
 static const char metrics_path[] = "/metrics";
@@ -77,6 +78,22 @@
   return result;
 }
 
+/* Sends TEXT, from this entry's copy of the store, with the copy's epoch.  */
+static enum MHD_Result
+respond_copy (struct gateway *gateway, struct MHD_Connection *connection,
+              unsigned int status, struct str text)
+{
+  char epoch[NUMBER_MAX_BYTES];
+  struct MHD_Response *response = MHD_create_response_from_buffer (
+      text.size, (void *)text.data, MHD_RESPMEM_MUST_COPY);
+  apr_snprintf (epoch, sizeof epoch, "%" APR_INT64_T_FMT,
+                platform_mirror_epoch (gateway->mirror));
+  MHD_add_response_header (response, PLATFORM_STORE_EPOCH, epoch);
+  enum MHD_Result result = MHD_queue_response (connection, status, response);
+  MHD_destroy_response (response);
+  return result;
+}
+
 static enum MHD_Result
 respond_metrics (struct gateway *gateway, struct MHD_Connection *connection)
 {
@@ -97,8 +114,8 @@
   if (age > TIMER_MS (MIRROR_AGE_MAX_MS))
     return respond_text (connection, HTTP_UNAVAILABLE, STR ("too old\n"));
   apr_pool_create (&pool, gateway->pool);
-  enum MHD_Result result = respond_text (
-      connection, HTTP_OK,
+  enum MHD_Result result = respond_copy (
+      gateway, connection, HTTP_OK,
       platform_mirror_listing_json (gateway->mirror, age, pool));
   apr_pool_destroy (pool);
   return result;
@@ -117,8 +134,9 @@
       gateway->mirror, apr_atoi64 (str_dup (pool, after).data),
       store_sync_age (gateway->store_sync, timer_clock ()), pool);
   enum MHD_Result result
-      = text.size > 0 ? respond_text (connection, HTTP_OK, text)
-                      : respond_text (connection, HTTP_GONE, STR ("gone\n"));
+      = text.size > 0
+            ? respond_copy (gateway, connection, HTTP_OK, text)
+            : respond_copy (gateway, connection, HTTP_GONE, STR ("gone\n"));
   apr_pool_destroy (pool);
   return result;
 }
--- a/src/gateway/registry.c
+++ b/src/gateway/registry.c
@@ -2,6 +2,7 @@
 #include "gateway/registry.h"
 
 #include "base/net.h"
+#include "fleet/departed.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -26,6 +27,13 @@
   bool has_changed;      /* the key must be written again */
   bool call_in_progress; /* to the store; at most one */
   bool leaving;
+  int64_t started; /* as in the key */
+  int64_t writes;
+  int64_t epoch; /* of the store; 0: it was not restored so far */
+  bool is_restoring;
+  bool own_key_listed;       /* in the restored store, as written last */
+  struct departed *departed; /* entries that left, by name */
+  size_t held_count;
   size_t next_peer; /* of registry_next_peer_address */
 };
 
@@ -36,6 +44,7 @@
   RETRY_MS = 300,         /* well within the shortest lease */
   RENEWALS_PER_LEASE = 2, /* half of a lease is left for retries */
   EXPIRY_GRACE_MS = 2500, /* entries write an expired key again within it */
+  HOLD_MS = 6000,         /* longer than a lease, a renewal and a read */
   KEY_MAX_BYTES = 128,
   INITIAL_CAPACITY = 16,
   REGIONS_MAX = 64 /* whose readers registry_next_peer_address knows */
@@ -68,6 +77,11 @@
       schedule_call (registry, 0);
       return;
     }
+  if (!registry->is_published)
+    {
+      schedule_call (registry, 0);
+      return;
+    }
   schedule_call (registry, response->code == ERR_NONE
                                ? registry->desc.settings->store.lease_ms
                                      / RENEWALS_PER_LEASE
@@ -98,7 +112,9 @@
 {
   struct registry *registry = user_data;
   registry->call_in_progress = false;
-  if (response->code != ERR_NONE || response->index <= 0)
+  /* A lease of an earlier epoch is lost, and its number given out again.  */
+  if (response->code != ERR_NONE || response->index <= 0
+      || (response->epoch > 0 && response->epoch < registry->epoch))
     {
       schedule_call (registry, RETRY_MS);
       return;
@@ -130,6 +146,10 @@
                           json_object_new_boolean (registry->leaving));
   json_object_object_add (object, "capacity",
                           json_object_new_double (own_capacity (settings)));
+  json_object_object_add (object, "started",
+                          json_object_new_int64 (registry->started));
+  json_object_object_add (object, "writes",
+                          json_object_new_int64 (++registry->writes));
   if (settings->listen.metrics.size > 0)
     json_object_object_add (
         object, "peers",
@@ -193,6 +213,7 @@
   registry->list[entry->place] = last;
   last->place = entry->place;
   registry->expired_count -= entry->expired_at > 0;
+  registry->held_count -= entry->held_until > 0;
   registry->version++;
   apr_pool_destroy (entry->pool);
 }
@@ -227,8 +248,11 @@
           schedule_call (registry, 0);
         }
     }
-  else if (!may_be_expired || entry->leaving)
-    remove_entry (registry, entry, "key removed");
+  else if (!may_be_expired || entry->leaving || entry->held_until > 0)
+    {
+      departed_add (registry->departed, entry->name, entry->started, now);
+      remove_entry (registry, entry, "key removed");
+    }
   else if (entry->expired_at == 0)
     {
       entry->expired_at = now;
@@ -257,6 +281,8 @@
   json_object *leaving;
   json_object *peers;
   json_object *capacity;
+  json_object *started;
+  json_object *writes;
   json_object *object = text.size > 0 ? json_tokener_parse (text.data) : NULL;
   if (!object || !json_object_object_get_ex (object, "callers", &callers)
       || !json_object_object_get_ex (object, "zone", &zone)
@@ -285,6 +311,12 @@
   if (json_object_object_get_ex (object, "peers", &peers))
     entry->peer_address
         = str_dup (pool, str_from (json_object_get_string (peers)));
+  if (json_object_object_get_ex (object, "started", &started)
+      && json_object_object_get_ex (object, "writes", &writes))
+    {
+      entry->started = json_object_get_int64 (started);
+      entry->writes = json_object_get_int64 (writes);
+    }
   entry->hash = XXH64 (name.data, name.size, 0);
   json_object_put (object);
   return entry;
@@ -326,7 +358,7 @@
 static bool
 can_read (const struct registry_entry *entry, struct str region)
 {
-  return !entry->leaving && entry->expired_at == 0
+  return !entry->leaving && entry->expired_at == 0 && entry->held_until == 0
          && entry->peer_address.size > 0 && str_equal (entry->region, region);
 }
 
@@ -381,6 +413,8 @@
   registry->pool = pool;
   registry->entries = apr_hash_make (pool);
   registry->version = 1;
+  registry->departed = departed_create ();
+  registry->started = apr_time_now () / (APR_USEC_PER_SEC / 1000);
   return registry;
 }
 
@@ -391,6 +425,7 @@
     return;
   if (registry->desc.loop)
     timer_stop (loop_timers (registry->desc.loop), &registry->timer);
+  departed_destroy (registry->departed);
   free (registry->list);
 }
 
@@ -410,6 +445,54 @@
     on_call_due (registry, timer_clock ());
 }
 
+void
+registry_begin_restore (struct registry *registry, int64_t epoch)
+{
+  registry->epoch = epoch;
+  registry->is_restoring = true;
+  registry->own_key_listed = false;
+}
+
+void
+registry_end_restore (struct registry *registry)
+{
+  registry->is_restoring = false;
+  if (!registry->own_key_listed)
+    {
+      registry->lease = 0;
+      registry->has_changed = true;
+      registry->is_published = false;
+    }
+  if (registry->desc.loop && !registry->call_in_progress)
+    schedule_call (registry, 0);
+}
+
+/* Handles a key of a restored store.  Returns false if ENTRY is older than
+   OLD, what is known of it (NULL: nothing).  */
+static bool
+accept_restored (struct registry *registry, struct registry_entry *old,
+                 struct registry_entry *entry)
+{
+  int64_t departed_started = 0;
+  if (is_self (registry, entry))
+    registry->own_key_listed = entry->started == registry->started
+                               && entry->writes == registry->writes;
+  else if (old && entry->started > 0
+           && (entry->started < old->started
+               || (entry->started == old->started
+                   && entry->writes < old->writes)))
+    return false;
+  else if (!old
+           && departed_find (registry->departed, entry->name,
+                             &departed_started)
+           && entry->started <= departed_started)
+    {
+      entry->held_until = timer_clock () + TIMER_MS (HOLD_MS);
+      registry->held_count++;
+    }
+  return true;
+}
+
 void
 registry_put (struct registry *registry, struct str name, struct str text)
 {
@@ -421,6 +504,14 @@
       LOG (LOG_WARN, "entry-unreadable", LOG_TEXT ("name", name.data));
       return;
     }
+  if (registry->is_restoring && !accept_restored (registry, old, entry))
+    {
+      registry->expired_count -= old->expired_at > 0;
+      old->expired_at = 0;
+      apr_pool_destroy (entry->pool);
+      return;
+    }
+  departed_forget (registry->departed, name);
   bool is_changed = !old || old->leaving != entry->leaving;
   if (is_changed)
     LOG (LOG_INFO, "entry-seen", LOG_TEXT ("name", entry->name.data),
@@ -444,12 +535,19 @@
 void
 registry_remove_expired (struct registry *registry, apr_time_t now)
 {
-  for (size_t i = registry->expired_count > 0 ? registry->count : 0; i-- > 0;)
+  bool is_needed = registry->expired_count > 0 || registry->held_count > 0;
+  departed_expire (registry->departed, now);
+  for (size_t i = is_needed ? registry->count : 0; i-- > 0;)
     {
       struct registry_entry *entry = registry->list[i];
       if (entry->expired_at > 0
           && now - entry->expired_at > TIMER_MS (EXPIRY_GRACE_MS))
         remove_entry (registry, entry, "lapsed");
+      else if (entry->held_until > 0 && now > entry->held_until)
+        {
+          entry->held_until = 0;
+          registry->held_count--;
+        }
     }
 }
 
@@ -472,7 +570,8 @@
 {
   bool leaving
       = is_self (registry, entry) ? registry->leaving : entry->leaving;
-  return !leaving && (region.size == 0 || str_equal (entry->region, region));
+  return !leaving && entry->held_until == 0
+         && (region.size == 0 || str_equal (entry->region, region));
 }
 
 size_t
--- a/src/gateway/registry.h
+++ b/src/gateway/registry.h
@@ -17,6 +17,14 @@
    serve are shared.  All entries compute the same result from the same keys,
    without messages among them.
 
+   A store that comes back from an older copy lists keys that are older than
+   those known here, while it has lost leases and later keys.  Between
+   registry_begin_restore and registry_end_restore its listing is applied: an
+   older key of the same process changes nothing, an entry that had left takes
+   no callers until it writes its key again or its lease is seen to be renewed,
+   and this entry opens a lease and writes its key again unless it is listed as
+   it was written last.
+
    The record of an entry whose key vanished while the store may have been out
    of reach of that entry is kept for a grace period of 2.5 s, since the entry
    writes its key again once it reaches the store.
@@ -55,6 +63,10 @@
   bool leaving;          /* it stops gracefully and takes no new callers */
   apr_time_t expired_at; /* when its key vanished, perhaps only since its lease
                             expired; 0: the key exists */
+  int64_t started;       /* of its process, Unix milliseconds; 0: not stated */
+  int64_t writes;        /* of its key by that process */
+  apr_time_t held_until; /* a restored store lists it though it had left; 0: it
+                            takes callers */
   uint64_t hash;         /* of the name */
   size_t place;          /* in the registry's list */
   apr_pool_t *pool;
@@ -88,7 +100,11 @@
    lease ran out, so the record is kept for the grace period.  */
 void registry_remove (struct registry *registry, struct str name,
                       bool may_be_expired, apr_time_t now);
-/* Removes the records whose grace period is over.  Not to be called during an
+/* The store came back from an older copy, in EPOCH, and its listing follows,
+   with the keys that it lacks as removals that may be expired.  */
+void registry_begin_restore (struct registry *registry, int64_t epoch);
+void registry_end_restore (struct registry *registry);
+/* Ends the grace periods that are over.  Not to be called during an
    outage of the store, when no entry can write its key again.  */
 void registry_remove_expired (struct registry *registry, apr_time_t now);
 /* Returns the number of entries whose records are kept, leaving ones included;
--- a/src/gateway/store_sync.c
+++ b/src/gateway/store_sync.c
@@ -67,6 +67,17 @@
   report_problems (store_sync, plan);
 }
 
+/* Returns the place of INDEX, of the present epoch, in the order of all
+   writes.  */
+static int64_t
+revision_of (struct store_sync *store_sync, int64_t index)
+{
+  int64_t revision = store_sync->revision_base + index;
+  if (revision > store_sync->revision)
+    store_sync->revision = revision;
+  return revision;
+}
+
 static void
 apply_upstream (struct store_sync *store_sync, struct str id,
                 const struct store_item *item, enum mirror_change change,
@@ -75,18 +86,18 @@
   struct fleet_record record;
   struct err err = { 0 };
   apr_pool_t *pool;
+  int64_t revision = revision_of (store_sync, item->index);
   if (item->is_removed)
     {
       fleet_remove_upstream (store_sync->desc.fleet, id, may_be_expired, now);
       return;
     }
   if (change == MIRROR_RENEWED
-      && fleet_renew_upstream (store_sync->desc.fleet, id, item->index))
+      && fleet_renew_upstream (store_sync->desc.fleet, id, revision))
     return;
   apr_pool_create (&pool, NULL);
   if (decode_upstream (id, item->value, pool, &record, &err) != ERR_NONE
-      || !fleet_put_upstream (store_sync->desc.fleet, &record, item->index,
-                              now))
+      || !fleet_put_upstream (store_sync->desc.fleet, &record, revision, now))
     {
       /* The record is unusable, so an upstream that was known under the id no
          longer exists.  */
@@ -108,10 +119,14 @@
 apply_evacuation (struct store_sync *store_sync, struct str zone,
                   const struct store_item *item, apr_time_t now)
 {
-  LOG (LOG_INFO, item->is_removed ? "zone-evacuation-ended" : "zone-evacuated",
+  LOG (LOG_INFO,
+       !item->is_removed      ? "zone-evacuated"
+       : item->may_be_expired ? "zone-evacuation-lost"
+                              : "zone-evacuation-ended",
        LOG_TEXT ("zone", zone.data));
   fleet_set_zone_evacuated (store_sync->desc.fleet, zone, !item->is_removed,
-                            item->index, max_cold_time (store_sync), now);
+                            revision_of (store_sync, item->index),
+                            max_cold_time (store_sync), now);
 }
 
 static void
@@ -188,6 +203,30 @@
                now + TIMER_MS (EXPIRY_CHECK_MS), on_expiry_check, store_sync);
 }
 
+/* Begins the epoch of LISTING, which is then applied.  */
+static void
+begin_epoch (struct store_sync *store_sync,
+             const struct store_items_response *listing, const char *source,
+             apr_time_t now)
+{
+  if (store_sync->index > 0)
+    {
+      LOG (LOG_WARN, "store-restored", LOG_TEXT ("source", source),
+           LOG_INT ("old_epoch", store_sync->epoch),
+           LOG_INT ("epoch", listing->epoch),
+           LOG_INT ("old_index", store_sync->index),
+           LOG_INT ("index", listing->index));
+      outage_record_loss (&store_sync->outage, now);
+      fleet_begin_restore (store_sync->desc.fleet);
+      registry_begin_restore (store_sync->desc.registry, listing->epoch);
+    }
+  store_sync->epoch = listing->epoch;
+  store_sync->index = 0;
+  store_sync->revision_base = store_sync->revision;
+  platform_mirror_begin_epoch (store_sync->desc.mirror, listing->epoch);
+  counter_set (store_sync->epoch_gauge, listing->epoch);
+}
+
 /* functions internal to the module */
 
 void
@@ -210,10 +249,21 @@
                           apr_time_t now)
 {
   store_sync->is_listing = true;
+  bool is_restored
+      = listing->epoch > store_sync->epoch && store_sync->index > 0;
+  if (listing->epoch > store_sync->epoch)
+    begin_epoch (store_sync, listing, source, now);
+  /* What a restored copy lacks may only have been lost.  */
+  may_be_expired |= is_restored;
   platform_mirror_begin_listing (store_sync->desc.mirror);
   apply_items (store_sync, listing, may_be_expired, now);
   platform_mirror_end_listing (store_sync->desc.mirror, listing->index,
                                may_be_expired, on_unlisted, store_sync);
+  if (is_restored)
+    {
+      fleet_end_restore (store_sync->desc.fleet);
+      registry_end_restore (store_sync->desc.registry);
+    }
   store_sync->is_listing = false;
   LOG (LOG_INFO, "store-listed", LOG_TEXT ("source", source),
        LOG_INT ("keys", listing->count), LOG_INT ("epoch", listing->epoch),
--- a/src/gateway/store_sync.h
+++ b/src/gateway/store_sync.h
@@ -22,6 +22,12 @@
    responds.  Of each key, the write with the highest index counts, whatever
    order the responses come in.
 
+   A store that comes back from an older copy gives indexes out again, in a new
+   epoch.  What is known is ordered by the epoch, then by the index: a response
+   of an earlier epoch, or with changes since an index of another one, is not
+   used, and a new epoch begins with a listing.  The configuration keeps its
+   own order by version.
+
      store_sync = store_sync_create (pool, &desc);
      store_sync_start (store_sync);
      plan = store_sync_plan (store_sync);       NULL until one is known
--- a/src/gateway/store_sync_internal.h
+++ b/src/gateway/store_sync_internal.h
@@ -27,6 +27,7 @@
   bool in_progress;
   bool timed_out; /* still in progress, but not waited for */
   bool is_listing;
+  int64_t epoch;  /* that was known when it was asked */
   int full_count; /* full responses in a row */
 };
 
@@ -38,7 +39,11 @@
   struct timer wait_timer;  /* ends the wait for a source */
   struct timer expiry_timer;
   int64_t index; /* changes are known up to here; 0: nothing listed yet */
-  int64_t epoch; /* of the store, in its latest response; 0: not stated */
+  int64_t epoch; /* of the store, to which `index' belongs; 0: not stated */
+  /* The fleet's revisions grow over all epochs: those of an epoch are its
+     indexes, from here.  */
+  int64_t revision_base;
+  int64_t revision;         /* the latest one */
   apr_time_t current_as_of; /* latest time at which the store is known to have
                                held what is known here; 0: never yet */
   struct sync_query queries[SOURCE_COUNT];
--- a/src/gateway/store_sync_sources.c
+++ b/src/gateway/store_sync_sources.c
@@ -173,6 +173,7 @@
   query->in_progress = true;
   query->timed_out = false;
   query->is_listing = is_listing;
+  query->epoch = store_sync->epoch;
   if (!is_listing)
     query->store->ops->watch_prefix (query->store, "", store_sync->index, 0,
                                      on_response, query);
@@ -201,8 +202,10 @@
 on_urgent_changes (void *user_data, const struct store_items_response *changes)
 {
   struct store_sync *store_sync = user_data;
-  if (changes->code != ERR_NONE)
-    return; /* the read of all changes handles the failure */
+  /* The read of all changes handles a failure and another epoch.  */
+  if (changes->code != ERR_NONE
+      || (changes->epoch > 0 && changes->epoch != store_sync->epoch))
+    return;
   struct store_items_response urgent = *changes;
   urgent.index = 0; /* other changes are not known up to its index */
   store_sync_apply_changes (store_sync, &urgent, false, timer_clock ());
@@ -267,8 +270,8 @@
   outage_record_response (&store_sync->outage, now);
 }
 
-/* Handles that the source of QUERY no longer has the changes since what is
-   known: asks it for a listing.  */
+/* Handles that the source of QUERY doesn't have the changes since what is
+   known, or has another epoch: asks it for a listing.  */
 static void
 handle_history_gone (struct sync_query *query, bool was_waited_for,
                      apr_time_t now)
@@ -280,6 +283,8 @@
     store_sync->needs_fresh_listing = true;
   send_query (query, true, now);
   query->timed_out = !was_waited_for;
+  if (was_waited_for)
+    start_wait (query, now);
 }
 
 /* Logs and counts that RESPONSE is older than what is known.  */
@@ -295,22 +300,18 @@
        LOG_INT ("known_index", query->store_sync->index));
 }
 
-/* Logs that the store has another epoch than before.  */
-static void
-record_epoch (struct sync_query *query,
-              const struct store_items_response *response)
+/* Returns whether RESPONSE is of an epoch before the one that is known, or
+   has the changes since an index of another epoch than its own, which may be
+   neither all nor the right ones.  */
+static bool
+is_outdated (const struct sync_query *query,
+             const struct store_items_response *response)
 {
-  struct store_sync *store_sync = query->store_sync;
-  if (response->epoch == 0 || response->epoch == store_sync->epoch)
-    return;
-  if (store_sync->epoch > 0)
-    LOG (LOG_WARN, "store-restored", LOG_INT ("source", query->source),
-         LOG_INT ("old_epoch", store_sync->epoch),
-         LOG_INT ("epoch", response->epoch),
-         LOG_INT ("old_index", store_sync->index),
-         LOG_INT ("index", response->index));
-  store_sync->epoch = response->epoch;
-  counter_set (store_sync->epoch_gauge, store_sync->epoch);
+  int64_t known = query->store_sync->epoch;
+  return response->epoch > 0
+         && (response->epoch < known
+             || (!query->is_listing && response->epoch == known
+                 && query->epoch != known));
 }
 
 /* Applies RESPONSE, which has content.  Returns whether this makes what is
@@ -327,10 +328,10 @@
                   && !store_sync->needs_fresh_listing;
   if (is_store)
     record_store_response (store_sync, now);
-  record_epoch (query, response);
   if (!query->is_listing)
     store_sync_apply_changes (store_sync, response, may_be_expired, now);
-  else if (response->index >= store_sync->index)
+  else if (response->epoch > store_sync->epoch
+           || response->index >= store_sync->index)
     store_sync_apply_listing (store_sync, response,
                               is_store ? "store" : "entry", may_be_expired,
                               now);
@@ -356,6 +357,21 @@
   query->timed_out = false;
   if (was_waited_for)
     timer_stop (loop_timers (store_sync->desc.loop), &store_sync->wait_timer);
+  bool has_epoch
+      = response->code == ERR_NONE || response->code == ERR_NOT_FOUND;
+  if (has_epoch && is_outdated (query, response))
+    {
+      query->full_count = 0;
+      log_outdated (query, response);
+      hold_source (query, was_waited_for, now);
+      return;
+    }
+  if (has_epoch && response->epoch > store_sync->epoch && !query->is_listing)
+    {
+      query->full_count = 0;
+      handle_history_gone (query, was_waited_for, now);
+      return;
+    }
   if (response->code == ERR_NONE && response->is_full)
     {
       /* The store changes by more than one response holds between two reads:
--- a/tests/unit/fleet_test.c
+++ b/tests/unit/fleet_test.c
@@ -289,12 +289,124 @@
   fleet_destroy (fleet);
 }
 
+/* A restored store's older record doesn't undo what is known.  */
+static void
+test_restored_records (void)
+{
+  static const struct
+  {
+    const char *name;
+    bool leaving;        /* in the record known before, with count 5 */
+    bool removed;        /* after that record */
+    bool expired;        /* after that record, perhaps */
+    int64_t incarnation; /* of the restored record, which says ready */
+    int64_t write_count;
+    bool is_eligible; /* after the listing */
+    bool after_write; /* after the record is written again */
+    bool after_hold;  /* if it isn't, but stays listed for 7 s */
+  } cases[] = {
+    { "older", false, false, false, 7, 4, true, true, true },
+    { "leaving, older", true, false, false, 7, 4, false, true, false },
+    { "leaving, restarted", true, false, false, 8, 1, true, true, true },
+    { "leaving, earlier incarnation", true, false, false, 6, 9, false, false,
+      false },
+    { "expired, older", false, false, true, 7, 4, true, true, true },
+    { "removed", false, true, false, 7, 4, false, true, true },
+    { "removed, renewed since", false, true, false, 7, 6, false, true, true },
+    { "removed, restarted", false, true, false, 8, 1, true, true, true },
+    { "removed, earlier incarnation", false, true, false, 6, 9, false, true,
+      false },
+  };
+  for (size_t i = 0; i < COUNT (cases); i++)
+    for (int written = 0; written < 2; written++)
+      {
+        set_up_fleet ();
+        struct fleet_record r = make_record ("a");
+        r.incarnation = 7;
+        r.write_count = 5;
+        r.leaving = cases[i].leaving;
+        fleet_put_upstream (fleet, &r, 50, now);
+        if (cases[i].removed || cases[i].expired)
+          fleet_remove_upstream (fleet, r.id, cases[i].expired, now);
+        fleet_begin_restore (fleet);
+        r.leaving = false;
+        r.incarnation = cases[i].incarnation;
+        r.write_count = cases[i].write_count;
+        fleet_put_upstream (fleet, &r, 51, now);
+        fleet_end_restore (fleet);
+        const struct fleet_upstream *upstream = get_only_upstream ();
+        bool before = upstream && fleet_is_eligible (upstream);
+        if (written)
+          {
+            r.write_count += 3;
+            if (!fleet_renew_upstream (fleet, r.id, 52))
+              fleet_put_upstream (fleet, &r, 52, now);
+          }
+        else
+          {
+            now += TIMER_SEC (7);
+            fleet_remove_expired (fleet, now);
+          }
+        upstream = get_only_upstream ();
+        bool after = upstream && fleet_is_eligible (upstream);
+        bool expected = written ? cases[i].after_write : cases[i].after_hold;
+        CU_ASSERT_EQUAL (before, cases[i].is_eligible);
+        CU_ASSERT_EQUAL (after, expected);
+        if (before != cases[i].is_eligible || after != expected)
+          printf ("# %s, written %d: %d then %d\n", cases[i].name, written,
+                  before, after);
+        fleet_destroy (fleet);
+      }
+}
+
+/* The evacuation of a zone that a restored store lacks stays in force until it
+   is written again, or the operator had time to.  */
+static void
+test_restored_evacuation (void)
+{
+  static const struct
+  {
+    bool listed;  /* in the restored store */
+    bool written; /* again, a second later */
+    bool in_force_3s;
+    bool in_force_5s;
+  } cases[] = { { true, false, true, true },
+                { false, false, true, false },
+                { false, true, true, true } };
+  for (size_t i = 0; i < COUNT (cases); i++)
+    {
+      set_up_fleet ();
+      struct fleet_record r = make_record ("a");
+      fleet_put_upstream (fleet, &r, 1, now);
+      fleet_set_zone_evacuated (fleet, r.zone, true, 2, 0, now);
+      fleet_begin_restore (fleet);
+      fleet_put_upstream (fleet, &r, 3, now);
+      fleet_set_zone_evacuated (fleet, r.zone, cases[i].listed, 4, 0, now);
+      fleet_end_restore (fleet);
+      if (cases[i].written)
+        fleet_set_zone_evacuated (fleet, r.zone, true, 5, 0,
+                                  now + TIMER_SEC (1));
+      fleet_remove_expired (fleet, now + TIMER_SEC (3));
+      CU_ASSERT_EQUAL (fleet_is_zone_evacuated (fleet, r.zone),
+                       cases[i].in_force_3s);
+      fleet_remove_expired (fleet, now + TIMER_SEC (5));
+      CU_ASSERT_EQUAL (fleet_is_zone_evacuated (fleet, r.zone),
+                       cases[i].in_force_5s);
+      CU_ASSERT_EQUAL (fleet_is_eligible (get_only_upstream ()),
+                       !cases[i].in_force_5s);
+      fleet_destroy (fleet);
+    }
+}
+
 const struct unit_test fleet_tests[] = {
   { "a restart is a new upstream", test_incarnations },
   { "an expired upstream is used until its grace period ends", test_expiry },
   { "a record that is written again keeps its upstream", test_renewal },
   { "an evacuated zone gets no requests and is cold afterwards",
     test_evacuation },
+  { "a restored record does not undo a later one", test_restored_records },
+  { "a lost evacuation stays in force until it is written again",
+    test_restored_evacuation },
   { "a record that vanishes long after an outage was removed", test_outage },
   { "an upstream that others could not reach is avoided for a while",
     test_unreachable },
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -21,7 +21,7 @@
         { "burn", burn_tests },         { "plan", plan_tests },
         { "fleet", fleet_tests },       { "balance", balance_tests },
         { "platform", platform_tests }, { "gateway-sim", gateway_sim_tests },
-        { "registry", registry_tests } };
+        { "registry", registry_tests }, { "store-sync", store_sync_tests } };
 
 static void
 set_up (void)
--- a/tests/unit/registry_test.c
+++ b/tests/unit/registry_test.c
@@ -249,10 +249,64 @@
   registry_destroy (registry);
 }
 
+/* A restored store's older key doesn't bring back an entry that left.  */
+static void
+test_restored_keys (void)
+{
+  static const struct
+  {
+    const char *name;
+    bool leaving; /* in the key known before: started 7, its write 5 */
+    bool removed; /* after that */
+    int started;  /* of the restored key, which isn't leaving */
+    int writes;
+    bool is_named;       /* after the listing */
+    bool is_named_later; /* once it is written again */
+  } cases[] = { { "older", false, false, 7, 4, true, true },
+                { "leaving, older", true, false, 7, 4, false, true },
+                { "leaving, restarted", true, false, 8, 1, true, true },
+                { "removed", false, true, 7, 5, false, true },
+                { "removed, earlier", false, true, 6, 9, false, true },
+                { "removed, restarted", false, true, 8, 1, true, true },
+                { "not ordered", true, false, 0, 0, true, true } };
+  static const char key[]
+      = "{\"callers\":\"10.0.0.9:1\",\"zone\":\"a\",\"leaving\":%s,"
+        "\"started\":%d,\"writes\":%d}";
+  for (size_t i = 0; i < COUNT (cases); i++)
+    {
+      struct gateway_settings settings;
+      const struct entry_case alone = { "a", 10, false };
+      struct registry *registry = make_registry (0, &alone, 1, &settings);
+      struct str name = STR ("other");
+      registry_put (registry, name,
+                    str_printf (test_pool, key,
+                                cases[i].leaving ? "true" : "false", 7, 5));
+      if (cases[i].removed)
+        registry_remove (registry, name, false, 1);
+      registry_begin_restore (registry, 2);
+      registry_put (registry, name,
+                    str_printf (test_pool, key, "false", cases[i].started,
+                                cases[i].writes));
+      registry_end_restore (registry);
+      bool is_named = registry_count_in_region (registry, STR ("north")) == 2;
+      CU_ASSERT_EQUAL (is_named, cases[i].is_named);
+      if (is_named != cases[i].is_named)
+        printf ("# %s\n", cases[i].name);
+      registry_put (registry, name,
+                    str_printf (test_pool, key, "false", cases[i].started,
+                                cases[i].writes + 5));
+      CU_ASSERT_EQUAL (registry_count_in_region (registry, STR ("north")),
+                       cases[i].is_named_later ? 2 : 1);
+      registry_destroy (registry);
+    }
+}
+
 const struct unit_test registry_tests[]
     = { { "two entries of a region read the store", test_readers },
         { "who can't reach the store asks the readers of all regions",
           test_peers },
         { "a malformed key names no entry", test_malformed_entries },
+        { "a restored key does not bring back an entry that left",
+          test_restored_keys },
         { "all entries are named to callers in turn", test_look_ups_in_turn },
         { NULL, NULL } };
--- a/tests/unit/unit.h
+++ b/tests/unit/unit.h
@@ -35,6 +35,7 @@
 extern const struct unit_test balance_tests[];
 extern const struct unit_test gateway_sim_tests[];
 extern const struct unit_test registry_tests[];
+extern const struct unit_test store_sync_tests[];
 extern const struct unit_test platform_tests[];
 
 #endif
