A stop of an entry takes no call that it can't finish, and answers what is left

Callers saw: a call that reached a stopping entry on a connection kept open, with a deadline after the end of the stop, was sent to its upstream and cut without an answer at `stop.timeout_s'; so was whatever was in progress then, or at a second signal.

The stop bounded when the process ends, but not what it takes, and the worker's thread ended without a response to the calls it had. A call read in the thread's last iteration, after the control thread had seen none open, was cut as well (by reading the code, not seen).

Change: the worker gets the limits of call/stop_limits.h with the signal. Before the thread ends, it gives each call its final response, which says whether it may have run, and refuses what arrives then.

A call whose body is still arriving at the end is closed without an answer, as before.

--- a/src/call/call.c
+++ b/src/call/call.c
@@ -191,6 +191,10 @@
   if (call->body_size > call->service->max_body_bytes)
     call_fail (call, HTTP_TOO_LARGE, ERR_LIMIT, "read body",
                "the body is larger than the service allows");
+  else if (!stop_limits_take (&context->stop_limits, call->began_at,
+                              call->deadline))
+    call_fail (call, HTTP_UNAVAILABLE, ERR_LIMIT, "admit",
+               "the entry stops before the deadline");
 }
 
 /* Updates the metrics and the error budget with a call that ends.  */
--- a/src/call/call.h
+++ b/src/call/call.h
@@ -72,10 +72,11 @@
   bool waits_for_connection; /* an upstream with a free slot was passed over
                                 since it had no free connection */
   bool leaving;              /* the entry is about to stop */
-  struct budget retries;     /* of all services */
-  int64_t open_requests;     /* calls not destroyed, look-ups included */
-  int64_t in_flight;         /* attempts that hold a slot, cancelled ones
-                                included */
+  struct stop_limits stop_limits; /* set while leaving */
+  struct budget retries;          /* of all services */
+  int64_t open_requests;          /* calls not destroyed, look-ups included */
+  int64_t in_flight;              /* attempts that hold a slot, cancelled ones
+                                     included */
   uint64_t last_id;
   uint64_t id_base; /* random; the first part of generated Request-Ids */
 };
@@ -176,6 +177,8 @@
 /* Timer function: fails the call at its deadline, or truncates a response
    that is being forwarded.  */
 void call_on_deadline (void *user_data, apr_time_t now);
+/* Ends the call as at its deadline, since this entry stops.  */
+void call_end_for_stop (struct call *call);
 /* Returns whether an attempt that the call still has may have reached its
    upstream.  */
 bool call_is_sent (const struct call *call);
--- a/src/call/dispatch.c
+++ b/src/call/dispatch.c
@@ -409,13 +409,36 @@
   if (queue_length (context->queue)
       >= (size_t)context->settings->limits.queued_calls)
     reject (call, "too many calls are waiting", wait);
-  else if (now + wait > call->deadline)
+  else if (now + wait
+           > stop_limits_deadline (&context->stop_limits, call->deadline))
     reject (call, "the call cannot be served before its deadline", wait);
   else
     queue_add (context->queue, call->service->head.name, call->call_class,
                &call->queue_item, call);
 }
 
+/* Ends CALL without a whole response of an upstream: with STATUS, CODE and
+   DETAIL, or where its response is being forwarded.  */
+static void
+end_unanswered (struct call *call, unsigned int status, enum err_code code,
+                const char *detail)
+{
+  queue_remove (call->context->queue, &call->queue_item);
+  if (call->response_ready && (!call->attempt || call->attempt->done))
+    return;
+  bool sent = call_is_sent (call);
+  if (sent)
+    call->may_have_run = true;
+  if (call->response_queued)
+    {
+      call->outcome = OUTCOME_UNKNOWN;
+      call_discard_attempts (call);
+      call_schedule_resume (call);
+      return;
+    }
+  call_fail (call, status, code, sent ? "await answer" : "wait", detail);
+}
+
 /* As choose_upstream, but chooses among the upstreams already tried if no
    other takes the call.  */
 static struct steer_choice
@@ -436,6 +459,12 @@
 {
   struct call_context *context = call->context;
   call->admitted = true;
+  apr_time_t now = timer_clock ();
+  if (stop_limits_deadline (&context->stop_limits, now) < now)
+    {
+      reject (call, "the entry has stopped", 0);
+      return;
+    }
   if (queue_class_length (context->queue, call->service->head.name,
                           call->call_class)
       > 0)
@@ -503,20 +532,13 @@
 call_on_deadline (void *user_data, apr_time_t now)
 {
   (void)now;
-  struct call *call = user_data;
-  queue_remove (call->context->queue, &call->queue_item);
-  if (call->response_ready && (!call->attempt || call->attempt->done))
-    return;
-  bool sent = call_is_sent (call);
-  if (sent)
-    call->may_have_run = true;
-  if (call->response_queued)
-    {
-      call->outcome = OUTCOME_UNKNOWN;
-      call_discard_attempts (call);
-      call_schedule_resume (call);
-      return;
-    }
-  call_fail (call, HTTP_TIMEOUT, ERR_TIMEOUT, sent ? "await answer" : "wait",
-             "the deadline passed");
+  end_unanswered (user_data, HTTP_TIMEOUT, ERR_TIMEOUT, "the deadline passed");
+}
+
+void
+call_end_for_stop (struct call *call)
+{
+  bool may_have_run = call->may_have_run || call_is_sent (call);
+  end_unanswered (call, may_have_run ? HTTP_BAD_GATEWAY : HTTP_UNAVAILABLE,
+                  may_have_run ? ERR_UNKNOWN : ERR_LIMIT, "the entry stopped");
 }
--- a/src/call/worker.h
+++ b/src/call/worker.h
@@ -24,6 +24,7 @@
 #include "base/counter.h"
 #include "base/loop.h"
 #include "burn/burn.h"
+#include "call/stop_limits.h"
 #include "member/membership.h"
 #include "peer/roster.h"
 #include "settings/settings.h"
@@ -71,9 +72,11 @@
 void worker_set_membership (struct worker *worker,
                             struct membership *membership,
                             int64_t min_confirmed);
-/* Called when a planned stop starts: asks callers to close their connections
-   after each response, and reports "leaving" on the health path.  */
-void worker_set_leaving (struct worker *worker);
+/* Called when a planned stop starts: takes only the calls that LIMITS allow,
+   asks callers to close their connections after each response, and reports
+   "leaving" on the health path.  */
+void worker_set_leaving (struct worker *worker,
+                         const struct stop_limits *limits);
 /* Stops accepting connections.  */
 void worker_close_listener (struct worker *worker);
 /* Sets or clears that SOURCE reports UPSTREAM as leaving.  An upstream gets no
--- a/src/call/worker_commands.c
+++ b/src/call/worker_commands.c
@@ -18,6 +18,7 @@
   char upstream[64];
   int source; /* enum leaving_source */
   bool leaving;
+  struct stop_limits stop_limits;
   int64_t value; /* a load in percent, or a version of the membership */
   void (*done) (void *user_data, json_object *view);
   void *user_data;
@@ -112,6 +113,7 @@
 {
   struct command *command = user_data;
   command->worker->context.leaving = true;
+  command->worker->context.stop_limits = command->stop_limits;
   free (command);
 }
 
@@ -123,11 +125,20 @@
   free (command);
 }
 
+/* Gives each call that is left its final response, which the end of this
+   iteration sends, and lets no other begin.  */
 static void
 stop_loop (void *user_data)
 {
   struct command *command = user_data;
-  loop_stop (command->worker->context.loop);
+  struct call_context *context = &command->worker->context;
+  apr_time_t now = timer_clock ();
+  context->leaving = true;
+  context->stop_limits = (struct stop_limits){ .began_at = now };
+  for (struct call *call = context->calls; call; call = call->next)
+    if (call->opened)
+      call_end_for_stop (call);
+  loop_stop (context->loop);
   free (command);
 }
 
@@ -267,9 +278,11 @@
 }
 
 void
-worker_set_leaving (struct worker *worker)
+worker_set_leaving (struct worker *worker, const struct stop_limits *limits)
 {
-  post (command_create (worker), start_leaving);
+  struct command *command = command_create (worker);
+  command->stop_limits = *limits;
+  post (command, start_leaving);
 }
 
 void
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -38,7 +38,7 @@
   int signal_fd;
   bool stopping;
   bool listener_closed;
-  apr_time_t stop_started_at;
+  struct stop_limits stop_limits;
   struct timer stop_timer;
 };
 
@@ -50,9 +50,8 @@
   STOP_CHECK_MS = 50,
   DEFAULT_LOOKUP_LIFETIME_MS = 2000, /* as in call/lookup.c */
   /* Added to the longest lifetime of a look-up result: time until the other
-     entries have received that this one is leaving, and until a caller has
-     used a result that it got just before that.  */
-  LOOKUP_MARGIN_MS = 500
+     entries have received that this one is leaving.  */
+  LOOKUP_MARGIN_MS = 300
 };
 
 /* private functions */
@@ -259,15 +258,13 @@
 
 /* Runs every STOP_CHECK_MS during a planned stop: closes the listener when no
    cached look-up result can name this entry any more, and finishes the stop
-   when all calls have ended or the time limit has passed.  */
+   when all calls have ended, or when those that are left are due to end.  */
 static void
 check_stop_progress (void *user_data, apr_time_t now)
 {
   struct entry *entry = user_data;
-  apr_time_t age = now - entry->stop_started_at;
-  apr_time_t accept_time
-      = TIMER_MS (max_lookup_lifetime_ms (entry->snapshot) + LOOKUP_MARGIN_MS);
-  if (!entry->listener_closed && age >= accept_time)
+  const struct stop_limits *limits = &entry->stop_limits;
+  if (!entry->listener_closed && now >= limits->listen_until)
     {
       worker_close_listener (entry->worker);
       entry->listener_closed = true;
@@ -280,7 +277,7 @@
       finish_stop (entry);
       return;
     }
-  if (age >= TIMER_SEC (entry->settings->stop.timeout_s))
+  if (now >= limits->answer_by)
     {
       LOG (LOG_WARN, "stop-timeout",
            LOG_INT ("open", worker_open_requests (entry->worker)));
@@ -305,13 +302,17 @@
       loop_stop (entry->loop);
       return;
     }
+  struct stop_limits_desc desc
+      = { .duration = TIMER_SEC (entry->settings->stop.timeout_s),
+          .lookup_use = TIMER_MS (max_lookup_lifetime_ms (entry->snapshot)
+                                  + LOOKUP_MARGIN_MS) };
   entry->stopping = true;
-  entry->stop_started_at = timer_clock ();
+  entry->stop_limits = stop_limits_begin (&desc, timer_clock ());
   LOG (LOG_INFO, "stopping",
        LOG_INT ("open", worker_open_requests (entry->worker)));
   peers_set_state (entry->peers, ENTRY_LEAVING);
-  worker_set_leaving (entry->worker);
-  check_stop_progress (entry, entry->stop_started_at);
+  worker_set_leaving (entry->worker, &entry->stop_limits);
+  check_stop_progress (entry, entry->stop_limits.began_at);
 }
 
 static enum err_code
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -7,9 +7,9 @@
    SIGTERM or SIGINT starts a planned stop.  The entry is removed from look-up
    results at once; it accepts connections until the look-up results that
    callers have cached have expired, closes its listener, waits until the calls
-   in progress have ended, and exits.  Calls that are in progress when the time
-   limit `stop.timeout_s' of the settings has passed are cut off.  A second
-   signal makes it exit at once.
+   in progress have ended, and exits.  What it still takes, and when the calls
+   that are left get an error response, is in call/stop_limits.h, for a stop of
+   `stop.timeout_s' of the settings.  A second signal ends them at once.
 
      struct settings settings;
      settings_load (path, pool, &settings, faults);
