No late retry while the entry stops

Change: none is started once a stop has begun. Session gateway-stop: a safe request whose response is lost 1 s after the signal ran at two upstreams before, and runs at one now.

--- a/src/gateway/attempts.c
+++ b/src/gateway/attempts.c
@@ -420,8 +420,9 @@
 {
   struct request *request = user_data;
   struct attempt *attempt = request->attempt;
+  /* A stop breaks off no work that an upstream may still finish.  */
   if (!attempt || attempt->done || attempt->has_head
-      || !request->load_is_counted
+      || !request->load_is_counted || request->gateway->leaving
       || request->run_count + 1 >= request->route->max_attempts
       || request->send_count >= max_sends (request)
       || request->tried_count >= BALANCE_EXCLUDED_MAX
--- a/tests/session/gateway-stop.sh
+++ b/tests/session/gateway-stop.sh
@@ -5,15 +5,17 @@
 store=http://127.27.9.1:7900
 put () { curl -s -X PUT --data-binary "$2" "$store/_put?key=$1" -o /dev/null; }
 set_mode () {
-  for i in 1 2; do curl -s -X PUT "http://127.27.2.$i:7910/_mode?mode=$1" -o /dev/null; done
+  for i in 1 2 3; do curl -s -X PUT "http://127.27.2.$i:7910/_mode?mode=$1" -o /dev/null; done
 }
 run_counts () {
-  for i in 1 2; do curl -s http://127.27.2.$i:7910/_runs | grep -o '^[0-9]*'; done
+  for i in 1 2 3; do curl -s http://127.27.2.$i:7910/_runs | grep -o '^[0-9]*'; done
 }
 is_ready () { [ "$(curl -s -m 2 -o /dev/null -w '%{http_code}' http://127.27.1.1:7902/ready)" = 200 ]; }
-# send CONNECTION ID DEADLINE-MS: sends one request on a connection kept open.
+total () { local n sum=0; for n in "$@"; do sum=$((sum + n)); done; echo $sum; }
+# send CONNECTION ID DEADLINE-MS [METHOD-AND-PATH]: sends one request on a connection
+# kept open.
 send () {
-  printf 'POST /jobs/1 HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: %s\r\nDeadline-Ms: %s\r\nContent-Length: 0\r\n\r\n' "$2" "$3" >&"$1"
+  printf '%s HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: %s\r\nDeadline-Ms: %s\r\nContent-Length: 0\r\n\r\n' "${4:-POST /jobs/1}" "$2" "$3" >&"$1"
 }
 # receive CONNECTION: prints the status of the response, its outcome if it is the
 # gateway's own, and whether the connection is to be closed.
@@ -45,23 +47,28 @@
   "stop_s": 6, "log_lines_per_s": 10000 }
 E2
 start store "$BUILD/standin" metadata --listen 127.27.9.1:7900
-for i in 1 2; do
+for i in 1 2 3; do
   start w$i "$BUILD/standin" worker --listen 127.27.2.$i:7910 --id i-$i --work-ms 30 --slots 8
 done
 wait_for 5 curl -s -o /dev/null "$store/kv-range?prefix=x"
 start g1 "$BUILD/citroncleat" gateway -f "$WORK/gateway.json"
-put op/config '{"version":1,"routes":[{"name":"jobs","host":"shop.example","prefix":"/jobs/","kind":"unsafe","timeout_ms":20000,"target_latency_ms":400,"priority":1,"service":"desk","max_attempts":1,"sticky_sessions":false,"allowed_regions":[]}],"services":[{"name":"desk","max_connections":100,"cold_start_s":1.0,"cold_per_s":10.0}],"limits":{"max_body_bytes":100000}}'
-for i in 1 2; do
+put op/config '{"version":1,"routes":[{"name":"jobs","host":"shop.example","prefix":"/jobs/","kind":"unsafe","timeout_ms":20000,"target_latency_ms":400,"priority":1,"service":"desk","max_attempts":1,"sticky_sessions":false,"allowed_regions":[]},{"name":"look","host":"shop.example","prefix":"/look/","kind":"safe","timeout_ms":20000,"target_latency_ms":2000,"priority":1,"service":"desk","max_attempts":2,"sticky_sessions":false,"allowed_regions":[]}],"services":[{"name":"desk","max_connections":100,"cold_start_s":1.0,"cold_per_s":10.0}],"limits":{"max_body_bytes":100000}}'
+for i in 1 2 3; do
   put servers/i-$i "{\"service\":\"desk\",\"address\":\"127.27.2.$i:7910\",\"zone\":\"north-a\",\"slots\":8,\"state\":\"ready\",\"cold_remaining_ms\":0,\"sequence\":1,\"born\":$i}"
 done
 wait_for 5 is_ready
 
-for c in soon short long body open; do
+for c in soon short long body look open; do
   exec {fd}<>/dev/tcp/127.27.1.1/7901
   declare "$c=$fd"
   send "$fd" "first-$c" 3000
   echo "before the stop: $(receive "$fd")"
 done
+# Until a response is expected in a quarter of the target latency.
+for n in $(seq 30); do
+  send "$look" "expected-$n" 3000 'GET /look/1'
+  receive "$look"
+done | sort | uniq -c | sed 's/^ *//'
 set_mode lose
 send "$open" open 12000
 sleep 0.3
@@ -71,6 +78,12 @@
 sleep_until 1
 send "$soon" soon 12000
 echo "soon after the signal: $(receive "$soon")"
+set_mode lose
+before=$(run_counts)
+send "$look" look 12000 'GET /look/1'
+sleep_until 3.5
+[ "$(total $before)" = $(($(total $(run_counts)) - 1)) ] && echo "a late response: one run, not broken off for another"
+set_mode normal
 printf 'POST /jobs/1 HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: body\r\nDeadline-Ms: 12000\r\nContent-Length: 2\r\n\r\n1' >&"$body"
 sleep_until 4
 send "$short" short 700
