--- a/src/gateway/attempts.c
+++ b/src/gateway/attempts.c
@@ -430,9 +430,7 @@
     return;
   request->tried_upstreams[request->tried_count++] = request->upstream->hash;
   struct balance_choice choice = dispatch_choose_upstream (request);
-  if (!choice.upstream
-      || now + choice.expected_latency > stop_limits_deadline (
-             &request->gateway->stop_limits, request->target_at)
+  if (!choice.upstream || now + choice.expected_latency > request->target_at
       || !body_rewind (&request->body)
       || !budget_try_withdraw (&request->service->retry_budget))
     {
