Stand-ins log who sends them a SIGHUP

Sent by hand, the line names the shell's pid and the status stays 129; an ignored signal stays ignored.

--- a/tests/standin/main.c
+++ b/tests/standin/main.c
@@ -7,6 +7,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/signalfd.h>
+#include <unistd.h>
 
 static const struct
 {
@@ -102,10 +103,38 @@
     }
 }
 
+/* Writes who sent a SIGHUP, and ends as it would have.  Uses only functions
+   that a signal handler may call.  */
+static void
+on_hangup (int signal_number, siginfo_t *info, void *context)
+{
+  (void)context;
+  char text[] = "standin: SIGHUP from pid          0\n";
+  char *digit = text + sizeof text - 3;
+  for (pid_t pid = info->si_pid; pid > 0; pid /= 10)
+    *digit-- = (char)('0' + pid % 10);
+  ssize_t written = write (STDERR_FILENO, text, sizeof text - 1);
+  (void)written;
+  raise (signal_number);
+}
+
+static void
+log_hangups (void)
+{
+  struct sigaction action
+      = { .sa_sigaction = on_hangup,
+          .sa_flags = (int)(SA_SIGINFO | SA_RESETHAND | SA_NODEFER) };
+  struct sigaction inherited;
+  sigaction (SIGHUP, NULL, &inherited);
+  if (inherited.sa_handler != SIG_IGN)
+    sigaction (SIGHUP, &action, NULL);
+}
+
 int
 main (int argc, char **argv)
 {
   apr_pool_t *pool;
+  log_hangups ();
   apr_initialize ();
   if (sodium_init () < 0)
     return 1;
