A removed link limits nothing any more

steer_apply and steer_set_membership divided only the links that the configuration has. A link that an operator removed kept its last share for good: bytes between its regions were limited to it, and entries that joined later had no share at all.

Links that are not in force have no limit, also for attempts that began before; this entry's share of them is 0, so nothing of it is lent. Unit test steer/a link that was removed limits nothing, failed before (6,000 bytes of 1,000,000 allowed). Not changed: the caps of removed services and regions, for which no call begins.

--- a/src/steer/divide.c
+++ b/src/steer/divide.c
@@ -206,11 +206,28 @@
     share_pool_set_base (pool, SHARE_NO_CAP);
 }
 
+/* Ends the limits of all links, and this entry's shares of them.  */
+static void
+clear_links (struct steer *steer)
+{
+  for (apr_hash_index_t *at = apr_hash_first (NULL, steer->links); at;
+       at = apr_hash_next (at))
+    {
+      void *state;
+      apr_hash_this (at, NULL, NULL, &state);
+      struct steer_link *link = state;
+      link->is_in_force = false;
+      link->was_throttled = false;
+      share_pool_set_base (link->rate_pool, 0);
+    }
+}
+
 /* Divides both directions of every link among the entries of its two
    regions.  */
 static void
 divide_links (struct steer *steer)
 {
+  clear_links (steer);
   SNAPSHOT_EACH (steer->snapshot, KIND_LINK, const struct region_link, l)
   {
     struct positions positions = positions_among (steer, &l->between, false);
@@ -227,6 +244,7 @@
         link->rate_pool = share_pool_get (
             steer->shares,
             &(struct share_cap){ .kind = SHARE_LINK, .name = link->name });
+        link->is_in_force = true;
         set_base_share (link->rate_pool, l->bytes_per_second, positions,
                         link->name);
       }
--- a/src/steer/internal.h
+++ b/src/steer/internal.h
@@ -74,6 +74,7 @@
 {
   struct share_pool *rate_pool; /* bytes a second */
   struct token_bucket bucket;
+  bool is_in_force;   /* the configuration has it; otherwise without limit */
   bool was_throttled; /* bytes had to wait since the last tick */
   struct str name;
 };
--- a/src/steer/steer.c
+++ b/src/steer/steer.c
@@ -230,12 +230,16 @@
   char name[STEER_GROUP_MAX_BYTES];
   int size = snprintf (name, sizeof name, "%.*s>%.*s", STR_ARGS (from),
                        STR_ARGS (to));
-  return steer_find_state (steer->links, str_view (name, (size_t)size));
+  struct steer_link *link
+      = steer_find_state (steer->links, str_view (name, (size_t)size));
+  return link && link->is_in_force ? link : NULL;
 }
 
 size_t
 steer_link_consume (struct steer_link *link, size_t bytes, apr_time_t now)
 {
+  if (!link->is_in_force)
+    return bytes;
   int64_t rate = share_pool_limit (link->rate_pool, now);
   size_t taken
       = token_bucket_consume (&link->bucket, rate > 0 ? rate : 0, bytes, now);
@@ -246,6 +250,8 @@
 void
 steer_link_debit (struct steer_link *link, size_t bytes, apr_time_t now)
 {
+  if (!link->is_in_force)
+    return;
   int64_t rate = share_pool_limit (link->rate_pool, now);
   token_bucket_debit (&link->bucket, rate > 0 ? rate : 0, bytes, now);
 }
--- a/src/steer/steer.h
+++ b/src/steer/steer.h
@@ -153,8 +153,9 @@
    and loans (see share_is_within_limits).  Only then may a membership be
    confirmed.  */
 bool steer_is_within_limits (struct steer *steer, apr_time_t now);
-/* Returns the link from one region to another, or NULL if no configuration
-   applied so far has one, as within one region.  Valid as long as STEER.  */
+/* Returns the link from one region to another, or NULL if the configuration
+   has none, as within one region.  Valid as long as STEER; once its link is
+   removed from the configuration, it limits nothing.  */
 struct steer_link *steer_link (struct steer *steer, struct str from,
                                struct str to);
 /* Returns how many of BYTES may be sent over LINK now, and counts them as
--- a/tests/unit/steer_test.c
+++ b/tests/unit/steer_test.c
@@ -406,6 +406,73 @@
     }
 }
 
+/* Returns a snapshot with the regions "north" and "south", and a link between
+   them of RATE bytes a second unless that is 0.  */
+static struct snapshot *
+create_link_snapshot (int rate)
+{
+  struct faults *faults = faults_create (test_pool);
+  struct str link
+      = rate > 0 ? str_printf (test_pool,
+                               ",{\"kind\":\"link\",\"name\":\"l\",\"spec\":{"
+                               "\"between\":[\"north\",\"south\"],"
+                               "\"bytes_per_second\":%d}}",
+                               rate)
+                 : STR ("");
+  struct str json = str_printf (
+      test_pool,
+      "[{\"kind\":\"region\",\"name\":\"north\",\"spec\":{}},"
+      "{\"kind\":\"region\",\"name\":\"south\",\"spec\":{}}%.*s]",
+      STR_ARGS (link));
+  struct snapshot *created = fixture_snapshot (json.data, faults);
+  CU_ASSERT_EQUAL_FATAL (faults_count (faults), 0);
+  return created;
+}
+
+/* A link that is removed limits nothing any more, also for attempts that began
+   before, and nothing of it is lent; created again, it limits as before.  */
+static void
+test_removed_link (void)
+{
+  static const struct
+  {
+    int rate;       /* of the link in the configuration; 0: no link */
+    size_t allowed; /* of 1 MB at once, after a pause */
+  } cases[] = { { 1000000, 6000 },
+                { 0, 1000000 },
+                { 0, 1000000 },
+                { 500000, 3000 },
+                { 0, 1000000 } };
+  struct steer_desc desc = { .region = STR ("north"),
+                             .share = { .send = discard_message },
+                             .seed = 42 };
+  struct share_cap cap = { .kind = SHARE_LINK, .name = STR ("north>south") };
+  struct steer_link *kept = NULL;
+  steer = steer_create (test_pool, &desc);
+  now = TIMER_SEC (1000);
+  for (size_t i = 0; i < COUNT (cases); i++)
+    {
+      snapshot = create_link_snapshot (cases[i].rate);
+      steer_apply (steer, snapshot, now);
+      struct steer_link *link
+          = steer_link (steer, STR ("north"), STR ("south"));
+      CU_ASSERT_EQUAL (link != NULL, cases[i].rate > 0);
+      kept = kept ? kept : link;
+      now += TIMER_SEC (1);
+      steer_link_consume (kept, 1, now);
+      now += TIMER_SEC (1);
+      CU_ASSERT_EQUAL (steer_link_consume (kept, 1000000, now),
+                       cases[i].allowed);
+      steer_link_debit (kept, 1000, now);
+      steer_update_link_demand (steer, now);
+      CU_ASSERT_EQUAL (
+          share_pool_limit (share_pool_get (steer_shares (steer), &cap), now),
+          cases[i].rate);
+      snapshot_unref (snapshot);
+    }
+  steer_destroy (steer);
+}
+
 const struct unit_test steer_tests[]
     = { { "the shares of a cap add up to it", test_shares },
         { "slots and caps are filled, but not exceeded", test_limits },
@@ -422,6 +489,7 @@
         { "calls in progress are counted across configurations",
           test_reconfiguration },
         { "no window of 100 ms exceeds a link's rate", test_token_bucket },
+        { "a link that was removed limits nothing", test_removed_link },
         { "retries of all entries stay within the bound, each entry can retry",
           test_retry_budget },
         { NULL, NULL } };
