A shorter deadline doesn't make lenders take loans back early

A lender takes a loan back that isn't returned once it has expired and the longest use of calls has passed, computed from the deadlines of the configuration in force. When an operator shortened the longest deadline, that time shrank at once, also for loans on which calls with the longer deadline were in progress: the lender used the slots again beside them, beyond the cap.

Each loan keeps the longest use that held since it was granted; a lower value holds for loans granted 10 s later, the time in which configurations are in force everywhere. Unit test share/a loan is not taken back while calls begun on it may last, failed before. share/a paused borrower starts nothing on an expired loan passed before the change: whatever a paused process does first, the expired loan isn't part of its limit.

--- a/src/call/worker_shares.c
+++ b/src/call/worker_shares.c
@@ -194,7 +194,7 @@
         longest = routes[i].deadline_ms;
   }
   share_set_max_use (steer_shares (context->steer),
-                     TIMER_MS (longest + USE_MARGIN_MS));
+                     TIMER_MS (longest + USE_MARGIN_MS), timer_clock ());
 }
 
 void
--- a/src/share/internal.h
+++ b/src/share/internal.h
@@ -57,6 +57,7 @@
   int64_t id;
   int64_t amount;        /* not returned yet */
   apr_time_t expires_at; /* the borrower starts nothing on it after this */
+  apr_time_t max_use_us; /* the longest that a use of it can last */
 };
 
 /* A loan that this entry has received, of one pool.  */
@@ -108,6 +109,8 @@
   struct loan_request *requests; /* pending */
   struct peer *peers;
   size_t peer_count;
+  apr_time_t previous_max_use_us; /* holds as well until the next time */
+  apr_time_t previous_max_use_until;
   int64_t last_id; /* of a loan that this entry has requested */
   uint64_t random; /* state of the random numbers */
 };
@@ -134,6 +137,10 @@
    above its recent peak, a reserve and the demand.  */
 int64_t share_group_surplus (struct pool_group *group, apr_time_t now);
 
+/* Returns the longest that a use of calls can last which begins on a loan
+   granted now, also by an entry that has not adopted the value in force.  */
+apr_time_t share_max_use (const struct share *share, apr_time_t now);
+
 /* borrow.c  */
 
 /* Marks the received loans of POOL that have expired; they no longer count
--- a/src/share/lend.c
+++ b/src/share/lend.c
@@ -33,6 +33,7 @@
   l->incarnation = request->incarnation;
   l->amount = amount;
   l->expires_at = lender_expiry (now, request->duration);
+  l->max_use_us = share_max_use (pool->share, now);
   snprintf (l->borrower, sizeof l->borrower, "%.*s", STR_ARGS (borrower));
   l->next = pool->share->granted_loans;
   pool->share->granted_loans = l;
@@ -60,8 +61,7 @@
   while (*at)
     {
       struct granted_loan *l = *at;
-      apr_time_t max_use_us
-          = l->pool->kind == SHARE_LINK ? 0 : share->desc.max_use_us;
+      apr_time_t max_use_us = l->pool->kind == SHARE_LINK ? 0 : l->max_use_us;
       if (l->amount > 0 && now < l->expires_at + max_use_us)
         {
           at = &l->next;
--- a/src/share/share.c
+++ b/src/share/share.c
@@ -15,6 +15,8 @@
    it: a borrower that is killed or paused would keep that for the longest time
    that a call can last.  */
 #define RECENT_USE_US INT64_C (2000000)
+/* Within this time all entries have adopted a configuration.  */
+#define ADOPTION_US INT64_C (10000000)
 
 enum
 {
@@ -147,6 +149,16 @@
   return surplus > 0 ? surplus : 0;
 }
 
+apr_time_t
+share_max_use (const struct share *share, apr_time_t now)
+{
+  apr_time_t max_use = share->desc.max_use_us;
+  if (now < share->previous_max_use_until
+      && share->previous_max_use_us > max_use)
+    max_use = share->previous_max_use_us;
+  return max_use;
+}
+
 /* public functions */
 
 struct share *
@@ -343,9 +355,18 @@
 }
 
 void
-share_set_max_use (struct share *share, apr_time_t max_use_us)
+share_set_max_use (struct share *share, apr_time_t max_use_us, apr_time_t now)
 {
+  apr_time_t previous = share_max_use (share, now);
+  if (max_use_us < previous && max_use_us != share->desc.max_use_us)
+    {
+      share->previous_max_use_us = previous;
+      share->previous_max_use_until = now + ADOPTION_US;
+    }
   share->desc.max_use_us = max_use_us;
+  for (struct granted_loan *l = share->granted_loans; l; l = l->next)
+    if (l->max_use_us < max_use_us)
+      l->max_use_us = max_use_us;
 }
 
 void
--- a/src/share/share.h
+++ b/src/share/share.h
@@ -185,8 +185,11 @@
                     const struct share_message *message, apr_time_t now);
 /* Sets the longest time that a use of calls can last, over all entries.  If a
    borrower does not return a loan, this entry takes it back this long after it
-   has expired; a loan of bytes a second at once.  */
-void share_set_max_use (struct share *share, apr_time_t max_use_us);
+   has expired; a loan of bytes a second at once.  A lower value holds for
+   loans granted 10 s later or after that, since borrowers may adopt it later,
+   and uses that began before last as long as they were allowed to.  */
+void share_set_max_use (struct share *share, apr_time_t max_use_us,
+                        apr_time_t now);
 /* Ends all loans from and to the entry PEER's processes up to INCARNATION,
    which are known to have ended: what they borrowed returns to this entry's
    share, what they lent may not be used any more.  Their messages are ignored
--- a/tests/unit/share_test.c
+++ b/tests/unit/share_test.c
@@ -213,6 +213,104 @@
   tear_down_entries ();
 }
 
+/* The lender takes a loan back only when calls that began on it can no longer
+   be in progress, also if the longest time that a call can last was lowered
+   meanwhile: calls that began before last as long as they were allowed to, and
+   borrowers may adopt the lower time some seconds later.  */
+static void
+test_shorter_use (void)
+{
+  static const struct
+  {
+    int lowered_ms;                          /* when, relative to the grant */
+    int to_ms;                               /* the longest use from then on */
+    int held_ms;                             /* the loan is still lent then */
+    int free_ms;                             /* it no longer is then */
+  } cases[] = { { 0, 200, 1090, 1110 },      /* right after the grant */
+                { 50, 200, 1090, 1110 },     /* before it expires */
+                { 150, 200, 1090, 1110 },    /* after it has expired */
+                { 150, 2000, 2090, 2110 },   /* raised */
+                { -5000, 200, 1090, 1110 },  /* the borrower lags behind */
+                { -20000, 200, 290, 310 } }; /* all have adopted it */
+  for (size_t i = 0; i < COUNT (cases); i++)
+    {
+      set_up_entries (10);
+      apr_time_t lowered_at = now + TIMER_MS (cases[i].lowered_ms);
+      if (cases[i].lowered_ms < 0)
+        for (int e = 0; e < ENTRIES; e++)
+          share_set_max_use (entries[e], TIMER_MS (cases[i].to_ms),
+                             lowered_at);
+      share_pool_use (pools[0], 10);
+      share_raise_demand (entries[0], SHARE_SERVICE, STR ("s"), 4);
+      share_tick (entries[0], now);
+      deliver (false);
+      deliver (false);
+      apr_time_t granted_at = now;
+      CU_ASSERT (share_pool_available (pools[0], now) > 0);
+      share_pool_use (pools[0], share_pool_available (pools[0], now));
+      apr_time_t held_us = 0;
+      for (; now <= granted_at + TIMER_MS (cases[i].free_ms);
+           now += TIMER_MS (5))
+        {
+          if (now == lowered_at && cases[i].lowered_ms >= 0)
+            for (int e = 0; e < ENTRIES; e++)
+              share_set_max_use (entries[e], TIMER_MS (cases[i].to_ms), now);
+          share_tick (entries[1], now);
+          share_tick (entries[2], now);
+          if (share_pool_lent (pools[1]) + share_pool_lent (pools[2]) > 0)
+            held_us = now - granted_at;
+        }
+      CU_ASSERT (held_us >= TIMER_MS (cases[i].held_ms));
+      CU_ASSERT (held_us < TIMER_MS (cases[i].free_ms));
+      tear_down_entries ();
+    }
+}
+
+/* A borrower that was paused starts nothing on a loan that has expired
+   meanwhile, whatever it does first: the lender may have taken it back.  */
+static void
+test_paused_borrower (void)
+{
+  enum first
+  {
+    FIRST_CHECK, /* whether anything is available */
+    FIRST_TICK,
+    FIRST_LEND,     /* it receives the loan that it had asked for */
+    FIRST_EXTENDED, /* it receives an extension that it had asked for */
+    FIRST_COUNT
+  };
+  for (int first = 0; first < FIRST_COUNT; first++)
+    for (int pause_ms = 101; pause_ms <= 5101; pause_ms += 1000)
+      {
+        set_up_entries (10);
+        share_pool_use (pools[0], 10);
+        share_raise_demand (entries[0], SHARE_SERVICE, STR ("s"), 4);
+        share_tick (entries[0], now);
+        deliver (false); /* the lenders have replied */
+        apr_time_t began_at = now;
+        if (first != FIRST_LEND)
+          deliver (false);
+        if (first == FIRST_EXTENDED)
+          {
+            share_pool_use (pools[0], share_pool_available (pools[0], now));
+            now += TIMER_MS (60);
+            began_at = now;
+            share_tick (entries[0], now);
+            deliver (false);
+          }
+        now = began_at + TIMER_MS (pause_ms);
+        for (int e = 1; e < ENTRIES; e++)
+          share_tick (entries[e], now);
+        if (first == FIRST_TICK)
+          share_tick (entries[0], now);
+        if (first == FIRST_LEND || first == FIRST_EXTENDED)
+          deliver (false);
+        CU_ASSERT_EQUAL (share_pool_limit (pools[0], now), 10);
+        CU_ASSERT_EQUAL (share_pool_available (pools[0], now), 0);
+        tear_down_entries ();
+      }
+}
+
 /* The last unit of a share that an entry used recently is not lent: a borrower
    that dies would keep it until the longest use has ended.  */
 static void
@@ -330,6 +428,10 @@
   { "a borrowed share is not lent on", test_no_relending },
   { "a loan that arrives too late is returned", test_late_reply },
   { "the last unit of a share in use is not lent", test_last_unit },
+  { "a loan is not taken back while calls begun on it may last",
+    test_shorter_use },
+  { "a paused borrower starts nothing on an expired loan",
+    test_paused_borrower },
   { "an extension counts from its request", test_extension },
   { "the cap holds under random demand, losses and pauses", test_random },
   { NULL, NULL }
