An extension never ends a loan earlier

A lender set a loan's end anew with each extension. Durations differ when the round trip between regions is changed: an extension for 0.3 s after one for 3.3 s ended the loan at the lender 3 s before the borrower stopped using it, if the reply to the first one arrived last. The later end holds.

--- a/src/share/lend.c
+++ b/src/share/lend.c
@@ -133,7 +133,11 @@
         && l->amount > 0 && l->pool->group->last_demand == 0
         && str_equal (str_from (l->borrower), from))
       {
-        l->expires_at = lender_expiry (now, request->duration);
+        /* Never earlier: the reply to an earlier request may still reach the
+           borrower.  */
+        apr_time_t expiry = lender_expiry (now, request->duration);
+        if (expiry > l->expires_at)
+          l->expires_at = expiry;
         is_extended = true;
       }
   if (is_extended)
--- a/tests/unit/share_test.c
+++ b/tests/unit/share_test.c
@@ -266,6 +266,40 @@
     }
 }
 
+/* An extension never ends a loan earlier: the borrower may have had an earlier
+   extension, for longer, whose reply arrives last.  */
+static void
+test_shorter_extension (void)
+{
+  static const struct
+  {
+    int first_ms, second_ms; /* durations, requested 10 ms apart */
+  } cases[] = { { 100, 300 }, { 300, 100 }, { 3300, 300 } };
+  for (size_t i = 0; i < COUNT (cases); i++)
+    {
+      set_up_loan (4);
+      int lender = share_pool_lent (pools[1]) > 0 ? 1 : 2;
+      apr_time_t last = 0;
+      for (int n = 0; n < 2; n++)
+        {
+          int ms = n == 0 ? cases[i].first_ms : cases[i].second_ms;
+          struct share_message request = { .type = SHARE_EXTEND,
+                                           .requested_at = now,
+                                           .duration = TIMER_MS (ms) };
+          for (request.id = 1; request.id <= 4; request.id++)
+            share_receive (entries[lender], name_of (0), &request, now);
+          last = now + TIMER_MS (ms) > last ? now + TIMER_MS (ms) : last;
+          now += TIMER_MS (10);
+        }
+      /* The borrower may use it until then, and calls begun on it last
+         MAX_USE_MS.  */
+      now = last + TIMER_MS (MAX_USE_MS - 1);
+      share_tick (entries[lender], now);
+      CU_ASSERT (share_pool_lent (pools[lender]) > 0);
+      tear_down_entries ();
+    }
+}
+
 /* A borrower that was paused starts nothing on a loan that has expired
    meanwhile, whatever it does first: the lender may have taken it back.  */
 static void
@@ -430,6 +464,7 @@
   { "the last unit of a share in use is not lent", test_last_unit },
   { "a loan is not taken back while calls begun on it may last",
     test_shorter_use },
+  { "an extension never ends a loan earlier", test_shorter_extension },
   { "a paused borrower starts nothing on an expired loan",
     test_paused_borrower },
   { "an extension counts from its request", test_extension },
