Test: a second restore of the store brings back what had left

Both fail: an upstream or an entry that left, and that the first restored listing names, is held back, but the second listing ends that.

--- a/tests/unit/fleet_test.c
+++ b/tests/unit/fleet_test.c
@@ -359,6 +359,57 @@
       }
 }
 
+/* A second restore doesn't bring back an upstream that left before the
+   first.  */
+static void
+test_restored_twice (void)
+{
+  static const struct
+  {
+    const char *name;
+    int64_t write_counts[2]; /* in each copy; 0: not listed */
+    int64_t incarnation;     /* in the second copy */
+    bool is_eligible;        /* after the second listing, and 4 s later */
+  } cases[] = { { "the same copy", { 3, 3 }, 7, false },
+                { "a later copy", { 3, 5 }, 7, false },
+                { "in the second only", { 0, 5 }, 7, false },
+                { "restarted", { 3, 1 }, 8, true } };
+  for (size_t i = 0; i < COUNT (cases); i++)
+    {
+      set_up_fleet ();
+      struct fleet_record r = make_record ("a");
+      r.incarnation = 7;
+      r.write_count = 5;
+      int64_t revision = 50;
+      fleet_put_upstream (fleet, &r, revision, now);
+      fleet_remove_upstream (fleet, r.id, false, now);
+      now += TIMER_SEC (3);
+      fleet_remove_expired (fleet, now);
+      for (int n = 0; n < 2; n++)
+        {
+          fleet_begin_restore (fleet);
+          r.write_count = cases[i].write_counts[n];
+          r.incarnation = n == 1 ? cases[i].incarnation : 7;
+          if (r.write_count > 0)
+            fleet_put_upstream (fleet, &r, ++revision, now);
+          fleet_end_restore (fleet);
+          now += TIMER_SEC (4);
+          fleet_remove_expired (fleet, now);
+          const struct fleet_upstream *upstream = get_only_upstream ();
+          bool is_eligible = upstream && fleet_is_eligible (upstream);
+          bool expected = n == 1 && cases[i].is_eligible;
+          CU_ASSERT_EQUAL (is_eligible, expected);
+          if (is_eligible != expected)
+            printf ("# %s, copy %d\n", cases[i].name, n);
+        }
+      /* It lives after all.  */
+      r.write_count = 6;
+      fleet_put_upstream (fleet, &r, ++revision, now);
+      CU_ASSERT (fleet_is_eligible (get_only_upstream ()));
+      fleet_destroy (fleet);
+    }
+}
+
 /* The evacuation of a zone that a restored store lacks stays in force until it
    is written again, or the operator had time to.  */
 static void
@@ -405,6 +456,8 @@
   { "an evacuated zone gets no requests and is cold afterwards",
     test_evacuation },
   { "a restored record does not undo a later one", test_restored_records },
+  { "a second restore does not bring back an upstream that left",
+    test_restored_twice },
   { "a lost evacuation stays in force until it is written again",
     test_restored_evacuation },
   { "a record that vanishes long after an outage was removed", test_outage },
--- a/tests/unit/registry_test.c
+++ b/tests/unit/registry_test.c
@@ -301,6 +301,55 @@
     }
 }
 
+/* A second restore doesn't bring back an entry that left before the first.  */
+static void
+test_restored_twice (void)
+{
+  static const struct
+  {
+    const char *name;
+    int writes[2];  /* of the key of its process in each copy; 0: not listed */
+    bool restarted; /* in the second copy */
+    bool is_named;  /* after the second listing */
+  } cases[] = { { "the same copy", { 3, 3 }, false, false },
+                { "a later copy", { 3, 5 }, false, false },
+                { "in the second only", { 0, 5 }, false, false },
+                { "restarted", { 3, 1 }, true, true } };
+  static const char key[]
+      = "{\"callers\":\"10.0.0.9:1\",\"zone\":\"a\",\"leaving\":false,"
+        "\"started\":%d,\"writes\":%d}";
+  for (size_t i = 0; i < COUNT (cases); i++)
+    {
+      struct gateway_settings settings;
+      const struct entry_case alone = { "a", 10, false };
+      struct registry *registry = make_registry (0, &alone, 1, &settings);
+      struct str name = STR ("other");
+      registry_put (registry, name, str_printf (test_pool, key, 7, 5));
+      apr_time_t now = timer_clock ();
+      registry_remove (registry, name, false, now - TIMER_SEC (3));
+      registry_remove_expired (registry, now);
+      for (int n = 0; n < 2; n++)
+        {
+          registry_begin_restore (registry, 2 + n);
+          if (cases[i].writes[n] > 0)
+            registry_put (registry, name,
+                          str_printf (test_pool, key,
+                                      7 + (n == 1 && cases[i].restarted),
+                                      cases[i].writes[n]));
+          registry_end_restore (registry);
+          size_t named = registry_count_in_region (registry, STR ("north"));
+          size_t expected = n == 1 && cases[i].is_named ? 2 : 1;
+          CU_ASSERT_EQUAL (named, expected);
+          if (named != expected)
+            printf ("# %s, copy %d\n", cases[i].name, n);
+        }
+      /* Its process lives after all.  */
+      registry_put (registry, name, str_printf (test_pool, key, 8, 6));
+      CU_ASSERT_EQUAL (registry_count_in_region (registry, STR ("north")), 2);
+      registry_destroy (registry);
+    }
+}
+
 const struct unit_test registry_tests[]
     = { { "two entries of a region read the store", test_readers },
         { "who can't reach the store asks the readers of all regions",
@@ -308,5 +357,7 @@
         { "a malformed key names no entry", test_malformed_entries },
         { "a restored key does not bring back an entry that left",
           test_restored_keys },
+        { "a second restore does not bring back an entry that left",
+          test_restored_twice },
         { "all entries are named to callers in turn", test_look_ups_in_turn },
         { NULL, NULL } };
