What had left stays held back through a second restore of the store

Callers would see: requests sent to an upstream that had left, and look-ups that name an entry that had left, once the store came back from a copy twice within 6 s.

Cause: what a restored listing names although it had left is held back, and forgotten as departed. The second listing found it known: the registry replaced the record by one that isn't held, and the fleet took a greater count of writes, of a copy that is later than the first, for a sign of life. Change: during a restore nothing releases what is held back but a later process, and the time begins again, since the store counts anew for how long nothing is written.

Unit tests, both failed before; with a row for an earlier copy: 110 passed.

--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -391,6 +391,10 @@
   bool has_departed
       = !upstream
         && departed_find (fleet->departed, record->id, &departed_incarnation);
+  /* The store counts anew for how long the upstream writes nothing.  */
+  if (upstream && upstream->held_until > 0 && fleet->is_restoring)
+    set_held_until (fleet, upstream,
+                    now + (apr_time_t)HOLD_MS * APR_USEC_PER_SEC / 1000);
   if (upstream && is_outdated (fleet, upstream, record))
     {
       if (record->incarnation == upstream->incarnation)
@@ -413,7 +417,9 @@
   upstream->slots = record->slots;
   set_expired_at (fleet, upstream, 0);
   update_cold (upstream, record, revision, now);
-  bool is_released = upstream->held_until > 0
+  /* A copy may be later than the one before, and yet from before the upstream
+     left.  */
+  bool is_released = upstream->held_until > 0 && !fleet->is_restoring
                      && record->write_count > upstream->write_count;
   if (is_released)
     set_held_until (fleet, upstream, 0);
--- a/src/gateway/registry.c
+++ b/src/gateway/registry.c
@@ -467,13 +467,26 @@
     schedule_call (registry, 0);
 }
 
+/* Returns whether ENTRY, a key of a restored store, is of a process that had
+   left.  OLD: what is known of it, or NULL.  */
+static bool
+has_left (struct registry *registry, const struct registry_entry *old,
+          const struct registry_entry *entry)
+{
+  int64_t departed_started = 0;
+  if (old)
+    return old->held_until > 0 && entry->started <= old->started;
+  return departed_find (registry->departed, entry->name, &departed_started)
+         && entry->started <= departed_started;
+}
+
 /* Handles a key of a restored store.  Returns false if ENTRY is older than
    OLD, what is known of it (NULL: nothing).  */
 static bool
 accept_restored (struct registry *registry, struct registry_entry *old,
                  struct registry_entry *entry)
 {
-  int64_t departed_started = 0;
+  apr_time_t hold_until = timer_clock () + TIMER_MS (HOLD_MS);
   if (is_self (registry, entry))
     registry->own_key_listed = entry->started == registry->started
                                && entry->writes == registry->writes;
@@ -481,13 +494,14 @@
            && (entry->started < old->started
                || (entry->started == old->started
                    && entry->writes < old->writes)))
-    return false;
-  else if (!old
-           && departed_find (registry->departed, entry->name,
-                             &departed_started)
-           && entry->started <= departed_started)
     {
-      entry->held_until = timer_clock () + TIMER_MS (HOLD_MS);
+      if (old->held_until > 0)
+        old->held_until = hold_until;
+      return false;
+    }
+  else if (has_left (registry, old, entry))
+    {
+      entry->held_until = hold_until;
       registry->held_count++;
     }
   return true;
--- a/tests/unit/fleet_test.c
+++ b/tests/unit/fleet_test.c
@@ -372,6 +372,7 @@
     bool is_eligible;        /* after the second listing, and 4 s later */
   } cases[] = { { "the same copy", { 3, 3 }, 7, false },
                 { "a later copy", { 3, 5 }, 7, false },
+                { "an earlier copy", { 5, 3 }, 7, false },
                 { "in the second only", { 0, 5 }, 7, false },
                 { "restarted", { 3, 1 }, 8, true } };
   for (size_t i = 0; i < COUNT (cases); i++)
--- a/tests/unit/registry_test.c
+++ b/tests/unit/registry_test.c
@@ -313,6 +313,7 @@
     bool is_named;  /* after the second listing */
   } cases[] = { { "the same copy", { 3, 3 }, false, false },
                 { "a later copy", { 3, 5 }, false, false },
+                { "an earlier copy", { 5, 3 }, false, false },
                 { "in the second only", { 0, 5 }, false, false },
                 { "restarted", { 3, 1 }, true, true } };
   static const char key[]
