Test: what lapsed comes back with a restored store

Rows of both tests fail: an upstream or an entry whose record expired, and which was removed when its grace period ended, is used again as soon as a restored store lists it.

--- a/tests/unit/fleet_test.c
+++ b/tests/unit/fleet_test.c
@@ -367,14 +367,16 @@
   static const struct
   {
     const char *name;
+    bool lapsed;             /* its record expired and was not written again */
     int64_t write_counts[2]; /* in each copy; 0: not listed */
     int64_t incarnation;     /* in the second copy */
     bool is_eligible;        /* after the second listing, and 4 s later */
-  } cases[] = { { "the same copy", { 3, 3 }, 7, false },
-                { "a later copy", { 3, 5 }, 7, false },
-                { "an earlier copy", { 5, 3 }, 7, false },
-                { "in the second only", { 0, 5 }, 7, false },
-                { "restarted", { 3, 1 }, 8, true } };
+  } cases[] = { { "the same copy", false, { 3, 3 }, 7, false },
+                { "a later copy", false, { 3, 5 }, 7, false },
+                { "an earlier copy", false, { 5, 3 }, 7, false },
+                { "in the second only", false, { 0, 5 }, 7, false },
+                { "restarted", false, { 3, 1 }, 8, true },
+                { "lapsed", true, { 5, 5 }, 7, false } };
   for (size_t i = 0; i < COUNT (cases); i++)
     {
       set_up_fleet ();
@@ -383,7 +385,7 @@
       r.write_count = 5;
       int64_t revision = 50;
       fleet_put_upstream (fleet, &r, revision, now);
-      fleet_remove_upstream (fleet, r.id, false, now);
+      fleet_remove_upstream (fleet, r.id, cases[i].lapsed, now);
       now += TIMER_SEC (3);
       fleet_remove_expired (fleet, now);
       for (int n = 0; n < 2; n++)
--- a/tests/unit/registry_test.c
+++ b/tests/unit/registry_test.c
@@ -308,14 +308,16 @@
   static const struct
   {
     const char *name;
+    bool lapsed;    /* its key expired, and it was not seen again */
     int writes[2];  /* of the key of its process in each copy; 0: not listed */
     bool restarted; /* in the second copy */
     bool is_named;  /* after the second listing */
-  } cases[] = { { "the same copy", { 3, 3 }, false, false },
-                { "a later copy", { 3, 5 }, false, false },
-                { "an earlier copy", { 5, 3 }, false, false },
-                { "in the second only", { 0, 5 }, false, false },
-                { "restarted", { 3, 1 }, true, true } };
+  } cases[] = { { "the same copy", false, { 3, 3 }, false, false },
+                { "a later copy", false, { 3, 5 }, false, false },
+                { "an earlier copy", false, { 5, 3 }, false, false },
+                { "in the second only", false, { 0, 5 }, false, false },
+                { "restarted", false, { 3, 1 }, true, true },
+                { "lapsed", true, { 5, 5 }, false, false } };
   static const char key[]
       = "{\"callers\":\"10.0.0.9:1\",\"zone\":\"a\",\"leaving\":false,"
         "\"started\":%d,\"writes\":%d}";
@@ -327,7 +329,7 @@
       struct str name = STR ("other");
       registry_put (registry, name, str_printf (test_pool, key, 7, 5));
       apr_time_t now = timer_clock ();
-      registry_remove (registry, name, false, now - TIMER_SEC (3));
+      registry_remove (registry, name, cases[i].lapsed, now - TIMER_SEC (3));
       registry_remove_expired (registry, now);
       for (int n = 0; n < 2; n++)
         {
