--- a/tests/session/gateway-stop.sh
+++ b/tests/session/gateway-stop.sh
@@ -1,16 +1,16 @@
 # A gateway that is stopped while callers keep their connections to it, on
-# 127.27.0.0/16.  Guards against requests that a planned stop takes and cuts off.
+# 127.36.0.0/16.  Guards against requests that a planned stop takes and cuts off.
 . tests/lib.sh
 
-store=http://127.27.9.1:7900
+store=http://127.36.9.1:7900
 put () { curl -s -X PUT --data-binary "$2" "$store/_put?key=$1" -o /dev/null; }
 set_mode () {
-  for i in 1 2 3; do curl -s -X PUT "http://127.27.2.$i:7910/_mode?mode=$1" -o /dev/null; done
+  for i in 1 2 3; do curl -s -X PUT "http://127.36.2.$i:7910/_mode?mode=$1" -o /dev/null; done
 }
 run_counts () {
-  for i in 1 2 3; do curl -s http://127.27.2.$i:7910/_runs | grep -o '^[0-9]*'; done
+  for i in 1 2 3; do curl -s http://127.36.2.$i:7910/_runs | grep -o '^[0-9]*'; done
 }
-is_ready () { [ "$(curl -s -m 2 -o /dev/null -w '%{http_code}' http://127.27.1.1:7902/ready)" = 200 ]; }
+is_ready () { [ "$(curl -s -m 2 -o /dev/null -w '%{http_code}' http://127.36.1.1:7902/ready)" = 200 ]; }
 total () { local n sum=0; for n in "$@"; do sum=$((sum + n)); done; echo $sum; }
 # send CONNECTION ID DEADLINE-MS [METHOD-AND-PATH]: sends one request on a connection
 # kept open.
@@ -40,26 +40,26 @@
 cat >"$WORK/gateway.json" <<E2
 { "name": "g1", "zone": "north-a", "region": "north",
   "zones": [{ "name": "north-a", "region": "north" }],
-  "listen": { "callers": "127.27.1.1:7901", "readiness": "127.27.1.1:7902",
-              "lookups": "127.27.1.1:7903", "metrics": "127.27.1.1:7904" },
-  "store": { "address": "127.27.9.1:7900", "poll_ms": 100, "timeout_ms": 300, "lease_ms": 1000 },
+  "listen": { "callers": "127.36.1.1:7901", "readiness": "127.36.1.1:7902",
+              "lookups": "127.36.1.1:7903", "metrics": "127.36.1.1:7904" },
+  "store": { "address": "127.36.9.1:7900", "poll_ms": 100, "timeout_ms": 300, "lease_ms": 1000 },
   "retry": { "ratio": 1, "slack": 20 }, "cold": { "multiplier": 1.5, "slack": 5 },
   "stop_s": 6, "log_lines_per_s": 10000 }
 E2
-start store "$BUILD/standin" metadata --listen 127.27.9.1:7900
+start store "$BUILD/standin" metadata --listen 127.36.9.1:7900
 for i in 1 2 3; do
-  start w$i "$BUILD/standin" worker --listen 127.27.2.$i:7910 --id i-$i --work-ms 30 --slots 8
+  start w$i "$BUILD/standin" worker --listen 127.36.2.$i:7910 --id i-$i --work-ms 30 --slots 8
 done
 wait_for 5 curl -s -o /dev/null "$store/kv-range?prefix=x"
 start g1 "$BUILD/citroncleat" gateway -f "$WORK/gateway.json"
 put op/config '{"version":1,"routes":[{"name":"jobs","host":"shop.example","prefix":"/jobs/","kind":"unsafe","timeout_ms":20000,"target_latency_ms":400,"priority":1,"service":"desk","max_attempts":1,"sticky_sessions":false,"allowed_regions":[]},{"name":"look","host":"shop.example","prefix":"/look/","kind":"safe","timeout_ms":20000,"target_latency_ms":2000,"priority":1,"service":"desk","max_attempts":2,"sticky_sessions":false,"allowed_regions":[]}],"services":[{"name":"desk","max_connections":100,"cold_start_s":1.0,"cold_per_s":10.0}],"limits":{"max_body_bytes":100000}}'
 for i in 1 2 3; do
-  put servers/i-$i "{\"service\":\"desk\",\"address\":\"127.27.2.$i:7910\",\"zone\":\"north-a\",\"slots\":8,\"state\":\"ready\",\"cold_remaining_ms\":0,\"sequence\":1,\"born\":$i}"
+  put servers/i-$i "{\"service\":\"desk\",\"address\":\"127.36.2.$i:7910\",\"zone\":\"north-a\",\"slots\":8,\"state\":\"ready\",\"cold_remaining_ms\":0,\"sequence\":1,\"born\":$i}"
 done
 wait_for 5 is_ready
 
 for c in soon short long body look open; do
-  exec {fd}<>/dev/tcp/127.27.1.1/7901
+  exec {fd}<>/dev/tcp/127.36.1.1/7901
   declare "$c=$fd"
   send "$fd" "first-$c" 3000
   echo "before the stop: $(receive "$fd")"
