What lapsed has left, also for a restored store

Callers would see: requests sent to an upstream, or look-ups that name an entry, that had lapsed and was removed, once a restored store lists it again.

Cause: only a key that was removed counted as departed; one that expired during a failure of the store, and was not written within the grace period, was forgotten. Change: both ends are remembered in the same place.

--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -226,6 +226,15 @@
   fleet_upstream_unref (upstream);
 }
 
+/* Removes UPSTREAM, which has left, and remembers that.  */
+static void
+remove_departed (struct fleet *fleet, struct fleet_upstream *upstream,
+                 const char *why, apr_time_t now)
+{
+  departed_add (fleet->departed, upstream->id, upstream->incarnation, now);
+  remove_upstream (fleet, upstream, why);
+}
+
 static bool
 is_same_incarnation (const struct fleet_upstream *upstream,
                      const struct fleet_record *record)
@@ -273,8 +282,7 @@
 {
   if (!may_be_expired || upstream->leaving || upstream->held_until > 0)
     {
-      departed_add (fleet->departed, upstream->id, upstream->incarnation, now);
-      remove_upstream (fleet, upstream, "removed");
+      remove_departed (fleet, upstream, "removed", now);
       return;
     }
   if (upstream->expired_at == 0)
@@ -493,7 +501,7 @@
       struct fleet_upstream *upstream = apr_hash_this_val (i);
       if (upstream->expired_at > 0
           && now - upstream->expired_at > fleet->desc.expiry_grace)
-        remove_upstream (fleet, upstream, "lapse not renewed");
+        remove_departed (fleet, upstream, "lapse not renewed", now);
       else if (upstream->held_until > 0 && now > upstream->held_until)
         {
           set_held_until (fleet, upstream, 0);
--- a/src/gateway/registry.c
+++ b/src/gateway/registry.c
@@ -218,10 +218,12 @@
   apr_pool_destroy (entry->pool);
 }
 
+/* Removes ENTRY, which has left, and remembers that.  */
 static void
 remove_entry (struct registry *registry, struct registry_entry *entry,
-              const char *reason)
+              const char *reason, apr_time_t now)
 {
+  departed_add (registry->departed, entry->name, entry->started, now);
   LOG (LOG_INFO, "entry-gone", LOG_TEXT ("name", entry->name.data),
        LOG_TEXT ("reason", reason));
   drop_entry (registry, entry);
@@ -249,10 +251,7 @@
         }
     }
   else if (!may_be_expired || entry->leaving || entry->held_until > 0)
-    {
-      departed_add (registry->departed, entry->name, entry->started, now);
-      remove_entry (registry, entry, "key removed");
-    }
+    remove_entry (registry, entry, "key removed", now);
   else if (entry->expired_at == 0)
     {
       entry->expired_at = now;
@@ -556,7 +555,7 @@
       struct registry_entry *entry = registry->list[i];
       if (entry->expired_at > 0
           && now - entry->expired_at > TIMER_MS (EXPIRY_GRACE_MS))
-        remove_entry (registry, entry, "lapsed");
+        remove_entry (registry, entry, "lapsed", now);
       else if (entry->held_until > 0 && now > entry->held_until)
         {
           entry->held_until = 0;
