Test: a key written after a restore under a lease from before

Fails: the restored store gives lease numbers out again, so that the write succeeds if another entry has the number; its lease is then renewed by both, and does not end with its owner.

--- a/tests/unit/registry_test.c
+++ b/tests/unit/registry_test.c
@@ -353,14 +353,136 @@
     }
 }
 
-const struct unit_test registry_tests[]
-    = { { "two entries of a region read the store", test_readers },
-        { "who can't reach the store asks the readers of all regions",
-          test_peers },
-        { "a malformed key names no entry", test_malformed_entries },
-        { "a restored key does not bring back an entry that left",
-          test_restored_keys },
-        { "a second restore does not bring back an entry that left",
-          test_restored_twice },
-        { "all entries are named to callers in turn", test_look_ups_in_turn },
-        { NULL, NULL } };
+/* A store of which each call is answered by the test.  */
+static struct lease_store
+{
+  struct store store; /* first */
+  const char *call;   /* the one in progress */
+  int64_t lease;      /* its argument */
+  struct str value;   /* of the key that was put last */
+  store_done_fn *done;
+  void *user_data;
+} lease_store;
+
+static void
+store_call (const char *call, int64_t lease, store_done_fn *done,
+            void *user_data)
+{
+  lease_store.call = call;
+  lease_store.lease = lease;
+  lease_store.done = done;
+  lease_store.user_data = user_data;
+}
+
+static void
+store_open_lease (struct store *store, int64_t ttl_ms, store_done_fn *done,
+                  void *user_data)
+{
+  (void)store;
+  (void)ttl_ms;
+  store_call ("open", 0, done, user_data);
+}
+
+static void
+store_renew_lease (struct store *store, int64_t lease, store_done_fn *done,
+                   void *user_data)
+{
+  (void)store;
+  store_call ("renew", lease, done, user_data);
+}
+
+static void
+store_put (struct store *store, const char *key, struct str value,
+           int64_t lease, store_done_fn *done, void *user_data)
+{
+  (void)store;
+  (void)key;
+  lease_store.value = str_dup (test_pool, value);
+  store_call ("put", lease, done, user_data);
+}
+
+/* Ends the call in progress with success, and lets the next one begin.  */
+static void
+answer_call (struct loop *loop, int64_t index, int64_t epoch)
+{
+  struct store_response response
+      = { .code = ERR_NONE, .index = index, .epoch = epoch };
+  lease_store.call = "none";
+  lease_store.done (lease_store.user_data, &response);
+  timer_service_run (loop_timers (loop), timer_clock () + TIMER_SEC (5));
+}
+
+/* A lease's number that another entry may have got since the store was
+   restored keeps no key alive.  */
+static void
+test_lease_epochs (void)
+{
+  static const struct
+  {
+    const char *name;
+    int64_t opened; /* epoch in which the lease was opened, the key written */
+    int64_t written;
+    int64_t listed;  /* epoch of the listing that follows; 0: none */
+    bool is_written; /* that listing has the key as it was written */
+    const char *next_call;
+  } cases[] = { { "one epoch", 1, 1, 0, false, "renew" },
+                { "not stated", 0, 0, 0, false, "renew" },
+                { "written after a restore", 1, 2, 0, false, "open" },
+                { "written after a restore, listed", 1, 2, 2, true, "open" },
+                { "written before a restore, listed", 1, 1, 2, true, "renew" },
+                { "lost", 1, 1, 2, false, "open" } };
+  static const struct store_ops ops = { .open_lease = store_open_lease,
+                                        .renew_lease = store_renew_lease,
+                                        .put = store_put };
+  lease_store.store.ops = &ops;
+  for (size_t i = 0; i < COUNT (cases); i++)
+    {
+      struct err err;
+      struct loop *loop;
+      loop_create (test_pool, &loop, &err);
+      struct gateway_settings settings
+          = { .name = STR ("self"),
+              .zone = STR ("a"),
+              .zones = { .items = zones, .count = COUNT (zones) },
+              .listen = { .callers = STR ("10.0.0.9:1") },
+              .store = { .lease_ms = 2000 } };
+      struct registry_desc desc = { .loop = loop,
+                                    .store = &lease_store.store,
+                                    .settings = &settings };
+      struct registry *registry = registry_create (test_pool, &desc);
+      registry_start (registry);
+      CU_ASSERT_STRING_EQUAL (lease_store.call, "open");
+      answer_call (loop, 7, cases[i].opened);
+      CU_ASSERT_STRING_EQUAL (lease_store.call, "put");
+      CU_ASSERT_EQUAL (lease_store.lease, 7);
+      answer_call (loop, 60, cases[i].written);
+      if (cases[i].listed > 0)
+        {
+          struct lease_store before = lease_store;
+          registry_begin_restore (registry, cases[i].listed);
+          if (cases[i].is_written)
+            registry_put (registry, settings.name, lease_store.value);
+          registry_end_restore (registry);
+          if (strcmp (before.call, "renew") == 0)
+            answer_call (loop, 0, cases[i].listed);
+        }
+      CU_ASSERT_STRING_EQUAL (lease_store.call, cases[i].next_call);
+      if (strcmp (lease_store.call, cases[i].next_call) != 0)
+        printf ("# %s: %s\n", cases[i].name, lease_store.call);
+      registry_destroy (registry);
+      loop_destroy (loop);
+    }
+}
+
+const struct unit_test registry_tests[] = {
+  { "two entries of a region read the store", test_readers },
+  { "who can't reach the store asks the readers of all regions", test_peers },
+  { "a malformed key names no entry", test_malformed_entries },
+  { "a restored key does not bring back an entry that left",
+    test_restored_keys },
+  { "a second restore does not bring back an entry that left",
+    test_restored_twice },
+  { "a lease of an earlier epoch keeps no key alive", test_lease_epochs },
+  { "all entries are named to callers in turn", test_look_ups_in_turn },
+  { NULL, NULL }
+};
