A lease of an earlier epoch of the store keeps no key alive

Callers would see: look-ups that go on naming an entry that is gone. The restored store gives lease numbers out again. An entry that opened a lease before and wrote its key after, without having seen the restore, wrote it under a lease that another entry has by then; it renewed that lease as long as it ran, also after the other entry's end.

Change: the registry knows of which epoch its lease is. A write that is answered in a later one gets a new lease and is made again; a listing that has the key as it was written before confirms the lease.

--- a/src/gateway/registry.c
+++ b/src/gateway/registry.c
@@ -23,6 +23,7 @@
   uint64_t version;     /* of the set of entries */
   struct timer timer;
   int64_t lease;         /* 0: none is open */
+  int64_t lease_epoch;   /* of the store, in which LEASE is this entry's */
   bool is_published;     /* the key is written as it should be */
   bool has_changed;      /* the key must be written again */
   bool call_in_progress; /* to the store; at most one */
@@ -93,6 +94,16 @@
 {
   struct registry *registry = user_data;
   registry->call_in_progress = false;
+  if (response->code == ERR_NONE && registry->lease_epoch > 0
+      && response->epoch > registry->lease_epoch)
+    {
+      /* Another entry may have got the number of the lease since.  */
+      LOG (LOG_WARN, "lease-lost", LOG_INT ("lease", registry->lease),
+           LOG_INT ("epoch", response->epoch));
+      registry->lease = 0;
+      schedule_call (registry, 0);
+      return;
+    }
   if (response->code == ERR_NONE)
     {
       registry->is_published = !registry->has_changed;
@@ -120,6 +131,7 @@
       return;
     }
   registry->lease = response->index;
+  registry->lease_epoch = response->epoch;
   schedule_call (registry, 0);
 }
 
@@ -456,7 +468,10 @@
 registry_end_restore (struct registry *registry)
 {
   registry->is_restoring = false;
-  if (!registry->own_key_listed)
+  /* A write in progress may be one under a lease of another entry.  */
+  if (registry->own_key_listed && registry->is_published)
+    registry->lease_epoch = registry->epoch;
+  else
     {
       registry->lease = 0;
       registry->has_changed = true;
