Test: the configuration of a restored store under an index known before

Fails: after an outage an entry compares the index with the one before it, so that another document under the same index isn't read.

--- a/tests/unit/config_test.c
+++ b/tests/unit/config_test.c
@@ -5,6 +5,7 @@
 #include "config/config_manager.h"
 #include "tests/unit/unit.h"
 
+#include <stdio.h>
 #include <string.h>
 
 enum store_fault
@@ -277,6 +278,60 @@
   tear_down_manager ();
 }
 
+static void
+on_time_over (void *user_data, apr_time_t now)
+{
+  (void)now;
+  loop_stop (user_data);
+}
+
+static void
+run_loop_for (int64_t ms)
+{
+  struct timer timer = { 0 };
+  timer_start (loop_timers (loop), &timer, timer_clock () + TIMER_MS (ms),
+               on_time_over, loop);
+  loop_run (loop);
+}
+
+/* Sets what the store holds at INDEX.  */
+static void
+set_stored (int version, int64_t index)
+{
+  fake.size = (size_t)snprintf (fake.value, sizeof fake.value,
+                                "{\"format\":1,\"version\":%d}", version);
+  fake.index = index;
+}
+
+/* A store that was restored from an older copy gives indexes out again.  */
+static void
+test_restored_index (void)
+{
+  static const struct
+  {
+    int stored; /* version after the restore, under the index known before */
+    int expected_version;
+    int writes; /* to put back what the store lost */
+  } cases[] = { { 5, 5, 0 }, { 3, 3, 0 }, { 2, 3, 1 } };
+  for (size_t i = 0; i < COUNT (cases); i++)
+    {
+      set_up_manager ();
+      set_stored (3, 7);
+      config_manager_set_relay (config_manager, true);
+      run_loop_for (50);
+      CU_ASSERT_EQUAL (config_manager_document (config_manager)->version, 3);
+      fake.reads = FAULT_UNAVAILABLE;
+      run_loop_for (150);
+      fake.reads = FAULT_NONE;
+      set_stored (cases[i].stored, 7);
+      run_loop_for (800);
+      CU_ASSERT_EQUAL (config_manager_document (config_manager)->version,
+                       cases[i].expected_version);
+      CU_ASSERT_EQUAL (fake.writes, cases[i].writes);
+      tear_down_manager ();
+    }
+}
+
 const struct unit_test config_tests[]
     = { { "a change is made once, whatever happens to its write",
           test_writes },
@@ -287,4 +342,6 @@
         { "an operation whose write has an unknown result is pending",
           test_pending },
         { "the version in force never falls", test_versions_rise },
+        { "a restored store is read, also under the index known before",
+          test_restored_index },
         { NULL, NULL } };
