The configuration of a restored store is read under an index known before

Callers would see (entries with the key-value store): a configuration that was confirmed is not in force, or one that the store lost is not put back. After an outage an entry that reads the store compared the key's index with the one before it; a store that came back from an older copy gives indexes out again, so that another document under the same index counted as unchanged, until the next write.

Change: a read after a failed one is not compared with what was read before it.

Found by reading.

--- a/src/config/config_manager.c
+++ b/src/config/config_manager.c
@@ -213,6 +213,9 @@
     }
   else
     {
+      /* A store that comes back from an older copy gives indexes out again, so
+         the next read is not compared with the one before.  */
+      config_manager->watch_index = 0;
       wait_ms = config_manager->retry_ms;
       config_manager->retry_ms *= 2;
       if (config_manager->retry_ms > MAX_RETRY_MS)
