--- a/src/gateway/registry.c
+++ b/src/gateway/registry.c
@@ -23,6 +23,7 @@
   uint64_t version;     /* of the set of entries */
   struct timer timer;
   int64_t lease;         /* 0: none is open */
+  int64_t lease_epoch;   /* of the store, in which LEASE is this entry's */
   bool is_published;     /* the key is written as it should be */
   bool has_changed;      /* the key must be written again */
   bool call_in_progress; /* to the store; at most one */
@@ -93,6 +94,16 @@
 {
   struct registry *registry = user_data;
   registry->call_in_progress = false;
+  if (response->code == ERR_NONE && registry->lease_epoch > 0
+      && response->epoch > registry->lease_epoch)
+    {
+      /* Another entry may have got the number of the lease since.  */
+      LOG (LOG_WARN, "lease-lost", LOG_INT ("lease", registry->lease),
+           LOG_INT ("epoch", response->epoch));
+      registry->lease = 0;
+      schedule_call (registry, 0);
+      return;
+    }
   if (response->code == ERR_NONE)
     {
       registry->is_published = !registry->has_changed;
@@ -120,6 +131,7 @@
       return;
     }
   registry->lease = response->index;
+  registry->lease_epoch = response->epoch;
   schedule_call (registry, 0);
 }
 
@@ -218,10 +230,12 @@
   apr_pool_destroy (entry->pool);
 }
 
+/* Removes ENTRY, which has left, and remembers that.  */
 static void
 remove_entry (struct registry *registry, struct registry_entry *entry,
-              const char *reason)
+              const char *reason, apr_time_t now)
 {
+  departed_add (registry->departed, entry->name, entry->started, now);
   LOG (LOG_INFO, "entry-gone", LOG_TEXT ("name", entry->name.data),
        LOG_TEXT ("reason", reason));
   drop_entry (registry, entry);
@@ -249,10 +263,7 @@
         }
     }
   else if (!may_be_expired || entry->leaving || entry->held_until > 0)
-    {
-      departed_add (registry->departed, entry->name, entry->started, now);
-      remove_entry (registry, entry, "key removed");
-    }
+    remove_entry (registry, entry, "key removed", now);
   else if (entry->expired_at == 0)
     {
       entry->expired_at = now;
@@ -457,7 +468,10 @@
 registry_end_restore (struct registry *registry)
 {
   registry->is_restoring = false;
-  if (!registry->own_key_listed)
+  /* A write in progress may be one under a lease of another entry.  */
+  if (registry->own_key_listed && registry->is_published)
+    registry->lease_epoch = registry->epoch;
+  else
     {
       registry->lease = 0;
       registry->has_changed = true;
@@ -556,7 +570,7 @@
       struct registry_entry *entry = registry->list[i];
       if (entry->expired_at > 0
           && now - entry->expired_at > TIMER_MS (EXPIRY_GRACE_MS))
-        remove_entry (registry, entry, "lapsed");
+        remove_entry (registry, entry, "lapsed", now);
       else if (entry->held_until > 0 && now > entry->held_until)
         {
           entry->held_until = 0;
