Order of the store's responses as pure functions

Whether a response is outdated, needs a listing, or is a listing that counts, was decided within the I/O of store_sync_sources.c, where no model could call it. No change of behaviour; unit store-sync passes as before.

--- a/src/gateway/store_sync_sources.c
+++ b/src/gateway/store_sync_sources.c
@@ -4,6 +4,7 @@
 #include "gateway/store_sync_internal.h"
 
 #include "fleet/fleet.h"
+#include "fleet/position.h"
 #include "platform/words.h"
 
 /* constants */
@@ -300,18 +301,11 @@
        LOG_INT ("known_index", query->store_sync->index));
 }
 
-/* Returns whether RESPONSE is of an epoch before the one that is known, or
-   has the changes since an index of another epoch than its own, which may be
-   neither all nor the right ones.  */
-static bool
-is_outdated (const struct sync_query *query,
-             const struct store_items_response *response)
+/* Returns the position up to which the store is known.  */
+static struct position
+known_position (const struct store_sync *store_sync)
 {
-  int64_t known = query->store_sync->epoch;
-  return response->epoch > 0
-         && (response->epoch < known
-             || (!query->is_listing && response->epoch == known
-                 && query->epoch != known));
+  return (struct position){ store_sync->epoch, store_sync->index };
 }
 
 /* Applies RESPONSE, which has content.  Returns whether this makes what is
@@ -321,6 +315,8 @@
                 const struct store_items_response *response, apr_time_t now)
 {
   struct store_sync *store_sync = query->store_sync;
+  struct position known = known_position (store_sync);
+  struct position position = { response->epoch, response->index };
   bool is_store = query->source == SOURCE_STORE;
   bool may_be_expired
       = is_store && outage_is_recent (&store_sync->outage, now);
@@ -330,8 +326,7 @@
     record_store_response (store_sync, now);
   if (!query->is_listing)
     store_sync_apply_changes (store_sync, response, may_be_expired, now);
-  else if (response->epoch > store_sync->epoch
-           || response->index >= store_sync->index)
+  else if (position_accepts_listing (&known, &position))
     store_sync_apply_listing (store_sync, response,
                               is_store ? "store" : "entry", may_be_expired,
                               now);
@@ -359,14 +354,18 @@
     timer_stop (loop_timers (store_sync->desc.loop), &store_sync->wait_timer);
   bool has_epoch
       = response->code == ERR_NONE || response->code == ERR_NOT_FOUND;
-  if (has_epoch && is_outdated (query, response))
+  struct position known = known_position (store_sync);
+  if (has_epoch
+      && position_is_outdated (&known, query->epoch, query->is_listing,
+                               response->epoch))
     {
       query->full_count = 0;
       log_outdated (query, response);
       hold_source (query, was_waited_for, now);
       return;
     }
-  if (has_epoch && response->epoch > store_sync->epoch && !query->is_listing)
+  if (has_epoch
+      && position_needs_listing (&known, query->is_listing, response->epoch))
     {
       query->full_count = 0;
       handle_history_gone (query, was_waited_for, now);
