A restored store brings back neither what lapsed nor what it held while away

- An upstream whose lapsed key was not written again was removed without being remembered.
A store that came back from an older copy then listed it, or an earlier incarnation at its address, and it got requests at once.
- An upstream that had left and is listed again is held back for 6 s, after which its lease must have been renewed.
The time ran on while the store was away, in which leases may pause: after 3 s away the hold ended before the lease did.

What lapsed is remembered like what was removed. Periods are extended by the time in which nothing was heard of the store, also for evacuations and expired records, which nobody could write again. Such a time is noticed after 2.75 s, so the hold is 8 s: three heartbeats, a read, and these.

Not changed: the registry of entries holds keys back in the same way, with look-ups as the consequence.

--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -34,8 +34,9 @@
   DEFAULT_EXPIRY_GRACE_MS = 2000, /* owners write expired records again
                                      within it */
   /* Longer than the three heartbeats after which the store removes the record
-     of an upstream that writes nothing, and a read after that.  */
-  HOLD_MS = 6000,
+     of an upstream that writes nothing, a read after that, and the first part
+     of an outage, in which leases may pause before expiry is postponed.  */
+  HOLD_MS = 8000,
   /* Twice the time within which the keys of others are written again.  */
   EVACUATION_GRACE_MS = 4000,
   INITIAL_CAPACITY = 16,
@@ -487,7 +488,11 @@
       struct fleet_upstream *upstream = apr_hash_this_val (i);
       if (upstream->expired_at > 0
           && now - upstream->expired_at > fleet->desc.expiry_grace)
-        remove_upstream (fleet, upstream, "lapse not renewed");
+        {
+          departed_add (fleet->departed, upstream->id, upstream->incarnation,
+                        now);
+          remove_upstream (fleet, upstream, "lapse not renewed");
+        }
       else if (upstream->held_until > 0 && now > upstream->held_until)
         {
           set_held_until (fleet, upstream, 0);
@@ -497,6 +502,26 @@
     }
 }
 
+void
+fleet_postpone_expiry (struct fleet *fleet, apr_time_t by)
+{
+  if (fleet->expired_count > 0 || fleet->held_count > 0)
+    for (apr_hash_index_t *i = apr_hash_first (NULL, fleet->ids); i;
+         i = apr_hash_next (i))
+      {
+        struct fleet_upstream *upstream = apr_hash_this_val (i);
+        upstream->expired_at += upstream->expired_at > 0 ? by : 0;
+        upstream->held_until += upstream->held_until > 0 ? by : 0;
+      }
+  if (fleet->lost_count > 0)
+    for (apr_hash_index_t *i = apr_hash_first (NULL, fleet->zones); i;
+         i = apr_hash_next (i))
+      {
+        struct fleet_zone *zone = apr_hash_this_val (i);
+        zone->evacuation_lost_at += zone->evacuation_lost_at > 0 ? by : 0;
+      }
+}
+
 void
 fleet_set_zone_evacuated (struct fleet *fleet, struct str zone, bool evacuated,
                           int64_t revision, apr_time_t cold_time,
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -182,6 +182,9 @@
    are not listed, and of upstreams that are held back.  Not to be called
    during an outage of the store, when none can be listed again.  */
 void fleet_remove_expired (struct fleet *fleet, apr_time_t now);
+/* Extends the grace periods by BY, for which nothing was heard of the store:
+   leases may have paused, and nothing could be written again.  */
+void fleet_postpone_expiry (struct fleet *fleet, apr_time_t by);
 /* Sets whether ZONE is evacuated: its upstreams get no new requests.  When
    that ends, at REVISION of the store, they count as cold until a later record
    says otherwise, for COLD_TIME at most.  No effect if nothing changes.  An
--- a/src/gateway/store_sync.c
+++ b/src/gateway/store_sync.c
@@ -199,6 +199,10 @@
       fleet_remove_expired (store_sync->desc.fleet, now);
       registry_remove_expired (store_sync->desc.registry, now);
     }
+  else if (store_sync->expiry_checked_at > 0)
+    fleet_postpone_expiry (store_sync->desc.fleet,
+                           now - store_sync->expiry_checked_at);
+  store_sync->expiry_checked_at = now;
   timer_start (loop_timers (store_sync->desc.loop), &store_sync->expiry_timer,
                now + TIMER_MS (EXPIRY_CHECK_MS), on_expiry_check, store_sync);
 }
--- a/src/gateway/store_sync_internal.h
+++ b/src/gateway/store_sync_internal.h
@@ -38,6 +38,7 @@
   struct timer round_timer; /* begins the next round */
   struct timer wait_timer;  /* ends the wait for a source */
   struct timer expiry_timer;
+  apr_time_t expiry_checked_at; /* 0: not yet */
   int64_t index; /* changes are known up to here; 0: nothing listed yet */
   int64_t epoch; /* of the store, to which `index' belongs; 0: not stated */
   /* The fleet's revisions grow over all epochs: those of an epoch are its
