Models of adoption, departures and the retry budget, every state checked

Small explicit-state models in tests/model, run by 'make model' and as part of 'make check': a breadth-first search over packed states with a hash set. The steps call the product's own functions; departures replay the calls that built the list of upstreams. Each model has variants without one rule, which must break a named promise.

--- a/Makefile
+++ b/Makefile
@@ -47,15 +47,27 @@
 $(UNIT): $(UNIT_OBJECTS) $(OBJECTS)
 	$(CC) $(CFLAGS) $^ -o $@ $(LIBS) -lcunit
 
+MODEL         = $(BUILD)/model
+MODEL_SOURCES = $(sort $(wildcard tests/model/*.c))
+MODEL_OBJECTS = $(MODEL_SOURCES:%.c=$(BUILD)/%.o)
+
+$(MODEL): $(MODEL_OBJECTS) $(OBJECTS)
+	$(CC) $(CFLAGS) $^ -o $@ $(LIBS)
+
 # Tests and tools.
 
 setup:
 	@sh scripts/setup.sh
 
 check: setup
-	@$(MAKE) -s -j$$(nproc) $(BINARY) $(STANDIN) $(UNIT)
+	@$(MAKE) -s -j$$(nproc) $(BINARY) $(STANDIN) $(UNIT) $(MODEL)
 	@BUILD=$(BUILD) bash tests/run.sh
 
+# The protocols as models, of which every reachable state is checked.
+model: setup
+	@$(MAKE) -s -j$$(nproc) $(MODEL)
+	@$(MODEL)
+
 # The same tests under the address and undefined-behaviour sanitizers.
 check-sanitized: setup
 	@$(MAKE) -s check BUILD=build-sanitized \
@@ -133,6 +145,7 @@
 	@echo "make demo        run a whole deployment under load and check what callers get"
 	@echo "                 (DEPLOYMENT=holzgleis, DEMO_KEEP=1)"
 	@echo "make check       run all tests"
+	@echo "make model       check every state of the protocols' models"
 	@echo "make check-sanitized  the same under ASan and UBSan"
 	@echo "make soak        inject random faults into real processes (SEEDS=, SOAK_JOBS=)"
 	@echo "make lint        clang-format and clang-tidy"
@@ -161,9 +174,9 @@
 	rm -rf build build-sanitized build-fuzz target
 
 -include $(OBJECTS:.o=.d) $(MAIN:.o=.d) $(STANDIN_OBJECTS:.o=.d) \
-         $(UNIT_OBJECTS:.o=.d) $(BENCH_STEER_OBJECTS:.o=.d) \
+         $(UNIT_OBJECTS:.o=.d) $(MODEL_OBJECTS:.o=.d) $(BENCH_STEER_OBJECTS:.o=.d) \
          $(BENCH_RUSH_OBJECTS:.o=.d)
 
-.PHONY: all packages setup soak check check-sanitized demo lint bench bench-path bench-steer bench-rush \
+.PHONY: all packages setup soak check model check-sanitized demo lint bench bench-path bench-steer bench-rush \
         bench-slopes bench-fleet bench-recover fuzz \
         install help clean
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -1,11 +1,11 @@
 #!/bin/bash
-# Runs the unit tests and the session tests, or only those named, and ends
+# Runs the unit tests, the models and the session tests, or only those named, and ends
 # with one line "N passed, N failed"; fails if any failed.  A failing test that
 # KNOWN-RED.txt lists is printed and not counted.
 #
 #   tests/run.sh [--update] [NAME...]
 #
-# NAME is "unit" or the name of a session test without ".sh".  A session test
+# NAME is "unit", "model" or the name of a session test without ".sh".  A session test
 # passes if it ends with status 0 and prints exactly its golden file; --update
 # overwrites the golden files with what the tests print in this run.
 set -u
@@ -35,19 +35,24 @@
 # is_selected NAME [ARGUMENTS OF THE SCRIPT]
 is_selected () { [ $# -eq 1 ] || [[ " ${*:2} " == *" $1 "* ]]; }
 
-if is_selected unit "$@"; then
-  "$BUILD/unit" >"$out/unit" 2>&1
-  cat "$out/unit"
+# run_program NAME LAST_LINE: a program that prints a line for each of its tests.
+run_program () {
+  local word name
+  "$BUILD/$1" >"$out/$1" 2>&1
+  cat "$out/$1"
   while read -r word name; do
     case $word in
-      PASS) report "unit/$name" 0 ;;
-      FAIL) report "unit/$name" 1 ;;
+      PASS) report "$name" 0 ;;
+      FAIL) report "$name" 1 ;;
     esac
-  done < <(grep -E '^(PASS|FAIL) ' "$out/unit") >"$out/lines"
+  done < <(sed -nE "s,^(PASS|FAIL) ($1/)?,\\1 $1/,p" "$out/$1") >"$out/lines"
   # Without its last line the program crashed before all tests had run.
-  tail -n 1 "$out/unit" | grep -q '^unit tests ended$' || report unit/ended 1
+  tail -n 1 "$out/$1" | grep -qx "$2" || report "$1/ended" 1
   grep -v '^ok' "$out/lines"
-fi
+}
+
+if is_selected unit "$@"; then run_program unit "unit tests ended"; fi
+if is_selected model "$@"; then run_program model "models ended"; fi
 for script in tests/session/*.sh; do
   name=$(basename "$script" .sh)
   [ "$name" != deployment ] || continue
