Upstreams that say they leave, or refuse and state a wait: state and queries

load_turn_away keeps requests from an upstream for a time and then lets one at a time through until one is answered; load_restrict bounds the requests in the time that it stated; fleet_mark_leaving and fleet_turn_away apply both to an incarnation, also across removal and listing again. Nothing calls them yet.

--- a/src/balance/load.c
+++ b/src/balance/load.c
@@ -38,6 +38,13 @@
   MAX_DOUBLINGS = 3     /* enough to reach MAX_AVOID_MS */
 };
 
+enum
+{
+  /* Requests within the time that an upstream stated when it refused one.  The
+     platform's rules allow two.  */
+  RESTRICTED_REQUESTS_MAX = 2
+};
+
 /* private functions */
 
 /* Returns the factor of the exponential decay from SINCE to NOW.  */
@@ -113,6 +120,8 @@
 {
   if (load->in_flight++ == 0)
     load->last_activity_at = now;
+  if (now < load->restricted_until)
+    load->restricted_requests++;
 }
 
 void
@@ -142,6 +151,8 @@
       load->answered_at = now;
       load->connect_failures = 0;
       load->avoid_until = 0;
+      if (now >= load->turned_away_until)
+        load->is_returning = false;
       update_failure_rate (load, 0.0, now);
       update_slowdown (load, elapsed, expected, now);
       break;
@@ -175,6 +186,57 @@
   return true;
 }
 
+void
+load_turn_away (struct load *load, apr_time_t wait, apr_time_t now)
+{
+  if (wait <= 0)
+    return;
+  if (now + wait > load->turned_away_until)
+    load->turned_away_until = now + wait;
+  load->is_returning = true;
+}
+
+void
+load_restrict (struct load *load, apr_time_t wait, apr_time_t now)
+{
+  if (now >= load->restricted_until)
+    load->restricted_requests = 0;
+  if (now + wait > load->restricted_until)
+    load->restricted_until = now + wait;
+}
+
+apr_time_t
+load_returns_at (const struct load *load, apr_time_t now)
+{
+  if (now < load->restricted_until
+      && load->restricted_requests >= RESTRICTED_REQUESTS_MAX)
+    return load->restricted_until > load->turned_away_until
+               ? load->restricted_until
+               : load->turned_away_until;
+  return now < load->turned_away_until ? load->turned_away_until : 0;
+}
+
+bool
+load_is_turned_away (const struct load *load, apr_time_t now)
+{
+  return load_returns_at (load, now) > 0;
+}
+
+bool
+load_is_returning (const struct load *load)
+{
+  return load->is_returning;
+}
+
+void
+load_inherit_wait (struct load *load, const struct load *old)
+{
+  load->turned_away_until = old->turned_away_until;
+  load->is_returning = old->is_returning;
+  load->restricted_until = old->restricted_until;
+  load->restricted_requests = old->restricted_requests;
+}
+
 double
 load_report_weight (const struct load *load, apr_time_t now)
 {
--- a/src/balance/load.h
+++ b/src/balance/load.h
@@ -61,6 +61,11 @@
   apr_time_t failure_rate_at;
   apr_time_t avoid_until; /* gets no requests until then, after a failure to
                              connect */
+  apr_time_t turned_away_until; /* it wants no request of this entry before;
+                                   0: it never said so */
+  bool is_returning;            /* none was answered since then */
+  apr_time_t restricted_until;  /* the time that it stated, without a bound */
+  int64_t restricted_requests;  /* begun in that time */
   double cold_tokens;     /* token bucket of requests while it is cold */
   apr_time_t cold_tokens_at;
 };
@@ -82,6 +87,23 @@
    not reach it.  Returns false, changing nothing, if it has responded to this
    entry within the last second.  */
 bool load_avoid (struct load *load, apr_time_t until, apr_time_t now);
+/* The upstream refused a request and wants none of this entry for WAIT, from
+   NOW on.  A wait that it stated before and that ends later stays.  After it
+   the upstream returns: it gets one request at a time until one is answered.
+   No effect if WAIT is 0 or less.  */
+void load_turn_away (struct load *load, apr_time_t wait, apr_time_t now);
+/* The upstream stated that it wants no request for WAIT.  Until then it gets
+   at most two, also if the wait given to load_turn_away is shorter.  */
+void load_restrict (struct load *load, apr_time_t wait, apr_time_t now);
+/* Returns whether the upstream wants no request of this entry now.  */
+bool load_is_turned_away (const struct load *load, apr_time_t now);
+/* Returns until when load_is_turned_away holds; 0 if it doesn't.  */
+apr_time_t load_returns_at (const struct load *load, apr_time_t now);
+/* Returns whether the upstream has turned this entry away and has answered no
+   request since.  It is then sent one request at a time.  */
+bool load_is_returning (const struct load *load);
+/* Makes LOAD, of a new object, continue what the upstream stated in OLD.  */
+void load_inherit_wait (struct load *load, const struct load *old);
 /* Returns the estimate of all entries' requests at the upstream, running and
    waiting.  */
 double load_in_flight (const struct load *load, apr_time_t now);
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -17,6 +17,8 @@
   apr_hash_t *services;      /* struct fleet_service by name */
   apr_hash_t *zones;         /* struct fleet_zone by name */
   struct departed *departed; /* upstreams that were removed, by id */
+  struct fleet_upstream *remembered; /* removed ones that said that they leave
+                                        or want no requests */
   int64_t revision;          /* of the latest record received */
   int64_t restored_revision; /* of the latest one before the store came back
                                 from an older copy; 0: it never did */
@@ -29,6 +31,10 @@
 
 /* constants */
 
+/* For so long after its record has gone it is remembered that an upstream is
+   leaving.  As long as fleet/departed.h remembers that it has left.  */
+static const apr_time_t leaving_memory_us = 60000000;
+
 enum
 {
   DEFAULT_EXPIRY_GRACE_MS = 2000, /* owners write expired records again
@@ -211,12 +217,87 @@
   return upstream;
 }
 
+/* Returns whether UPSTREAM is leaving, by its record or by what it said.  */
+static bool
+is_leaving (const struct fleet_upstream *upstream)
+{
+  return upstream->leaving || upstream->says_leaving;
+}
+
+/* Returns whether what A said holds for B too.  */
+static bool
+is_same_process (const struct fleet_upstream *a,
+                 const struct fleet_upstream *b)
+{
+  return str_equal (a->id, b->id) && a->incarnation == b->incarnation
+         && (a->incarnation != 0 || str_equal (a->address, b->address));
+}
+
+/* Returns whether what UPSTREAM said is to be remembered after it was
+   removed.  */
+static bool
+has_said (const struct fleet_upstream *upstream, apr_time_t now)
+{
+  return (upstream->says_leaving
+          && now - upstream->removed_at <= leaving_memory_us)
+         || upstream->load.turned_away_until > now
+         || upstream->load.restricted_until > now;
+}
+
+/* Remembers the removed UPSTREAM if it said something.  No effect if it is
+   remembered.  */
+static void
+remember (struct fleet *fleet, struct fleet_upstream *upstream, apr_time_t now)
+{
+  const struct fleet_upstream *known = fleet->remembered;
+  while (known && known != upstream)
+    known = known->next_remembered;
+  if (known || !has_said (upstream, now))
+    return;
+  upstream->next_remembered = fleet->remembered;
+  fleet->remembered = fleet_upstream_ref (upstream);
+}
+
+/* Forgets the removed upstreams whose time is over, or all if ALL.  */
+static void
+forget_remembered (struct fleet *fleet, bool all, apr_time_t now)
+{
+  struct fleet_upstream **link = &fleet->remembered;
+  while (*link)
+    {
+      struct fleet_upstream *upstream = *link;
+      if (!all && has_said (upstream, now))
+        {
+          link = &upstream->next_remembered;
+          continue;
+        }
+      *link = upstream->next_remembered;
+      fleet_upstream_unref (upstream);
+    }
+}
+
+/* Makes the new object UPSTREAM continue what the same incarnation said.  */
+static void
+recall (const struct fleet *fleet, struct fleet_upstream *upstream)
+{
+  for (const struct fleet_upstream *old = fleet->remembered; old;
+       old = old->next_remembered)
+    if (is_same_process (old, upstream))
+      {
+        upstream->says_leaving = old->says_leaving;
+        load_inherit_wait (&upstream->load, &old->load);
+        return;
+      }
+}
+
 /* Removes UPSTREAM from the fleet and gives up the fleet's reference.  */
 static void
 remove_upstream (struct fleet *fleet, struct fleet_upstream *upstream,
-                 const char *why)
+                 const char *why, apr_time_t now)
 {
   upstream->removed = true;
+  upstream->removed_at = now;
+  remember (fleet, upstream, now);
   set_expired_at (fleet, upstream, 0);
   set_held_until (fleet, upstream, 0);
   remove_from_service (fleet, upstream);
@@ -271,10 +352,10 @@
 handle_vanished (struct fleet *fleet, struct fleet_upstream *upstream,
                  bool may_be_expired, apr_time_t now)
 {
-  if (!may_be_expired || upstream->leaving || upstream->held_until > 0)
+  if (!may_be_expired || is_leaving (upstream) || upstream->held_until > 0)
     {
       departed_add (fleet->departed, upstream->id, upstream->incarnation, now);
-      remove_upstream (fleet, upstream, "removed");
+      remove_upstream (fleet, upstream, "removed", now);
       return;
     }
   if (upstream->expired_at == 0)
@@ -360,6 +441,7 @@
     return;
   fleet->desc.upstream_changed = NULL;
   departed_destroy (fleet->departed);
+  forget_remembered (fleet, true, 0);
   for (apr_hash_index_t *i = apr_hash_first (fleet->pool, fleet->ids); i;
        i = apr_hash_next (i))
     {
@@ -402,13 +484,16 @@
     return true;
   if (upstream && !is_same_incarnation (upstream, record))
     {
-      remove_upstream (fleet, upstream, "replaced");
+      remove_upstream (fleet, upstream, "replaced", now);
       upstream = NULL;
     }
   bool is_new = !upstream;
   if (is_new)
-    upstream = add_upstream (fleet, record, region);
-  bool was_leaving = upstream->leaving;
+    {
+      upstream = add_upstream (fleet, record, region);
+      recall (fleet, upstream);
+    }
+  bool was_leaving = is_leaving (upstream);
   upstream->leaving = record->leaving;
   upstream->slots = record->slots;
   set_expired_at (fleet, upstream, 0);
@@ -430,8 +515,8 @@
     notify_changed (fleet, "added", upstream);
   else if (is_released)
     notify_changed (fleet, "ready", upstream);
-  else if (was_leaving != upstream->leaving)
-    notify_changed (fleet, upstream->leaving ? "leaving" : "ready", upstream);
+  else if (was_leaving != is_leaving (upstream))
+    notify_changed (fleet, was_leaving ? "ready" : "leaving", upstream);
   return true;
 }
 
@@ -478,6 +563,7 @@
 fleet_remove_expired (struct fleet *fleet, apr_time_t now)
 {
   departed_expire (fleet->departed, now);
+  forget_remembered (fleet, false, now);
   end_lost_evacuations (fleet, now);
   if (fleet->expired_count == 0 && fleet->held_count == 0)
     return;
@@ -487,11 +573,11 @@
       struct fleet_upstream *upstream = apr_hash_this_val (i);
       if (upstream->expired_at > 0
           && now - upstream->expired_at > fleet->desc.expiry_grace)
-        remove_upstream (fleet, upstream, "lapse not renewed");
+        remove_upstream (fleet, upstream, "lapse not renewed", now);
       else if (upstream->held_until > 0 && now > upstream->held_until)
         {
           set_held_until (fleet, upstream, 0);
-          notify_changed (fleet, upstream->leaving ? "leaving" : "ready",
+          notify_changed (fleet, is_leaving (upstream) ? "leaving" : "ready",
                           upstream);
         }
     }
@@ -550,6 +636,48 @@
   upstream->cold_revision = fleet->revision;
 }
 
+/* Returns the listed object of the incarnation of UPSTREAM, which may be a
+   removed one; NULL if there is none.  */
+static struct fleet_upstream *
+find_listed (const struct fleet *fleet, const struct fleet_upstream *upstream)
+{
+  struct fleet_upstream *listed = fleet_find (fleet, upstream->id);
+  return listed && is_same_process (listed, upstream) ? listed : NULL;
+}
+
+bool
+fleet_mark_leaving (struct fleet *fleet, struct fleet_upstream *upstream,
+                    apr_time_t now)
+{
+  struct fleet_upstream *listed = find_listed (fleet, upstream);
+  bool is_news = !(listed ? listed : upstream)->says_leaving;
+  bool was_leaving = listed && is_leaving (listed);
+  upstream->says_leaving = true;
+  if (upstream->removed)
+    remember (fleet, upstream, now);
+  if (listed)
+    listed->says_leaving = true;
+  if (listed && !was_leaving)
+    notify_changed (fleet, "leaving", listed);
+  return is_news;
+}
+
+void
+fleet_turn_away (struct fleet *fleet, struct fleet_upstream *upstream,
+                 apr_time_t wait, apr_time_t stated, apr_time_t now)
+{
+  struct fleet_upstream *listed = find_listed (fleet, upstream);
+  load_turn_away (&upstream->load, wait, now);
+  load_restrict (&upstream->load, stated, now);
+  if (upstream->removed)
+    remember (fleet, upstream, now);
+  if (listed && listed != upstream)
+    {
+      load_turn_away (&listed->load, wait, now);
+      load_restrict (&listed->load, stated, now);
+    }
+}
+
 const struct fleet_service *
 fleet_service (const struct fleet *fleet, struct str name)
 {
@@ -568,7 +696,7 @@
 bool
 fleet_is_eligible (const struct fleet_upstream *upstream)
 {
-  return !upstream->leaving && !upstream->removed && upstream->held_until == 0
+  return !is_leaving (upstream) && !upstream->removed && upstream->held_until == 0
          && !upstream->zone->is_evacuated;
 }
 
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -35,6 +35,15 @@
    - the evacuation of a zone that isn't listed stays in force for 4 s, in
      which the operator writes it again.
 
+   An upstream may say in a response that it is leaving, and it may refuse a
+   request and state for how long it wants none (fleet_mark_leaving,
+   fleet_turn_away).  Both concern one incarnation, by the id and the
+   incarnation of its record, or by the id and the address where the record
+   states none.  No record of that incarnation undoes them, whether it is
+   older, renewed, restored, or removed and listed again: they end with another
+   incarnation, or when the record has been gone for a minute and the wait is
+   over.
+
    A cold upstream has started a short while ago and can serve only few
    requests; how many is up to the caller.
 
@@ -92,7 +101,8 @@
   int64_t revision;      /* of that record */
   apr_time_t held_until; /* a restored store lists it though it had left; 0: it
                             is not held back */
-  bool leaving;
+  bool leaving;          /* as in the record */
+  bool says_leaving;     /* it said so in a response */
   bool removed;          /* no longer in the fleet, only referenced */
   apr_time_t expired_at; /* when its record vanished, perhaps only since its
                             lease ran out; 0: it is listed */
@@ -105,6 +115,9 @@
   uint64_t cold_share_version; /* of the list of entries for which `cold_share'
                                   was computed; 0: not yet */
   struct load load;
+  apr_time_t removed_at;
+  struct fleet_upstream *next_remembered; /* removed one that is remembered for
+                                             what it said */
   int references;
 };
 
@@ -202,6 +215,16 @@
    before the store shows it.  */
 void fleet_mark_cold (struct fleet *fleet, struct fleet_upstream *upstream,
                       apr_time_t cold_time, apr_time_t now);
+/* UPSTREAM, which may have been removed, said in a response that it is
+   leaving: it gets no new requests, as if its record said so.  Returns false
+   if that was known.  */
+bool fleet_mark_leaving (struct fleet *fleet, struct fleet_upstream *upstream,
+                         apr_time_t now);
+/* UPSTREAM, which may have been removed, refused a request and stated that it
+   wants none for STATED; it gets none for WAIT, see load_turn_away and
+   load_restrict.  */
+void fleet_turn_away (struct fleet *fleet, struct fleet_upstream *upstream,
+                      apr_time_t wait, apr_time_t stated, apr_time_t now);
 /* Returns the upstreams of the service NAME, or NULL if it never had any.  */
 const struct fleet_service *fleet_service (const struct fleet *fleet,
                                            struct str name);
@@ -209,8 +232,8 @@
    it never had any there.  */
 const struct fleet_group *fleet_group (const struct fleet_service *service,
                                        struct str region);
-/* Returns whether UPSTREAM may get new requests: it is neither leaving nor
-   removed nor held back, and its zone is not evacuated.  */
+/* Returns whether UPSTREAM may get new requests: it is neither leaving, by its
+   record or what it said, nor removed nor held back, and its zone is not evacuated.  */
 bool fleet_is_eligible (const struct fleet_upstream *upstream);
 /* Returns the upstream ID, or NULL.  */
 struct fleet_upstream *fleet_find (const struct fleet *fleet, struct str id);
