--- a/tests/unit/platform_test.c
+++ b/tests/unit/platform_test.c
@@ -549,19 +549,105 @@
   platform_mirror_destroy (mirror);
 }
 
-const struct unit_test platform_tests[]
-    = { { "a configuration becomes a plan", test_plan },
-        { "a malformed configuration is refused", test_malformed_plans },
-        { "what is not known concerns one route", test_containment },
-        { "a malformed record of an upstream is refused", test_upstreams },
-        { "a malformed load report is refused", test_load_reports },
-        { "other cookies and malformed deadlines are not used", test_headers },
-        { "keys that only resemble known ones are not used", test_keys },
-        { "no change is missing for entries that do not read the store",
-          test_served_changes },
-        { "a listing counts as the changes since what was known",
-          test_listing_again },
-        { "a late response does not undo what is known", test_outdated_items },
-        { "an entry that is too far behind has to request a listing",
-          test_served_removals_bounded },
-        { NULL, NULL } };
+/* For how long an upstream wants no requests, in any form that a peer may
+   send.  */
+static void
+test_retry_after (void)
+{
+#define NOON "Sun, 06 Nov 1994 12:00:00 GMT"
+  static const struct
+  {
+    const char *text;
+    const char *date; /* of the response */
+    int64_t clock_s;  /* local, after noon of that day */
+    int64_t wait_ms;  /* -1: refused */
+  } cases[] = {
+    { "", NOON, 0, -1 },
+    { "0", NOON, 0, 0 },
+    { "0.0", NOON, 0, 0 },
+    { "2", NOON, 0, 2000 },
+    { "007", NOON, 0, 7000 },
+    { "1.5", NOON, 0, 1500 },
+    { "0.25", NOON, 0, 250 },
+    { "2.", NOON, 0, 2000 },
+    { ".5", NOON, 0, -1 },
+    { "3600", NOON, 0, 3600000 },
+    { "3601", NOON, 0, 3600000 },
+    { "99999999999999999999999999999999999999999999999999", NOON, 0, 3600000 },
+    { "0.00000000000000000000000000000000000000000000001", NOON, 0, 0 },
+    { "-1", NOON, 0, -1 },
+    { "+1", NOON, 0, -1 },
+    { "1e3", NOON, 0, -1 },
+    { "0x10", NOON, 0, -1 },
+    { "inf", NOON, 0, -1 },
+    { "nan", NOON, 0, -1 },
+    { "1,5", NOON, 0, -1 },
+    { "2 s", NOON, 0, -1 },
+    { "1.2.3", NOON, 0, -1 },
+    { "soon", NOON, 0, -1 },
+    /* The date of the response counts, not the local clock.  */
+    { "Sun, 06 Nov 1994 12:00:05 GMT", NOON, 7200, 5000 },
+    { "Sunday, 06-Nov-94 12:00:05 GMT", NOON, 0, 5000 },
+    { "Sun Nov  6 12:00:05 1994", NOON, 0, 5000 },
+    { NOON, NOON, -100, 0 },
+    { "Sun, 06 Nov 1994 11:59:59 GMT", NOON, -100, 0 },
+    { "Mon, 07 Nov 1994 12:00:00 GMT", NOON, 0, 3600000 },
+    { "Sun, 06 Nov 1994 12:00:05 GMT", "", 2, 3000 },
+    { "Sun, 06 Nov 1994 12:00:05 GMT", "today", 2, 3000 },
+    { "Sun, 06 Nov 1994 12:00:05 GMT", "", 9, 0 },
+    { "Sun, 36 Nov 1994 12:00:05 GMT", NOON, 0, -1 },
+    { "Sun, 06 Nov 1994 12:00:05 GMT and then some more of it, without an end",
+      NOON, 0, -1 },
+  };
+  static const apr_time_t noon = TIMER_SEC (784123200);
+  for (size_t i = 0; i < COUNT (cases); i++)
+    {
+      apr_time_t wait = -1;
+      bool is_valid = decode_retry_after (
+          str_from (cases[i].text), str_from (cases[i].date),
+          noon + TIMER_SEC (cases[i].clock_s), &wait);
+      CU_ASSERT_EQUAL (is_valid, cases[i].wait_ms >= 0);
+      CU_ASSERT_EQUAL (
+          wait, cases[i].wait_ms >= 0 ? TIMER_MS (cases[i].wait_ms) : -1);
+      if (is_valid != (cases[i].wait_ms >= 0)
+          || (is_valid && wait != TIMER_MS (cases[i].wait_ms)))
+        printf ("# '%s': %d, %lld\n", cases[i].text, is_valid,
+                (long long)wait);
+    }
+#undef NOON
+}
+
+/* Only the value that the platform names says that an upstream is leaving.  */
+static void
+test_leaving_header (void)
+{
+  static const struct
+  {
+    const char *text;
+    bool is_leaving;
+  } cases[] = { { "1", true },  { "", false },     { "0", false },
+                { "2", false }, { "true", false }, { "11", false } };
+  for (size_t i = 0; i < COUNT (cases); i++)
+    CU_ASSERT_EQUAL (decode_leaving (str_from (cases[i].text)),
+                     cases[i].is_leaving);
+}
+
+const struct unit_test platform_tests[] = {
+  { "a configuration becomes a plan", test_plan },
+  { "a malformed configuration is refused", test_malformed_plans },
+  { "what is not known concerns one route", test_containment },
+  { "a malformed record of an upstream is refused", test_upstreams },
+  { "a malformed load report is refused", test_load_reports },
+  { "other cookies and malformed deadlines are not used", test_headers },
+  { "a wait is read in each of its forms, and bounded", test_retry_after },
+  { "only one value says that an upstream is leaving", test_leaving_header },
+  { "keys that only resemble known ones are not used", test_keys },
+  { "no change is missing for entries that do not read the store",
+    test_served_changes },
+  { "a listing counts as the changes since what was known",
+    test_listing_again },
+  { "a late response does not undo what is known", test_outdated_items },
+  { "an entry that is too far behind has to request a listing",
+    test_served_removals_bounded },
+  { NULL, NULL }
+};
