Upstreams that leave or turn away: candidates, slots of regions, return

An upstream that has turned this entry away is no candidate and counts no slots; when its wait is over it counts one, and gets one request at a time until one is answered. Entries return two by two within a second, by rank; callers that were refused meanwhile over a time that grows with their number. What an upstream said is remembered across removal and listing again.

Tables of cases: leaving and turned away against each change of the record (written, renewed, older, expired, lapsed, removed, restored, moved, restarted, succeeded), before the response and after it; waits absent, zero, refused again, longer than believed.

--- a/src/balance/admit.c
+++ b/src/balance/admit.c
@@ -14,7 +14,8 @@
   MAX_LATE_WAIT_MS = 150, /* a request that is late already waits no longer */
   PROBE_AFTER_MS = 1000,  /* without a request, the estimate is tested */
   RETRY_BASE_MS = 120,    /* within which a slot is usually freed */
-  RETRY_JITTER_MS = 400   /* keeps callers from retrying at the same moment */
+  RETRY_JITTER_MS = 400,  /* keeps callers from retrying at the same moment */
+  RETURN_JITTER_MAX_MS = 2000 /* the same after all upstreams turned away */
 };
 
 /* private functions */
@@ -69,3 +70,13 @@
     return refuse (state);
   return (struct admit_verdict){ .action = ADMIT_WAIT, .max_wait = wait };
 }
+
+apr_time_t
+admit_return_wait (apr_time_t left, double refused, apr_time_t work,
+                   double jitter)
+{
+  double spread = from_ms (RETRY_JITTER_MS) + refused * (double)work;
+  if (spread > from_ms (RETURN_JITTER_MAX_MS))
+    spread = from_ms (RETURN_JITTER_MAX_MS);
+  return (left > 0 ? left : 0) + (apr_time_t)(spread * jitter);
+}
--- a/src/balance/admit.h
+++ b/src/balance/admit.h
@@ -75,4 +75,12 @@
    requests ahead of it are expected to take longer than that.  */
 struct admit_verdict admit_decide (const struct admit_state *state);
 
+/* Returns the Retry-After of a request that is refused since all upstreams of
+   its service have turned this entry away, the first of them until LEFT from
+   now.  REFUSED were refused so before it; they return one after the other, as
+   one takes about WORK, the time of a response, since an upstream that returns
+   takes one request at a time.  JITTER: random, 0 to 1.  */
+apr_time_t admit_return_wait (apr_time_t left, double refused, apr_time_t work,
+                              double jitter);
+
 #endif
--- a/src/balance/balance.c
+++ b/src/balance/balance.c
@@ -82,7 +82,8 @@
   struct fleet_upstream *upstream;
 };
 
-/* Stores the eligible upstreams that rank first in OUT, which has room for
+/* Stores the eligible upstreams that rank first in OUT, without those that
+   have turned this entry away, which has room for
    CANDIDATES_MAX, highest rank first; returns how many there are.  */
 static size_t
 find_candidates (const struct balance_request *request, struct candidate *out)
@@ -93,7 +94,8 @@
       const struct fleet_member *member = &request->group->members[i];
       uint64_t rank = hash_mix (member->hash, request->object);
       if ((count == CANDIDATES_MAX && rank <= out[count - 1].rank)
-          || !fleet_is_eligible (member->upstream))
+          || !fleet_is_eligible (member->upstream)
+          || load_is_turned_away (&member->upstream->load, request->now))
         continue;
       size_t at = count < CANDIDATES_MAX ? count++ : count - 1;
       for (; at > 0 && out[at - 1].rank < rank; at--)
@@ -114,6 +116,7 @@
   if (max_silence < min_unresponsive_us)
     max_silence = min_unresponsive_us;
   if (load->avoid_until > request->now
+      || (load_is_returning (load) && load->in_flight > 0)
       || load->in_flight >= request->max_in_flight
       || load_is_unresponsive (load, (apr_time_t)max_silence + request->rtt,
                                request->now))
@@ -307,6 +310,24 @@
   return heard < max_heard ? 1.0 - heard / max_heard : 0.0;
 }
 
+bool
+balance_is_turned_away (const struct fleet_group *group, apr_time_t now,
+                        apr_time_t *first_return)
+{
+  for (size_t i = 0; group && i < group->count; i++)
+    {
+      const struct fleet_upstream *upstream = group->members[i].upstream;
+      if (!fleet_is_eligible (upstream))
+        continue;
+      apr_time_t at = load_returns_at (&upstream->load, now);
+      if (at == 0)
+        return false;
+      if (*first_return == 0 || at < *first_return)
+        *first_return = at;
+    }
+  return true;
+}
+
 struct balance_region_load
 balance_region_load (const struct fleet_group *group, double unheard_requests,
                      apr_time_t now)
@@ -315,9 +336,12 @@
   for (size_t i = 0; group && i < group->count; i++)
     {
       const struct fleet_upstream *upstream = group->members[i].upstream;
-      if (!fleet_is_eligible (upstream))
+      if (!fleet_is_eligible (upstream)
+          || load_is_turned_away (&upstream->load, now))
         continue;
-      double slots = (double)upstream->load.slots;
+      double slots = load_is_returning (&upstream->load)
+                         ? 1.0
+                         : (double)upstream->load.slots;
       double unheard = 1.0 - load_report_weight (&upstream->load, now);
       double busy
           = load_in_flight (&upstream->load, now) + unheard * unheard_requests;
--- a/src/balance/balance.h
+++ b/src/balance/balance.h
@@ -143,10 +143,17 @@
    hears.  */
 double balance_unheard_weight (const struct fleet_service *service,
                                apr_time_t now);
+/* Returns whether no upstream of GROUP, which may be NULL, takes requests of
+   this entry, since all that are eligible have turned it away.  Lowers
+   FIRST_RETURN (0: not known) to the time at which the first of them is
+   expected back.  */
+bool balance_is_turned_away (const struct fleet_group *group, apr_time_t now,
+                             apr_time_t *first_return);
 /* Returns the slots of the eligible upstreams of GROUP, which may be NULL, and
-   how many are in use.  An upstream that was not heard of lately counts for
-   UNHEARD_REQUESTS: the mean of the region's reports times the weight above.
-   Called several times per second for balance/region_split.h and
+   how many are in use.  An upstream that has turned this entry away has none,
+   and one that is returning has one.  An upstream that was not heard of lately
+   counts for UNHEARD_REQUESTS: the mean of the region's reports times the
+   weight above. Called several times per second for balance/region_split.h and
    balance/admit.h.  */
 struct balance_region_load
 balance_region_load (const struct fleet_group *group, double unheard_requests,
--- a/src/balance/load.c
+++ b/src/balance/load.c
@@ -45,6 +45,16 @@
   RESTRICTED_REQUESTS_MAX = 2
 };
 
+enum
+{
+  /* Entries that return at once to an upstream that has turned them away.  */
+  RETURN_SENDERS = 2,
+  /* Between these and the next two: about the time of a short request, so that
+     they find its load in the responses.  */
+  RETURN_STEP_MS = 100,
+  RETURN_SPREAD_MAX_MS = 1000 /* bounds what the last entry loses */
+};
+
 /* private functions */
 
 /* Returns the factor of the exponential decay from SINCE to NOW.  */
@@ -228,6 +238,17 @@
   return load->is_returning;
 }
 
+apr_time_t
+load_return_delay (size_t rank, size_t entries)
+{
+  size_t groups = (entries + RETURN_SENDERS - 1) / RETURN_SENDERS;
+  size_t group = rank / RETURN_SENDERS;
+  double step_ms = groups * RETURN_STEP_MS > RETURN_SPREAD_MAX_MS
+                       ? (double)RETURN_SPREAD_MAX_MS / (double)groups
+                       : RETURN_STEP_MS;
+  return (apr_time_t)((double)group * step_ms * (APR_USEC_PER_SEC / 1000));
+}
+
 void
 load_inherit_wait (struct load *load, const struct load *old)
 {
--- a/src/balance/load.h
+++ b/src/balance/load.h
@@ -20,6 +20,7 @@
 
 #include <apr_time.h>
 #include <stdbool.h>
+#include <stddef.h>
 #include <stdint.h>
 
 /* How a request at an upstream ended.  */
@@ -66,7 +67,7 @@
   bool is_returning;            /* none was answered since then */
   apr_time_t restricted_until;  /* the time that it stated, without a bound */
   int64_t restricted_requests;  /* begun in that time */
-  double cold_tokens;     /* token bucket of requests while it is cold */
+  double cold_tokens;           /* token bucket of requests while it is cold */
   apr_time_t cold_tokens_at;
 };
 
@@ -95,6 +96,11 @@
 /* The upstream stated that it wants no request for WAIT.  Until then it gets
    at most two, also if the wait given to load_turn_away is shorter.  */
 void load_restrict (struct load *load, apr_time_t wait, apr_time_t now);
+/* Returns how much later than its wait ends this entry sends requests to an
+   upstream again, so that the entries don't return at once: two of them after
+   no time, and the others two by two.  RANK is that of this entry for the
+   upstream among ENTRIES, from 0.  */
+apr_time_t load_return_delay (size_t rank, size_t entries);
 /* Returns whether the upstream wants no request of this entry now.  */
 bool load_is_turned_away (const struct load *load, apr_time_t now);
 /* Returns until when load_is_turned_away holds; 0 if it doesn't.  */
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -13,13 +13,13 @@
   struct fleet_desc desc;
   apr_pool_t *pool;
   struct affinity *affinity;
-  apr_hash_t *ids;           /* struct fleet_upstream by id */
-  apr_hash_t *services;      /* struct fleet_service by name */
-  apr_hash_t *zones;         /* struct fleet_zone by name */
-  struct departed *departed; /* upstreams that were removed, by id */
+  apr_hash_t *ids;                   /* struct fleet_upstream by id */
+  apr_hash_t *services;              /* struct fleet_service by name */
+  apr_hash_t *zones;                 /* struct fleet_zone by name */
+  struct departed *departed;         /* upstreams that were removed, by id */
   struct fleet_upstream *remembered; /* removed ones that said that they leave
                                         or want no requests */
-  int64_t revision;          /* of the latest record received */
+  int64_t revision;                  /* of the latest record received */
   int64_t restored_revision; /* of the latest one before the store came back
                                 from an older copy; 0: it never did */
   bool is_restoring;         /* the listing of that copy is being applied */
@@ -696,8 +696,8 @@
 bool
 fleet_is_eligible (const struct fleet_upstream *upstream)
 {
-  return !is_leaving (upstream) && !upstream->removed && upstream->held_until == 0
-         && !upstream->zone->is_evacuated;
+  return !is_leaving (upstream) && !upstream->removed
+         && upstream->held_until == 0 && !upstream->zone->is_evacuated;
 }
 
 struct fleet_upstream *
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -233,7 +233,8 @@
 const struct fleet_group *fleet_group (const struct fleet_service *service,
                                        struct str region);
 /* Returns whether UPSTREAM may get new requests: it is neither leaving, by its
-   record or what it said, nor removed nor held back, and its zone is not evacuated.  */
+   record or what it said, nor removed nor held back, and its zone is not
+   evacuated.  */
 bool fleet_is_eligible (const struct fleet_upstream *upstream);
 /* Returns the upstream ID, or NULL.  */
 struct fleet_upstream *fleet_find (const struct fleet *fleet, struct str id);
--- a/tests/unit/balance_test.c
+++ b/tests/unit/balance_test.c
@@ -487,12 +487,222 @@
     }
 }
 
+/* Requests of this entry to an upstream that has turned it away.  Each step is
+   a time after the first refusal, and what happens then.  */
+static void
+test_turned_away (void)
+{
+  enum action
+  {
+    END,
+    REFUSED_2S,  /* a request ends refused, with a wait of 2 s */
+    REFUSED_5S,  /* the same with 5 s */
+    REFUSED_60S, /* the same with 60 s, of which 3 s are believed */
+    REFUSED_0S,  /* the same with 0 s */
+    REFUSED,     /* the same without a wait */
+    SENT,        /* a request is sent */
+    ANSWERED,    /* one is answered */
+    FAILED       /* one fails */
+  };
+  static const struct
+  {
+    const char *name;
+    struct
+    {
+      int64_t at_ms;
+      enum action action;
+      bool takes; /* afterwards it takes a request */
+    } steps[10];
+  } cases[] = {
+    { "no wait", { { 0, REFUSED, true }, { 1, SENT, true } } },
+    { "zero", { { 0, REFUSED_0S, true }, { 1, SENT, true } } },
+    { "one at a time after the wait, until one is answered",
+      { { 0, REFUSED_2S, false },
+        { 1999, SENT, false },
+        { 1999, ANSWERED, false },
+        { 2000, SENT, false },
+        { 2300, ANSWERED, true },
+        { 2300, SENT, true },
+        { 2300, SENT, true } } },
+    { "refused during its return",
+      { { 0, REFUSED_2S, false },
+        { 2000, SENT, false },
+        { 2100, REFUSED_2S, false },
+        { 4099, ANSWERED, false },
+        { 4100, SENT, false },
+        { 4200, ANSWERED, true } } },
+    { "refused without a wait during its return",
+      { { 0, REFUSED_2S, false },
+        { 2000, SENT, false },
+        { 2100, REFUSED, true },
+        { 2100, SENT, false },
+        { 2200, ANSWERED, true },
+        { 2200, SENT, true } } },
+    { "a failure does not end the return",
+      { { 0, REFUSED_2S, false },
+        { 2000, SENT, false },
+        { 2100, FAILED, true },
+        { 2100, SENT, false } } },
+    { "the later end holds",
+      { { 0, REFUSED_5S, false },
+        { 100, REFUSED_2S, false },
+        { 4999, ANSWERED, false },
+        { 5000, SENT, false } } },
+    { "a longer wait replaces the rest of the first",
+      { { 0, REFUSED_2S, false },
+        { 100, REFUSED_5S, false },
+        { 5000, ANSWERED, false },
+        { 5100, SENT, false } } },
+    { "two requests in the time stated, though less is believed",
+      { { 0, REFUSED_60S, false },
+        { 2999, ANSWERED, false },
+        { 3000, SENT, false },
+        { 3100, ANSWERED, true },
+        { 3100, SENT, false },
+        { 3200, ANSWERED, false },
+        { 59999, ANSWERED, false },
+        { 60000, SENT, true },
+        { 60100, ANSWERED, true } } },
+    { "refused again within the time stated",
+      { { 0, REFUSED_60S, false },
+        { 3000, SENT, false },
+        { 3100, REFUSED_60S, false },
+        { 6100, SENT, false },
+        { 6200, REFUSED_60S, false },
+        { 66199, ANSWERED, false },
+        { 66200, SENT, false } } },
+  };
+  static const int64_t waits_ms[]
+      = { [REFUSED_2S] = 2000, [REFUSED_5S] = 5000, [REFUSED_60S] = 3000 };
+  static const int64_t stated_ms[]
+      = { [REFUSED_2S] = 2000, [REFUSED_5S] = 5000, [REFUSED_60S] = 60000 };
+  for (size_t c = 0; c < sizeof cases / sizeof *cases; c++)
+    {
+      struct load load;
+      apr_time_t start = TIMER_SEC (1000);
+      set_up_fleet ();
+      struct fleet_upstream *upstream = fleet_find (fleet, STR ("u0"));
+      for (int i = 1; i < UPSTREAMS; i++)
+        fleet_remove_upstream (fleet, str_printf (test_pool, "u%d", i), false,
+                               start);
+      load_init (&load, SLOTS);
+      /* The request that is refused first.  */
+      load_begin_request (&load, start);
+      for (int i = 0; i < 10 && cases[c].steps[i].action != END; i++)
+        {
+          enum action action = cases[c].steps[i].action;
+          now = start + TIMER_MS (cases[c].steps[i].at_ms);
+          if (action <= REFUSED_0S)
+            {
+              load_turn_away (&load, TIMER_MS (waits_ms[action]), now);
+              load_restrict (&load, TIMER_MS (stated_ms[action]), now);
+            }
+          if (action == SENT)
+            load_begin_request (&load, now);
+          else if (load.in_flight > 0)
+            load_end_request (&load,
+                              action == ANSWERED ? LOAD_ANSWERED
+                              : action == FAILED ? LOAD_FAILED
+                                                 : LOAD_REFUSED,
+                              100, 100, now);
+          upstream->load = load;
+          struct balance_request r = request (77);
+          bool takes = balance_choose_upstream (&r).upstream == upstream;
+          CU_ASSERT_EQUAL (takes, cases[c].steps[i].takes);
+          if (takes != cases[c].steps[i].takes)
+            printf ("# %s, step %d: %d\n", cases[c].name, i, takes);
+        }
+      fleet_destroy (fleet);
+    }
+}
+
+/* What one upstream says takes its own slots out of the region, and no others;
+   when all have said so, the first return is known.  */
+static void
+test_turned_away_region (void)
+{
+  static const struct
+  {
+    int turned_away; /* of the upstreams, with a wait of 2 s, 3 s, 4 s...  */
+    int64_t at_ms;
+    double slots;
+    int64_t first_ms; /* at which the first is back; 0: one takes requests */
+  } cases[] = { { 0, 0, UPSTREAMS * SLOTS, 0 },
+                { 1, 0, (UPSTREAMS - 1) * SLOTS, 0 },
+                { UPSTREAMS - 1, 0, SLOTS, 0 },
+                { UPSTREAMS, 0, 0, 2000 },
+                { UPSTREAMS, 1999, 0, 2000 },
+                /* One that returns takes one request.  */
+                { UPSTREAMS, 2000, 1, 0 },
+                { 1, 2000, (UPSTREAMS - 1) * SLOTS + 1, 0 } };
+  for (size_t i = 0; i < sizeof cases / sizeof *cases; i++)
+    {
+      apr_time_t first = 0;
+      set_up_fleet ();
+      for (int n = 0; n < cases[i].turned_away; n++)
+        {
+          struct fleet_upstream *upstream
+              = fleet_find (fleet, str_printf (test_pool, "u%d", n));
+          fleet_turn_away (fleet, upstream, TIMER_SEC (2 + n),
+                           TIMER_SEC (2 + n), now);
+        }
+      const struct fleet_group *group = request (1).group;
+      apr_time_t at = now + TIMER_MS (cases[i].at_ms);
+      CU_ASSERT_EQUAL (balance_region_load (group, 0, at).slots,
+                       cases[i].slots);
+      CU_ASSERT_EQUAL (balance_is_turned_away (group, at, &first),
+                       cases[i].first_ms > 0);
+      if (cases[i].first_ms > 0)
+        CU_ASSERT_EQUAL (first, now + TIMER_MS (cases[i].first_ms));
+      fleet_destroy (fleet);
+    }
+}
+
+/* Two entries return at once, the others within a second, two by two; callers
+   that were refused meanwhile return over a time that grows with them.  */
+static void
+test_return (void)
+{
+  static const struct
+  {
+    size_t rank;
+    size_t entries;
+    int64_t delay_ms;
+  } entries[]
+      = { { 0, 1, 0 },   { 1, 11, 0 },  { 2, 11, 100 },  { 10, 11, 500 },
+          { 1, 295, 0 }, { 2, 295, 6 }, { 83, 84, 976 }, { 294, 295, 993 } };
+  static const struct
+  {
+    int64_t left_ms;
+    double refused;
+    double jitter;
+    int64_t wait_ms;
+  } callers[] = { { 2000, 0, 0, 2000 },
+                  { 2000, 0, 0.5, 2200 },
+                  { 2000, 4, 0.5, 2400 },
+                  { 2000, 1000, 0.5, 3000 },
+                  { -100, 0, 0.25, 100 } };
+  for (size_t i = 0; i < sizeof entries / sizeof *entries; i++)
+    CU_ASSERT_EQUAL (load_return_delay (entries[i].rank, entries[i].entries)
+                         / TIMER_MS (1),
+                     entries[i].delay_ms);
+  for (size_t i = 0; i < sizeof callers / sizeof *callers; i++)
+    CU_ASSERT_EQUAL (admit_return_wait (TIMER_MS (callers[i].left_ms),
+                                        callers[i].refused, TIMER_MS (100),
+                                        callers[i].jitter),
+                     TIMER_MS (callers[i].wait_ms));
+}
+
 const struct unit_test balance_tests[]
     = { { "an object's requests go where it is cached", test_affinity },
         { "requests wait only where their object is cached", test_queue },
         { "no upstream gets more than its slots", test_slots },
         { "slow, failing and unreachable upstreams are avoided for a time",
           test_faults },
+        { "an upstream that turns away gets nothing, then one at a time",
+          test_turned_away },
+        { "upstreams that turn away have no slots", test_turned_away_region },
+        { "entries and callers don't return at once", test_return },
         { "a cold upstream gets this entry's share of its rate", test_cold },
         { "an object that does not recur is not expected to be cached",
           test_no_recurrence },
--- a/tests/unit/fleet_test.c
+++ b/tests/unit/fleet_test.c
@@ -398,6 +398,175 @@
     }
 }
 
+/* What happens to an upstream after it has said something in a response.  */
+enum step
+{
+  NOTHING,
+  WRITTEN, /* its record is written again and says ready */
+  RENEWED, /* the same without a change of its content */
+  OLDER,   /* a restored store has an older record, which says ready */
+  EXPIRED_AND_BACK, /* within the grace period */
+  LAPSED_AND_BACK,  /* after the grace period */
+  REMOVED_AND_BACK,
+  REMOVED_AND_RESTORED, /* listed by a restored store, and held back no more */
+  REMOVED_LONG_AND_BACK, /* after more than a minute */
+  MOVED,                 /* the same incarnation has another address */
+  RESTARTED,             /* the same id has another incarnation */
+  SUCCEEDED              /* another id has the address */
+};
+
+/* Applies STEP to the upstream of RECORD and returns the one that has its
+   address afterwards; NULL: none.  */
+static struct fleet_upstream *
+apply_step (enum step step, struct fleet_record *record)
+{
+  bool may_be_expired = step == EXPIRED_AND_BACK || step == LAPSED_AND_BACK;
+  if (step == RENEWED)
+    fleet_renew_upstream (fleet, record->id, 60);
+  if (step == OLDER || step == REMOVED_AND_RESTORED)
+    fleet_begin_restore (fleet);
+  if (may_be_expired || step == REMOVED_AND_BACK
+      || step == REMOVED_AND_RESTORED || step == REMOVED_LONG_AND_BACK
+      || step == SUCCEEDED)
+    fleet_remove_upstream (fleet, record->id, may_be_expired, now);
+  if (step == LAPSED_AND_BACK)
+    now += TIMER_SEC (3);
+  if (step == REMOVED_LONG_AND_BACK)
+    now += TIMER_SEC (61);
+  fleet_remove_expired (fleet, now);
+  record->write_count += step == OLDER ? -1 : 1;
+  if (step == MOVED)
+    record->address = STR ("10.0.0.2:80");
+  if (step == RESTARTED)
+    record->incarnation++;
+  if (step == SUCCEEDED)
+    record->id = STR ("b");
+  if (step != NOTHING && step != RENEWED)
+    fleet_put_upstream (fleet, record, 61, now);
+  fleet_end_restore (fleet);
+  if (step == REMOVED_AND_RESTORED)
+    {
+      now += TIMER_SEC (7);
+      fleet_remove_expired (fleet, now);
+    }
+  return get_only_upstream ();
+}
+
+/* An upstream that said in a response that it is leaving, or for how long it
+   wants no requests, is believed whatever the store lists of that incarnation;
+   another one is used at once.  A wait of 20 s was stated.  */
+static void
+test_said (void)
+{
+  static const struct
+  {
+    enum step step;
+    bool has_incarnation; /* its record states one */
+    bool is_leaving;      /* afterwards, after it said so */
+    bool is_turned_away;  /* the same after it stated a wait */
+  } cases[] = { { NOTHING, true, true, true },
+                { WRITTEN, true, true, true },
+                { WRITTEN, false, true, true },
+                { RENEWED, true, true, true },
+                { OLDER, true, true, true },
+                { EXPIRED_AND_BACK, true, true, true },
+                { EXPIRED_AND_BACK, false, true, true },
+                { LAPSED_AND_BACK, true, true, true },
+                { REMOVED_AND_BACK, true, true, true },
+                { REMOVED_AND_BACK, false, true, true },
+                { REMOVED_AND_RESTORED, true, true, true },
+                { REMOVED_LONG_AND_BACK, true, false, false },
+                { MOVED, true, true, true },
+                { MOVED, false, false, false },
+                { RESTARTED, true, false, false },
+                { SUCCEEDED, true, false, false },
+                { SUCCEEDED, false, false, false } };
+  for (size_t i = 0; i < COUNT (cases); i++)
+    for (int leaving = 0; leaving < 2; leaving++)
+      for (int late = 0; late < 2; late++)
+        {
+          set_up_fleet ();
+          struct fleet_record r = make_record ("a");
+          r.incarnation = cases[i].has_incarnation ? 7 : 0;
+          r.write_count = 5;
+          fleet_put_upstream (fleet, &r, 50, now);
+          struct fleet_upstream *upstream
+              = fleet_upstream_ref (get_only_upstream ());
+          struct fleet_upstream *after = NULL;
+          apr_time_t said_at = now;
+          /* LATE: its response comes after the step.  */
+          if (late)
+            after = apply_step (cases[i].step, &r);
+          if (leaving)
+            CU_ASSERT (fleet_mark_leaving (fleet, upstream, said_at))
+          else
+            fleet_turn_away (fleet, upstream, TIMER_SEC (20), TIMER_SEC (20),
+                             said_at);
+          if (leaving)
+            CU_ASSERT_FALSE (fleet_mark_leaving (fleet, upstream, said_at));
+          if (!late)
+            after = apply_step (cases[i].step, &r);
+          /* A late response concerns the incarnation listed now, however long
+             it was away.  */
+          bool expects_leaving
+              = leaving
+                && (cases[i].is_leaving
+                    || (late && cases[i].step == REMOVED_LONG_AND_BACK));
+          bool expects_turned_away = !leaving && cases[i].is_turned_away;
+          CU_ASSERT_PTR_NOT_NULL_FATAL (after);
+          bool is_turned_away = load_is_turned_away (&after->load, now);
+          CU_ASSERT_EQUAL (fleet_is_eligible (after), !expects_leaving);
+          CU_ASSERT_EQUAL (is_turned_away, expects_turned_away);
+          if (fleet_is_eligible (after) == expects_leaving
+              || is_turned_away != expects_turned_away)
+            printf ("# step %d, leaving %d, late %d, incarnation %d\n",
+                    cases[i].step, leaving, late, cases[i].has_incarnation);
+          fleet_upstream_unref (upstream);
+          fleet_destroy (fleet);
+        }
+}
+
+static int leaving_notices;
+
+static void
+count_leaving (void *user_data, const char *what,
+               const struct fleet_upstream *upstream)
+{
+  (void)user_data;
+  (void)upstream;
+  leaving_notices += strcmp (what, "leaving") == 0;
+}
+
+/* That an upstream is leaving is notified once, whether its record or its
+   response says it first, and it is removed as soon as its record vanishes. */
+static void
+test_leaving_notice (void)
+{
+  for (int record_first = 0; record_first < 2; record_first++)
+    {
+      struct fleet_desc desc
+          = { .find_region = find_region, .upstream_changed = count_leaving };
+      fleet = fleet_create (test_pool, &desc);
+      now = TIMER_SEC (1000);
+      leaving_notices = 0;
+      struct fleet_record r = make_record ("a");
+      fleet_put_upstream (fleet, &r, 1, now);
+      r.leaving = true;
+      if (record_first)
+        fleet_put_upstream (fleet, &r, 2, now);
+      fleet_mark_leaving (fleet, get_only_upstream (), now);
+      if (!record_first)
+        fleet_put_upstream (fleet, &r, 2, now);
+      r.leaving = false;
+      fleet_put_upstream (fleet, &r, 3, now);
+      CU_ASSERT_EQUAL (leaving_notices, 1);
+      CU_ASSERT_FALSE (fleet_is_eligible (get_only_upstream ()));
+      fleet_remove_upstream (fleet, r.id, true, now);
+      CU_ASSERT_PTR_NULL (get_only_upstream ());
+      fleet_destroy (fleet);
+    }
+}
+
 const struct unit_test fleet_tests[] = {
   { "a restart is a new upstream", test_incarnations },
   { "an expired upstream is used until its grace period ends", test_expiry },
@@ -407,6 +576,8 @@
   { "a restored record does not undo a later one", test_restored_records },
   { "a lost evacuation stays in force until it is written again",
     test_restored_evacuation },
+  { "what an upstream said holds whatever the store lists of it", test_said },
+  { "that an upstream is leaving is notified once", test_leaving_notice },
   { "a record that vanishes long after an outage was removed", test_outage },
   { "an upstream that others could not reach is avoided for a while",
     test_unreachable },
