Gateway: upstreams that say they leave or turn requests away are in force at once

Responses with Server-Leaving or a 503 with Retry-After were forwarded or retried, and nothing else read them. They are read at the head of any response, before it is passed on. The loads of the regions and the requests that wait are updated in the same iteration of the event loop; no second attempt is taken from the budget when all upstreams of the service have turned this entry away, and new requests are then refused at once with the time of the first return.

--- a/src/gateway/attempts.c
+++ b/src/gateway/attempts.c
@@ -112,7 +112,7 @@
 {
   if (request->answered || request->send_count >= max_sends (request)
       || request->tried_count >= BALANCE_EXCLUDED_MAX
-      || !has_time_left (request))
+      || !has_time_left (request) || dispatch_is_turned_away (request))
     return false;
   if (!not_run
       && (!plan_kind_is_idempotent (request->route->kind)
@@ -161,7 +161,8 @@
       dispatch_admit (request);
       return;
     }
-  request->retry_after = TIMER_MS (GATEWAY_RETRY_AFTER_SLOT_MS);
+  if (!request->may_have_run)
+    request->retry_after = dispatch_retry_after (request);
   request_refuse (request,
                   request->may_have_run ? HTTP_BAD_GATEWAY : HTTP_UNAVAILABLE,
                   reason);
@@ -300,23 +301,103 @@
          < attempt->desc.max_response_bytes / 2;
 }
 
+/* Returns the upstream that the response comes from, or NULL if that is not
+   known: another one may have the address.  */
+static struct fleet_upstream *
+responding_upstream (const struct request *request)
+{
+  const struct attempt *attempt = request->attempt;
+  struct str id = headers_get (&attempt->headers, PLATFORM_INSTANCE);
+  if (id.size == 0 || str_equal (id, request->upstream->id))
+    return attempt->status == HTTP_MISDIRECTED ? NULL : request->upstream;
+  struct fleet_upstream *upstream = fleet_find (request->gateway->fleet, id);
+  return upstream && str_equal (upstream->address, request->upstream->address)
+             ? upstream
+             : NULL;
+}
+
+/* Applies that UPSTREAM said in the response to REQUEST that it is
+   leaving.  */
+static void
+handle_leaving (struct request *request, struct fleet_upstream *upstream,
+                apr_time_t now)
+{
+  struct gateway *gateway = request->gateway;
+  if (!fleet_mark_leaving (gateway->fleet, upstream, now))
+    return;
+  gateway->upstreams_changed = true;
+  counter_add (gateway->leaving_by_response, 1);
+  LOG (LOG_INFO, "upstream-says-leaving", LOG_TEXT ("id", request->id.data),
+       LOG_TEXT ("upstream", upstream->id.data),
+       LOG_TEXT ("service", upstream->service.data),
+       LOG_TEXT ("address", upstream->address.data),
+       LOG_INT ("born", upstream->incarnation),
+       LOG_INT ("status", request->attempt->status));
+}
+
+/* Applies that UPSTREAM refused REQUEST and wants none for STATED.  */
+static void
+handle_turned_away (struct request *request, struct fleet_upstream *upstream,
+                    apr_time_t stated, apr_time_t now)
+{
+  struct gateway *gateway = request->gateway;
+  apr_time_t max = (apr_time_t)(gateway->settings.retry.turned_away_max_s
+                                * APR_USEC_PER_SEC);
+  apr_time_t delay = load_return_delay (
+      registry_rank (gateway->registry, upstream->hash, upstream->region),
+      registry_count (gateway->registry));
+  apr_time_t wait = (stated < max ? stated : max) + delay;
+  if (stated == 0)
+    return;
+  fleet_turn_away (gateway->fleet, upstream, wait, stated, now);
+  gateway->upstreams_changed = true;
+  counter_add (gateway->turned_away, 1);
+  if (gateway_allow_log_line (gateway))
+    LOG (LOG_INFO, "upstream-turned-away", LOG_TEXT ("id", request->id.data),
+         LOG_TEXT ("upstream", upstream->id.data),
+         LOG_TEXT ("service", upstream->service.data),
+         LOG_TEXT ("address", upstream->address.data),
+         LOG_INT ("born", upstream->incarnation),
+         LOG_INT ("stated_ms", stated / 1000),
+         LOG_INT ("wait_ms", wait / 1000));
+}
+
+/* Applies what the head of a response says of the upstream, whatever becomes
+   of the response.  */
+static void
+handle_head (struct request *request)
+{
+  const struct headers *headers = &request->attempt->headers;
+  apr_time_t now = timer_clock ();
+  struct load_report report;
+  apr_time_t wait;
+  if (decode_load (headers_get (headers, PLATFORM_LOAD), &report))
+    {
+      load_apply_report (&request->upstream->load, &report, now);
+      balance_add_report (&request->service->reports[request->region],
+                          report.running + report.waiting, now);
+    }
+  struct fleet_upstream *upstream = responding_upstream (request);
+  if (!upstream)
+    return;
+  if (decode_leaving (headers_get (headers, PLATFORM_LEAVING)))
+    handle_leaving (request, upstream, now);
+  if (request->attempt->status == HTTP_UNAVAILABLE
+      && decode_retry_after (headers_get (headers, PLATFORM_RETRY_AFTER),
+                             headers_get (headers, PLATFORM_DATE),
+                             apr_time_now (), &wait))
+    handle_turned_away (request, upstream, wait, now);
+}
+
 static void
 on_attempt_event (void *user_data, struct attempt *attempt,
                   enum attempt_event event)
 {
   struct request *request = user_data;
-  struct load_report report;
   switch (event)
     {
     case ATTEMPT_HEAD:
-      if (decode_load (headers_get (&attempt->headers, PLATFORM_LOAD),
-                       &report))
-        {
-          apr_time_t now = timer_clock ();
-          load_apply_report (&request->upstream->load, &report, now);
-          balance_add_report (&request->service->reports[request->region],
-                              report.running + report.waiting, now);
-        }
+      handle_head (request);
       break;
     case ATTEMPT_DATA:
       if (request->answered)
--- a/src/gateway/dispatch.c
+++ b/src/gateway/dispatch.c
@@ -176,6 +176,52 @@
                   reason);
 }
 
+/* Returns when the first upstream is expected back, if all that may serve
+   REQUEST have turned this entry away; else 0.  */
+static apr_time_t
+first_return (const struct request *request, apr_time_t now)
+{
+  const struct gateway *gateway = request->gateway;
+  const struct fleet_service *upstreams
+      = fleet_service (gateway->fleet, request->service_name);
+  apr_time_t first = 0;
+  for (size_t i = 0; i < gateway->region_count; i++)
+    if (plan_route_allows_region (request->route, gateway->regions[i])
+        && !balance_is_turned_away (
+            fleet_group (upstreams, gateway->regions[i]), now, &first))
+      return 0;
+  return first;
+}
+
+/* Returns the Retry-After of REQUEST if all upstreams that may serve it have
+   turned this entry away; else 0.  */
+static apr_time_t
+wait_for_return (struct request *request)
+{
+  struct gateway *gateway = request->gateway;
+  apr_time_t now = timer_clock ();
+  apr_time_t first = first_return (request, now);
+  if (first == 0)
+    return 0;
+  counter_add (gateway->turned_back, 1);
+  return admit_return_wait (
+      first - now, (double)request->service->turned_back++,
+      (apr_time_t)request->route_state->service_time.uncached,
+      gateway_random_fraction (gateway));
+}
+
+/* Refuses REQUEST, since no region has an upstream that takes requests.  */
+static void
+refuse_without_upstream (struct request *request)
+{
+  apr_time_t wait = wait_for_return (request);
+  refuse_with_retry_after (
+      request,
+      wait > 0 ? "all upstreams of this service turn requests away"
+               : "no upstream takes requests of this service",
+      wait > 0 ? wait : TIMER_MS (GATEWAY_RETRY_AFTER_NO_UPSTREAM_MS));
+}
+
 static void
 on_queue_timeout (void *user_data, apr_time_t now)
 {
@@ -283,6 +329,19 @@
          * request->gateway->settings.cold.multiplier * cold_rate_fraction;
 }
 
+bool
+dispatch_is_turned_away (const struct request *request)
+{
+  return first_return (request, timer_clock ()) > 0;
+}
+
+apr_time_t
+dispatch_retry_after (struct request *request)
+{
+  apr_time_t wait = wait_for_return (request);
+  return wait > 0 ? wait : TIMER_MS (GATEWAY_RETRY_AFTER_SLOT_MS);
+}
+
 void
 dispatch_admit (struct request *request)
 {
@@ -297,12 +356,16 @@
     request->service->most_urgent_priority = request->route->priority;
   if (!pick_region (request))
     {
-      refuse_with_retry_after (request,
-                               "no upstream takes requests of this service",
-                               TIMER_MS (GATEWAY_RETRY_AFTER_NO_UPSTREAM_MS));
+      refuse_without_upstream (request);
       return;
     }
   struct balance_choice choice = dispatch_choose_upstream (request);
+  if (!choice.upstream && dispatch_is_turned_away (request))
+    {
+      refuse_without_upstream (request);
+      return;
+    }
+  request->service->turned_back = 0;
   struct admit_state state = admission_state (request, &choice);
   struct admit_verdict verdict = admit_decide (&state);
   bool meets_target = verdict.action == ADMIT_SEND
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -171,9 +171,12 @@
 on_iteration_end (void *user_data)
 {
   struct gateway *gateway = user_data;
-  if (gateway->slot_freed)
+  if (gateway->upstreams_changed)
+    update_services (gateway, timer_clock ());
+  if (gateway->slot_freed || gateway->upstreams_changed)
     {
       gateway->slot_freed = false;
+      gateway->upstreams_changed = false;
       wait_queue_dispatch (gateway);
     }
   request_resume_scheduled (gateway);
@@ -392,6 +395,16 @@
   gateway->suppressed_log_lines
       = counter_get (gateway->counters, "citroncleat_log_lines_withheld_total",
                      "", "Lines on requests beyond the rate in the settings.");
+  gateway->leaving_by_response = counter_get (
+      gateway->counters, "citroncleat_upstreams_leaving_by_answer_total", "",
+      "Upstreams that said in a response that they are leaving.");
+  gateway->turned_away
+      = counter_get (gateway->counters, "citroncleat_turned_away_total", "",
+                     "Requests that an upstream refused, stating for how long "
+                     "it wants none.");
+  gateway->turned_back = counter_get (
+      gateway->counters, "citroncleat_all_turned_away_refusals_total", "",
+      "Requests refused since all upstreams had turned this entry away.");
   gateway->routes = apr_hash_make (gateway->pool);
   gateway->services = apr_hash_make (gateway->pool);
   gateway->connections = connections_create (gateway->pool);
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -90,6 +90,8 @@
   struct budget overflow_budget;
   int64_t most_urgent_priority; /* lowest priority number seen */
   size_t queued[GATEWAY_REGIONS_MAX];
+  size_t turned_back; /* requests refused since all upstreams turned this entry
+                         away; 0 once one takes requests again */
   /* Number of the last scan of the queue that found no slot in the region, see
      wait_queue_dispatch.  */
   uint64_t scan_without_slot[GATEWAY_REGIONS_MAX];
@@ -131,7 +133,9 @@
   struct request *queue_heads[PRIORITY_LEVELS]; /* of the wait queue */
   struct request *queue_tails[PRIORITY_LEVELS];
   uint64_t queue_scan_number;
-  bool slot_freed; /* an attempt ended in this event loop iteration */
+  bool upstreams_changed; /* what an upstream said in this event loop iteration
+                             changed whether it takes requests */
+  bool slot_freed;        /* an attempt ended in this event loop iteration */
   struct request *resume_list; /* requests to be resumed at the end of this
                                   event loop iteration */
   struct request *requests;    /* all that are open */
@@ -147,6 +151,9 @@
   double log_tokens; /* of the rate limiter of log lines on requests */
   apr_time_t log_refilled_at;
   struct counter *suppressed_log_lines;
+  struct counter *leaving_by_response; /* upstreams */
+  struct counter *turned_away;         /* requests, by upstreams */
+  struct counter *turned_back;         /* requests, to callers */
 };
 
 /* A caller's request.  */
@@ -277,6 +284,11 @@
 /* Returns the requests per second that all entries together may send to one
    cold upstream of the request's service.  */
 double dispatch_cold_rate (const struct request *request);
+/* Returns whether all upstreams that may serve REQUEST have turned this entry
+   away for a time.  */
+bool dispatch_is_turned_away (const struct request *request);
+/* Returns the Retry-After of a refusal after an attempt.  */
+apr_time_t dispatch_retry_after (struct request *request);
 /* Chooses an upstream in the request's region among those not tried yet.  */
 struct balance_choice dispatch_choose_upstream (struct request *request);
 
--- a/src/gateway/registry.c
+++ b/src/gateway/registry.c
@@ -600,9 +600,9 @@
   return count;
 }
 
-double
-registry_cold_share (const struct registry *registry, uint64_t hash,
-                     struct str region, size_t max_senders)
+size_t
+registry_rank (const struct registry *registry, uint64_t hash,
+               struct str region)
 {
   struct str self = registry->desc.settings->name;
   uint64_t own = rendezvous_rank (XXH64 (self.data, self.size, 0), hash);
@@ -619,7 +619,16 @@
               && rendezvous_rank (entry->hash, hash) > own))
         preceding++;
     }
-  return preceding < max_senders ? 1.0 / (double)max_senders : 0.0;
+  return preceding;
+}
+
+double
+registry_cold_share (const struct registry *registry, uint64_t hash,
+                     struct str region, size_t max_senders)
+{
+  return registry_rank (registry, hash, region) < max_senders
+             ? 1.0 / (double)max_senders
+             : 0.0;
 }
 
 struct str
--- a/src/gateway/registry.h
+++ b/src/gateway/registry.h
@@ -135,6 +135,11 @@
    different one each time (round robin); if the keys of all of them are gone,
    that of any other entry whose record is kept; or an empty string.  */
 struct str registry_next_peer_address (struct registry *registry);
+/* Returns how many entries rank before this one for an upstream, by rendezvous
+   hash; those in its region rank before all others.  HASH and REGION are the
+   upstream's.  */
+size_t registry_rank (const struct registry *registry, uint64_t hash,
+                      struct str region);
 /* Returns this entry's share of the requests that a cold upstream can serve:
    1 / MAX_SENDERS (at least 1), or 0.  The MAX_SENDERS entries that rank first
    by rendezvous hash get a share, those in the upstream's region before all
--- a/src/gateway/request.c
+++ b/src/gateway/request.c
@@ -245,7 +245,7 @@
   MHD_add_response_header (response, "Content-Type", "application/json");
   if (request->status == HTTP_UNAVAILABLE)
     MHD_add_response_header (
-        response, "Retry-After",
+        response, PLATFORM_RETRY_AFTER,
         str_format (request->pool, "%.3f",
                     (double)request->retry_after / APR_USEC_PER_SEC));
   if (request->id.size > 0)
--- a/src/gateway/settings.c
+++ b/src/gateway/settings.c
@@ -50,6 +50,7 @@
 static const struct field retry_fields[]
     = { REAL (gateway_retry, ratio, 0, 10, 0),
         REAL (gateway_retry, slack, 0, 1000000, 0),
+        REAL (gateway_retry, turned_away_max_s, 0, 3600, 60),
         { 0 } };
 
 static const struct field cold_fields[]
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -45,11 +45,13 @@
                           renewal */
 };
 
-/* Bounds of retries, for all entries together.  */
+/* Bounds of retries; ratio and slack for all entries together.  */
 struct gateway_retry
 {
-  double ratio; /* retries for each request of a service */
-  double slack; /* retries beyond the ratio, at one moment */
+  double ratio;             /* retries for each request of a service */
+  double slack;             /* retries beyond the ratio, at one moment */
+  double turned_away_max_s; /* longest time for which an upstream that refused
+                               a request gets none */
 };
 
 /* Bounds of requests to one cold upstream, for all entries together.  */
