--- a/src/balance/balance.c
+++ b/src/balance/balance.c
@@ -312,7 +312,7 @@
 
 bool
 balance_is_turned_away (const struct fleet_group *group, apr_time_t now,
-                        apr_time_t *first_return)
+                        size_t *count, apr_time_t *first_return)
 {
   for (size_t i = 0; group && i < group->count; i++)
     {
@@ -320,6 +320,9 @@
       if (!fleet_is_eligible (upstream))
         continue;
       apr_time_t at = load_returns_at (&upstream->load, now);
+      *count += at > 0;
+      if (upstream->load.avoid_until > now && upstream->load.avoid_until > at)
+        at = upstream->load.avoid_until;
       if (at == 0)
         return false;
       if (*first_return == 0 || at < *first_return)
--- a/src/balance/balance.h
+++ b/src/balance/balance.h
@@ -144,11 +144,12 @@
 double balance_unheard_weight (const struct fleet_service *service,
                                apr_time_t now);
 /* Returns whether no upstream of GROUP, which may be NULL, takes requests of
-   this entry, since all that are eligible have turned it away.  Lowers
-   FIRST_RETURN (0: not known) to the time at which the first of them is
-   expected back.  */
+   this entry, since each that is eligible has turned it away or is avoided,
+   as it can't be reached.  Adds those that have turned it away to COUNT, and
+   lowers FIRST_RETURN (0: not known) to the time at which the first upstream
+   is expected back.  */
 bool balance_is_turned_away (const struct fleet_group *group, apr_time_t now,
-                             apr_time_t *first_return);
+                             size_t *count, apr_time_t *first_return);
 /* Returns the slots of the eligible upstreams of GROUP, which may be NULL, and
    how many are in use.  An upstream that has turned this entry away has none,
    and one that is returning has one.  An upstream that was not heard of lately
--- a/src/gateway/dispatch.c
+++ b/src/gateway/dispatch.c
@@ -176,8 +176,9 @@
                   reason);
 }
 
-/* Returns when the first upstream is expected back, if all that may serve
-   REQUEST have turned this entry away; else 0.  */
+/* Returns when the first upstream is expected back, if those that may serve
+   REQUEST have turned this entry away and the rest of them can't be reached;
+   else 0.  */
 static apr_time_t
 first_return (const struct request *request, apr_time_t now)
 {
@@ -185,12 +186,13 @@
   const struct fleet_service *upstreams
       = fleet_service (gateway->fleet, request->service_name);
   apr_time_t first = 0;
+  size_t count = 0;
   for (size_t i = 0; i < gateway->region_count; i++)
     if (plan_route_allows_region (request->route, gateway->regions[i])
         && !balance_is_turned_away (
-            fleet_group (upstreams, gateway->regions[i]), now, &first))
+            fleet_group (upstreams, gateway->regions[i]), now, &count, &first))
       return 0;
-  return first;
+  return count > 0 ? first : 0;
 }
 
 /* Returns the Retry-After of REQUEST if all upstreams that may serve it have
--- a/tests/unit/balance_test.c
+++ b/tests/unit/balance_test.c
@@ -624,17 +624,22 @@
   static const struct
   {
     int turned_away; /* of the upstreams, with a wait of 2 s, 3 s, 4 s...  */
+    int avoided;     /* of the others, for 1 s */
     int64_t at_ms;
     double slots;
     int64_t first_ms; /* at which the first is back; 0: one takes requests */
-  } cases[] = { { 0, 0, UPSTREAMS * SLOTS, 0 },
-                { 1, 0, (UPSTREAMS - 1) * SLOTS, 0 },
-                { UPSTREAMS - 1, 0, SLOTS, 0 },
-                { UPSTREAMS, 0, 0, 2000 },
-                { UPSTREAMS, 1999, 0, 2000 },
+  } cases[] = { { 0, 0, 0, UPSTREAMS * SLOTS, 0 },
+                { 1, 0, 0, (UPSTREAMS - 1) * SLOTS, 0 },
+                { UPSTREAMS - 1, 0, 0, SLOTS, 0 },
+                { UPSTREAMS, 0, 0, 0, 2000 },
+                { UPSTREAMS, 0, 1999, 0, 2000 },
                 /* One that returns takes one request.  */
-                { UPSTREAMS, 2000, 1, 0 },
-                { 1, 2000, (UPSTREAMS - 1) * SLOTS + 1, 0 } };
+                { UPSTREAMS, 0, 2000, 1, 0 },
+                { 1, 0, 2000, (UPSTREAMS - 1) * SLOTS + 1, 0 },
+                /* One that can't be reached takes none either.  */
+                { UPSTREAMS - 1, 1, 0, SLOTS, 1000 },
+                { UPSTREAMS - 1, 1, 1000, SLOTS, 0 },
+                { UPSTREAMS - 2, 1, 0, 2 * SLOTS, 0 } };
   for (size_t i = 0; i < sizeof cases / sizeof *cases; i++)
     {
       apr_time_t first = 0;
@@ -646,11 +651,17 @@
           fleet_turn_away (fleet, upstream, TIMER_SEC (2 + n),
                            TIMER_SEC (2 + n), now);
         }
+      for (int n = 0; n < cases[i].avoided; n++)
+        load_avoid (&fleet_find (fleet, str_printf (test_pool, "u%d",
+                                                    cases[i].turned_away + n))
+                         ->load,
+                    now + TIMER_SEC (1), now);
+      size_t count = 0;
       const struct fleet_group *group = request (1).group;
       apr_time_t at = now + TIMER_MS (cases[i].at_ms);
       CU_ASSERT_EQUAL (balance_region_load (group, 0, at).slots,
                        cases[i].slots);
-      CU_ASSERT_EQUAL (balance_is_turned_away (group, at, &first),
+      CU_ASSERT_EQUAL (balance_is_turned_away (group, at, &count, &first),
                        cases[i].first_ms > 0);
       if (cases[i].first_ms > 0)
         CU_ASSERT_EQUAL (first, now + TIMER_MS (cases[i].first_ms));
