--- a/tests/standin/worker.c
+++ b/tests/standin/worker.c
@@ -22,17 +22,36 @@
      fail     runs the request and responds with 500
      crossed  responds with a Request-Id that is not the request's
      short    closes the connection in the middle of the body
-     long     responds after one second  */
+     long     responds after one second
+     leaving  as normal, and states in every response that it leaves
+     away     refuses with 503 and `Retry-After: TEXT'; with &retry_after=TEXT:
+              seconds, a date or anything else; without: no such header
+   With &leaving=yes it states in any of the modes that it leaves.  With
+   &for_ms=N the mode is `normal' again after N milliseconds, and mode `away'
+   without a text states what is left of them.
+
+   GET /_late?ms=N reports requests that arrived although the stand-in had told
+   their caller not to send any: "N after leaving", more than N milliseconds
+   after it first said so, and "N while away", the most that arrived from 500
+   ms after one refusal with Retry-After until the time that it stated.  A
+   caller is told apart by its Request-Id up to the first `-'; entries share
+   the address that their connections come from.  `PUT /_late' forgets both.
+
+   The event file has a line for each of them:
+     said ID WORKER             a response states that the worker leaves
+     refused ID WORKER SERVICE STATUS [SECONDS]   SECONDS: of Retry-After  */
 #include "tests/standin/events.h"
 #include "tests/standin/registration.h"
 #include "tests/standin/standin.h"
 
+#include <curl/curl.h>
 #include <xxhash.h>
 
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/signalfd.h>
+#include <time.h>
 #include <unistd.h>
 
 enum
@@ -40,11 +59,23 @@
   MAX_RUNS = 4096,
   MAX_ID_BYTES = 64,
   MAX_TEXT_BYTES = 512,
+  MAX_NOTICES = 1024,
+  AWAY_GRACE_MS = 500, /* after a refusal, for requests on their way */
   LONG_WORK_MS = 1000, /* in mode `long' */
   TAIL_PERCENT = 3,
   TAIL_FACTOR = 7
 };
 
+/* The worker told a caller that it leaves, or not to return for some time.  */
+struct notice
+{
+  char caller[MAX_ID_BYTES];
+  bool is_leaving;
+  apr_time_t at;
+  apr_time_t until;  /* unless it leaves */
+  size_t late_count; /* requests of the caller since, before `until' */
+};
+
 struct worker_request
 {
   struct MHD_Connection *connection;
@@ -72,8 +103,20 @@
   int64_t running;
   int64_t closed_early; /* callers that closed while their request ran */
   char mode[MAX_ID_BYTES];
+  bool says_leaving;
+  char retry_after[MAX_ID_BYTES];
+  apr_time_t mode_until; /* 0: no end */
+  struct timer mode_timer;
   char runs[MAX_RUNS][MAX_ID_BYTES];
   size_t run_count;
+  struct notice notices[MAX_NOTICES];
+  size_t notice_count;
+  struct
+  {
+    char caller[MAX_ID_BYTES];
+    apr_time_t at;
+  } arrivals[MAX_RUNS]; /* after a notice that it leaves */
+  size_t arrival_count;
 } worker;
 
 static struct MHD_Response *
@@ -92,6 +135,163 @@
   return result;
 }
 
+/* Copies the part of the request id ID that tells callers apart.  */
+static void
+copy_caller (char *out, const char *id)
+{
+  snprintf (out, MAX_ID_BYTES, "%.*s", (int)strcspn (id, "-"), id);
+}
+
+static struct notice *
+add_notice (const char *id, bool is_leaving)
+{
+  if (worker.notice_count == MAX_NOTICES)
+    return NULL;
+  struct notice *notice = &worker.notices[worker.notice_count++];
+  *notice = (struct notice){ .is_leaving = is_leaving, .at = timer_clock () };
+  copy_caller (notice->caller, id);
+  return notice;
+}
+
+/* Returns the notice that the worker leaves which CALLER got first, or NULL.
+ */
+static const struct notice *
+find_leaving_notice (const char *caller)
+{
+  for (size_t i = 0; i < worker.notice_count; i++)
+    if (worker.notices[i].is_leaving
+        && strcmp (worker.notices[i].caller, caller) == 0)
+      return &worker.notices[i];
+  return NULL;
+}
+
+/* Counts an arriving request against what its caller was told.  */
+static void
+count_arrival (const char *id)
+{
+  char caller[MAX_ID_BYTES];
+  apr_time_t now = timer_clock ();
+  copy_caller (caller, id);
+  for (size_t i = 0; i < worker.notice_count; i++)
+    {
+      struct notice *notice = &worker.notices[i];
+      if (!notice->is_leaving && strcmp (notice->caller, caller) == 0
+          && now > notice->at + TIMER_MS (AWAY_GRACE_MS)
+          && now < notice->until)
+        notice->late_count++;
+    }
+  if (worker.arrival_count == MAX_RUNS || !find_leaving_notice (caller))
+    return;
+  strcpy (worker.arrivals[worker.arrival_count].caller, caller);
+  worker.arrivals[worker.arrival_count++].at = now;
+}
+
+/* Returns the seconds that TEXT, a value of Retry-After, stands for; 0 if it
+   is neither a number nor a date in the future.  */
+static double
+parse_retry_after (const char *text)
+{
+  char *end;
+  double seconds = strtod (text, &end);
+  if (end == text || *end)
+    seconds = difftime (curl_getdate (text, NULL), time (NULL));
+  return seconds > 0 ? seconds : 0;
+}
+
+/* Adds the notice that the worker leaves to RESPONSE, if it does.  */
+static void
+add_leaving (struct MHD_Response *response, const char *id)
+{
+  char caller[MAX_ID_BYTES];
+  if (!worker.says_leaving)
+    return;
+  MHD_add_response_header (response, "Server-Leaving", "1");
+  events_write ("said %s %s", id, worker.id);
+  copy_caller (caller, id);
+  if (!find_leaving_notice (caller))
+    add_notice (id, true);
+}
+
+/* Adds Retry-After to the refusal RESPONSE and writes the stated seconds to
+   TEXT, which is empty without them.  */
+static void
+add_retry_after (struct MHD_Response *response, const char *id, char *text,
+                 size_t size)
+{
+  char value[MAX_ID_BYTES];
+  snprintf (value, sizeof value, "%s", worker.retry_after);
+  if (!*value && worker.mode_until)
+    snprintf (value, sizeof value, "%.3f",
+              (double)(worker.mode_until - timer_clock ()) / APR_USEC_PER_SEC);
+  if (!*value)
+    return;
+  MHD_add_response_header (response, "Retry-After", value);
+  double seconds = parse_retry_after (value);
+  snprintf (text, size, " %.3f", seconds);
+  struct notice *notice = seconds > 0 ? add_notice (id, false) : NULL;
+  if (notice)
+    notice->until
+        = notice->at + (apr_time_t)(seconds * (double)APR_USEC_PER_SEC);
+}
+
+/* Reports the requests that arrived although the worker had told their callers
+   not to send any.  */
+static enum MHD_Result
+send_late_report (struct MHD_Connection *connection)
+{
+  char text[128];
+  int64_t ms
+      = strtoll (httpd_query_parameter (connection, "ms").data, NULL, 10);
+  size_t after_leaving = 0;
+  size_t while_away = 0;
+  for (size_t i = 0; i < worker.arrival_count; i++)
+    {
+      const struct notice *notice
+          = find_leaving_notice (worker.arrivals[i].caller);
+      after_leaving += worker.arrivals[i].at > notice->at + TIMER_MS (ms);
+    }
+  for (size_t i = 0; i < worker.notice_count; i++)
+    if (worker.notices[i].late_count > while_away)
+      while_away = worker.notices[i].late_count;
+  snprintf (text, sizeof text, "%zu after leaving, %zu while away\n",
+            after_leaving, while_away);
+  return send_response (connection, 200, make_response (text));
+}
+
+static void
+set_normal_mode (void *user_data, apr_time_t now)
+{
+  (void)user_data;
+  (void)now;
+  strcpy (worker.mode, "normal");
+  worker.says_leaving = false;
+  worker.mode_until = 0;
+}
+
+static enum MHD_Result
+set_mode (struct MHD_Connection *connection)
+{
+  struct str for_ms = httpd_query_parameter (connection, "for_ms");
+  timer_stop (loop_timers (worker.loop), &worker.mode_timer);
+  snprintf (worker.mode, sizeof worker.mode, "%s",
+            httpd_query_parameter (connection, "mode").data);
+  snprintf (worker.retry_after, sizeof worker.retry_after, "%s",
+            httpd_query_parameter (connection, "retry_after").data);
+  worker.says_leaving
+      = strcmp (worker.mode, "leaving") == 0
+        || str_equal (httpd_query_parameter (connection, "leaving"),
+                      STR ("yes"));
+  worker.mode_until = 0;
+  if (for_ms.size > 0)
+    {
+      worker.mode_until
+          = timer_clock () + TIMER_MS (strtoll (for_ms.data, NULL, 10));
+      timer_start (loop_timers (worker.loop), &worker.mode_timer,
+                   worker.mode_until, set_normal_mode, NULL);
+    }
+  return send_response (connection, 200, make_response ("set\n"));
+}
+
 /* Reports what ran, for the tests.  */
 static enum MHD_Result
 send_run_report (struct MHD_Connection *connection)
@@ -133,6 +333,7 @@
       strcmp (request->mode, "crossed") == 0 ? "another" : request->id);
   MHD_add_response_header (response, "Server-Stamp", worker.id);
   MHD_add_response_header (response, "Server-Load", load);
+  add_leaving (response, request->id);
   return send_response (request->connection,
                         strcmp (request->mode, "fail") == 0 ? 500 : 200,
                         response);
@@ -142,11 +343,14 @@
 refuse (struct MHD_Connection *connection, unsigned int status)
 {
   struct MHD_Response *response = make_response ("not run\n");
-  events_write ("refused %s %s %s %u",
-                httpd_header (connection, "Request-Id").data, worker.id,
-                worker.service, status);
-  MHD_add_response_header (response, "Request-Id",
-                           httpd_header (connection, "Request-Id").data);
+  const char *id = httpd_header (connection, "Request-Id").data;
+  char seconds[MAX_ID_BYTES] = "";
+  if (status == 503 && strcmp (worker.mode, "away") == 0)
+    add_retry_after (response, id, seconds, sizeof seconds);
+  events_write ("refused %s %s %s %u%s", id, worker.id, worker.service, status,
+                seconds);
+  MHD_add_response_header (response, "Request-Id", id);
+  add_leaving (response, id);
   if (status == 503)
     MHD_add_response_header (response, "Not-Executed", "1");
   MHD_add_response_header (response, "Instance-Id", worker.id);
@@ -186,10 +390,12 @@
 {
   struct str expected_instance
       = httpd_header (request->connection, "Expect-Instance");
+  count_arrival (httpd_header (request->connection, "Request-Id").data);
   if (expected_instance.size > 0
       && !str_equal (expected_instance, str_from (worker.id)))
     return refuse (request->connection, 421);
-  if (strcmp (worker.mode, "full") == 0 || worker.running >= worker.slots)
+  if (strcmp (worker.mode, "full") == 0 || strcmp (worker.mode, "away") == 0
+      || worker.running >= worker.slots)
     return refuse (request->connection, 503);
   snprintf (request->id, sizeof request->id, "%s",
             httpd_header (request->connection, "Request-Id").data);
@@ -243,12 +449,15 @@
     return MHD_NO;
   if (strcmp (url, "/_runs") == 0)
     return send_run_report (connection);
-  if (strcmp (url, "/_mode") == 0)
+  if (strcmp (url, "/_late") == 0 && strcmp (method, "PUT") == 0)
     {
-      snprintf (worker.mode, sizeof worker.mode, "%s",
-                httpd_query_parameter (connection, "mode").data);
-      return send_response (connection, 200, make_response ("set\n"));
+      worker.notice_count = worker.arrival_count = 0;
+      return send_response (connection, 200, make_response ("forgotten\n"));
     }
+  if (strcmp (url, "/_late") == 0)
+    return send_late_report (connection);
+  if (strcmp (url, "/_mode") == 0)
+    return set_mode (connection);
   return start_work (request, url, method);
 }
 
