--- a/src/balance/load.c
+++ b/src/balance/load.c
@@ -38,6 +38,23 @@
   MAX_DOUBLINGS = 3     /* enough to reach MAX_AVOID_MS */
 };
 
+enum
+{
+  /* Requests within the time that an upstream stated when it refused one.  The
+     platform's rules allow two.  */
+  RESTRICTED_REQUESTS_MAX = 2
+};
+
+enum
+{
+  /* Entries that return at once to an upstream that has turned them away.  */
+  RETURN_SENDERS = 2,
+  /* Between these and the next two: about the time of a short request, so that
+     they find its load in the responses.  */
+  RETURN_STEP_MS = 100,
+  RETURN_SPREAD_MAX_MS = 1000 /* bounds what the last entry loses */
+};
+
 /* private functions */
 
 /* Returns the factor of the exponential decay from SINCE to NOW.  */
@@ -113,6 +130,8 @@
 {
   if (load->in_flight++ == 0)
     load->last_activity_at = now;
+  if (now < load->restricted_until)
+    load->restricted_requests++;
 }
 
 void
@@ -142,6 +161,8 @@
       load->answered_at = now;
       load->connect_failures = 0;
       load->avoid_until = 0;
+      if (now >= load->turned_away_until)
+        load->is_returning = false;
       update_failure_rate (load, 0.0, now);
       update_slowdown (load, elapsed, expected, now);
       break;
@@ -175,6 +196,68 @@
   return true;
 }
 
+void
+load_turn_away (struct load *load, apr_time_t wait, apr_time_t now)
+{
+  if (wait <= 0)
+    return;
+  if (now + wait > load->turned_away_until)
+    load->turned_away_until = now + wait;
+  load->is_returning = true;
+}
+
+void
+load_restrict (struct load *load, apr_time_t wait, apr_time_t now)
+{
+  if (now >= load->restricted_until)
+    load->restricted_requests = 0;
+  if (now + wait > load->restricted_until)
+    load->restricted_until = now + wait;
+}
+
+apr_time_t
+load_returns_at (const struct load *load, apr_time_t now)
+{
+  if (now < load->restricted_until
+      && load->restricted_requests >= RESTRICTED_REQUESTS_MAX)
+    return load->restricted_until > load->turned_away_until
+               ? load->restricted_until
+               : load->turned_away_until;
+  return now < load->turned_away_until ? load->turned_away_until : 0;
+}
+
+bool
+load_is_turned_away (const struct load *load, apr_time_t now)
+{
+  return load_returns_at (load, now) > 0;
+}
+
+bool
+load_is_returning (const struct load *load)
+{
+  return load->is_returning;
+}
+
+apr_time_t
+load_return_delay (size_t rank, size_t entries)
+{
+  size_t groups = (entries + RETURN_SENDERS - 1) / RETURN_SENDERS;
+  size_t group = rank / RETURN_SENDERS;
+  double step_ms = groups * RETURN_STEP_MS > RETURN_SPREAD_MAX_MS
+                       ? (double)RETURN_SPREAD_MAX_MS / (double)groups
+                       : RETURN_STEP_MS;
+  return (apr_time_t)((double)group * step_ms * (APR_USEC_PER_SEC / 1000));
+}
+
+void
+load_inherit_wait (struct load *load, const struct load *old)
+{
+  load->turned_away_until = old->turned_away_until;
+  load->is_returning = old->is_returning;
+  load->restricted_until = old->restricted_until;
+  load->restricted_requests = old->restricted_requests;
+}
+
 double
 load_report_weight (const struct load *load, apr_time_t now)
 {
