An operation behind a pending one is reported after 3 s

Operations run one at a time, and the 3 s after which an operator gets an answer were checked only at an operation's own retries. Behind one whose write had an unknown result and whose store was down, others got no answer for up to 10 minutes, longer than clients wait; then they were made, though the operator had given up on them.

An operation that still waits after 3 s ends as unavailable: none of its writes was sent. If the one in front has the same id, it is reported as pending, as that one may still be made. Unit test config/an operation behind a pending one is reported in time, failed before.

--- a/src/config/config_manager.c
+++ b/src/config/config_manager.c
@@ -27,6 +27,7 @@
   change_done_fn *done;
   void *user_data;
   struct document *proposed_document; /* written by the request in progress */
+  struct timer report_timer;  /* runs while it waits behind another one */
   apr_time_t report_deadline; /* the first retry after it calls `done' */
   apr_time_t retry_deadline;  /* the first retry after it ends the operation */
   bool is_uncertain;          /* a write was sent and may still take effect */
@@ -272,6 +273,16 @@
     done (op->user_data, result);
 }
 
+static void
+operation_destroy (struct operation *op)
+{
+  timer_stop (timers (op->config_manager), &op->report_timer);
+  document_destroy (op->proposed_document);
+  for (size_t i = 0; i < op->count; i++)
+    json_object_put (op->changes[i].spec);
+  apr_pool_destroy (op->pool);
+}
+
 /* Ends the operation in progress and starts the next.  */
 static void
 finish_operation (struct config_manager *config_manager,
@@ -282,15 +293,36 @@
   config_manager->is_busy = false;
   record_outcome (config_manager, op, result->state, result->version);
   report_result (op, result);
-  document_destroy (op->proposed_document);
-  for (size_t i = 0; i < op->count; i++)
-    json_object_put (op->changes[i].spec);
-  apr_pool_destroy (op->pool);
+  operation_destroy (op);
   timer_stop (timers (config_manager), &config_manager->retry_timer);
   if (config_manager->operations)
     start_operation (config_manager);
 }
 
+/* Ends an operation that still waits behind another one: none of its writes
+   was sent.  If that other one has the same id, the change may still be
+   made.  */
+static void
+on_report_due (void *user_data, apr_time_t now)
+{
+  (void)now;
+  struct operation *op = user_data;
+  struct config_manager *config_manager = op->config_manager;
+  struct operation **at = &config_manager->operations;
+  bool is_repeated = false;
+  if (*at == op)
+    return;
+  for (; *at != op; at = &(*at)->next)
+    is_repeated |= str_equal ((*at)->id, op->id);
+  *at = op->next;
+  if (!is_repeated)
+    record_outcome (config_manager, op, CHANGE_UNAVAILABLE, 0);
+  report_result (
+      op, &(struct change_result){
+              .state = is_repeated ? CHANGE_PENDING : CHANGE_UNAVAILABLE });
+  operation_destroy (op);
+}
+
 static void
 on_retry_due (void *user_data, apr_time_t now)
 {
@@ -466,10 +498,7 @@
     {
       struct operation *op = config_manager->operations;
       config_manager->operations = op->next;
-      document_destroy (op->proposed_document);
-      for (size_t i = 0; i < op->count; i++)
-        json_object_put (op->changes[i].spec);
-      apr_pool_destroy (op->pool);
+      operation_destroy (op);
     }
   document_destroy (config_manager->document);
 }
@@ -544,6 +573,8 @@
   while (*last)
     last = &(*last)->next;
   *last = op;
+  timer_start (timers (config_manager), &op->report_timer, op->report_deadline,
+               on_report_due, op);
   start_operation (config_manager);
 }
 
--- a/src/config/config_manager.h
+++ b/src/config/config_manager.h
@@ -96,8 +96,9 @@
    retry after 3 s, with CHANGE_UNAVAILABLE (no write can take effect, the
    operation ends) or CHANGE_PENDING (a write that was sent may still take
    effect).  A pending operation is retried for up to 10 minutes, then its
-   state stays CHANGE_PENDING.  Both times count from the submission, but an
-   operation that waits behind another one is not reported before its turn.  */
+   state stays CHANGE_PENDING.  Both times count from the submission.  An
+   operation that still waits behind another one after 3 s ends with
+   CHANGE_UNAVAILABLE, or CHANGE_PENDING if that one has the same id.  */
 void config_manager_submit_change (struct config_manager *config_manager,
                                    struct str id, const struct change *changes,
                                    size_t count, change_done_fn *done,
--- a/tests/unit/config_test.c
+++ b/tests/unit/config_test.c
@@ -2,6 +2,7 @@
    its response is lost, or the store is unavailable.  Guards against a change
    that is lost, made twice or reported wrongly, and a configuration that goes
    back to an older version.  */
+#include "base/timer.h"
 #include "config/config_manager.h"
 #include "tests/unit/unit.h"
 
@@ -251,6 +252,81 @@
   tear_down_manager ();
 }
 
+struct waiting_result
+{
+  enum change_state state;
+  apr_time_t at;
+};
+
+static void
+on_waiting_result (void *user_data, const struct change_result *r)
+{
+  struct waiting_result *waiting = user_data;
+  CU_ASSERT_EQUAL (waiting->state, CHANGE_UNKNOWN);
+  *waiting = (struct waiting_result){ r->state, timer_clock () };
+}
+
+static void
+on_wait_ended (void *user_data, apr_time_t at)
+{
+  (void)user_data;
+  (void)at;
+  loop_stop (loop);
+}
+
+/* An operation that waits behind a pending one is reported after 3 s too.  As
+   none of its writes was sent, it ends, and is not made later; but one of the
+   same id as the pending one is pending.  */
+static void
+test_waiting (void)
+{
+  static const struct
+  {
+    const char *id;
+    const char *name;
+    enum change_state state;
+    enum change_state later; /* once the store is available again */
+  } cases[] = { { "op", "a", CHANGE_PENDING, CHANGE_ACCEPTED },
+                { "behind", "b", CHANGE_UNAVAILABLE, CHANGE_UNAVAILABLE },
+                { "op", "a", CHANGE_PENDING, CHANGE_ACCEPTED },
+                { "last", "c", CHANGE_UNAVAILABLE, CHANGE_UNAVAILABLE } };
+  struct waiting_result results[COUNT (cases)] = { 0 };
+  struct timer timer = { 0 };
+  set_up_manager ();
+  fake.next_write = FAULT_LOST_RESPONSE;
+  for (size_t i = 0; i < COUNT (cases); i++)
+    {
+      json_object *spec = json_object_new_object ();
+      struct change one
+          = { KIND_REGION, str_from (cases[i].name), false, 0, spec };
+      config_manager_submit_change (config_manager, str_from (cases[i].id),
+                                    &one, 1, on_waiting_result, &results[i]);
+      json_object_put (spec);
+      fake.reads = FAULT_UNAVAILABLE;
+    }
+  apr_time_t submitted_at = timer_clock ();
+  timer_start (loop_timers (loop), &timer, submitted_at + TIMER_MS (3500),
+               on_wait_ended, NULL);
+  loop_run (loop);
+  for (size_t i = 0; i < COUNT (cases); i++)
+    {
+      CU_ASSERT_EQUAL (results[i].state, cases[i].state);
+      CU_ASSERT (results[i].at < submitted_at + TIMER_MS (3500));
+    }
+  fake.reads = FAULT_NONE;
+  submit_region ("later", "d", 0);
+  CU_ASSERT_EQUAL (result.state, CHANGE_ACCEPTED);
+  CU_ASSERT_EQUAL (result.version, 2);
+  for (size_t i = 0; i < COUNT (cases); i++)
+    {
+      int64_t version;
+      CU_ASSERT_EQUAL (config_manager_operation_state (
+                           config_manager, str_from (cases[i].id), &version),
+                       cases[i].later);
+    }
+  tear_down_manager ();
+}
+
 /* A document of a lower version, as a peer that is behind may offer it, or one
    that is malformed never replaces the one in force.  */
 static void
@@ -277,14 +353,15 @@
   tear_down_manager ();
 }
 
-const struct unit_test config_tests[]
-    = { { "a change is made once, whatever happens to its write",
-          test_writes },
-        { "an operation that is submitted again is not made again",
-          test_idempotent },
-        { "a change is refused while the store is unavailable",
-          test_store_unavailable },
-        { "an operation whose write has an unknown result is pending",
-          test_pending },
-        { "the version in force never falls", test_versions_rise },
-        { NULL, NULL } };
+const struct unit_test config_tests[] = {
+  { "a change is made once, whatever happens to its write", test_writes },
+  { "an operation that is submitted again is not made again",
+    test_idempotent },
+  { "a change is refused while the store is unavailable",
+    test_store_unavailable },
+  { "an operation whose write has an unknown result is pending",
+    test_pending },
+  { "an operation behind a pending one is reported in time", test_waiting },
+  { "the version in force never falls", test_versions_rise },
+  { NULL, NULL }
+};
