What the store holds and an entry can't use is named with value and expectation

The log line for an entry's key that can't be read named only the entry, those for upstreams stated several conditions without the value, an evacuation of a zone that the settings lack was followed without a word, and the counter did not count keys of entries.

Errors name member, value and what was expected; the counter citroncleat_unreadable_items_total has the label kind (configuration, upstream, entry, evacuation). An evacuation holds whatever its value, as before.

Unit test platform/a malformed upstream record failed before.

--- a/src/gateway/registry.c
+++ b/src/gateway/registry.c
@@ -44,6 +44,7 @@
   RETRY_MS = 300,         /* well within the shortest lease */
   RENEWALS_PER_LEASE = 2, /* half of a lease is left for retries */
   EXPIRY_GRACE_MS = 2500, /* entries write an expired key again within it */
+  VALUE_MAX_BYTES = 60,   /* of a value in the log */
   HOLD_MS = 6000,         /* longer than a lease, a renewal and a read */
   KEY_MAX_BYTES = 128,
   INITIAL_CAPACITY = 16,
@@ -270,27 +271,68 @@
                                &host, &port);
 }
 
+/* Returns which member of OBJECT, the key of an entry, is not what was
+   EXPECTED, or NULL.  */
+static const char *
+find_faulty_member (json_object *object, const char **expected)
+{
+  json_object *value = NULL;
+  *expected = "IP:PORT";
+  if (!json_object_object_get_ex (object, "callers", &value)
+      || !is_address (value))
+    return "callers";
+  if (json_object_object_get_ex (object, "peers", &value)
+      && !is_address (value))
+    return "peers";
+  *expected = "a name";
+  if (!json_object_object_get_ex (object, "zone", &value)
+      || !json_object_is_type (value, json_type_string))
+    return "zone";
+  *expected = "true or false";
+  if (!json_object_object_get_ex (object, "leaving", &value)
+      || !json_object_is_type (value, json_type_boolean))
+    return "leaving";
+  return NULL;
+}
+
+/* Returns whether OBJECT, the key of the entry NAME, is valid; logs what is
+   not.  */
+static bool
+check_entry (json_object *object, struct str name)
+{
+  char detail[ERR_DETAIL_MAX];
+  const char *expected;
+  json_object *value;
+  const char *member = NULL;
+  if (!json_object_is_type (object, json_type_object))
+    snprintf (detail, sizeof detail, "not a JSON object");
+  else if ((member = find_faulty_member (object, &expected)))
+    snprintf (detail, sizeof detail, "%s is %.*s, %s expected", member,
+              VALUE_MAX_BYTES,
+              json_object_object_get_ex (object, member, &value)
+                  ? json_object_to_json_string (value)
+                  : "missing",
+              expected);
+  else
+    return true;
+  LOG (LOG_WARN, "entry-unreadable", LOG_TEXT ("name", name.data),
+       LOG_TEXT ("detail", detail));
+  return false;
+}
+
 /* Returns a new record of the entry NAME from TEXT, or NULL if that is not
    valid.  Other writers can write such keys, and callers are sent to the
    address.  */
 static struct registry_entry *
 parse_entry (struct registry *registry, struct str name, struct str text)
 {
-  json_object *callers;
-  json_object *zone;
-  json_object *leaving;
+  json_object *value;
   json_object *peers;
   json_object *capacity;
   json_object *started;
   json_object *writes;
   json_object *object = text.size > 0 ? json_tokener_parse (text.data) : NULL;
-  if (!object || !json_object_object_get_ex (object, "callers", &callers)
-      || !json_object_object_get_ex (object, "zone", &zone)
-      || !json_object_object_get_ex (object, "leaving", &leaving)
-      || !is_address (callers) || !json_object_is_type (zone, json_type_string)
-      || !json_object_is_type (leaving, json_type_boolean)
-      || (json_object_object_get_ex (object, "peers", &peers)
-          && !is_address (peers)))
+  if (!check_entry (object, name))
     {
       json_object_put (object);
       return NULL;
@@ -300,12 +342,15 @@
   struct registry_entry *entry = apr_pcalloc (pool, sizeof *entry);
   entry->pool = pool;
   entry->name = str_dup (pool, name);
+  json_object_object_get_ex (object, "callers", &value);
   entry->caller_address
-      = str_dup (pool, str_from (json_object_get_string (callers)));
-  entry->zone = str_dup (pool, str_from (json_object_get_string (zone)));
+      = str_dup (pool, str_from (json_object_get_string (value)));
+  json_object_object_get_ex (object, "zone", &value);
+  entry->zone = str_dup (pool, str_from (json_object_get_string (value)));
   entry->region
       = gateway_settings_region (registry->desc.settings, entry->zone);
-  entry->leaving = json_object_get_boolean (leaving);
+  json_object_object_get_ex (object, "leaving", &value);
+  entry->leaving = json_object_get_boolean (value);
   if (json_object_object_get_ex (object, "capacity", &capacity))
     entry->capacity = json_object_get_double (capacity);
   if (json_object_object_get_ex (object, "peers", &peers))
@@ -493,23 +538,20 @@
   return true;
 }
 
-void
+bool
 registry_put (struct registry *registry, struct str name, struct str text)
 {
   struct registry_entry *old
       = apr_hash_get (registry->entries, name.data, (apr_ssize_t)name.size);
   struct registry_entry *entry = parse_entry (registry, name, text);
   if (!entry)
-    {
-      LOG (LOG_WARN, "entry-unreadable", LOG_TEXT ("name", name.data));
-      return;
-    }
+    return false;
   if (registry->is_restoring && !accept_restored (registry, old, entry))
     {
       registry->expired_count -= old->expired_at > 0;
       old->expired_at = 0;
       apr_pool_destroy (entry->pool);
-      return;
+      return true;
     }
   departed_forget (registry->departed, name);
   bool is_changed = !old || old->leaving != entry->leaving;
@@ -520,6 +562,7 @@
   if (old)
     drop_entry (registry, old);
   add_entry (registry, entry);
+  return true;
 }
 
 void
--- a/src/gateway/registry.h
+++ b/src/gateway/registry.h
@@ -93,8 +93,9 @@
 /* Announces in the key that this entry takes no new callers.  */
 void registry_announce_leaving (struct registry *registry);
 /* Records the entry NAME from TEXT, the JSON of its key.  Called for every key
-   of an entry in a listing, and for every change of one.  */
-void registry_put (struct registry *registry, struct str name,
+   of an entry in a listing, and for every change of one.  Returns false if it
+   can't be read, which is logged.  */
+bool registry_put (struct registry *registry, struct str name,
                    struct str text);
 /* Handles the removal of the key of NAME.  MAY_BE_EXPIRED: perhaps only its
    lease ran out, so the record is kept for the grace period.  */
--- a/src/gateway/store_sync.c
+++ b/src/gateway/store_sync.c
@@ -9,6 +9,7 @@
 enum
 {
   EXPIRY_CHECK_MS = 250,   /* an eighth of the shortest grace period */
+  VALUE_MAX_BYTES = 60,    /* of a value in the log */
   PROBLEMS_LOGGED_MAX = 20 /* of one configuration */
 };
 
@@ -48,7 +49,7 @@
   struct err err = { 0 };
   if (decode_plan (text, &plan, &err) != ERR_NONE)
     {
-      counter_add (store_sync->unreadable_items, 1);
+      counter_add (store_sync->unreadable_plans, 1);
       LOG_ERR (LOG_ERROR, "configuration-refused", &err);
       return;
     }
@@ -101,9 +102,13 @@
     {
       /* The record is unusable, so an upstream that was known under the id no
          longer exists.  */
-      counter_add (store_sync->unreadable_items, 1);
+      counter_add (store_sync->unreadable_upstreams, 1);
+      if (err.code == ERR_NONE)
+        err_set (&err, ERR_INVALID, "read upstream", record.id.data,
+                 "zone is \"%.*s\", one of the settings expected",
+                 STR_ARGS (record.zone));
       LOG (LOG_WARN, "upstream-unreadable", LOG_TEXT ("id", record.id.data),
-           LOG_TEXT ("detail", err.code ? err.detail : "unknown zone"));
+           LOG_TEXT ("detail", err.detail));
       fleet_remove_upstream (store_sync->desc.fleet, id, false, now);
     }
   apr_pool_destroy (pool);
@@ -119,11 +124,21 @@
 apply_evacuation (struct store_sync *store_sync, struct str zone,
                   const struct store_item *item, apr_time_t now)
 {
+  char value[VALUE_MAX_BYTES + 1];
+  snprintf (value, sizeof value, "%.*s", STR_ARGS (item->value));
   LOG (LOG_INFO,
        !item->is_removed      ? "zone-evacuated"
        : item->may_be_expired ? "zone-evacuation-lost"
                               : "zone-evacuation-ended",
-       LOG_TEXT ("zone", zone.data));
+       LOG_TEXT ("zone", zone.data), LOG_TEXT ("value", value));
+  /* Whatever its value, the key stands for an evacuation.  */
+  if (!item->is_removed
+      && gateway_settings_region (store_sync->desc.settings, zone).size == 0)
+    {
+      counter_add (store_sync->unreadable_evacuations, 1);
+      LOG (LOG_WARN, "evacuation-unreadable", LOG_TEXT ("zone", zone.data),
+           LOG_TEXT ("detail", "the zone is none of the settings"));
+    }
   fleet_set_zone_evacuated (store_sync->desc.fleet, zone, !item->is_removed,
                             revision_of (store_sync, item->index),
                             max_cold_time (store_sync), now);
@@ -156,8 +171,9 @@
       = str_view (item->key.data + prefix.size, item->key.size - prefix.size);
   if (item->is_removed)
     registry_remove (store_sync->desc.registry, name, may_be_expired, now);
-  else if (change == MIRROR_CHANGED)
-    registry_put (store_sync->desc.registry, name, item->value);
+  else if (change == MIRROR_CHANGED
+           && !registry_put (store_sync->desc.registry, name, item->value))
+    counter_add (store_sync->unreadable_entries, 1);
 }
 
 /* Applies the items of RESPONSE, but for those of which a later write is
@@ -284,6 +300,15 @@
       = { "source=\"reader\"", "source=\"second-reader\"", "source=\"store\"",
           "source=\"peer\"" };
   struct store_sync *store_sync = apr_pcalloc (pool, sizeof *store_sync);
+  const struct
+  {
+    struct counter **counter;
+    const char *labels;
+  } unreadable[]
+      = { { &store_sync->unreadable_plans, "kind=\"configuration\"" },
+          { &store_sync->unreadable_upstreams, "kind=\"upstream\"" },
+          { &store_sync->unreadable_entries, "kind=\"entry\"" },
+          { &store_sync->unreadable_evacuations, "kind=\"evacuation\"" } };
   store_sync->desc = *desc;
   store_sync->version_gauge
       = gauge_get (desc->counters, "citroncleat_configuration_version", "",
@@ -291,9 +316,10 @@
   store_sync->problem_gauge
       = gauge_get (desc->counters, "citroncleat_configuration_problems", "",
                    "What can't be used in the configuration in force.");
-  store_sync->unreadable_items
-      = counter_get (desc->counters, "citroncleat_unreadable_items_total", "",
-                     "Items of the store that could not be used.");
+  for (size_t i = 0; i < sizeof unreadable / sizeof *unreadable; i++)
+    *unreadable[i].counter = counter_get (
+        desc->counters, "citroncleat_unreadable_items_total",
+        unreadable[i].labels, "Items of the store that could not be used.");
   store_sync->outdated_answers = counter_get (
       desc->counters, "citroncleat_sync_outdated_answers_total", "",
       "Usable responses that were older than what is known, and not used.");
--- a/src/gateway/store_sync_internal.h
+++ b/src/gateway/store_sync_internal.h
@@ -56,7 +56,11 @@
   struct outage outage; /* of the store, as this entry sees it */
   struct counter *version_gauge;
   struct counter *problem_gauge;
-  struct counter *unreadable_items;
+  /* Items that could not be used.  */
+  struct counter *unreadable_plans;
+  struct counter *unreadable_upstreams;
+  struct counter *unreadable_entries;
+  struct counter *unreadable_evacuations;
   struct counter *answers[SOURCE_COUNT];
   struct counter *outdated_answers;
   struct counter *epoch_gauge;
--- a/tests/unit/platform_test.c
+++ b/tests/unit/platform_test.c
@@ -158,38 +158,50 @@
 }
 
 /* A record that is malformed, or has a wrong type, state or address, is
-   refused; with a default in its place, requests would go to a wrong address.
- */
+   refused, and the error names the value and what was expected; with a default
+   in its place, requests would go to a wrong address.  */
 static void
 test_upstreams (void)
 {
   static const struct
   {
     const char *text;
-    bool is_valid;
+    const char *detail; /* NULL: the record is valid */
   } cases[] = {
     { "{\"service\":\"d\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
       "\"slots\":9,\"state\":\"ready\",\"cold_remaining_ms\":20,"
       "\"sequence\":4,\"born\":17}",
-      true },
+      NULL },
     { "{\"service\":\"d\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
       "\"slots\":9,\"state\":\"draining\"}",
-      true },
+      NULL },
     { "{\"service\":\"d\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
       "\"slots\":9,\"state\":\"asleep\"}",
-      false },
+      "state is \"asleep\", 'ready' or 'draining' expected" },
+    { "{\"service\":\"d\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+      "\"slots\":9}",
+      "state is missing, 'ready' or 'draining' expected" },
     { "{\"service\":\"d\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
       "\"slots\":\"9\",\"state\":\"ready\"}",
-      false },
+      "slots is \"9\", a number from 1 to 1000000 expected" },
+    { "{\"service\":\"d\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+      "\"slots\":0,\"state\":\"ready\"}",
+      "slots is 0, a number from 1 to 1000000 expected" },
+    { "{\"service\":\"d\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+      "\"slots\":9,\"state\":\"ready\",\"cold_remaining_ms\":-1}",
+      "cold_remaining_ms is -1, a number from 0 expected" },
     { "{\"service\":7,\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
       "\"slots\":9,\"state\":\"ready\"}",
-      false },
+      "service is 7, a name expected" },
+    { "{\"service\":\"d\",\"address\":\"10.0.0.1:80\",\"zone\":\"\","
+      "\"slots\":9,\"state\":\"ready\"}",
+      "zone is \"\", a name expected" },
     { "{\"service\":\"d\",\"address\":\"nowhere\",\"zone\":\"z\","
       "\"slots\":9,\"state\":\"ready\"}",
-      false },
-    { "\xff\xfe", false },
-    { "", false },
-    { "{\"service\":\"d\"", false },
+      "address is \"nowhere\", IP:PORT expected" },
+    { "\xff\xfe", "not a JSON object" },
+    { "", "not a JSON object" },
+    { "{\"service\":\"d\"", "not a JSON object" },
   };
   for (size_t i = 0; i < COUNT (cases); i++)
     {
@@ -197,7 +209,10 @@
       struct err err = { 0 };
       enum err_code code = decode_upstream (
           STR ("i-1"), str_from (cases[i].text), test_pool, &record, &err);
-      CU_ASSERT_EQUAL (code == ERR_NONE, cases[i].is_valid);
+      CU_ASSERT_EQUAL (code == ERR_NONE, cases[i].detail == NULL);
+      if (cases[i].detail)
+        CU_ASSERT (str_starts_with (str_from (err.detail),
+                                    str_from (cases[i].detail)));
       if (i == 0)
         CU_ASSERT (record.cold_remaining == 20000 && record.incarnation == 17
                    && record.slots == 9);
