An entry that was paused reads what changed before it sends

An entry that was stopped for some seconds first served the requests that had arrived meanwhile, with the list of upstreams from before the pause: after 3 s and 6 s it sent to an upstream that had drained in between and may be gone.

The event loop reports when it did not run for half a second. The sources are then asked at once, and requests wait for the response to a call made since the pause; what was answered during the pause does not count. Requests wait 1.5 s at most and are then refused as not run. If no source responds, what is known is used, as in an outage. No late retry starts meanwhile.

Unit test 'after a pause what is known is read again'.

--- a/src/base/loop.c
+++ b/src/base/loop.c
@@ -42,6 +42,9 @@
   size_t watch_capacity;
   loop_task_fn *iteration_callback;
   void *iteration_user_data;
+  loop_paused_fn *paused; /* NULL: pauses are not watched */
+  void *paused_user_data;
+  apr_time_t pause_limit;
   apr_time_t now;
   bool running;
 };
@@ -230,6 +233,15 @@
   loop->iteration_user_data = user_data;
 }
 
+void
+loop_watch_pauses (struct loop *loop, apr_time_t limit, loop_paused_fn *paused,
+                   void *user_data)
+{
+  loop->pause_limit = limit;
+  loop->paused = paused;
+  loop->paused_user_data = user_data;
+}
+
 void
 loop_post (struct loop *loop, loop_task_fn *run, void *user_data)
 {
@@ -248,12 +260,17 @@
 loop_run (struct loop *loop)
 {
   loop->running = true;
+  loop->now = timer_clock ();
   while (loop->running)
     {
       const apr_pollfd_t *ready = NULL;
       apr_int32_t count = 0;
-      apr_pollset_poll (loop->pollset, poll_timeout (loop), &count, &ready);
+      apr_time_t timeout = poll_timeout (loop);
+      apr_time_t due = loop->now + timeout;
+      apr_pollset_poll (loop->pollset, timeout, &count, &ready);
       loop->now = timer_clock ();
+      if (loop->paused && loop->now - due >= loop->pause_limit)
+        loop->paused (loop->paused_user_data, loop->now);
       for (apr_int32_t i = 0; i < count; i++)
         dispatch_event (loop, &ready[i]);
       run_tasks (loop);
--- a/src/base/loop.h
+++ b/src/base/loop.h
@@ -57,6 +57,12 @@
 /* Sets the iteration callback; a loop has one, and NULL removes it.  */
 void loop_set_iteration_callback (struct loop *loop, loop_task_fn *task,
                                   void *user_data);
+/* Calls PAUSED at the beginning of each iteration before which the process did
+   not run, or ran one handler, for LIMIT or longer, before anything else of
+   the iteration.  A loop has one such callback.  */
+typedef void loop_paused_fn (void *user_data, apr_time_t now);
+void loop_watch_pauses (struct loop *loop, apr_time_t limit,
+                        loop_paused_fn *paused, void *user_data);
 /* Runs TASK once on the loop's thread, after tasks that were posted earlier.
    May be called from any thread.  */
 void loop_post (struct loop *loop, loop_task_fn *task, void *user_data);
--- a/src/gateway/attempts.c
+++ b/src/gateway/attempts.c
@@ -423,6 +423,7 @@
   /* A stop breaks off no work that an upstream may still finish.  */
   if (!attempt || attempt->done || attempt->has_head
       || !request->load_is_counted || request->gateway->leaving
+      || store_sync_is_catching_up (request->gateway->store_sync)
       || request->run_count + 1 >= request->route->max_attempts
       || request->send_count >= max_sends (request)
       || request->tried_count >= BALANCE_EXCLUDED_MAX
--- a/src/gateway/dispatch.c
+++ b/src/gateway/dispatch.c
@@ -12,7 +12,10 @@
 {
   HTTP_BAD_GATEWAY = 502,
   HTTP_UNAVAILABLE = 503,
-  HTTP_TIMEOUT = 504
+  HTTP_TIMEOUT = 504,
+  /* For which a request waits after a pause for what has changed; a little
+     longer than it takes to find that no source responds.  */
+  CATCH_UP_MS = 1500
 };
 
 /* Estimated service times of a route before any response was seen, as
@@ -181,7 +184,11 @@
 {
   (void)now;
   struct request *request = user_data;
-  if (!dispatch_try_send (request))
+  if (request->awaits_changes)
+    refuse_with_retry_after (request,
+                             "the entry was paused and is catching up",
+                             TIMER_MS (GATEWAY_RETRY_AFTER_SLOT_MS));
+  else if (!dispatch_try_send (request))
     refuse_with_retry_after (request, "no slot became free in time",
                              TIMER_MS (GATEWAY_RETRY_AFTER_SLOT_MS));
 }
@@ -287,6 +294,15 @@
 dispatch_admit (struct request *request)
 {
   struct gateway *gateway = request->gateway;
+  request->awaits_changes = store_sync_is_catching_up (gateway->store_sync);
+  if (request->awaits_changes)
+    {
+      wait_queue_add (request);
+      timer_start (loop_timers (gateway->loop), &request->queue_timer,
+                   timer_clock () + TIMER_MS (CATCH_UP_MS), on_queue_timeout,
+                   request);
+      return;
+    }
   if (!request->admitted)
     {
       budget_deposit (&request->service->retry_budget);
@@ -326,6 +342,8 @@
 bool
 dispatch_try_send (struct request *request)
 {
+  if (store_sync_is_catching_up (request->gateway->store_sync))
+    return false;
   struct balance_choice choice = dispatch_choose_upstream (request);
   if (!choice.upstream)
     return false;
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -29,7 +29,10 @@
      use.  */
   REQUEST_HEADER_BYTES = 24 * 1024,
   HEADER_TIMEOUT_S = 30, /* at least the idle time that operators allow */
-  LOG_BURST_S = 1        /* the rate limiter of log lines saves up this long */
+  /* Several times as long as an iteration of a busy loop takes, and less than
+     upstreams take to drain.  */
+  PAUSE_MS = 500,
+  LOG_BURST_S = 1 /* the rate limiter of log lines saves up this long */
 };
 
 /* Round-trip time to another region before the first connection there.  */
@@ -187,6 +190,25 @@
   wait_queue_dispatch (gateway);
 }
 
+static void
+on_caught_up (void *user_data)
+{
+  wait_queue_admit_held (user_data);
+  wait_queue_dispatch (user_data);
+}
+
+/* The process did not run for a while, in which upstreams may have left whose
+   time to drain is over by now.  */
+static void
+on_paused (void *user_data, apr_time_t now)
+{
+  struct gateway *gateway = user_data;
+  LOG (LOG_WARN, "paused",
+       LOG_INT ("known_age_ms",
+                store_sync_age (gateway->store_sync, now) / 1000));
+  store_sync_catch_up (gateway->store_sync, now);
+}
+
 /* Returns the interface to the copy of the store at the entry with ADDRESS,
    which it creates at first; NULL if ADDRESS is empty.  There is one for each
    entry, never freed, since calls may be in progress.  */
@@ -429,8 +451,10 @@
                                         .next_peer_store = next_peer_store,
                                         .reader_store = reader_store,
                                         .on_changed = on_store_changed,
+                                        .on_caught_up = on_caught_up,
                                         .user_data = gateway };
   gateway->store_sync = store_sync_create (gateway->pool, &store_sync);
+  loop_watch_pauses (gateway->loop, TIMER_MS (PAUSE_MS), on_paused, gateway);
   struct reachability_desc reachability = { .loop = gateway->loop,
                                             .client = gateway->client,
                                             .counters = gateway->counters,
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -172,6 +172,7 @@
   bool head_received;
   bool admitted; /* the first admission decision was made */
   bool is_queued;
+  bool awaits_changes; /* queued until the entry has caught up after a pause */
   bool suspended;      /* libmicrohttpd does not call the handler */
   bool response_ready; /* an upstream's, or a refusal */
   bool answered;       /* the response was given to libmicrohttpd */
@@ -303,6 +304,9 @@
    were freed, after the store's state changed, and at each tick.  */
 void wait_queue_dispatch (struct gateway *gateway);
 
+/* Admits the requests that awaited the changes of a pause.  */
+void wait_queue_admit_held (struct gateway *gateway);
+
 /* lookup.c: entries for callers, readiness, metrics, and the copy of the store
    for other entries.  */
 
--- a/src/gateway/store_sync.c
+++ b/src/gateway/store_sync.c
@@ -349,6 +349,22 @@
   return now - store_sync->current_as_of;
 }
 
+void
+store_sync_catch_up (struct store_sync *store_sync, apr_time_t now)
+{
+  /* Before the first read nothing is served.  */
+  if (store_sync->current_as_of == 0)
+    return;
+  store_sync->paused_until = now;
+  store_sync_hurry_round (store_sync, now);
+}
+
+bool
+store_sync_is_catching_up (const struct store_sync *store_sync)
+{
+  return store_sync->paused_until > 0;
+}
+
 bool
 store_sync_is_listing (const struct store_sync *store_sync)
 {
--- a/src/gateway/store_sync.h
+++ b/src/gateway/store_sync.h
@@ -63,6 +63,8 @@
   struct store *(*reader_store) (void *user_data, size_t number);
   /* Called after changes were applied.  */
   void (*on_changed) (void *user_data);
+  /* Called when store_sync_is_catching_up has become false.  */
+  void (*on_caught_up) (void *user_data);
   void *user_data;
 };
 
@@ -76,6 +78,12 @@
 void store_sync_destroy (struct store_sync *store_sync);
 /* Begins to read, and never stops until store_sync_destroy.  */
 void store_sync_start (struct store_sync *store_sync);
+/* The process was paused until NOW: what is known may be older than any bound,
+   so it is read again at once.  */
+void store_sync_catch_up (struct store_sync *store_sync, apr_time_t now);
+/* Returns whether the process was paused, and no source has said since what
+   has changed; false once all sources failed, as in an outage.  */
+bool store_sync_is_catching_up (const struct store_sync *store_sync);
 /* Returns the plan in force, or NULL if none is known yet.  Reference it with
    plan_ref to keep it.  */
 struct plan *store_sync_plan (const struct store_sync *store_sync);
--- a/src/gateway/store_sync_internal.h
+++ b/src/gateway/store_sync_internal.h
@@ -48,9 +48,11 @@
   apr_time_t current_as_of; /* latest time at which the store is known to have
                                held what is known here; 0: never yet */
   struct sync_query queries[SOURCE_COUNT];
-  int preferred_reader; /* the one that is asked first */
-  int round_position;   /* of the source that is waited for */
-  bool is_listing;      /* a listing is being applied */
+  apr_time_t paused_until; /* the catch-up goes on; 0: it doesn't */
+  bool is_round_over;      /* the next one is scheduled */
+  int preferred_reader;    /* the one that is asked first */
+  int round_position;      /* of the source that is waited for */
+  bool is_listing;         /* a listing is being applied */
   /* The history after a stale listing was gone, so the next one has to be of
      its moment.  */
   bool needs_fresh_listing;
@@ -79,6 +81,8 @@
 
 /* Begins a round now; each round schedules the next one.  */
 void store_sync_begin_round (struct store_sync *store_sync, apr_time_t now);
+/* Begins a round now unless one is in progress.  */
+void store_sync_hurry_round (struct store_sync *store_sync, apr_time_t now);
 /* Returns the age up to which the copy of another entry is used.  */
 apr_time_t store_sync_max_copy_age (const struct store_sync *store_sync);
 
--- a/src/gateway/store_sync_sources.c
+++ b/src/gateway/store_sync_sources.c
@@ -84,11 +84,20 @@
 schedule_round (struct store_sync *store_sync, apr_time_t wait)
 {
   struct timer_service *timers = loop_timers (store_sync->desc.loop);
+  store_sync->is_round_over = true;
   timer_stop (timers, &store_sync->wait_timer);
   timer_start (timers, &store_sync->round_timer, timer_clock () + wait,
                on_round_due, store_sync);
 }
 
+/* What is known is current again, or no source can say.  */
+static void
+end_catch_up (struct store_sync *store_sync)
+{
+  store_sync->paused_until = 0;
+  store_sync->desc.on_caught_up (store_sync->desc.user_data);
+}
+
 /* Returns for how long the store is not asked after a failure.  */
 static apr_time_t
 store_hold (const struct store_sync *store_sync)
@@ -248,6 +257,8 @@
              now))
       return;
   schedule_round (store_sync, TIMER_MS (RETRY_MS));
+  if (store_sync->paused_until > 0)
+    end_catch_up (store_sync);
 }
 
 /* Records that the store did not respond to a read.  */
@@ -340,6 +351,30 @@
   return true;
 }
 
+/* Counts a usable response to QUERY, which ends a catch-up if it makes what is
+   known current.  */
+static void
+count_answer (const struct sync_query *query, bool is_current)
+{
+  struct store_sync *store_sync = query->store_sync;
+  counter_add (store_sync->answers[query->source], 1);
+  if (store_sync->paused_until > 0 && is_current
+      && query->asked_at >= store_sync->paused_until)
+    end_catch_up (store_sync);
+}
+
+/* Returns the time from a usable response to QUERY to the next round: none if
+   what is known is not current yet.  */
+static apr_time_t
+round_interval (const struct sync_query *query, bool is_stale)
+{
+  const struct store_sync *store_sync = query->store_sync;
+  if (is_stale || query->asked_at < store_sync->paused_until)
+    return 0;
+  return fraction_of_poll (
+      store_sync, query->source == SOURCE_STORE ? 1.0 : copy_poll_fraction);
+}
+
 static void
 on_response (void *user_data, const struct store_items_response *response)
 {
@@ -414,16 +449,13 @@
       hold_source (query, was_waited_for, now);
       return;
     }
-  counter_add (store_sync->answers[query->source], 1);
+  count_answer (query, is_current);
   if (!was_waited_for)
     return;
   if (query->source < REGISTRY_READERS)
     store_sync->preferred_reader = query->source;
   schedule_round (store_sync,
-                  is_first_listing && !is_current
-                      ? 0
-                      : fraction_of_poll (
-                          store_sync, is_store ? 1.0 : copy_poll_fraction));
+                  round_interval (query, is_first_listing && !is_current));
 }
 
 /* functions internal to the module */
@@ -432,9 +464,19 @@
 store_sync_begin_round (struct store_sync *store_sync, apr_time_t now)
 {
   store_sync->round_position = 0;
+  store_sync->is_round_over = false;
   ask_next (store_sync, now);
 }
 
+void
+store_sync_hurry_round (struct store_sync *store_sync, apr_time_t now)
+{
+  if (!store_sync->is_round_over)
+    return;
+  timer_stop (loop_timers (store_sync->desc.loop), &store_sync->round_timer);
+  store_sync_begin_round (store_sync, now);
+}
+
 apr_time_t
 store_sync_max_copy_age (const struct store_sync *store_sync)
 {
--- a/src/gateway/wait_queue.c
+++ b/src/gateway/wait_queue.c
@@ -55,6 +55,8 @@
 {
   /* Once a request has found no slot in a region, the requests of that service
      behind it would find none there either and are skipped.  */
+  if (store_sync_is_catching_up (gateway->store_sync))
+    return;
   uint64_t scan = ++gateway->queue_scan_number;
   for (size_t level = 0; level < PRIORITY_LEVELS; level++)
     {
@@ -72,3 +74,19 @@
         }
     }
 }
+
+void
+wait_queue_admit_held (struct gateway *gateway)
+{
+  for (size_t level = 0; level < PRIORITY_LEVELS; level++)
+    {
+      struct request *next;
+      for (struct request *request = gateway->queue_heads[level]; request;
+           request = next)
+        {
+          next = request->queue_next;
+          if (request->awaits_changes)
+            dispatch_readmit (request);
+        }
+    }
+}
--- a/tests/unit/store_sync_test.c
+++ b/tests/unit/store_sync_test.c
@@ -119,6 +119,15 @@
   };
 }
 
+static int caught_up_count;
+
+static void
+on_caught_up (void *user_data)
+{
+  (void)user_data;
+  caught_up_count++;
+}
+
 /* Ends the call in progress to SOURCE.  */
 static void
 respond (int source, enum err_code code, int64_t epoch, int64_t index,
@@ -154,6 +163,7 @@
   for (int i = 0; i < SOURCES; i++)
     sources[i].store.ops = &source_ops;
   has_reader = false;
+  caught_up_count = 0;
   settings = (struct gateway_settings){ .name = STR ("self"),
                                         .zone = STR ("z"),
                                         .region = STR ("north"),
@@ -174,7 +184,8 @@
                                   .mirror = mirror,
                                   .next_peer_store = next_peer_store,
                                   .reader_store = reader_store,
-                                  .on_changed = on_changed };
+                                  .on_changed = on_changed,
+                                  .on_caught_up = on_caught_up };
   store_sync = store_sync_create (test_pool, &desc);
   now = timer_clock ();
   struct store_item items[]
@@ -312,6 +323,45 @@
     }
 }
 
+/* After a pause only a call that was made since shows what has changed; with
+   no source, what is known is all there is.  */
+static void
+test_pause (void)
+{
+  static const struct
+  {
+    const char *name;
+    bool was_asked;     /* when the pause began, and answered after it */
+    enum err_code code; /* of the call after the pause */
+  } cases[] = { { "the store responds", false, ERR_NONE },
+                { "a response waited", true, ERR_NONE },
+                { "the store fails", false, ERR_IO },
+                { "a response waited, the store fails", true, ERR_IO } };
+  for (size_t i = 0; i < COUNT (cases); i++)
+    {
+      set_up ();
+      CU_ASSERT_FALSE (store_sync_is_catching_up (store_sync));
+      if (cases[i].was_asked)
+        begin_round ();
+      now += TIMER_SEC (60);
+      store_sync_catch_up (store_sync, now);
+      CU_ASSERT (store_sync_is_catching_up (store_sync));
+      if (cases[i].was_asked)
+        {
+          respond (STORE, ERR_NONE, 4, 50, NULL, 0);
+          CU_ASSERT (store_sync_is_catching_up (store_sync));
+          CU_ASSERT_EQUAL (caught_up_count, 0);
+          begin_round ();
+        }
+      respond (STORE, cases[i].code, 4, 50, NULL, 0);
+      CU_ASSERT_FALSE (store_sync_is_catching_up (store_sync));
+      CU_ASSERT_EQUAL (caught_up_count, 1);
+      if (caught_up_count != 1)
+        printf ("# %s\n", cases[i].name);
+      tear_down ();
+    }
+}
+
 /* In one epoch a listing that is older than what is known isn't used, and a
    response that states no epoch is of the one that is known.  */
 static void
@@ -340,4 +390,5 @@
         { "a late response from before a restore is not used",
           test_late_responses },
         { "a listing older than what is known is not used", test_same_epoch },
+        { "after a pause what is known is read again", test_pause },
         { NULL, NULL } };
