Soak: upstreams that say they leave, or turn requests away for a stated time

Two more faults, drawn from a random sequence of their own, and two more rules of the judge: `leaving', no request sent later than the limit after the entry passed on such a response reaches the upstream, and `away', at most two requests of an entry arrive from half a second after a refusal with Retry-After until the time is over. tests/session/judge.sh has each kept and broken.

--- a/tests/session/judge.sh
+++ b/tests/session/judge.sh
@@ -126,6 +126,33 @@
 check "requests go to too many upstreams" "$start | $(many 4 sent_to_three)"
 named () { echo "$((20000 + $1)) named 10.0.1.1:80"; }
 check "an entry that has ended is named" "$start | 9000 disturbed e1 kill | 9001 exited e1 137 | $(many 4 named)"
+# An upstream says that it leaves, in the response to request n, sent at 9000 ms.
+told="$start | $(ask 9000 n) | $(run 9001 n) | 9020 said n w1-2 | $(got 9030 n)"
+check "sent within the limit after the upstream said that it leaves" "$told | $(served 11500 a)"
+check "sent too late after the upstream said that it leaves" "$told | $(served 11600 a)"
+check "sent too late after that, and refused there" "$told | $(ask 11600 a) | 11601 refused a w1-2 desk 503"
+check "sent within the limit, arrives later" "$told | $(ask 11500 a) | $(run 12500 a) | $(got 12530 a)"
+check "sent too late after that, the store and the path to it were disturbed" "$told | 9100 disturbed store busy | 9200 undisturbed store | 9300 disturbed e1 silent | 9400 undisturbed e1 | $(served 11600 a)"
+check "sent too late after that, the entry was paused" "$told | 9100 disturbed e1 pause | 9200 undisturbed e1 | $(served 11600 a)"
+check "sent too late after that, the entry was paused before" "$start | 8000 disturbed e1 pause | 8100 undisturbed e1 | ${told#*| * | * | } | $(served 11600 a)"
+check "sent too late after that, the entry restarted" "$told | 9100 disturbed e1 kill | 9101 exited e1 137 | 9200 started e1 | 9201 undisturbed e1 | $(served 11600 a)"
+check "sent too late after that, the entry was told again after its restart" "$told | 9100 disturbed e1 kill | 9101 exited e1 137 | 9200 started e1 | 9201 undisturbed e1 | $(ask 10000 m) | $(run 10001 m) | 10020 said m w1-2 | $(got 10030 m) | $(served 12600 a)"
+check "sent late to the upstream's next incarnation" "$told | $(ask 11600 a) | $(run 11601 a w1-3) | $(got 11630 a 200 w1-3)"
+check "the notice was not passed on" "$start | $(ask 9000 n) | 9001 refused n w1-2 desk 503 | 9001 said n w1-2 | $(run 9003 n w2-2) | $(got 9030 n 200 w2-2) | $(served 11600 a)"
+# An upstream refuses request n at 9001 ms and wants no more for 3 s.
+away="$start | $(ask 9000 n) | 9001 refused n w1-2 desk 503 3.000 | $(got 9002 n 503 -)"
+check "requests in the first half second after a refusal for 3 s" "$away | $(served 9100 a) | $(served 9200 b) | $(served 9500 c)"
+check "two requests within the time" "$away | $(served 9600 a) | $(served 11900 b)"
+check "three requests within the time" "$away | $(served 9600 a) | $(served 9700 b) | $(served 11900 c)"
+check "three requests within the time, two are refused again" "$away | $(ask 9600 a) | 9601 refused a w1-2 desk 503 2.400 | $(ask 9700 b) | 9701 refused b w1-2 desk 503 2.300 | $(served 11000 c)"
+check "requests after the time" "$away | $(served 12100 a) | $(served 12200 b) | $(served 12300 c)"
+check "three requests, by another entry" "$away | $(served 9600 a) | $(served 9700 b) | 11800 sent c 10.0.1.2:80 POST /jobs/1 0 h | $(run 11801 c) | $(got 11830 c)"
+check "three requests after a refusal without a time" "$start | $(ask 9000 n) | 9001 refused n w1-2 desk 503 | $(got 9002 n 503 -) | $(served 9600 a) | $(served 9700 b) | $(served 11900 c)"
+check "three requests within the time, the entry was cut off" "$away | $(served 9600 a) | $(served 9700 b) | 9800 disturbed e1 silent | 9900 undisturbed e1 | $(served 11900 c)"
+check "three requests within the time, the entry was paused" "$away | $(served 9600 a) | $(served 9700 b) | 9800 disturbed e1 pause | 9900 undisturbed e1 | $(served 11900 c)"
+check "three requests within the time, the entry restarted" "$away | $(served 9600 a) | $(served 9700 b) | 9800 disturbed e1 kill | 9801 exited e1 137 | 9900 started e1 | 9901 undisturbed e1 | $(served 11900 c)"
+check "three requests within the time, only the store was disturbed" "$away | $(served 9600 a) | $(served 9700 b) | 9800 disturbed store silent | 9900 undisturbed store | $(served 11900 c)"
+check "three requests within the time, the entry was cut off before" "$start | 8000 disturbed e1 silent | 8900 undisturbed e1 | ${away#*| * | } | $(served 9600 a) | $(served 9700 b) | $(served 11900 c)"
 # The calm phase at the end.
 calm_call () { served $((20100 + 10 * $1)) "q$1.0"; }
 check_calm "calm phase, every call served" "$start | 20000 calm begins | $(many 60 calm_call) | 25000 calm ends"
--- a/tests/soak/judge.awk
+++ b/tests/soak/judge.awk
@@ -23,7 +23,10 @@
 #   run REQUEST WORKER SERVICE ZONE METHOD PATH SIZE HASH   an upstream executes
 #   end REQUEST WORKER [cut]   and has finished with it; cut: its connection ended
 #                              while it was at work
-#   refused REQUEST WORKER SERVICE STATUS   or refuses it
+#   refused REQUEST WORKER SERVICE STATUS [SECONDS]   or refuses it; SECONDS: for
+#                              so long it wants none, by Retry-After
+#   said REQUEST WORKER        a response to this request states that the upstream
+#                              leaves
 # Others (fault, born, again) only explain a log to its reader.
 # NAME is "store", "proxy", an entry "eN" or a worker slot "wN"; WORKER is
 # "wN-INCARNATION".
@@ -45,6 +48,8 @@
   BUDGET_RATIO = 0.2          # of the requests, that may be retries; as in soak.sh
   BUDGET_SLACK = 20           # further retries; as in soak.sh
   MAX_ATTEMPTS = 2            # upstreams that one request may be sent to
+  AWAY_GRACE = 500000         # after a refusal with Retry-After, for requests on their way
+  MAX_WHILE_AWAY = 2          # requests of one entry after that, until the time is over
   MIN_VIOLATIONS = 8          # of a rule on timing, before it counts as broken
 }
 
@@ -143,7 +148,41 @@
   if (arrivals[id] > MAX_ATTEMPTS) over_attempts++
 }
 
-$2 == "refused" { count_arrival($3, $5) }
+# Request ID reaches WORKER.  An entry that has passed on a response which says
+# that the worker leaves sends it no request that a caller sent more than
+# MAX_LEAVING later.  After a refusal with Retry-After at most MAX_WHILE_AWAY
+# requests of the entry arrive until that time is over.
+function check_notices(id, worker,   entry, i) {
+  entry = entry_by[id]
+  if ((entry, worker) in told_at && sent_at[id] > told_at[entry, worker] + MAX_LEAVING)
+    broken("leaving", id " by " entry " reached " worker ", sent " (sent_at[id] - told_at[entry, worker]) / 1e6 " s after its notice")
+  for (i = 1; i <= refusals[entry, worker]; i++) {
+    if ($1 <= refused_at[entry, worker, i] + AWAY_GRACE || $1 >= refused_until[entry, worker, i]) continue
+    if (++early[entry, worker, i] > MAX_WHILE_AWAY)
+      broken("away", id " by " entry " reached " worker " " ($1 - refused_at[entry, worker, i]) / 1e6 " s after a refusal for " (refused_until[entry, worker, i] - refused_at[entry, worker, i]) / 1e6 " s, number " early[entry, worker, i])
+  }
+}
+# What an entry was told by upstreams need not be known to it any longer: a
+# restart or freeze (HAS_FORGOTTEN) excuses it from both rules, a cut from the
+# second one.
+function excuse(entry, has_forgotten,   key, parts) {
+  for (key in refusals) { split(key, parts, SUBSEP); if (parts[1] == entry) delete refusals[key] }
+  if (has_forgotten) for (key in told_at) { split(key, parts, SUBSEP); if (parts[1] == entry) delete told_at[key] }
+}
+$2 == "disturbed" { excuse($3, $4 == "kill" || $4 == "pause"); held_by[$3]++; if ($4 == "pause") frozen[$3]++ }
+$2 == "undisturbed" { excuse($3, frozen[$3]); if (--held_by[$3] == 0) frozen[$3] = 0 }
+$2 == "started" { excuse($3, 1) }
+
+$2 == "refused" {
+  count_arrival($3, $5)
+  check_notices($3, $4)
+  entry = entry_by[$3]
+  if ($7 > 0 && held_by[entry] == 0) {
+    i = ++refusals[entry, $4]
+    refused_at[entry, $4, i] = $1; refused_until[entry, $4, i] = $1 + $7 * 1000000; early[entry, $4, i] = 0
+  }
+}
+$2 == "said" { said[$3, $4] = 1 }
 
 # A request runs as its caller sent it, once unless it is safe, not after it was
 # refused, and at an upstream that the configuration in force allows.
@@ -151,6 +190,7 @@
   id = $3; worker = $4; service = $5; zone = $6
   if (!(id in sent_at)) { broken("unasked", "nobody sent " id); next }
   count_arrival(id, service)
+  check_notices(id, worker)
   if (method[id] != $7 || path[id] != $8 || size[id] != $9 || (size[id] > 0 && hash[id] != $10))
     broken("unasked", id " runs changed: " $7 " " $8 " " $9 " " $10)
   if (runs[id]++ > 0 && method[id] != "GET")
@@ -195,6 +235,7 @@
 $2 == "got" {
   id = $3; status = $4; worker = $5; took = $1 - sent_at[id]; entry = entry_by[id]
   statuses[status]++
+  if ((id, worker) in said && !frozen[entry] && !((entry, worker) in told_at)) told_at[entry, worker] = $1
   if (status >= 200 && status < 300 && ($6 != "whole" || !((id, worker) in ran)))
     broken("mixed", id " got " status " of " worker " " $6 " by " entry)
   if (status == 429 || status == 503 || status == 408 || status == 421) {
--- a/tests/soak/soak.sh
+++ b/tests/soak/soak.sh
@@ -220,17 +220,22 @@
   write_settings "$1" 1000
   unlock "e$1"
 }
+# stop_worker NUMBER: has it leave, and ends it if that takes too long.
+stop_worker () {
+  send TERM "w$1"
+  for _ in $(seq 150); do
+    is_ours "$(pid_of "w$1")" || break
+    sleep 0.1
+  done
+  send KILL "w$1"
+}
+set_worker_mode () { # NUMBER PARAMETERS
+  curl -s -m 1 -X PUT "http://$net.2.$1:7910/_mode?$2" -o /dev/null
+}
 fault_worker () { # NUMBER SIGNAL MS INCARNATION
   lock "w$1" || return
   [ "$2" = TERM ] || note "disturbed w$1 kill"
-  send "$2" "w$1"
-  if [ "$2" = TERM ]; then
-    for _ in $(seq 150); do
-      is_ours "$(pid_of "w$1")" || break
-      sleep 0.1
-    done
-    send KILL "w$1"
-  fi
+  if [ "$2" = TERM ]; then stop_worker "$1"; else send "$2" "w$1"; fi
   sleep_ms "$3"
   start_worker "$1" "$4"
   [ "$2" = TERM ] || note "undisturbed w$1"
@@ -238,11 +243,47 @@
 }
 fault_worker_mode () { # NUMBER MODE MS
   note "disturbed w$1 $2"
-  curl -s -m 1 -X PUT "http://$net.2.$1:7910/_mode?mode=$2" -o /dev/null
+  set_worker_mode "$1" "mode=$2"
   sleep_ms "$3"
-  curl -s -m 1 -X PUT "http://$net.2.$1:7910/_mode?mode=normal" -o /dev/null
+  set_worker_mode "$1" "mode=normal"
   note "undisturbed w$1"
 }
+# The worker says in its responses that it leaves, while its record says that it
+# is ready; it goes on for MS and leaves then.
+fault_worker_leaves () { # NUMBER MS INCARNATION
+  lock "w$1" || return
+  set_worker_mode "$1" "mode=leaving"
+  sleep_ms "$2"
+  stop_worker "$1"
+  start_worker "$1" "$3"
+  unlock "w$1"
+}
+# The worker turns requests away and says in each response for how long.
+fault_worker_away () { # NUMBER MS
+  lock "w$1" || return
+  set_worker_mode "$1" "mode=away&for_ms=$2"
+  sleep_ms "$2"
+  unlock "w$1"
+}
+# Draws these two kinds of faults.  As in stop_in_series the random sequence is
+# their own.
+upstreams_say () {
+  local said="" w kind ms n=0
+  RANDOM=$(((seed + 15485) % 32768))
+  while [ "$(date +%s)" -lt $end ]; do
+    pick "$workers"; w=$((1 + R))
+    pick 2; kind=$R
+    pick 3000; ms=$R
+    n=$((n + 1))
+    if [ "$kind" = 0 ]; then set -- fault_worker_leaves "$w" $((2500 + ms)) $((1000 + n)); else set -- fault_worker_away "$w" $((1000 + ms)); fi
+    note "fault $*"
+    "$@" &
+    said="$said $!"
+    pick 3000
+    sleep_ms $((500 + R))
+  done
+  wait $said
+}
 fault_store () { # MODE MS
   note "disturbed store $1"
   curl -s -m 5 -X PUT "$store/_mode?mode=$1" -o /dev/null
@@ -351,6 +392,8 @@
 end=$(($(date +%s) + seconds))
 stop_in_series &
 running="$running $!"
+upstreams_say &
+running="$running $!"
 while [ "$(date +%s)" -lt $end ]; do
   inject
   pick 1500
