bench-rush: upstreams that turn away or leave, alone and shared

Scenarios `turning-away' (a fifth of the upstreams refuse for 1 to 10 s each and state it, in turns) and `leaving' (a release rolls through all upstreams; the store lists every other one late, the rest not before they are replaced), for the own policy, the baselines, and the own policy that ignores both.

--- a/bench/gateway/internal.h
+++ b/bench/gateway/internal.h
@@ -18,7 +18,7 @@
   DEFAULT_ENTRIES = 6, /* two in each region */
   MAX_ENTRIES = 300,
   DEFAULT_UPSTREAMS = 27,
-  MAX_UPSTREAMS = 1300,
+  MAX_UPSTREAMS = 1350,
   DEFAULT_FIRST_REGION_UPSTREAMS = 5,
   SLOTS = 8,                 /* of each upstream */
   LONG_SLOTS = 9,            /* the same with long requests */
@@ -70,8 +70,11 @@
   int send_count;                    /* of the latest submission */
   int tried_upstreams[MAX_EXCLUDED]; /* the first of them */
   bool failed;
-  bool refused; /* by the upstream */
-  bool queued;  /* at the entry */
+  bool refused;           /* by the upstream */
+  bool unreachable;       /* refused, since the upstream has ended */
+  bool says_leaving;      /* the upstream, in its response */
+  apr_time_t stated_wait; /* by the upstream that refused it; 0: none */
+  bool queued;            /* at the entry */
   apr_time_t queued_until;
 };
 
@@ -82,10 +85,16 @@
   int in_flight;                     /* calls that occupy a slot */
   struct sim_call *queue[MAX_QUEUE]; /* in order of arrival */
   int queue_length;
-  double slowdown;     /* varies at random around 1 */
-  double slow_factor;  /* 1, or more in the second half */
-  double failure_rate; /* 0, or more in the second half */
-  int generation;      /* how often it was replaced */
+  double slowdown;        /* varies at random around 1 */
+  double slow_factor;     /* 1, or more in the second half */
+  double failure_rate;    /* 0, or more in the second half */
+  int generation;         /* how often it was replaced */
+  apr_time_t away_until;  /* refuses until then */
+  apr_time_t leaves_at;   /* in a rolling release; 0: not in one */
+  bool has_ended;         /* and is not yet replaced */
+  bool is_listed_leaving; /* in the store */
+  apr_time_t shared_at;   /* what it told one entry is known to all; 0: it told
+                             none */
   uint64_t cached_objects[CACHE_CAPACITY];
   int next_evicted; /* counts up; modulo CACHE_CAPACITY the entry to replace */
 };
@@ -197,6 +206,9 @@
 struct sim_call *sim_upstream_finish (struct sim_upstream *upstream);
 /* Updates slowdowns and faults of all upstreams; called at every tick.  */
 void sim_upstreams_update (struct sim *sim);
+/* Returns whether UPSTREAM says in its responses that it leaves.  */
+bool sim_upstream_is_leaving (const struct sim *sim,
+                              const struct sim_upstream *upstream);
 
 /* The policies (policies.c).  */
 
--- a/bench/gateway/scenarios.h
+++ b/bench/gateway/scenarios.h
@@ -17,6 +17,9 @@
   bool queueing_helps;
   /* Takes seconds of processor time; the unit tests run it once.  */
   bool is_large;
+  /* Upstreams say in their responses what the policies may follow or ignore.
+   */
+  bool has_notices;
 } sim_scenarios[] = {
   { .name = "objects", .plan = { .demand = 0.9, .slowdown_noise = 0.2 } },
   { .name = "overload",
@@ -77,6 +80,12 @@
     .plan
     = { .demand = 1.5, .slowdown_noise = 0.2, .immediate_retries = true },
     .queueing_helps = true },
+  { .name = "turning-away",
+    .has_notices = true,
+    .plan = { .demand = 0.7, .slowdown_noise = 0.2, .away_fraction = 0.2 } },
+  { .name = "leaving",
+    .has_notices = true,
+    .plan = { .demand = 0.6, .slowdown_noise = 0.2, .rolls_release = true } },
 };
 
 enum
--- a/bench/gateway/sim.c
+++ b/bench/gateway/sim.c
@@ -51,6 +51,13 @@
    one; not a half, so that no two regions are the same size.  */
 static const double second_region_fraction = 0.6;
 static const apr_time_t default_one_way_latency = 55000;
+/* Of a rolling release (sim.h): from the notice that an upstream leaves until
+   the store lists it as leaving, if it does, and until its end; then until it
+   is replaced.  */
+static const apr_time_t leave_listed_after = TIMER_MS (2200);
+static const apr_time_t leave_ends_after = TIMER_MS (2500);
+static const apr_time_t replaced_after = TIMER_SEC (2);
+static const apr_time_t sharing_delay = TIMER_MS (300);
 
 /* Sums of the weights of the calls of one window, region or kind: of all of
    them, and of those answered within the target latency.  */
@@ -359,6 +366,10 @@
 {
   enum upstream_action action = sim_upstream_accept (sim, call);
   call->refused = action == UPSTREAM_REFUSES;
+  call->says_leaving
+      = !call->unreachable
+        && sim_upstream_is_leaving (sim, &sim->upstreams[call->upstream]);
+  sim->result.lost += call->unreachable;
   call->failed = false;
   accepted_calls += !call->refused;
   queued_calls += action == UPSTREAM_QUEUES;
@@ -372,6 +383,16 @@
 static void
 on_completion (struct sim *sim, struct sim_call *call)
 {
+  struct sim_upstream *upstream = &sim->upstreams[call->upstream];
+  if (sim->plan.rolls_release
+      && (upstream->has_ended || call->generation != upstream->generation))
+    {
+      call->failed = true;
+      sim->result.lost++;
+      schedule_response (sim, call);
+      return;
+    }
+  call->says_leaving = sim_upstream_is_leaving (sim, upstream);
   struct sim_call *next
       = sim_upstream_finish (&sim->upstreams[call->upstream]);
   if (next)
@@ -380,6 +401,55 @@
   schedule_response (sim, call);
 }
 
+/* ENTRY is told what upstream NUMBER says to callers now: that it leaves, or
+   that it wants no request for WAIT.  */
+static void
+apply_notice (struct sim *sim, int entry_number, int number, bool is_leaving,
+              apr_time_t wait)
+{
+  struct sim_entry *entry = &sim->entries[entry_number];
+  struct fleet_upstream *upstream = entry->upstreams[number];
+  size_t rank = (size_t)(entry_number + 7 * number) % (size_t)sim->entry_count;
+  if (is_leaving)
+    fleet_mark_leaving (entry->fleet, upstream, sim->now);
+  if (wait > 0)
+    fleet_turn_away (entry->fleet, upstream,
+                     wait + load_return_delay (rank, (size_t)sim->entry_count),
+                     wait, sim->now);
+}
+
+/* Applies what the upstream of CALL said in its response.  */
+static void
+handle_notices (struct sim *sim, struct sim_call *call)
+{
+  struct sim_upstream *upstream = &sim->upstreams[call->upstream];
+  sim->result.turned_away += call->stated_wait > 0;
+  if (!sim_is_own_policy (sim) || sim->plan.ignores_notices
+      || call->generation != upstream->generation
+      || (!call->says_leaving && call->stated_wait == 0))
+    return;
+  apply_notice (sim, call->entry, call->upstream, call->says_leaving,
+                call->stated_wait);
+  if (sim->plan.shares_notices && upstream->shared_at == 0)
+    upstream->shared_at = sim->now + sharing_delay;
+}
+
+/* Tells all entries what upstreams told one of them.  */
+static void
+share_notices (struct sim *sim)
+{
+  for (int u = 0; u < sim->upstream_count; u++)
+    {
+      struct sim_upstream *upstream = &sim->upstreams[u];
+      if (upstream->shared_at == 0 || upstream->shared_at > sim->now)
+        continue;
+      upstream->shared_at = INT64_MAX;
+      for (int e = 0; e < sim->entry_count; e++)
+        apply_notice (sim, e, u, sim_upstream_is_leaving (sim, upstream),
+                      upstream->away_until - sim->now);
+    }
+}
+
 /* Updates what the entry knows with the response to CALL.  */
 static void
 record_response (struct sim *sim, struct sim_call *call)
@@ -406,9 +476,10 @@
   balance_add_report (&entry->reports[upstream->region],
                       report.running + report.waiting, sim->now);
   load_end_request (load,
-                    call->refused  ? LOAD_REFUSED
-                    : call->failed ? LOAD_FAILED
-                                   : LOAD_ANSWERED,
+                    call->unreachable ? LOAD_UNREACHABLE
+                    : call->refused   ? LOAD_REFUSED
+                    : call->failed    ? LOAD_FAILED
+                                      : LOAD_ANSWERED,
                     elapsed,
                     (apr_time_t)((double)call->service_time * call->slowdown),
                     sim->now);
@@ -428,6 +499,7 @@
   struct sim_entry *entry = &sim->entries[call->entry];
   apr_time_t latency = sim->now - call->arrived_at;
   record_response (sim, call);
+  handle_notices (sim, call);
   /* Only the first kind may be executed more than once.  */
   bool may_retry = call->refused || (call->failed && call->kind == 0);
   if (may_retry && call->send_count < MAX_SENDS
@@ -525,10 +597,94 @@
     }
 }
 
+/* Ends upstream NUMBER with the calls that wait there; those in its slots are
+   found to be lost when they would have been completed.  */
+static void
+end_upstream (struct sim *sim, int number)
+{
+  struct sim_upstream *upstream = &sim->upstreams[number];
+  upstream->has_ended = true;
+  while (upstream->queue_length > 0)
+    {
+      struct sim_call *call = upstream->queue[--upstream->queue_length];
+      call->failed = true;
+      sim->result.lost++;
+      schedule_response (sim, call);
+    }
+}
+
+/* Has the store list upstream NUMBER as leaving.  */
+static void
+list_as_leaving (struct sim *sim, int number)
+{
+  sim->upstreams[number].is_listed_leaving = true;
+  for (int e = 0; e < sim->entry_count; e++)
+    {
+      struct sim_entry *entry = &sim->entries[e];
+      struct fleet_upstream *upstream = entry->upstreams[number];
+      struct fleet_record record = { .id = upstream->id,
+                                     .service = upstream->service,
+                                     .address = upstream->address,
+                                     .zone = upstream->zone->name,
+                                     .slots = upstream->slots,
+                                     .incarnation = upstream->incarnation,
+                                     .write_count = 1,
+                                     .leaving = true };
+      fleet_put_upstream (entry->fleet, &record, upstream->revision + 1,
+                          sim->now);
+    }
+}
+
+static void
+replace_ended (struct sim *sim, int number)
+{
+  struct sim_upstream *upstream = &sim->upstreams[number];
+  upstream->generation++;
+  upstream->has_ended = false;
+  upstream->is_listed_leaving = false;
+  upstream->leaves_at = INT64_MAX;
+  upstream->shared_at = 0;
+  upstream->in_flight = 0;
+  memset (upstream->cached_objects, 0, sizeof upstream->cached_objects);
+  for (int e = 0; e < sim->entry_count; e++)
+    {
+      struct sim_entry *entry = &sim->entries[e];
+      struct fleet_upstream *old = entry->upstreams[number];
+      entry->views[number] = (struct sim_upstream_view){ 0 };
+      fleet_remove_upstream (entry->fleet, old->id, false, sim->now);
+      fleet_upstream_unref (old);
+      add_upstream (sim, entry, number);
+    }
+}
+
+/* Takes the steps of a rolling release that are due.  */
+static void
+roll_release (struct sim *sim)
+{
+  for (int u = 0; u < sim->upstream_count; u++)
+    {
+      struct sim_upstream *upstream = &sim->upstreams[u];
+      if (upstream->leaves_at > sim->now)
+        continue;
+      apr_time_t elapsed = sim->now - upstream->leaves_at;
+      if (u % 2 == 1 && !upstream->is_listed_leaving
+          && elapsed >= leave_listed_after)
+        list_as_leaving (sim, u);
+      if (!upstream->has_ended && elapsed >= leave_ends_after)
+        end_upstream (sim, u);
+      if (elapsed >= leave_ends_after + replaced_after)
+        replace_ended (sim, u);
+    }
+}
+
 static void
 on_tick (struct sim *sim)
 {
   sim_upstreams_update (sim);
+  if (sim->plan.rolls_release)
+    roll_release (sim);
+  if (sim->plan.shares_notices)
+    share_notices (sim);
   if (sim->plan.replaced_fraction > 0)
     replace_upstreams (sim);
   for (int e = 0; e < sim->entry_count && sim_is_own_policy (sim); e++)
@@ -571,6 +727,11 @@
                                                                     : 2,
                                                .slowdown = 1,
                                                .slow_factor = 1 };
+  /* Spread over the regions.  */
+  for (u = 0; u < sim->upstream_count && sim->plan.rolls_release; u++)
+    sim->upstreams[u * 7 % sim->upstream_count].leaves_at
+        = (apr_time_t)((double)sim->plan.duration
+                       * (0.1 + 0.8 * u / sim->upstream_count));
   for (int e = 0; e < sim->entry_count; e++)
     {
       struct sim_entry *entry = &sim->entries[e];
--- a/bench/gateway/sim.h
+++ b/bench/gateway/sim.h
@@ -63,7 +63,7 @@
   /* Fraction of the requests that arrive in the first region; 0: each region
      receives as many.  */
   double first_region_fraction;
-  int upstreams;              /* default 27, at most 1,300 */
+  int upstreams;              /* default 27, at most 1,350 */
   int first_region_upstreams; /* of them in the first region; default 5 */
   /* Amplitude of a sine wave on each region's demand, relative to its mean;
      each region is a third of a period ahead of the region before.  0: steady
@@ -99,6 +99,20 @@
      second third of the run: each ends, and a new one with an empty cache and
      another id takes its place.  */
   double replaced_fraction;
+  /* Fraction of the upstreams that refuse every request for 1 to 10 s at any
+     time, and state how long; in turns.  */
+  double away_fraction;
+  /* All upstreams are replaced one after the other, from the second to the
+     ninth tenth of the run: each says in its responses that it leaves, goes on
+     for 2.5 s, then ends with the calls that are there, and 2 s later a new
+     one takes its place.  The store lists every other one as leaving, shortly
+     before its end, and the rest only when it is replaced.  */
+  bool rolls_release;
+  /* The gateway's policies take no notice of what upstreams say in both cases,
+     as before they could read it.  */
+  bool ignores_notices;
+  /* What one entry is told in both cases is known to all after 300 ms.  */
+  bool shares_notices;
   /* A multiple of SIM_REGIONS, divided evenly over the regions; default 6, at
      most 300.  */
   int entries;
@@ -117,6 +131,10 @@
   int64_t late;          /* answered after it */
   int64_t refused;       /* finally, after the caller's retries */
   int64_t failed;        /* finally, at an upstream */
+  int64_t turned_away;   /* sent to an upstream that refused and stated for how
+                            long; counted each time */
+  int64_t lost;          /* at an upstream when it ended, or sent to it after
+                            that; counted each time */
   /* Weighted fraction answered within the target latency: of all requests, and
      in the region, for the kind and in the two seconds where it is lowest.  */
   double within_target_fraction;
--- a/bench/gateway/upstreams.c
+++ b/bench/gateway/upstreams.c
@@ -8,6 +8,9 @@
 static const double cached_time_fraction = 0.55;
 static const double long_cached_time_fraction = 0.25;
 static const double tail_factor = 7.0;
+/* Bounds of the time for which an upstream turns requests away.  */
+static const apr_time_t min_away = TIMER_SEC (1);
+static const apr_time_t max_away = TIMER_SEC (10);
 
 /* private functions */
 
@@ -25,6 +28,26 @@
   return false;
 }
 
+/* Lets upstreams turn requests away until as many do as the plan says.  */
+static void
+update_away (struct sim *sim)
+{
+  int missing = (int)(sim->plan.away_fraction * sim->upstream_count);
+  for (int u = 0; u < sim->upstream_count; u++)
+    missing -= sim->upstreams[u].away_until > sim->now;
+  while (missing > 0)
+    {
+      int u = (int)(sim_random (sim) * sim->upstream_count);
+      if (sim->upstreams[u].away_until > sim->now)
+        continue;
+      sim->upstreams[u].away_until
+          = sim->now + min_away
+            + (apr_time_t)(sim_random (sim) * (double)(max_away - min_away));
+      sim->upstreams[u].shared_at = 0;
+      missing--;
+    }
+}
+
 /* public functions */
 
 double
@@ -38,6 +61,11 @@
 sim_upstream_accept (struct sim *sim, struct sim_call *call)
 {
   struct sim_upstream *upstream = &sim->upstreams[call->upstream];
+  call->unreachable = upstream->has_ended;
+  call->stated_wait
+      = upstream->away_until > sim->now ? upstream->away_until - sim->now : 0;
+  if (call->unreachable || call->stated_wait > 0)
+    return UPSTREAM_REFUSES;
   if (upstream->in_flight < sim->slots)
     {
       upstream->in_flight++;
@@ -84,6 +112,8 @@
 sim_upstreams_update (struct sim *sim)
 {
   bool is_second_half = sim->now > sim->plan.duration / 2;
+  if (sim->plan.away_fraction > 0)
+    update_away (sim);
   for (int u = 0; u < sim->upstream_count; u++)
     {
       struct sim_upstream *upstream = &sim->upstreams[u];
@@ -105,3 +135,10 @@
                 : 0.0;
     }
 }
+
+bool
+sim_upstream_is_leaving (const struct sim *sim,
+                         const struct sim_upstream *upstream)
+{
+  return sim->plan.rolls_release && upstream->leaves_at <= sim->now;
+}
--- a/tests/unit/gateway_sim_test.c
+++ b/tests/unit/gateway_sim_test.c
@@ -151,6 +151,37 @@
     printf ("# %.3f of %.3f\n", own.worst_region, own.within_target_fraction);
 }
 
+/* Following what upstreams say in their responses: less than half of the
+   requests are refused, or lost at an upstream that ends, and no more calls
+   fail for good than when it is ignored.  Avoiding upstreams that turn
+   requests away raises the value.  The value isn't compared for upstreams that
+   leave: they still serve the requests of entries that ignore it.  */
+static void
+test_notices (void)
+{
+  for (size_t l = 0; l < SIM_SCENARIO_COUNT; l++)
+    for (uint64_t seed = 1; seed <= 3 && sim_scenarios[l].has_notices; seed++)
+      {
+        struct sim_plan plan = sim_scenarios[l].plan;
+        plan.policy = SIM_POLICY_OWN;
+        plan.seed = seed;
+        struct sim_result own = sim_run (&plan);
+        plan.ignores_notices = true;
+        struct sim_result before = sim_run (&plan);
+        bool holds = (plan.rolls_release || own.value > before.value)
+                     && own.failed <= before.failed
+                     && own.turned_away <= before.turned_away / 2
+                     && own.lost <= before.lost / 2;
+        CU_ASSERT (holds);
+        if (!holds)
+          printf ("# %s, seed %d: %.3f, turned away %d, lost %d; before %.3f, "
+                  "%d, %d\n",
+                  sim_scenarios[l].name, (int)seed, own.value,
+                  (int)own.turned_away, (int)own.lost, before.value,
+                  (int)before.turned_away, (int)before.lost);
+      }
+}
+
 /* Two runs of the same plan have the same result.  */
 static void
 test_deterministic (void)
@@ -171,6 +202,8 @@
     test_upstream_queues },
   { "a region with few slots is served like the others", test_small_region },
   { "with hundreds of entries no region is neglected", test_hundreds },
+  { "following what upstreams say spares refusals and lost requests",
+    test_notices },
   { "a run is determined by its plan", test_deterministic },
   { NULL, NULL }
 };
