bench-rush: upstreams that say that they leave and go on

The third load of `bench-rush notices': in the second half a fifth of the upstreams say so in one response of a hundred.

--- a/bench/gateway/internal.h
+++ b/bench/gateway/internal.h
@@ -93,6 +93,9 @@
   apr_time_t leaves_at;   /* in a rolling release; 0: not in one */
   bool has_ended;         /* and is not yet replaced */
   bool is_listed_leaving; /* in the store */
+  bool told_leaving;      /* it told an entry that it leaves */
+  double false_notices;   /* 0, or the fraction of its responses that say so
+                             though it stays, in the second half */
   apr_time_t shared_at;   /* what it told one entry is known to all; 0: it told
                              none */
   uint64_t cached_objects[CACHE_CAPACITY];
--- a/bench/gateway/main.c
+++ b/bench/gateway/main.c
@@ -61,9 +61,18 @@
     int entries;
     int upstreams;
   } sizes[] = { { 12, 40 }, { 84, 244 }, { 294, 1350 } };
+  enum
+  {
+    TURNING_AWAY,
+    LEAVING,
+    LYING,
+    LOADS
+  };
+  static const char *const loads[LOADS]
+      = { "turning-away", "leaving", "lying" };
   static const char *const names[] = { "before", "alone", "shared" };
   for (size_t s = 0; s < sizeof sizes / sizeof *sizes; s++)
-    for (int load = 0; load < 2; load++)
+    for (int load = 0; load < LOADS; load++)
       for (int mode = 0; mode < 3; mode++)
         {
           char name[64];
@@ -81,13 +90,13 @@
             .entries = sizes[s].entries,
             .upstreams = sizes[s].upstreams,
             .first_region_upstreams = sizes[s].upstreams / 5,
-            .away_fraction = load == 0 ? 0.2 : 0.0,
-            .rolls_release = load == 1,
+            .away_fraction = load == TURNING_AWAY ? 0.2 : 0.0,
+            .rolls_release = load == LEAVING,
+            .lying_fraction = load == LYING ? 0.2 : 0.0,
             .ignores_notices = mode == 0,
             .shares_notices = mode == 2,
           };
-          snprintf (name, sizeof name, "%s-%d",
-                    load == 0 ? "turning-away" : "leaving", plan.entries);
+          snprintf (name, sizeof name, "%s-%d", loads[load], plan.entries);
           struct sim_result r = run_and_print (name, names[mode], &plan);
           printf ("figure notices_%s_%s %.3f value in-aim=%.3f "
                   "turned-away=%.4f lost=%.4f of requests\n",
--- a/bench/gateway/sim.c
+++ b/bench/gateway/sim.c
@@ -392,7 +392,9 @@
       schedule_response (sim, call);
       return;
     }
-  call->says_leaving = sim_upstream_is_leaving (sim, upstream);
+  call->says_leaving = sim_upstream_is_leaving (sim, upstream)
+                       || (upstream->false_notices > 0
+                           && sim_random (sim) < upstream->false_notices);
   struct sim_call *next
       = sim_upstream_finish (&sim->upstreams[call->upstream]);
   if (next)
@@ -430,6 +432,7 @@
     return;
   apply_notice (sim, call->entry, call->upstream, call->says_leaving,
                 call->stated_wait);
+  upstream->told_leaving |= call->says_leaving;
   if (sim->plan.shares_notices && upstream->shared_at == 0)
     upstream->shared_at = sim->now + sharing_delay;
 }
@@ -445,7 +448,7 @@
         continue;
       upstream->shared_at = INT64_MAX;
       for (int e = 0; e < sim->entry_count; e++)
-        apply_notice (sim, e, u, sim_upstream_is_leaving (sim, upstream),
+        apply_notice (sim, e, u, upstream->told_leaving,
                       upstream->away_until - sim->now);
     }
 }
@@ -642,6 +645,7 @@
   upstream->generation++;
   upstream->has_ended = false;
   upstream->is_listed_leaving = false;
+  upstream->told_leaving = false;
   upstream->leaves_at = INT64_MAX;
   upstream->shared_at = 0;
   upstream->in_flight = 0;
--- a/bench/gateway/sim.h
+++ b/bench/gateway/sim.h
@@ -108,6 +108,9 @@
      one takes its place.  The store lists every other one as leaving, shortly
      before its end, and the rest only when it is replaced.  */
   bool rolls_release;
+  /* Fraction of the upstreams that say in one response of a hundred that they
+     leave, in the second half of the run, and go on.  */
+  double lying_fraction;
   /* The gateway's policies take no notice of what upstreams say in both cases,
      as before they could read it.  */
   bool ignores_notices;
--- a/bench/gateway/upstreams.c
+++ b/bench/gateway/upstreams.c
@@ -8,6 +8,7 @@
 static const double cached_time_fraction = 0.55;
 static const double long_cached_time_fraction = 0.25;
 static const double tail_factor = 7.0;
+static const double false_notice_fraction = 0.01;
 /* Bounds of the time for which an upstream turns requests away.  */
 static const apr_time_t min_away = TIMER_SEC (1);
 static const apr_time_t max_away = TIMER_SEC (10);
@@ -129,6 +130,10 @@
           = is_second_half && position < sim->plan.slow_fraction
                 ? sim->plan.slow_factor
                 : 1.0;
+      upstream->false_notices
+          = is_second_half && position < sim->plan.lying_fraction
+                ? false_notice_fraction
+                : 0.0;
       upstream->failure_rate
           = is_second_half && position < sim->plan.failing_fraction
                 ? sim->plan.failure_rate
