--- a/tests/session/judge.sh
+++ b/tests/session/judge.sh
@@ -153,6 +153,9 @@
 check "three requests within the time, the entry restarted" "$away | $(served 9600 a) | $(served 9700 b) | 9800 disturbed e1 kill | 9801 exited e1 137 | 9900 started e1 | 9901 undisturbed e1 | $(served 11900 c)"
 check "three requests within the time, only the store was disturbed" "$away | $(served 9600 a) | $(served 9700 b) | 9800 disturbed store silent | 9900 undisturbed store | $(served 11900 c)"
 check "three requests within the time, the entry was cut off before" "$start | 8000 disturbed e1 silent | 8900 undisturbed e1 | ${away#*| * | } | $(served 9600 a) | $(served 9700 b) | $(served 11900 c)"
+check "three requests within the time, the path to the upstream was cut at the refusal" "$start | 8000 disturbed w1 back | ${away#*| * | } | 9100 undisturbed w1 | $(served 9600 a) | $(served 9700 b) | $(served 11900 c)"
+check "three requests within the time, the path to the upstream was cut later" "$away | 9100 disturbed w1 back | 9200 undisturbed w1 | $(served 9600 a) | $(served 9700 b) | $(served 11900 c)"
+check "three requests within the time, the upstream was paused at the refusal" "$start | 8000 disturbed w1 pause | ${away#*| * | } | 9100 undisturbed w1 | $(served 9600 a) | $(served 9700 b) | $(served 11900 c)"
 # The calm phase at the end.
 calm_call () { served $((20100 + 10 * $1)) "q$1.0"; }
 check_calm "calm phase, every call served" "$start | 20000 calm begins | $(many 60 calm_call) | 25000 calm ends"
