--- a/tests/unit/balance_test.c
+++ b/tests/unit/balance_test.c
@@ -572,10 +572,14 @@
         { 66199, ANSWERED, false },
         { 66200, SENT, false } } },
   };
-  static const int64_t waits_ms[]
-      = { [REFUSED_2S] = 2000, [REFUSED_5S] = 5000, [REFUSED_60S] = 3000 };
-  static const int64_t stated_ms[]
-      = { [REFUSED_2S] = 2000, [REFUSED_5S] = 5000, [REFUSED_60S] = 60000 };
+  static const int64_t waits_ms[] = { [REFUSED_2S] = 2000,
+                                      [REFUSED_5S] = 5000,
+                                      [REFUSED_60S] = 3000,
+                                      [REFUSED_0S] = 0 };
+  static const int64_t stated_ms[] = { [REFUSED_2S] = 2000,
+                                       [REFUSED_5S] = 5000,
+                                       [REFUSED_60S] = 60000,
+                                       [REFUSED_0S] = 0 };
   for (size_t c = 0; c < sizeof cases / sizeof *cases; c++)
     {
       struct load load;
