--- a/share/citroncleat.bash
+++ b/share/citroncleat.bash
@@ -1,7 +1,7 @@
 # Completion for citroncleat in bash.
 _citroncleat () {
   local word=${COMP_WORDS[COMP_CWORD]}
-  local commands="entry gateway check-settings apply get describe delete drain undrain status watch burn lookup version"
+  local commands="entry gateway check-settings apply get describe delete drain undrain status watch burn lookup trace version"
   local kinds="region zone link service upstream-group upstream policy drain"
   case $COMP_CWORD in
     1) COMPREPLY=($(compgen -W "$commands" -- "$word")); return ;;
--- a/src/client/command_line.h
+++ b/src/client/command_line.h
@@ -87,5 +87,6 @@
 /* lookup: prints which entries a caller should use; --entry is the address of
    a callers' listener.  */
 int run_lookup (int argc, char **argv);
+int run_trace (int argc, char **argv);
 
 #endif
--- a/src/client/commands.c
+++ b/src/client/commands.c
@@ -262,4 +262,6 @@
         { "watch", "print changes as they come", run_watch },
         { "burn", "report service-level burn", run_burn },
         { "lookup", "ask which entries to use", run_lookup },
+        { "trace", "follow a request, an upstream or a version over logs",
+          run_trace },
         { NULL, NULL, NULL } };
