--- a/src/client/trace.c
+++ b/src/client/trace.c
@@ -53,7 +53,7 @@
   if (trace->upstream)
     return has_text (object, is_upstream ? "id" : "upstream", trace->upstream);
   json_object *version = json_member (object, "version");
-  return version
+  return version && trace->version
          && strncmp (json_member_text (object, "event"), "configuration",
                      strlen ("configuration"))
                 == 0
