A catch-up after a pause ends after 3 s

Sources that respond but stay behind kept an entry that had been paused catching up for good, and each request was refused after 1.5 s. After 3 s what is known is used, as in an outage. Unit test 'a catch-up ends though its sources stay behind' fails without the limit.

--- a/src/gateway/store_sync.c
+++ b/src/gateway/store_sync.c
@@ -8,7 +8,10 @@
 
 enum
 {
-  EXPIRY_CHECK_MS = 250,   /* an eighth of the shortest grace period */
+  EXPIRY_CHECK_MS = 250, /* an eighth of the shortest grace period */
+  /* After this time without a current response, what is known is used as in an
+     outage.  Twice as long as a request waits.  */
+  CATCH_UP_MAX_MS = 3000,
   VALUE_MAX_BYTES = 60,    /* of a value in the log */
   PROBLEMS_LOGGED_MAX = 20 /* of one configuration */
 };
@@ -219,6 +222,9 @@
     fleet_postpone_expiry (store_sync->desc.fleet,
                            now - store_sync->expiry_checked_at);
   store_sync->expiry_checked_at = now;
+  if (store_sync->paused_until > 0
+      && now - store_sync->paused_until >= TIMER_MS (CATCH_UP_MAX_MS))
+    store_sync_end_catch_up (store_sync);
   timer_start (loop_timers (store_sync->desc.loop), &store_sync->expiry_timer,
                now + TIMER_MS (EXPIRY_CHECK_MS), on_expiry_check, store_sync);
 }
--- a/src/gateway/store_sync_internal.h
+++ b/src/gateway/store_sync_internal.h
@@ -87,6 +87,8 @@
 void store_sync_begin_round (struct store_sync *store_sync, apr_time_t now);
 /* Begins a round now unless one is in progress.  */
 void store_sync_hurry_round (struct store_sync *store_sync, apr_time_t now);
+/* What is known is current again, or no source can say what has changed.  */
+void store_sync_end_catch_up (struct store_sync *store_sync);
 /* Returns the age up to which the copy of another entry is used.  */
 apr_time_t store_sync_max_copy_age (const struct store_sync *store_sync);
 
--- a/src/gateway/store_sync_sources.c
+++ b/src/gateway/store_sync_sources.c
@@ -90,14 +90,6 @@
                on_round_due, store_sync);
 }
 
-/* What is known is current again, or no source can say.  */
-static void
-end_catch_up (struct store_sync *store_sync)
-{
-  store_sync->paused_until = 0;
-  store_sync->desc.on_caught_up (store_sync->desc.user_data);
-}
-
 /* Returns for how long the store is not asked after a failure.  */
 static apr_time_t
 store_hold (const struct store_sync *store_sync)
@@ -258,7 +250,7 @@
       return;
   schedule_round (store_sync, TIMER_MS (RETRY_MS));
   if (store_sync->paused_until > 0)
-    end_catch_up (store_sync);
+    store_sync_end_catch_up (store_sync);
 }
 
 /* Records that the store did not respond to a read.  */
@@ -360,7 +352,7 @@
   counter_add (store_sync->answers[query->source], 1);
   if (store_sync->paused_until > 0 && is_current
       && query->asked_at >= store_sync->paused_until)
-    end_catch_up (store_sync);
+    store_sync_end_catch_up (store_sync);
 }
 
 /* Returns the time from a usable response to QUERY to the next round: none if
@@ -477,6 +469,13 @@
   store_sync_begin_round (store_sync, now);
 }
 
+void
+store_sync_end_catch_up (struct store_sync *store_sync)
+{
+  store_sync->paused_until = 0;
+  store_sync->desc.on_caught_up (store_sync->desc.user_data);
+}
+
 apr_time_t
 store_sync_max_copy_age (const struct store_sync *store_sync)
 {
--- a/tests/unit/store_sync_test.c
+++ b/tests/unit/store_sync_test.c
@@ -362,6 +362,35 @@
     }
 }
 
+/* Sources that respond but stay behind don't keep requests waiting for good.
+ */
+static void
+test_pause_behind (void)
+{
+  static const struct
+  {
+    int64_t wait_ms; /* since the pause */
+    bool is_catching_up;
+  } cases[] = { { 2500, true }, { 3500, false } };
+  for (size_t i = 0; i < COUNT (cases); i++)
+    {
+      set_up ();
+      store_sync_start (store_sync);
+      apr_time_t paused_until = timer_clock ();
+      store_sync_catch_up (store_sync, paused_until);
+      for (int64_t ms = 0; ms <= cases[i].wait_ms; ms += 100)
+        {
+          if (sources[STORE].done)
+            respond (STORE, ERR_NONE, 4, 45, NULL, 0);
+          timer_service_run (loop_timers (loop), paused_until + TIMER_MS (ms));
+        }
+      CU_ASSERT_EQUAL (store_sync_is_catching_up (store_sync),
+                       cases[i].is_catching_up);
+      CU_ASSERT_EQUAL (caught_up_count, !cases[i].is_catching_up);
+      tear_down ();
+    }
+}
+
 /* In one epoch a listing that is older than what is known isn't used, and a
    response that states no epoch is of the one that is known.  */
 static void
@@ -382,13 +411,14 @@
     }
 }
 
-const struct unit_test store_sync_tests[]
-    = { { "a restored store is listed, whatever its index", test_restored },
-        { "a restored configuration that can't be read is refused",
-          test_restored_invalid },
-        { "a copy of another epoch is listed or not used", test_copies },
-        { "a late response from before a restore is not used",
-          test_late_responses },
-        { "a listing older than what is known is not used", test_same_epoch },
-        { "after a pause what is known is read again", test_pause },
-        { NULL, NULL } };
+const struct unit_test store_sync_tests[] = {
+  { "a restored store is listed, whatever its index", test_restored },
+  { "a restored configuration that can't be read is refused",
+    test_restored_invalid },
+  { "a copy of another epoch is listed or not used", test_copies },
+  { "a late response from before a restore is not used", test_late_responses },
+  { "a listing older than what is known is not used", test_same_epoch },
+  { "after a pause what is known is read again", test_pause },
+  { "a catch-up ends though its sources stay behind", test_pause_behind },
+  { NULL, NULL }
+};
