--- a/src/gateway/store_sync.h
+++ b/src/gateway/store_sync.h
@@ -82,8 +82,8 @@
    so it is read again at once.  */
 void store_sync_catch_up (struct store_sync *store_sync, apr_time_t now);
 /* Returns whether the process was paused, and no source has said since what
-   has changed; false once all sources failed, as in an outage, and after 3 s at
-   the latest.  */
+   has changed; false once all sources failed, as in an outage, and after 3 s
+   at the latest.  */
 bool store_sync_is_catching_up (const struct store_sync *store_sync);
 /* Returns the plan in force, or NULL if none is known yet.  Reference it with
    plan_ref to keep it.  */
