--- a/src/balance/balance.c
+++ b/src/balance/balance.c
@@ -82,9 +82,9 @@
   struct fleet_upstream *upstream;
 };
 
-/* Stores the eligible upstreams that rank first in OUT, without those that
-   have turned this entry away, which has room for
-   CANDIDATES_MAX, highest rank first; returns how many there are.  */
+/* Stores in OUT, which has room for CANDIDATES_MAX, the eligible upstreams
+   that have not turned this entry away and rank first, highest rank first;
+   returns how many there are.  */
 static size_t
 find_candidates (const struct balance_request *request, struct candidate *out)
 {
--- a/src/balance/balance.h
+++ b/src/balance/balance.h
@@ -154,8 +154,8 @@
    how many are in use.  An upstream that has turned this entry away has none,
    and one that is returning has one.  An upstream that was not heard of lately
    counts for UNHEARD_REQUESTS: the mean of the region's reports times the
-   weight above. Called several times per second for balance/region_split.h and
-   balance/admit.h.  */
+   weight above.  Called several times per second for balance/region_split.h
+   and balance/admit.h.  */
 struct balance_region_load
 balance_region_load (const struct fleet_group *group, double unheard_requests,
                      apr_time_t now);
