--- a/review/standin/caller.c
+++ b/review/standin/caller.c
@@ -4,18 +4,22 @@
      caller --connect IP:PORT --name NAME --record FILE [--threads N]
        [--requests N] [--seconds N] [--gap-ms N] [--method M] [--target PATH]
        [--host H] [--deadline-ms N] [--fields N] [--head-bytes N]
-       [--short-first yes]
+       [--short-first yes] [--body-bytes N]
 
    --requests and --seconds limit what each thread sends.  With --fields the
    head has N more fields, which fill it to --head-bytes, but, with --short-first,
    for the first request on a connection.  In PATH, `%N' stands for the number of
    the request.
 
+   A POST has a body of --body-bytes.  A caller waits for an answer until the
+   deadline that it states.
+
    Record: "sent ID kept|new", "answered ID STATUS server|own", "cut ID" (the
-   connection ended without a whole answer), "unread ID" (it could not be
-   opened).  "own" is an answer without a Server-Stamp.  */
+   connection ended without a whole answer), "unanswered ID" (no answer until the
+   deadline), "unread ID" (no connection could be opened).  "own" is an answer without a Server-Stamp.  */
 #include "common.h"
 
+#include <errno.h>
 #include <getopt.h>
 #include <pthread.h>
 #include <stdio.h>
@@ -44,6 +48,7 @@
   long deadline_ms;
   long fields;
   long head_bytes;
+  long body_bytes;
   bool short_first;
 } options = { .method = "GET",
               .target = "/",
@@ -51,7 +56,16 @@
               .threads = 1,
               .requests = 1000000,
               .seconds = 60,
-              .deadline_ms = 2000 };
+              .deadline_ms = 2000,
+              .body_bytes = 4 };
+
+static char *body;
+
+static bool
+has_body (void)
+{
+  return strcmp (options.method, "POST") == 0;
+}
 
 /* Writes the target of request NUMBER to OUT.  */
 static void
@@ -72,12 +86,13 @@
 {
   char target[MAX_TARGET_BYTES];
   write_target (target, number);
-  bool has_body = strcmp (options.method, "POST") == 0;
   size_t n = (size_t)sprintf (
       out,
-      "%s %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: %ld\r\n%s",
-      options.method, target, options.host, id, options.deadline_ms,
-      has_body ? "Content-Length: 4\r\n" : "");
+      "%s %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: %ld\r\n",
+      options.method, target, options.host, id, options.deadline_ms);
+  if (has_body ())
+    n += (size_t)sprintf (out + n, "Content-Length: %ld\r\n",
+                          options.body_bytes);
   long left = options.head_bytes - (long)n - 2;
   for (long i = 0; i < fields; i++)
     {
@@ -90,13 +105,7 @@
       left -= m + value + 2;
     }
   memcpy (out + n, "\r\n", 2);
-  n += 2;
-  if (has_body)
-    {
-      memcpy (out + n, "body", 4);
-      n += 4;
-    }
-  return n;
+  return n + 2;
 }
 
 /* Receives the answer to ID and records it; returns false if the connection
@@ -107,11 +116,12 @@
   char stamp[MAX_ID_BYTES];
   char connection[MAX_ID_BYTES];
   int status = 0;
+  errno = 0;
   if (read_head (stream, head) == 0
       || sscanf (head, "HTTP/1.1 %d", &status) != 1
       || !skip_body (stream, head, true))
     {
-      record_line ("cut %s", id);
+      record_line ("%s %s", errno == EAGAIN ? "unanswered" : "cut", id);
       return false;
     }
   read_field (head, "Server-Stamp", stamp, sizeof stamp);
@@ -136,7 +146,7 @@
       if (stream->fd < 0)
         {
           stream->size = 0;
-          stream->fd = connect_to (options.address);
+          stream->fd = connect_to (options.address, options.deadline_ms);
           is_kept = false;
         }
       if (stream->fd < 0)
@@ -149,7 +159,10 @@
           = write_head (head, id, thread * 100000 + i,
                         options.short_first && !is_kept ? 0 : options.fields);
       record_line ("sent %s %s", id, is_kept ? "kept" : "new");
-      bool is_sent = send_all (stream->fd, head, size);
+      bool is_sent
+          = send_all (stream->fd, head, size)
+            && (!has_body ()
+                || send_all (stream->fd, body, (size_t)options.body_bytes));
       if (!is_sent)
         record_line ("cut %s", id);
       is_kept = is_sent && receive (stream, head, id);
@@ -185,6 +198,7 @@
           { "fields", required_argument, NULL, 'f' },
           { "head-bytes", required_argument, NULL, 'b' },
           { "short-first", required_argument, NULL, 'k' },
+          { "body-bytes", required_argument, NULL, 'y' },
           { NULL, 0, NULL, 0 } };
   const char *record = "";
   pthread_t threads[MAX_THREADS];
@@ -205,12 +219,17 @@
       case 'd': options.deadline_ms = atol (optarg); break;
       case 'f': options.fields = atol (optarg); break;
       case 'b': options.head_bytes = atol (optarg); break;
+      case 'y': options.body_bytes = atol (optarg); break;
       case 'k': options.short_first = strcmp (optarg, "yes") == 0; break;
       default: return 2;
       }
   if (options.threads > MAX_THREADS || options.head_bytes > MAX_HEAD_BYTES / 2)
     return 2;
   record_open (record, options.name);
+  body = malloc ((size_t)options.body_bytes + 1);
+  if (!body)
+    return 2;
+  memset (body, 'p', (size_t)options.body_bytes);
   for (long i = 0; i < options.threads; i++)
     if (pthread_create (&threads[i], NULL, run, (void *)i) != 0)
       return 2;
--- a/review/standin/common.c
+++ b/review/standin/common.c
@@ -17,8 +17,7 @@
 enum
 {
   MAX_LINE_BYTES = 512,
-  BACKLOG = 512,
-  RECEIVE_TIMEOUT_S = 20 /* longer than any deadline of a case */
+  BACKLOG = 512
 };
 
 static int record_fd = -1;
@@ -143,11 +142,11 @@
 }
 
 int
-connect_to (const char *address)
+connect_to (const char *address, long wait_ms)
 {
   struct sockaddr_in name;
   int on = 1;
-  struct timeval limit = { RECEIVE_TIMEOUT_S, 0 };
+  struct timeval limit = { wait_ms / 1000, wait_ms % 1000 * 1000 };
   int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   if (!parse_address (address, &name)
       || connect (fd, (struct sockaddr *)&name, sizeof name) != 0)
--- a/review/standin/common.h
+++ b/review/standin/common.h
@@ -32,8 +32,9 @@
 
 /* Returns a socket that listens at ADDRESS (IP:PORT); exits on failure.  */
 int listen_at (const char *address);
-/* Returns a connection to ADDRESS, or -1.  */
-int connect_to (const char *address);
+/* Returns a connection to ADDRESS, or -1.  A read from it fails with EAGAIN if
+   nothing comes for WAIT_MS.  */
+int connect_to (const char *address, long wait_ms);
 /* Sends SIZE bytes; returns false if the connection fails.  */
 bool send_all (int fd, const void *data, size_t size);
 
