--- a/review/lib.sh
+++ b/review/lib.sh
@@ -49,10 +49,11 @@
   done
 }
 
-# Addresses: a network of 127.0.0.0/8 in which nothing listens yet.
+# Addresses: a network of 127.0.0.0/8 that the project's tests do not use and in which
+# nothing listens yet.
 is_free () { ! (exec 3<>"/dev/tcp/$1.9.1/7900") 2>/dev/null && ! (exec 3<>"/dev/tcp/$1.1.1/7901") 2>/dev/null; }
 for _ in 1 2 3 4 5; do
-  NET=127.$((RANDOM % 200 + 20))
+  NET=127.$((RANDOM % 34 + 220))
   is_free $NET && break
 done
 STORE=$NET.9.1:7900
--- a/review/standin/caller.c
+++ b/review/standin/caller.c
@@ -3,13 +3,12 @@
 
      caller --connect IP:PORT --name NAME --record FILE [--threads N]
        [--requests N] [--seconds N] [--gap-ms N] [--method M] [--target PATH]
-       [--host H] [--deadline-ms N] [--fields N] [--head-bytes N]
-       [--short-first yes] [--body-bytes N]
+       [--host H] [--deadline-ms N] [--cookie-bytes N] [--short-first yes]
+       [--body-bytes N]
 
-   --requests and --seconds limit what each thread sends.  With --fields the
-   head has N more fields, which fill it to --head-bytes, but, with --short-first,
-   for the first request on a connection.  In PATH, `%N' stands for the number of
-   the request.
+   --requests and --seconds limit what each thread sends.  With --cookie-bytes
+   the head has a Cookie field of that size, but, with --short-first, for the first
+   request on a connection.  In PATH, `%N' stands for the number of the request.
 
    A POST has a body of --body-bytes.  A caller waits for an answer until the
    deadline that it states.
@@ -46,8 +45,7 @@
   long seconds;
   long gap_ms;
   long deadline_ms;
-  long fields;
-  long head_bytes;
+  long cookie_bytes;
   long body_bytes;
   bool short_first;
 } options = { .method = "GET",
@@ -82,7 +80,7 @@
 /* Writes the head of the request ID to OUT, which has MAX_HEAD_BYTES; returns
    its size.  */
 static size_t
-write_head (char *out, const char *id, long number, long fields)
+write_head (char *out, const char *id, long number, long cookie_bytes)
 {
   char target[MAX_TARGET_BYTES];
   write_target (target, number);
@@ -93,16 +91,12 @@
   if (has_body ())
     n += (size_t)sprintf (out + n, "Content-Length: %ld\r\n",
                           options.body_bytes);
-  long left = options.head_bytes - (long)n - 2;
-  for (long i = 0; i < fields; i++)
+  if (cookie_bytes > 0)
     {
-      long size = left / (fields - i);
-      int m = sprintf (out + n, "X-Field-%03ld: ", i);
-      long value = size - m - 2 > 1 ? size - m - 2 : 1;
-      memset (out + n + m, 'v', (size_t)value);
-      memcpy (out + n + m + value, "\r\n", 2);
-      n += (size_t)(m + value + 2);
-      left -= m + value + 2;
+      n += (size_t)sprintf (out + n, "Cookie: Affinity-Key=17; rest=");
+      memset (out + n, 'v', (size_t)cookie_bytes);
+      n += (size_t)cookie_bytes;
+      n += (size_t)sprintf (out + n, "\r\n");
     }
   memcpy (out + n, "\r\n", 2);
   return n + 2;
@@ -157,7 +151,8 @@
         }
       size_t size
           = write_head (head, id, thread * 100000 + i,
-                        options.short_first && !is_kept ? 0 : options.fields);
+                        options.short_first && !is_kept ? 0
+                                                      : options.cookie_bytes);
       record_line ("sent %s %s", id, is_kept ? "kept" : "new");
       bool is_sent
           = send_all (stream->fd, head, size)
@@ -195,8 +190,7 @@
           { "target", required_argument, NULL, 'p' },
           { "host", required_argument, NULL, 'h' },
           { "deadline-ms", required_argument, NULL, 'd' },
-          { "fields", required_argument, NULL, 'f' },
-          { "head-bytes", required_argument, NULL, 'b' },
+          { "cookie-bytes", required_argument, NULL, 'c' },
           { "short-first", required_argument, NULL, 'k' },
           { "body-bytes", required_argument, NULL, 'y' },
           { NULL, 0, NULL, 0 } };
@@ -217,13 +211,12 @@
       case 'p': options.target = optarg; break;
       case 'h': options.host = optarg; break;
       case 'd': options.deadline_ms = atol (optarg); break;
-      case 'f': options.fields = atol (optarg); break;
-      case 'b': options.head_bytes = atol (optarg); break;
+      case 'c': options.cookie_bytes = atol (optarg); break;
       case 'y': options.body_bytes = atol (optarg); break;
       case 'k': options.short_first = strcmp (optarg, "yes") == 0; break;
       default: return 2;
       }
-  if (options.threads > MAX_THREADS || options.head_bytes > MAX_HEAD_BYTES / 2)
+  if (options.threads > MAX_THREADS || options.cookie_bytes > MAX_HEAD_BYTES / 2)
     return 2;
   record_open (record, options.name);
   body = malloc ((size_t)options.body_bytes + 1);
