--- a/review/lib.sh
+++ b/review/lib.sh
@@ -58,10 +58,19 @@
 done
 STORE=$NET.9.1:7900
 
-put () { curl -s -f -X PUT --data-binary "$2" "http://$STORE/_put?key=$1" -o /dev/null || cannot_run "the store took no $1"; }
+# http METHOD IP:PORT TARGET [BODY]: makes one call; whether its status is 200.
+http () {
+  local status
+  {
+    printf '%s %s HTTP/1.1\r\nHost: %s\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s' "$1" "$3" "$2" "${#4}" "$4" >&3
+    read -r -t 2 _ status _ <&3
+  } 3<>"/dev/tcp/${2%:*}/${2#*:}" || return 1
+  [ "$status" = 200 ]
+} 2>/dev/null
+put () { http PUT $STORE "/_put?key=$1" "$2" || cannot_run "the store took no $1"; }
 start_store () {
   start store target/standin metadata --listen $STORE
-  wait_for 5 curl -s -o /dev/null "http://$STORE/kv-range?prefix=x" || cannot_run "no store"
+  wait_for 5 http GET $STORE "/kv-range?prefix=x" "" || cannot_run "no store"
 }
 # route NAME PREFIX KIND SERVICE MAX-ATTEMPTS
 route () {
@@ -111,7 +120,7 @@
     sleep 0.5
   done 2>/dev/null
 }
-is_ready () { curl -s -f -m 1 -o /dev/null "http://$NET.1.$1:7902/ready"; }
+is_ready () { http GET "$NET.1.$1:7902" /ready ""; }
 start_gateway () {
   write_settings "$1"
   keep_gateway "$1" &
--- a/review/standin/caller.c
+++ b/review/standin/caller.c
@@ -7,15 +7,17 @@
        [--body-bytes N]
 
    --requests and --seconds limit what each thread sends.  With --cookie-bytes
-   the head has a Cookie field of that size, but, with --short-first, for the first
-   request on a connection.  In PATH, `%N' stands for the number of the request.
+   the head has a Cookie field of that size, but, with --short-first, for the
+   first request on a connection.  In PATH, `%N' stands for the number of the
+   request.
 
    A POST has a body of --body-bytes.  A caller waits for an answer until the
    deadline that it states.
 
    Record: "sent ID kept|new", "answered ID STATUS server|own", "cut ID" (the
-   connection ended without a whole answer), "unanswered ID" (no answer until the
-   deadline), "unread ID" (no connection could be opened).  "own" is an answer without a Server-Stamp.  */
+   connection ended without a whole answer), "unanswered ID" (no answer until
+   the deadline), "unread ID" (no connection could be opened).  "own" is an
+   answer without a Server-Stamp.  */
 #include "common.h"
 
 #include <errno.h>
@@ -71,8 +73,8 @@
 {
   const char *mark = strstr (options.target, "%N");
   if (mark)
-    snprintf (out, MAX_TARGET_BYTES, "%.*s%ld%s",
-              (int)(mark - options.target), options.target, number, mark + 2);
+    snprintf (out, MAX_TARGET_BYTES, "%.*s%ld%s", (int)(mark - options.target),
+              options.target, number, mark + 2);
   else
     snprintf (out, MAX_TARGET_BYTES, "%s", options.target);
 }
@@ -149,10 +151,9 @@
           sleep_ms (RECONNECT_MS);
           continue;
         }
-      size_t size
-          = write_head (head, id, thread * 100000 + i,
-                        options.short_first && !is_kept ? 0
-                                                      : options.cookie_bytes);
+      size_t size = write_head (
+          head, id, thread * 100000 + i,
+          options.short_first && !is_kept ? 0 : options.cookie_bytes);
       record_line ("sent %s %s", id, is_kept ? "kept" : "new");
       bool is_sent
           = send_all (stream->fd, head, size)
@@ -200,23 +201,53 @@
   while ((option = getopt_long (argc, argv, "", long_options, NULL)) != -1)
     switch (option)
       {
-      case 'a': options.address = optarg; break;
-      case 'n': options.name = optarg; break;
-      case 'r': record = optarg; break;
-      case 't': options.threads = atol (optarg); break;
-      case 'q': options.requests = atol (optarg); break;
-      case 's': options.seconds = atol (optarg); break;
-      case 'g': options.gap_ms = atol (optarg); break;
-      case 'm': options.method = optarg; break;
-      case 'p': options.target = optarg; break;
-      case 'h': options.host = optarg; break;
-      case 'd': options.deadline_ms = atol (optarg); break;
-      case 'c': options.cookie_bytes = atol (optarg); break;
-      case 'y': options.body_bytes = atol (optarg); break;
-      case 'k': options.short_first = strcmp (optarg, "yes") == 0; break;
-      default: return 2;
+      case 'a':
+        options.address = optarg;
+        break;
+      case 'n':
+        options.name = optarg;
+        break;
+      case 'r':
+        record = optarg;
+        break;
+      case 't':
+        options.threads = atol (optarg);
+        break;
+      case 'q':
+        options.requests = atol (optarg);
+        break;
+      case 's':
+        options.seconds = atol (optarg);
+        break;
+      case 'g':
+        options.gap_ms = atol (optarg);
+        break;
+      case 'm':
+        options.method = optarg;
+        break;
+      case 'p':
+        options.target = optarg;
+        break;
+      case 'h':
+        options.host = optarg;
+        break;
+      case 'd':
+        options.deadline_ms = atol (optarg);
+        break;
+      case 'c':
+        options.cookie_bytes = atol (optarg);
+        break;
+      case 'y':
+        options.body_bytes = atol (optarg);
+        break;
+      case 'k':
+        options.short_first = strcmp (optarg, "yes") == 0;
+        break;
+      default:
+        return 2;
       }
-  if (options.threads > MAX_THREADS || options.cookie_bytes > MAX_HEAD_BYTES / 2)
+  if (options.threads > MAX_THREADS
+      || options.cookie_bytes > MAX_HEAD_BYTES / 2)
     return 2;
   record_open (record, options.name);
   body = malloc ((size_t)options.body_bytes + 1);
--- a/review/standin/common.h
+++ b/review/standin/common.h
@@ -2,8 +2,8 @@
    messages from a socket.
 
    A record is a text file to which all processes of a case append lines
-   "MILLISECONDS WHO EVENT ID ...", with the time of the steady clock.  Each line
-   is one write, so that lines of different processes do not mix.  */
+   "MILLISECONDS WHO EVENT ID ...", with the time of the steady clock.  Each
+   line is one write, so that lines of different processes do not mix.  */
 #ifndef REVIEW_STANDIN_COMMON_H
 #define REVIEW_STANDIN_COMMON_H
 
--- a/review/standin/server.c
+++ b/review/standin/server.c
@@ -10,8 +10,8 @@
    Server-Load, and those with 200 N more fields of 100 bytes.
 
    Disruptions: of the requests that it runs, --fail PERCENT end at once with
-   500 and a body of --error-bytes in chunks; of --lose PERCENT, which were run,
-   the answer is lost: the connection is reset.
+   500 and a body of --error-bytes in chunks; of --lose PERCENT, which were
+   run, the answer is lost: the connection is reset.
 
    Record: "ran ID METHOD TARGET", "failed ID", "lost ID", "refused ID".  */
 #include "common.h"
@@ -26,8 +26,8 @@
 
 enum
 {
-  PIECE_BYTES = 1000,      /* the last chunk of an error's body */
-  FIELD_BYTES = 100,       /* of the additional fields */
+  PIECE_BYTES = 1000, /* the last chunk of an error's body */
+  FIELD_BYTES = 100,  /* of the additional fields */
   MAX_FIELDS = 200,
   MAX_TARGET_BYTES = 2048, /* in the record */
   STACK_BYTES = 512 * 1024
@@ -151,8 +151,8 @@
 send_success (int fd, const char *request_id)
 {
   char fields[MAX_FIELDS * FIELD_BYTES + 64];
-  size_t n = (size_t)sprintf (fields,
-                              "Server-Stamp: s\r\nContent-Length: 4\r\n");
+  size_t n
+      = (size_t)sprintf (fields, "Server-Stamp: s\r\nContent-Length: 4\r\n");
   for (long i = 0; i < options.fields; i++)
     n += (size_t)sprintf (fields + n, "X-Answer-%03ld: %0*d\r\n", i,
                           FIELD_BYTES - 16, 0);
@@ -249,17 +249,38 @@
   while ((option = getopt_long (argc, argv, "", long_options, NULL)) != -1)
     switch (option)
       {
-      case 'a': address = optarg; break;
-      case 'i': options.id = optarg; break;
-      case 'r': record = optarg; break;
-      case 'w': options.work_ms = atol (optarg); break;
-      case 's': options.slots = atol (optarg); break;
-      case 'q': options.queue = atol (optarg); break;
-      case 'f': options.fail_percent = atol (optarg); break;
-      case 'b': options.error_bytes = atol (optarg); break;
-      case 'l': options.lose_percent = atol (optarg); break;
-      case 'e': options.fields = atol (optarg); break;
-      default: return 2;
+      case 'a':
+        address = optarg;
+        break;
+      case 'i':
+        options.id = optarg;
+        break;
+      case 'r':
+        record = optarg;
+        break;
+      case 'w':
+        options.work_ms = atol (optarg);
+        break;
+      case 's':
+        options.slots = atol (optarg);
+        break;
+      case 'q':
+        options.queue = atol (optarg);
+        break;
+      case 'f':
+        options.fail_percent = atol (optarg);
+        break;
+      case 'b':
+        options.error_bytes = atol (optarg);
+        break;
+      case 'l':
+        options.lose_percent = atol (optarg);
+        break;
+      case 'e':
+        options.fields = atol (optarg);
+        break;
+      default:
+        return 2;
       }
   if (options.fields > MAX_FIELDS)
     return 2;
