--- a/review/lib.sh
+++ b/review/lib.sh
@@ -90,6 +90,18 @@
   start "server$number" review/bin/server --listen "$NET.2.$number:7910" --id "i-$number" --record "$RECORD" --slots "$slots" "$@"
   put "servers/i-$number" "{\"service\":\"$service\",\"address\":\"$NET.2.$number:7910\",\"zone\":\"gwent-a\",\"version\":\"v1\",\"slots\":$slots,\"state\":\"ready\",\"cold_remaining_ms\":0,\"sequence\":1,\"born\":$number}"
 }
+# disturb SECONDS NUMBER...: the disruption of these servers begins, and ends after
+# SECONDS; nothing with TROUBLE=0.
+disturb () {
+  local seconds=$1 n
+  shift
+  [ "$TROUBLE" != 0 ] || return 0
+  note "disruption begins"
+  for n; do kill -USR1 "$(pid_of "server$n")"; done
+  sleep "$seconds"
+  for n; do kill -USR1 "$(pid_of "server$n")"; done
+  note "disruption ends"
+}
 # write_settings NUMBER: the settings of a gateway, as the template of the deploy
 # file gives them with the bounds of Pryce Falls.
 write_settings () {
--- a/review/standin/server.c
+++ b/review/standin/server.c
@@ -9,15 +9,17 @@
    another instance with 421.  Its answers have Request-Id, Server-Stamp and
    Server-Load, and those with 200 N more fields of 100 bytes.
 
-   Disruptions: of the requests that it runs, --fail PERCENT end at once with
-   500 and a body of --error-bytes in chunks; of --lose PERCENT, which were
-   run, the answer is lost: the connection is reset.
+   Disruptions begin and end with SIGUSR1: of the requests that it runs
+   meanwhile, --fail PERCENT end at once with 500 and a body of --error-bytes
+   in chunks; of --lose PERCENT, which were run, the answer is lost: the
+   connection is reset.
 
    Record: "ran ID METHOD TARGET", "failed ID", "lost ID", "refused ID".  */
 #include "common.h"
 
 #include <getopt.h>
 #include <pthread.h>
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -56,10 +58,21 @@
 } state = { .mutex = PTHREAD_MUTEX_INITIALIZER,
             .slot_freed = PTHREAD_COND_INITIALIZER };
 
+static volatile sig_atomic_t is_disturbed;
+
+static void
+on_signal (int number)
+{
+  (void)number;
+  is_disturbed = !is_disturbed;
+}
+
 /* Adds PERCENT to *SHARE; returns true each time that this makes a whole.  */
 static bool
 takes_share (long *share, long percent)
 {
+  if (!is_disturbed)
+    return false;
   *share += percent;
   if (*share < 100)
     return false;
@@ -285,6 +298,9 @@
   if (options.fields > MAX_FIELDS)
     return 2;
   record_open (record, options.id);
+  struct sigaction action
+      = { .sa_handler = on_signal, .sa_flags = SA_RESTART };
+  sigaction (SIGUSR1, &action, NULL);
   int listener = listen_at (address);
   pthread_attr_t attributes;
   pthread_attr_init (&attributes);
