Log which connection a failed attempt used and what it had carried

The line attempt-failed had neither the connection nor how many responses it had carried, nor how long before the send the latest one had ended, so an answer could not be told from the copy of an earlier one. No change of logic; the history is kept by local port, at most 64 for an address.

--- a/src/call/attempt.c
+++ b/src/call/attempt.c
@@ -32,12 +32,15 @@
   (void)peer;
   (void)self;
   (void)peer_port;
-  (void)self_port;
   struct attempt *attempt = user_data;
+  long connects = 0;
   /* A process that was suspended must not start a call after the deadline:
      the slot may have been reclaimed by another entry by then.  */
   if (attempt->sent || timer_clock () >= attempt->desc.deadline)
     return CURL_PREREQFUNC_ABORT;
+  curl_easy_getinfo (attempt->transfer.easy, CURLINFO_NUM_CONNECTS, &connects);
+  attempt->connection = connection_history (attempt->desc.connections,
+                                            self_port, connects > 0);
   attempt->sent = true;
   return CURL_PREREQFUNC_OK;
 }
@@ -175,6 +178,9 @@
 {
   struct attempt *attempt = user_data;
   release_connection (attempt);
+  if (attempt->has_head)
+    connection_add_response (attempt->desc.connections,
+                             attempt->connection.local_port, timer_clock ());
   attempt->done = true;
   attempt->result = result;
   /* Without a final head there is no response, even if libcurl reports
--- a/src/call/attempt.h
+++ b/src/call/attempt.h
@@ -106,7 +106,9 @@
   apr_time_t started_at;
   apr_time_t head_at; /* when the response's head was complete */
   bool sent;          /* the request may have reached the upstream */
-  size_t head_bytes;  /* received in heads and trailers */
+  struct connection_history connection; /* before this request; its port is 0
+                                           until the request is sent */
+  size_t head_bytes;                    /* received in heads and trailers */
   bool has_head;
   bool echo_mismatch; /* the response belongs to another request */
   bool refused;       /* set by the owner: the upstream reports that it did
--- a/src/call/connections.c
+++ b/src/call/connections.c
@@ -60,6 +60,34 @@
   return n;
 }
 
+/* Returns the history of the connection from LOCAL_PORT, or NULL.  */
+static struct connection_history *
+find_history (const struct connection_count *count, int local_port)
+{
+  struct connection_history *items
+      = (struct connection_history *)count->histories->elts;
+  for (int i = 0; i < count->histories->nelts; i++)
+    if (items[i].local_port == local_port)
+      return &items[i];
+  return NULL;
+}
+
+/* Returns an entry for one more history: a new one, or the one that carried a
+   response least recently.  */
+static struct connection_history *
+take_history (struct connection_count *count)
+{
+  struct connection_history *items
+      = (struct connection_history *)count->histories->elts;
+  struct connection_history *oldest = items;
+  if (count->histories->nelts < CONNECTIONS_HISTORY_MAX)
+    return apr_array_push (count->histories);
+  for (int i = 1; i < CONNECTIONS_HISTORY_MAX; i++)
+    if (items[i].responded_at < oldest->responded_at)
+      oldest = &items[i];
+  return oldest;
+}
+
 /* public functions */
 
 struct connections *
@@ -80,6 +108,8 @@
     return count;
   struct str key = str_dup (connections->pool, address);
   count = apr_pcalloc (connections->pool, sizeof *count);
+  count->histories = apr_array_make (connections->pool, 1,
+                                     sizeof (struct connection_history));
   apr_hash_set (connections->counts, key.data, (apr_ssize_t)key.size, count);
   return count;
 }
@@ -121,3 +151,28 @@
   curl_easy_setopt (easy, CURLOPT_CLOSESOCKETFUNCTION, close_socket);
   curl_easy_setopt (easy, CURLOPT_CLOSESOCKETDATA, count);
 }
+
+struct connection_history
+connection_history (struct connection_count *count, int local_port,
+                    bool is_new)
+{
+  struct connection_history *history = find_history (count, local_port);
+  if (history && is_new)
+    *history = (struct connection_history){ .local_port = local_port };
+  return history ? *history
+                 : (struct connection_history){ .local_port = local_port };
+}
+
+void
+connection_add_response (struct connection_count *count, int local_port,
+                         apr_time_t now)
+{
+  struct connection_history *history = find_history (count, local_port);
+  if (!history)
+    {
+      history = take_history (count);
+      *history = (struct connection_history){ .local_port = local_port };
+    }
+  history->responses++;
+  history->responded_at = now;
+}
--- a/src/call/connections.h
+++ b/src/call/connections.h
@@ -17,6 +17,10 @@
      ... the transfer ...
      connection_end (count, keep);
 
+   What a connection has carried is kept by its local port, for the log lines
+   of attempts that fail: connection_history when a request is about to be
+   sent, connection_add_response when its response has ended.
+
    Units: microseconds.
    Threads: the worker's thread only.  */
 #ifndef CALL_CONNECTIONS_H
@@ -24,6 +28,7 @@
 
 #include "base/str.h"
 
+#include <apr_tables.h>
 #include <apr_time.h>
 #include <curl/curl.h>
 #include <stdbool.h>
@@ -33,11 +38,22 @@
 {
   /* Closes remembered for one address.  If more connections are closed within
      `close_delay_us', the oldest of them are not counted any more.  */
-  CONNECTIONS_CLOSED_MAX = 256
+  CONNECTIONS_CLOSED_MAX = 256,
+  /* Connections to one address whose history is kept; of more, the ones that
+     carried a response least recently are forgotten.  */
+  CONNECTIONS_HISTORY_MAX = 64
 };
 
 struct connections;
 
+/* What one connection has carried.  */
+struct connection_history
+{
+  int local_port;
+  int64_t responses;
+  apr_time_t responded_at; /* the end of the latest one; 0: none yet */
+};
+
 /* Connections to one address.  */
 struct connection_count
 {
@@ -49,6 +65,7 @@
   apr_time_t closed_at[CONNECTIONS_CLOSED_MAX]; /* ring buffer of the last
                                                    closes */
   size_t closed; /* closes in all; the next one's place in the ring */
+  apr_array_header_t *histories; /* struct connection_history */
 };
 
 /* Makes an empty table, valid as long as POOL.  */
@@ -72,5 +89,13 @@
 /* Makes the sockets that EASY opens and closes count in COUNT.  COUNT must
    outlive the connections, which libcurl may keep for later attempts.  */
 void connection_track_sockets (struct connection_count *count, CURL *easy);
+/* Returns what the connection from LOCAL_PORT has carried; nothing if IS_NEW.
+ */
+struct connection_history connection_history (struct connection_count *count,
+                                              int local_port, bool is_new);
+/* Records that the connection from LOCAL_PORT carried a response, which ended
+   at NOW.  */
+void connection_add_response (struct connection_count *count, int local_port,
+                              apr_time_t now);
 
 #endif
--- a/src/gateway/attempts.c
+++ b/src/gateway/attempts.c
@@ -131,16 +131,29 @@
   struct gateway *gateway = request->gateway;
   if (!gateway_allow_log_line (gateway))
     return;
+  const struct attempt *attempt = request->attempt;
+  const struct connection_history *connection = &attempt->connection;
   apr_time_t now = timer_clock ();
+  curl_off_t body_bytes = 0;
+  curl_easy_getinfo (attempt->transfer.easy, CURLINFO_SIZE_UPLOAD_T,
+                     &body_bytes);
   LOG (LOG_INFO, "attempt-failed", LOG_TEXT ("id", request->id.data),
        LOG_TEXT ("upstream", request->upstream->id.data),
        LOG_TEXT ("address", request->upstream->address.data),
        LOG_TEXT ("reason", reason), LOG_INT ("not_run", not_run),
-       LOG_INT ("status", request->attempt->status),
+       LOG_INT ("status", attempt->status),
+       LOG_INT ("send", request->send_count),
+       LOG_INT ("connection", connection->local_port),
+       LOG_INT ("carried", connection->responses),
+       LOG_INT ("last_answer_ms",
+                connection->responded_at
+                    ? (attempt->started_at - connection->responded_at) / 1000
+                    : -1),
+       LOG_INT ("body_sent", body_bytes),
        LOG_INT ("busy",
                 (int64_t)load_in_flight (&request->upstream->load, now)),
        LOG_INT ("cold", request->upstream->cold_until > now),
-       LOG_INT ("elapsed_ms", (now - request->attempt->started_at) / 1000));
+       LOG_INT ("elapsed_ms", (now - attempt->started_at) / 1000));
 }
 
 /* Gives the attempt up, whatever of its response was ready to be forwarded,
