--- a/tests/standin/faulty_upstream.c
+++ b/tests/standin/faulty_upstream.c
@@ -1,10 +1,11 @@
 /* An upstream that violates the protocol on request.  One thread serves each
    connection.
 
-     standin faulty-upstream --listen IP:PORT [--stamp TEXT]
+     standin faulty-upstream --listen IP:PORT [--stamp TEXT] [--id ID]
 
    With --stamp, whole responses have the header that responses of the users'
-   platform need.  X-Answer-Fields: N in a request adds fields of N bytes in
+   platform need.  With --id, requests that expect another instance are refused
+   with 421.  X-Answer-Fields: N in a request adds fields of N bytes in
    all, line ends included, to the head of its whole response (N is 0 or at
    least 4, and at most 65536).
 
@@ -13,6 +14,9 @@
      close    reads the request and closes the connection without a response
      twice    a complete response, which is sent again before the response to
               the next request on the connection
+     refused-twice  a refusal with 503, which is sent again before the response
+              to the next request on the connection
+     misdirected-twice  the same with 421, if --id refuses the request
      late     a complete response after 1.5 s
      crossed  a response with the id and the token of the previous request,
               which may have come on another connection
@@ -54,6 +58,8 @@
 struct request_head
 {
   char id[160];
+  char expected_instance[160];
+  const char *refusal; /* status and field of the answer; NULL: not refused */
   char token[64];
   char fault[32];
   char path[256];
@@ -113,6 +119,7 @@
 };
 
 static char stamp[64]; /* header line of whole responses, or empty */
+static const char *own_id; /* "": requests for any instance are accepted */
 static pthread_mutex_t mutex = PTHREAD_MUTEX_INITIALIZER;
 static struct request_head last_request; /* of any connection */
 static struct
@@ -182,6 +189,12 @@
   read_field (head, "\nX-Caller-Token:", request->token,
               sizeof request->token);
   read_field (head, "\nX-Fault:", request->fault, sizeof request->fault);
+  read_field (head, "\nExpect-Instance:", request->expected_instance,
+              sizeof request->expected_instance);
+  if (*own_id && strcmp (request->expected_instance, own_id) != 0)
+    request->refusal = "421 Misdirected Request\r\nInstance-Id: other";
+  else if (strcmp (request->fault, "refused-twice") == 0)
+    request->refusal = "503 Service Unavailable\r\nNot-Executed: full";
   read_field (head, "\nX-Answer-Fields:", length_text, sizeof length_text);
   request->answer_fields_bytes = (size_t)atoll (length_text);
   if (request->answer_fields_bytes > MAX_ANSWER_FIELDS_BYTES)
@@ -236,6 +249,19 @@
     return;
 }
 
+/* Refuses REQUEST, for the first or the second time.  */
+static void
+write_refusal (int fd, const struct request_head *request)
+{
+  char text[512];
+  int size = snprintf (text, sizeof text,
+                       "HTTP/1.1 %s\r\nRequest-Id: %s\r\n"
+                       "Content-Length: 0\r\n\r\n",
+                       request->refusal, request->id);
+  if (write (fd, text, (size_t)size) != size)
+    perror ("standin: write");
+}
+
 /* Sends the head and half of the body of a large response.  */
 static void
 write_half_large_body (int fd, const struct request_head *source)
@@ -320,10 +346,20 @@
       write_response (fd, &source, 0);
       return true;
     }
-  add_runs (request->token, 1);
-  if (duplicate->id[0])
+  if (duplicate->refusal)
+    write_refusal (fd, duplicate);
+  else if (duplicate->id[0])
     write_response (fd, duplicate, 0);
   memset (duplicate, 0, sizeof *duplicate);
+  if (request->refusal)
+    {
+      write_refusal (fd, request);
+      if (strcmp (request->fault, "refused-twice") == 0
+          || strcmp (request->fault, "misdirected-twice") == 0)
+        *duplicate = *request;
+      return true;
+    }
+  add_runs (request->token, 1);
   pthread_mutex_lock (&mutex);
   previous_request = last_request;
   last_request = *request;
@@ -395,6 +431,7 @@
   const char *text = option (argc, argv, "--stamp", "");
   if (*text)
     snprintf (stamp, sizeof stamp, "Server-Stamp: %s\r\n", text);
+  own_id = option (argc, argv, "--id", "");
   if (loop_create (pool, &loop, &err) != ERR_NONE
       || net_listen (
              str_from (option (argc, argv, "--listen", "127.0.0.1:7510")), 64,
