Close connections whose response may be followed by another attempt

What callers saw: a request that its upstream ran was refused with 503, which promises that it never runs; of 48 calls at an address whose ids were replaced 5 to 7, and of 4 that are repeated with their id 2 to 4. Beside it 141 to 147 of 160 calls that followed a refusal on a connection got 502.

Cause: a response was taken for the attempt's if it bore the request's id. An upstream may send a refusal again where the next response on the connection is due; when the same request was sent again on that connection, the copy passed for the refusal of the second attempt, while an upstream ran it. Upstreams are excluded by id, connections belong to an address. Class: evidence ("not run", "yours") that is not tied to the send it concerns.

Change: a connection that carried a refusal, or in the gateway an error for which another attempt may follow, is closed after that response; both daemons. So no connection carries one request twice, whatever became of the upstream's id or of the caller's.

--- a/src/call/attempt.c
+++ b/src/call/attempt.c
@@ -106,7 +106,7 @@
      read the rest from this connection, or take the next request for it.  */
   if (attempt->desc.body_size != 0
       && (!*attempt->desc.body_ended || body_unread (attempt->desc.body) > 0))
-    curl_easy_setopt (attempt->transfer.easy, CURLOPT_FORBID_REUSE, 1L);
+    attempt_close_connection (attempt);
   attempt->head_at = timer_clock ();
   attempt->desc.event (attempt->desc.user_data, attempt, ATTEMPT_HEAD);
   return true;
@@ -356,6 +356,12 @@
   curl_loop_unpause (&attempt->transfer);
 }
 
+void
+attempt_close_connection (struct attempt *attempt)
+{
+  curl_easy_setopt (attempt->transfer.easy, CURLOPT_FORBID_REUSE, 1L);
+}
+
 void
 attempt_drop_response (struct attempt *attempt)
 {
--- a/src/call/attempt.h
+++ b/src/call/attempt.h
@@ -9,7 +9,11 @@
 
    The response must belong to this request: either the upstream echoes the
    Request-Id that it received, or the connection is a new one.  A connection
-   whose response was not read to its end is closed, never reused.
+   whose response was not read to its end is closed, never reused.  An upstream
+   may send a response again where the next one on the connection is due; the
+   id doesn't tell such a copy from the response to the same request that was
+   sent again.  So the owner closes each connection whose response may be
+   followed by another attempt (attempt_close_connection).
 
    Call order: attempt_start; then `event' is called with ATTEMPT_HEAD, with
    ATTEMPT_DATA and the event for free space in the request body any number of
@@ -135,6 +139,9 @@
    added to the request body, after the body ended, after bytes of the
    response were read, and, while `paused_by_link' is set, periodically.  */
 void attempt_resume (struct attempt *attempt);
+/* Makes the connection close after the response of ATTEMPT.  Call it from
+   `event' with ATTEMPT_HEAD.  */
+void attempt_close_connection (struct attempt *attempt);
 /* Drops the bytes of the response that were received and not read, if it won't
    be forwarded, so that the rest of it is read too.  */
 void attempt_drop_response (struct attempt *attempt);
--- a/src/call/dispatch.c
+++ b/src/call/dispatch.c
@@ -187,6 +187,8 @@
       attempt->refused
           = call->service->not_started_status != 0
             && attempt->status == call->service->not_started_status;
+      if (attempt->refused)
+        attempt_close_connection (attempt);
       break;
     case ATTEMPT_DATA:
       if (attempt->refused)
--- a/src/gateway/attempts.c
+++ b/src/gateway/attempts.c
@@ -388,6 +388,9 @@
   apr_time_t now = timer_clock ();
   struct load_report report;
   apr_time_t wait;
+  if (is_refusal (request->attempt)
+      || request->attempt->status >= HTTP_SERVER_ERRORS)
+    attempt_close_connection (request->attempt);
   if (decode_load (headers_get (headers, PLATFORM_LOAD), &report))
     {
       load_apply_report (&request->upstream->load, &report, now);
--- a/tests/session/copies.sh
+++ b/tests/session/copies.sh
@@ -4,8 +4,8 @@
 store=http://127.41.9.1:7900
 gateway=http://127.41.1.1:7901
 put () { curl -s -X PUT --data-binary "$2" "$store/_put?key=$1" -o /dev/null; }
-route () { # PREFIX SERVICE
-  echo "{\"name\":\"$2\",\"host\":\"shop.example\",\"prefix\":\"$1\",\"kind\":\"unsafe\",\"timeout_ms\":2000,\"target_latency_ms\":900,\"priority\":1,\"service\":\"$2\",\"max_attempts\":2}"
+route () { # PREFIX SERVICE KIND
+  echo "{\"name\":\"$2\",\"host\":\"shop.example\",\"prefix\":\"$1\",\"kind\":\"$3\",\"timeout_ms\":2000,\"target_latency_ms\":900,\"priority\":1,\"service\":\"$2\",\"max_attempts\":2}"
 }
 upstream () { # SERVICE HOST BORN
   echo "{\"service\":\"$1\",\"address\":\"127.41.2.$2:9000\",\"zone\":\"north-a\",\"slots\":200,\"state\":\"ready\",\"cold_remaining_ms\":0,\"sequence\":1,\"born\":$3}"
@@ -13,7 +13,7 @@
 
 start store "$BUILD/standin" metadata --listen 127.41.9.1:7900
 start u1 "$BUILD/standin" faulty-upstream --listen 127.41.2.1:9000 --stamp s --id i-new
-for n in 2 3; do start u$n "$BUILD/standin" faulty-upstream --listen 127.41.2.$n:9000 --stamp s; done
+for n in 2 3 4; do start u$n "$BUILD/standin" faulty-upstream --listen 127.41.2.$n:9000 --stamp s; done
 cat >"$WORK/gateway.json" <<EOF
 { "name": "g1", "zone": "north-a", "region": "north",
   "zones": [{ "name": "north-a", "region": "north" }],
@@ -25,7 +25,7 @@
 EOF
 wait_for 5 curl -s -o /dev/null "$store/kv-range?prefix=x"
 start g1 "$BUILD/citroncleat" gateway -f "$WORK/gateway.json"
-put op/config "{\"version\":1,\"routes\":[$(route /replaced/ replaced),$(route /plain/ plain)],\"services\":[{\"name\":\"replaced\",\"cold_per_s\":1000},{\"name\":\"plain\"}]}"
+put op/config "{\"version\":1,\"routes\":[$(route /replaced/ replaced unsafe),$(route /plain/ plain unsafe),$(route /failing/ failing safe)],\"services\":[{\"name\":\"replaced\",\"cold_per_s\":1000},{\"name\":\"plain\"},{\"name\":\"failing\"}]}"
 start platform "$BUILD/standin" platform --store 127.41.255.1:7500 --vms 127.41.255.1:7501
 wait_for 5 curl -sf http://127.41.255.1:7500/_control
 cat >"$WORK/copies.json" <<EOF
@@ -45,6 +45,7 @@
 wait_for 5 client apply -f "$WORK/copies.json"
 put servers/i-new "$(upstream replaced 1 100)"
 put servers/i-plain "$(upstream plain 2 101)"
+for n in 1 2; do put servers/i-failing-$n "$(upstream failing 4 $((101 + n)))"; done
 wait_for 5 curl -sf -o /dev/null http://127.41.1.1:7902/ready
 
 # calls PATH FIRST LAST PARALLEL FAULT EVERY: makes the calls of these numbers, PARALLEL
@@ -110,3 +111,9 @@
 again $gateway/plain/1 127.41.2.2:9000
 echo "# the same: an entry"
 again http://127.41.0.1:7600/1 127.41.2.3:9000
+
+# Guards against a copy of an error that is taken for the response to the next attempt.
+echo "# errors that another upstream at the same address makes good"
+calls /failing/ 1 100 1 none 1 # fills the retry budget
+calls /failing/ 101 116 1 error-twice 1
+tail -n 16 "$WORK/results" | cut -d' ' -f2 | sort | uniq -c
--- a/tests/standin/faulty_upstream.c
+++ b/tests/standin/faulty_upstream.c
@@ -17,12 +17,12 @@
      refused-twice  a refusal with 503, which is sent again before the response
               to the next request on the connection
      misdirected-twice  the same with 421, if --id refuses the request
-     late     a complete response after 1.5 s
-     crossed  a response with the id and the token of the previous request,
-              which may have come on another connection
-     half     a response without the last 10 bytes of the body; closes the
-              connection 100 ms later
-     cut      half of a response whose body is too large for an entry to
+     error-twice  500 to the first request of a token, which is sent again
+   before the response to the next request on the connection late     a
+   complete response after 1.5 s crossed  a response with the id and the token
+   of the previous request, which may have come on another connection half a
+   response without the last 10 bytes of the body; closes the connection 100 ms
+   later cut      half of a response whose body is too large for an entry to
               buffer; closes the connection 100 ms later
    those of the table `long_bodies': a whole response, in chunks that arrive
    together, whose body has the size that X-Body: N states,
@@ -59,7 +59,7 @@
 {
   char id[160];
   char expected_instance[160];
-  const char *refusal; /* status and field of the answer; NULL: not refused */
+  const char *failure; /* status and field of the answer; NULL: none */
   char token[64];
   char fault[32];
   char path[256];
@@ -118,7 +118,7 @@
   { "long-unstamped", "200 OK" },
 };
 
-static char stamp[64]; /* header line of whole responses, or empty */
+static char stamp[64];     /* header line of whole responses, or empty */
 static const char *own_id; /* "": requests for any instance are accepted */
 static pthread_mutex_t mutex = PTHREAD_MUTEX_INITIALIZER;
 static struct request_head last_request; /* of any connection */
@@ -192,9 +192,9 @@
   read_field (head, "\nExpect-Instance:", request->expected_instance,
               sizeof request->expected_instance);
   if (*own_id && strcmp (request->expected_instance, own_id) != 0)
-    request->refusal = "421 Misdirected Request\r\nInstance-Id: other";
+    request->failure = "421 Misdirected Request\r\nInstance-Id: other";
   else if (strcmp (request->fault, "refused-twice") == 0)
-    request->refusal = "503 Service Unavailable\r\nNot-Executed: full";
+    request->failure = "503 Service Unavailable\r\nNot-Executed: full";
   read_field (head, "\nX-Answer-Fields:", length_text, sizeof length_text);
   request->answer_fields_bytes = (size_t)atoll (length_text);
   if (request->answer_fields_bytes > MAX_ANSWER_FIELDS_BYTES)
@@ -249,15 +249,15 @@
     return;
 }
 
-/* Refuses REQUEST, for the first or the second time.  */
+/* Sends the failure of REQUEST, for the first or the second time.  */
 static void
-write_refusal (int fd, const struct request_head *request)
+write_failure (int fd, const struct request_head *request)
 {
   char text[512];
   int size = snprintf (text, sizeof text,
                        "HTTP/1.1 %s\r\nRequest-Id: %s\r\n"
                        "Content-Length: 0\r\n\r\n",
-                       request->refusal, request->id);
+                       request->failure, request->id);
   if (write (fd, text, (size_t)size) != size)
     perror ("standin: write");
 }
@@ -334,8 +334,7 @@
    DUPLICATE is the request whose response is sent again first, or has an empty
    id; it is set for the next request.  */
 static bool
-serve (int fd, const struct request_head *request,
-       struct request_head *duplicate)
+serve (int fd, struct request_head *request, struct request_head *duplicate)
 {
   struct request_head previous_request;
   if (strncmp (request->path, "/_runs/", 7) == 0)
@@ -346,20 +345,21 @@
       write_response (fd, &source, 0);
       return true;
     }
-  if (duplicate->refusal)
-    write_refusal (fd, duplicate);
+  if (duplicate->failure)
+    write_failure (fd, duplicate);
   else if (duplicate->id[0])
     write_response (fd, duplicate, 0);
   memset (duplicate, 0, sizeof *duplicate);
-  if (request->refusal)
+  if (!request->failure && add_runs (request->token, 1) == 1
+      && strcmp (request->fault, "error-twice") == 0)
+    request->failure = "500 Internal Server Error\r\nServer-Stamp: s";
+  if (request->failure)
     {
-      write_refusal (fd, request);
-      if (strcmp (request->fault, "refused-twice") == 0
-          || strcmp (request->fault, "misdirected-twice") == 0)
+      write_failure (fd, request);
+      if (strstr (request->fault, "-twice"))
         *duplicate = *request;
       return true;
     }
-  add_runs (request->token, 1);
   pthread_mutex_lock (&mutex);
   previous_request = last_request;
   last_request = *request;
