--- a/tests/standin/faulty_upstream.c
+++ b/tests/standin/faulty_upstream.c
@@ -18,11 +18,13 @@
               to the next request on the connection
      misdirected-twice  the same with 421, if --id refuses the request
      error-twice  500 to the first request of a token, which is sent again
-   before the response to the next request on the connection late     a
-   complete response after 1.5 s crossed  a response with the id and the token
-   of the previous request, which may have come on another connection half a
-   response without the last 10 bytes of the body; closes the connection 100 ms
-   later cut      half of a response whose body is too large for an entry to
+              before the response to the next request on the connection
+     late     a complete response after 1.5 s
+     crossed  a response with the id and the token of the previous request,
+              which may have come on another connection
+     half     a response without the last 10 bytes of the body; closes the
+              connection 100 ms later
+     cut      half of a response whose body is too large for an entry to
               buffer; closes the connection 100 ms later
    those of the table `long_bodies': a whole response, in chunks that arrive
    together, whose body has the size that X-Body: N states,
