An upstream that answers another request gets new connections for a time

An extra response spoils the request that follows it on the connection: it has another id, so the request fails, with 502 if it is unsafe, though its upstream may run it.

--- a/src/call/attempt.c
+++ b/src/call/attempt.c
@@ -95,6 +95,7 @@
                      attempt->desc.request_id))
     {
       attempt->echo_mismatch = true;
+      connection_distrust (attempt->desc.connections, timer_clock ());
       return false;
     }
   struct str text = headers_get (&attempt->headers, "Content-Length");
@@ -310,11 +311,13 @@
   curl_easy_setopt (easy, CURLOPT_SOCKOPTDATA, attempt);
   if (desc->max_idle_s > 0)
     curl_easy_setopt (easy, CURLOPT_MAXAGE_CONN, (long)desc->max_idle_s);
+  bool is_alone
+      = desc->new_connection
+        || connection_is_distrusted (desc->connections, attempt->started_at);
   attempt->keeps_connection = connection_begin (
-      desc->connections,
-      desc->new_connection ? 0 : desc->max_idle_connections);
+      desc->connections, is_alone ? 0 : desc->max_idle_connections);
   connection_track_sockets (desc->connections, easy);
-  if (desc->new_connection)
+  if (is_alone)
     curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, 1L);
   if (!attempt->keeps_connection)
     curl_easy_setopt (easy, CURLOPT_FORBID_REUSE, 1L);
--- a/src/call/attempt.h
+++ b/src/call/attempt.h
@@ -13,7 +13,9 @@
    may send a response again where the next one on the connection is due; the
    id doesn't tell such a copy from the response to the same request that was
    sent again.  So the owner closes each connection whose response may be
-   followed by another attempt (attempt_close_connection).
+   followed by another attempt (attempt_close_connection).  After a copy of
+   another request's response, the requests to that address get connections of
+   their own for a time.
 
    Call order: attempt_start; then `event' is called with ATTEMPT_HEAD, with
    ATTEMPT_DATA and the event for free space in the request body any number of
--- a/src/call/connections.c
+++ b/src/call/connections.c
@@ -119,7 +119,8 @@
                          int64_t max_open, apr_time_t now)
 {
   int64_t busy = count->active > count->open ? count->active : count->open;
-  return count->open > count->active
+  return (count->open > count->active
+          && !connection_is_distrusted (count, now))
          || busy + count_closing (count, now) < max_open;
 }
 
@@ -152,6 +153,18 @@
   curl_easy_setopt (easy, CURLOPT_CLOSESOCKETDATA, count);
 }
 
+void
+connection_distrust (struct connection_count *count, apr_time_t now)
+{
+  count->distrusted_until = now + apr_time_from_sec (CONNECTIONS_DISTRUST_S);
+}
+
+bool
+connection_is_distrusted (const struct connection_count *count, apr_time_t now)
+{
+  return now < count->distrusted_until;
+}
+
 struct connection_history
 connection_history (struct connection_count *count, int local_port,
                     bool is_new)
--- a/src/call/connections.h
+++ b/src/call/connections.h
@@ -17,6 +17,10 @@
      ... the transfer ...
      connection_end (count, keep);
 
+   An upstream that sent the response to another request is distrusted for a
+   time: connection_distrust, and while connection_is_distrusted each request
+   to it gets a new connection, which isn't kept.
+
    What a connection has carried is kept by its local port, for the log lines
    of attempts that fail: connection_history when a request is about to be
    sent, connection_add_response when its response has ended.
@@ -41,7 +45,11 @@
   CONNECTIONS_CLOSED_MAX = 256,
   /* Connections to one address whose history is kept; of more, the ones that
      carried a response least recently are forgotten.  */
-  CONNECTIONS_HISTORY_MAX = 64
+  CONNECTIONS_HISTORY_MAX = 64,
+  /* An extra response spoils the next request on its connection, and an
+     upstream that sends one sends more.  Far longer than a request, so that
+     few are spoiled; a new connection costs an upstream about 1 ms.  */
+  CONNECTIONS_DISTRUST_S = 10
 };
 
 struct connections;
@@ -65,6 +73,7 @@
   apr_time_t closed_at[CONNECTIONS_CLOSED_MAX]; /* ring buffer of the last
                                                    closes */
   size_t closed; /* closes in all; the next one's place in the ring */
+  apr_time_t distrusted_until;
   apr_array_header_t *histories; /* struct connection_history */
 };
 
@@ -89,6 +98,12 @@
 /* Makes the sockets that EASY opens and closes count in COUNT.  COUNT must
    outlive the connections, which libcurl may keep for later attempts.  */
 void connection_track_sockets (struct connection_count *count, CURL *easy);
+/* Records that the peer sent the response to another request.  */
+void connection_distrust (struct connection_count *count, apr_time_t now);
+/* Returns whether connections that have carried a response may not be
+   used.  */
+bool connection_is_distrusted (const struct connection_count *count,
+                               apr_time_t now);
 /* Returns what the connection from LOCAL_PORT has carried; nothing if IS_NEW.
  */
 struct connection_history connection_history (struct connection_count *count,
--- a/tests/session/copies.sh
+++ b/tests/session/copies.sh
@@ -92,6 +92,12 @@
 judge /plain/ 127.41.2.2:9000
 awk '{ count[$1 % 2 " " $2]++ } END { print count["1 200"] + 0 " of 160 others answered 200" }' "$WORK/judged"
 
+# Guards against extra responses that spoil one request each.
+echo "# each response is sent again"
+calls /plain/ 1001 1040 1 twice 1
+awk '$2 != 200 { n++ } END { print n + 0 " of 40 spoiled" }' "$WORK/results"
+judge /plain/ 127.41.2.2:9000
+
 # Guards against the same for a caller that repeats its refused request with the same id,
 # as some do.
 again () { # URL ADDRESS
--- a/tests/unit/call_test.c
+++ b/tests/unit/call_test.c
@@ -264,6 +264,22 @@
     { { .open = 2, .active = 1, .kept_active = 1 }, 2, 1, true, false },
     { { .open = 3, .active = 3, .kept_active = 1 }, 3, 2, false, true },
     { { .open = 1, .active = 3 }, 3, 2, false, true },
+    /* The idle one may not be used.  */
+    { { .open = 2, .active = 1, .distrusted_until = TIMER_SEC (2) },
+      2,
+      0,
+      false,
+      false },
+    { { .open = 2, .active = 1, .distrusted_until = TIMER_SEC (2) },
+      3,
+      0,
+      true,
+      false },
+    { { .open = 2, .active = 1, .distrusted_until = TIMER_SEC (1) },
+      2,
+      0,
+      true,
+      false },
     /* Two were closed at 900 and 990 ms.  The upstream notices that after
        50 ms, so at 1000 ms the second one still counts.  */
     { { .close_delay_us = TIMER_MS (50),
