Close connections whose response has no stamp

What callers saw: of 16 safe requests whose first response came without the upstream's stamp, and again where the next one was due, 11 got 502 though another upstream at the address answered the second attempt.

Cause: such a response may be followed by another attempt as well, but its connection was kept; the copy has the id of the request. No promise rested on it: it fails the attempt as one that may have run.

Session copies failed before (5 of 16 answered 200) and passes now.

--- a/src/gateway/attempts.c
+++ b/src/gateway/attempts.c
@@ -389,6 +389,7 @@
   struct load_report report;
   apr_time_t wait;
   if (is_refusal (request->attempt)
+      || !headers_has (headers, STR (PLATFORM_SERVER_STAMP))
       || request->attempt->status >= HTTP_SERVER_ERRORS)
     attempt_close_connection (request->attempt);
   if (decode_load (headers_get (headers, PLATFORM_LOAD), &report))
--- a/tests/session/copies.sh
+++ b/tests/session/copies.sh
@@ -117,3 +117,8 @@
 calls /failing/ 1 100 1 none 1 # fills the retry budget
 calls /failing/ 101 116 1 error-twice 1
 tail -n 16 "$WORK/results" | cut -d' ' -f2 | sort | uniq -c
+
+# Guards against the same for a response without the upstream's stamp.
+echo "# responses without a stamp that another upstream at the same address makes good"
+calls /failing/ 201 216 1 unstamped-twice 1
+tail -n 16 "$WORK/results" | cut -d' ' -f2 | sort | uniq -c
--- a/tests/standin/faulty_upstream.c
+++ b/tests/standin/faulty_upstream.c
@@ -19,6 +19,7 @@
      misdirected-twice  the same with 421, if --id refuses the request
      error-twice  500 to the first request of a token, which is sent again
               before the response to the next request on the connection
+     unstamped-twice  the same with 200 and no stamp
      late     a complete response after 1.5 s
      crossed  a response with the id and the token of the previous request,
               which may have come on another connection
@@ -352,9 +353,11 @@
   else if (duplicate->id[0])
     write_response (fd, duplicate, 0);
   memset (duplicate, 0, sizeof *duplicate);
-  if (!request->failure && add_runs (request->token, 1) == 1
-      && strcmp (request->fault, "error-twice") == 0)
+  bool is_first = !request->failure && add_runs (request->token, 1) == 1;
+  if (is_first && strcmp (request->fault, "error-twice") == 0)
     request->failure = "500 Internal Server Error\r\nServer-Stamp: s";
+  if (is_first && strcmp (request->fault, "unstamped-twice") == 0)
+    request->failure = "200 OK";
   if (request->failure)
     {
       write_failure (fd, request);
