Send each attempt of an entry with an id of its own

What callers saw: a caller that repeats a failed call with the same Request-Id got the copy of the first response, marked complete, while the second call ran at the upstream: 503 in 2 of 4, 500 in 2 of 4. It needs a service without not_started_status, or an error with another status.

Cause: the id sent to the upstream was the caller's id and the number of the attempt, so it was unique to an attempt only if the caller's id was unique to the call. The manual says that it is unique to each attempt.

Change: the worker's random base and its count follow.

--- a/src/call/dispatch.c
+++ b/src/call/dispatch.c
@@ -241,7 +241,9 @@
 {
   struct call_context *context = call->context;
   struct str request_id
-      = str_printf (call->pool, "%s.%d", call->id.data, ++call->attempts);
+      = str_printf (call->pool, "%s.%d.%016llx-%llx", call->id.data,
+                    ++call->attempts, (unsigned long long)context->id_base,
+                    (unsigned long long)++context->last_id);
   struct attempt_desc desc = {
     .curl_loop = context->curl_loop,
     .pool = call->pool,
--- a/tests/session/copies.sh
+++ b/tests/session/copies.sh
@@ -13,7 +13,7 @@
 
 start store "$BUILD/standin" metadata --listen 127.41.9.1:7900
 start u1 "$BUILD/standin" faulty-upstream --listen 127.41.2.1:9000 --stamp s --id i-new
-for n in 2 3 4; do start u$n "$BUILD/standin" faulty-upstream --listen 127.41.2.$n:9000 --stamp s; done
+for n in 2 3 4 5; do start u$n "$BUILD/standin" faulty-upstream --listen 127.41.2.$n:9000 --stamp s; done
 cat >"$WORK/gateway.json" <<EOF
 { "name": "g1", "zone": "north-a", "region": "north",
   "zones": [{ "name": "north-a", "region": "north" }],
@@ -35,7 +35,11 @@
   { "kind": "service", "name": "shop", "spec": { "hosts": ["shop.example"], "deadline_ms": 2000, "not_started_status": 503,
     "routes": [{ "path": "/", "repeat": "never" }] } },
   { "kind": "upstream-group", "name": "rude", "spec": { "service": "shop", "zone": "north-a", "slots": 9, "connections": 30 } },
-  { "kind": "upstream", "name": "rude-1", "spec": { "group": "rude", "address": "127.41.2.3:9000" } }
+  { "kind": "upstream", "name": "rude-1", "spec": { "group": "rude", "address": "127.41.2.3:9000" } },
+  { "kind": "service", "name": "silent", "spec": { "hosts": ["silent.example"], "deadline_ms": 2000,
+    "routes": [{ "path": "/", "repeat": "never" }] } },
+  { "kind": "upstream-group", "name": "silent", "spec": { "service": "silent", "zone": "north-a", "slots": 9, "connections": 30 } },
+  { "kind": "upstream", "name": "silent-1", "spec": { "group": "silent", "address": "127.41.2.5:9000" } }
 ] }
 EOF
 settings=$(write_settings 1 north-a north)
@@ -122,3 +126,19 @@
 echo "# responses without a stamp that another upstream at the same address makes good"
 calls /failing/ 201 216 1 unstamped-twice 1
 tail -n 16 "$WORK/results" | cut -d' ' -f2 | sort | uniq -c
+
+# Guards against a copy that an entry forwards as the response to the caller's next call
+# with the same id, if the service has no status that says "not run".
+echo "# a failed call, then the same again: an entry that knows no refusal"
+for fault in refused-twice error-twice; do
+  for n in 1 2 3 4; do
+    for next in $fault none; do
+      status=$(curl -s -m 5 -X POST -d order -H 'Host: silent.example' -H "Request-Id: $fault-$n" -H "X-Caller-Token: $fault-$n" \
+        -H "X-Fault: $next" -o /dev/null -w '%{http_code}' http://127.41.0.1:7600/1)
+      printf '%s ' "$status"
+    done
+  done
+  for n in 1 2 3 4; do
+    echo "$(curl -s -m 2 "http://127.41.2.5:9000/_runs/$fault-$n" | sed 's/.*"token":"\([0-9]*\)".*/\1/')"
+  done | paste -s -d ' ' | sed 's/^/; runs /'
+done
