Soak: match the ends of processes to their starts by pid

Cause: a process was started in the background of its start's note, so that on a busy machine the pid file was still that of the last process, or empty, when the next fault read it. The note of an end counted for whichever process had the name then.

Change: `launch' returns when the process has its own command line and its pid is noted, and starts none before the end of the last one is noted by the one that waited for it. Notes have the pid; the judge matches by it. A stop's note is written right before the signal, no process is forked between them. SIGTERM and SIGHUP are sent once the entry reads them, not a second after its start. Bounds are unchanged.

--- a/tests/session/judge.sh
+++ b/tests/session/judge.sh
@@ -76,6 +76,14 @@
 check "an entry crashes during a pause" "$start | 9000 disturbed e1 pause | 9100 exited e1 139 | 9200 undisturbed e1"
 check "an entry crashes" "$start | 9000 exited e1 139"
 check "an entry ends by a fault's SIGKILL" "$start | 9000 disturbed e1 kill | 9001 exited e1 137 | 9500 started e1 | 9501 undisturbed e1"
+named () { echo "$((20000 + $1)) named 10.0.1.1:80"; }
+# The process of e1 that has pid 1, and the one after it.
+check "a planned stop, noted after the start of the next process" "${start/e1/e1 1} | 9000 term e1 | 12000 started e1 2 | 12100 exited e1 0 1 | $(many 4 named)"
+check "a planned stop that takes too long, noted after the start of the next process" "${start/e1/e1 1} | 9000 term e1 | 15400 started e1 2 | 15600 exited e1 0 1"
+check "a fault's SIGKILL, noted after the start of the next process" "${start/e1/e1 1} | 9000 disturbed e1 kill | 9100 started e1 2 | 9101 undisturbed e1 | 9200 exited e1 137 1 | $(many 4 named)"
+check "a fault's SIGKILL, noted after the start of the next process, which crashes by SIGKILL" "${start/e1/e1 1} | 9000 disturbed e1 kill | 9100 started e1 2 | 9101 undisturbed e1 | 9200 exited e1 137 1 | 9300 exited e1 137 2"
+check "the next process crashes before the end of the stopped one is noted" "${start/e1/e1 1} | 9000 term e1 | 12000 started e1 2 | 12100 exited e1 139 2 | 12200 exited e1 0 1"
+check "the next process has ended and is named" "${start/e1/e1 1} | 9000 term e1 | 12000 started e1 2 | 12100 exited e1 0 1 | 12200 disturbed e1 kill | 12201 exited e1 137 2 | 12300 undisturbed e1 | $(many 4 named)"
 check "a request is cut at a planned stop" "$start | 9000 term e1 | $(ask 9100 a) | $(run 9101 a) | 9130 got a 0 - other | 12000 exited e1 0"
 # A planned stop of e1 from 9000 to 14700 ms.  A request with 9 s of time, sent at
 # MS on route /slow/, is at work at w1-2.
@@ -124,7 +132,6 @@
 check "retries beyond the budget" "$start | $(many 30 retried)"
 sent_to_three () { echo "$(ask $((9000 + $1)) "t$1" GET /look/1) | $((9001 + $1)) refused t$1 w1-2 desk 503 | $((9002 + $1)) refused t$1 w2-2 desk 503 | $((9003 + $1)) refused t$1 w3-2 desk 503"; }
 check "requests go to too many upstreams" "$start | $(many 4 sent_to_three)"
-named () { echo "$((20000 + $1)) named 10.0.1.1:80"; }
 check "an entry that has ended is named" "$start | 9000 disturbed e1 kill | 9001 exited e1 137 | $(many 4 named)"
 # An upstream says that it leaves, in the response to request n, sent at 9000 ms.
 told="$start | $(ask 9000 n) | $(run 9001 n) | 9020 said n w1-2 | $(got 9030 n)"
--- a/tests/soak/judge.awk
+++ b/tests/soak/judge.awk
@@ -7,7 +7,8 @@
 # A line is "TIME WORD ARGUMENTS", the time in microseconds:
 #   disturbed NAME CAUSE       a fault of a process or of the path to it begins
 #   undisturbed NAME           and ends
-#   started NAME, term NAME, exited NAME STATUS   a process; term: SIGTERM is sent
+#   started NAME PID, term NAME, exited NAME STATUS PID   a process; term: SIGTERM
+#                              is sent to the one of this name that started last
 #   hup NAME                   SIGHUP is sent
 #   try config VERSION SERVICE, ack config VERSION SERVICE   a configuration is
 #                              written, and was written; SERVICE has route /move/
@@ -86,8 +87,12 @@
     if ($4 == "pause") has_pause[$3, disturbances[$3]] = 1
   }
   else if ($2 == "undisturbed") { if (--open[$3] == 0) ends[$3, disturbances[$3]] = $1 }
-  else if ($2 == "term") { term_at[$3, ++terms[$3]] = $1; ended_at[$3, terms[$3]] = 9e18 }
-  else if ($2 == "exited") { if ($3 in terms && ended_at[$3, terms[$3]] > 8e18) ended_at[$3, terms[$3]] = $1 }
+  else if ($2 == "started") last_pid[$3] = $4
+  else if ($2 == "term") { term_at[$3, ++terms[$3]] = $1; ended_at[$3, terms[$3]] = 9e18; term_pid[$3, terms[$3]] = last_pid[$3] }
+  else if ($2 == "exited") {
+    for (i = terms[$3]; i > 0 && term_pid[$3, i] != $5; i--);
+    if (i > 0 && ended_at[$3, i] > 8e18) ended_at[$3, i] = $1
+  }
   else if ($2 == "hup") hup_at[$3, ++hups[$3]] = $1
   else if ($2 == "try" && $3 == "config") { tried_at[++configs] = $1; acked_at[configs] = 9e18; number[$4] = configs; move_service[configs] = $5 }
   else if ($2 == "ack" && $3 == "config") acked_at[number[$4]] = $1
@@ -103,21 +108,21 @@
 # An entry ends with status 0 within MAX_STOP of SIGTERM, or by a fault's
 # SIGKILL (status 137).  A pause at SIGTERM delays the stop; the time isn't judged
 # if a disturbance lasted until the end.
-$2 == "disturbed" && $4 == "kill" { kill_at[$3] = $1 }
+$2 == "disturbed" && $4 == "kill" { kill_at[$3, pid[$3]] = $1 }
 $2 == "exited" && $3 ~ /^e/ {
   stopped = held = 0
-  for (i = 1; i <= terms[$3]; i++) if (ended_at[$3, i] == $1) stopped = term_at[$3, i]
-  killed = $4 == 137 && ($3 in kill_at)
+  for (i = 1; i <= terms[$3]; i++) if (ended_at[$3, i] == $1 && term_pid[$3, i] == $5) stopped = term_at[$3, i]
+  killed = $4 == 137 && (($3, $5) in kill_at)
   begun = stopped
   for (i = 1; i <= disturbances[$3]; i++) {
-    if (begins[$3, i] <= $1 && $1 <= ends[$3, i] + 1000000 && !(begins[$3, i] == kill_at[$3])) held = 1
+    if (begins[$3, i] <= $1 && $1 <= ends[$3, i] + 1000000 && !(begins[$3, i] == kill_at[$3, $5])) held = 1
     if (has_pause[$3, i] && begins[$3, i] <= stopped && stopped <= ends[$3, i]) begun = ends[$3, i]
   }
   if (stopped && ($4 != 0 && !killed || $1 - begun > MAX_STOP && !held))
     broken("stop", $3 " ended with " $4 " after " ($1 - stopped) / 1e6 " s")
   if (!stopped && !killed)
     broken("exit", $3 " ended by itself with " $4)
-  exited_at[$3] = $1
+  if ($5 == pid[$3]) exited_at[$3] = $1
 }
 # What still ran at an upstream that ends was broken off by the upstream.
 $2 == "gone" {
@@ -126,7 +131,7 @@
     if (parts[2] == $3) { broke_off[parts[1]] = 1; delete running[key] }
   }
 }
-$2 == "started" { delete exited_at[$3]; delete kill_at[$3] }
+$2 == "started" { pid[$3] = $4; delete exited_at[$3]; delete kill_at[$3, $4] }
 
 $2 == "sent" {
   requests++
--- a/tests/soak/soak.sh
+++ b/tests/soak/soak.sh
@@ -46,20 +46,40 @@
 # is_ours PID: whether it is a process of this run.  The pid may belong to another
 # process by now; ours have this run's directory on their command line.
 is_ours () { grep -qa "$WORK" "/proc/$1/cmdline" 2>/dev/null; }
-# send SIGNAL NAME
-send () { local p; p=$(pid_of "$2") && is_ours "$p" && kill "-$1" "$p" 2>/dev/null; }
-# launch NAME COMMAND...: as `start' of tests/lib.sh, and notes with which status
-# the process ends.
+# send SIGNAL NAME [EVENT...]: the event is noted right before the signal, and
+# neither happens if the process has ended.
+send () {
+  local signal=$1 p=
+  read -r p 2>/dev/null <"$WORK/$2.pid"
+  shift 2
+  [ -n "$p" ] && is_ours "$p" || return 1
+  [ $# = 0 ] || note "$@"
+  kill "-$signal" "$p" 2>/dev/null
+}
+# has_ended NAME: whether the end of the process that was last launched is noted.
+has_ended () { local p=; read -r p <"$WORK/$1.pid"; [ -e "$WORK/ended.$p" ]; }
+# launch NAME COMMAND...: as `start' of tests/lib.sh, and notes the process's pid
+# and with which status it ends.  It starts no earlier than the end of the last
+# process of this name is noted, and has its own command line on return.
 launch () {
-  local name=$1
+  local name=$1 p=
   shift
+  [ ! -e "$WORK/$name.pid" ] || wait_for 20 has_ended "$name"
+  : >"$WORK/$name.pid"
   {
+    local t=$EPOCHREALTIME status
     "$@" >>"$WORK/$name.log" 2>&1 &
-    echo $! >"$WORK/$name.pid"
-    echo $! >>"$WORK/pids"
-    wait $!
-    note "exited $name $?"
+    p=$!
+    rm -f "$WORK/ended.$p"
+    echo "${t/./} started $name $p" >>"$WORK/driver.events"
+    echo $p >>"$WORK/pids"
+    echo $p >"$WORK/$name.pid"
+    wait $p
+    status=$?
+    note "exited $name $status $p"
+    : >"$WORK/ended.$p"
   } 2>/dev/null &
+  until read -r p <"$WORK/$name.pid" && { is_ours "$p" || [ -e "$WORK/ended.$p" ]; }; do sleep 0.01; done
 }
 
 write_settings () { # ENTRY LOG-LINES-PER-SECOND
@@ -76,14 +96,13 @@
 EOF
   mv "$WORK/e$1.json.new" "$WORK/e$1.json"
 }
-start_entry () { note "started e$1"; launch "e$1" "$BUILD/citroncleat" gateway -f "$WORK/e$1.json"; }
+start_entry () { launch "e$1" "$BUILD/citroncleat" gateway -f "$WORK/e$1.json"; }
 # Every third worker serves `shed'; incarnations with an odd number are quiet:
 # they delete their record when they leave instead of writing that they drain.
 start_worker () { # NUMBER INCARNATION
   local service=desk quiet=no
   [ $(($1 % 3)) != 0 ] || service=shed
   [ $(($2 % 2)) = 0 ] || quiet=yes
-  note "started w$1"
   launch "w$1" "$BUILD/standin" worker --listen "$net.2.$1:7910" --id "w$1-$2" --work-ms 30 --slots 12 --long-tail yes \
     --service $service --zone "$(worker_zone $(($1 / 3)))" --advertise "$net.3.$1:7910" \
     --store "$net.9.1:7900" --quiet $quiet --events "$WORK/workers.events"
@@ -125,16 +144,20 @@
   note "undisturbed e$1"
   unlock "e$1"
 }
+# handles_signals NAME: whether the process has blocked SIGTERM, to read it, or ended.
+handles_signals () { has_ended "$1" || grep -q '^SigBlk:.*[4-7c-f][0-9a-f][0-9a-f][0-9a-f]$' "/proc/$(pid_of "$1")/status"; }
 # Before an entry listens it has its signals' default actions and no requests.
-stop_and_wait () { # ENTRY
+wait_for_entry () { # ENTRY
   wait_for 1 curl -s -m 0.3 -o /dev/null "http://$net.1.$1:7902/ready"
-  note "term e$1"
-  send TERM "e$1"
+  wait_for 10 handles_signals "e$1"
+}
+stop_and_wait () { # ENTRY
+  send TERM "e$1" "term e$1"
   for _ in $(seq 80); do
-    is_ours "$(pid_of "e$1")" || break
+    has_ended "e$1" && break
     sleep 0.1
   done
-  if is_ours "$(pid_of "e$1")"; then
+  if ! has_ended "e$1"; then
     note "disturbed e$1 kill"
     send KILL "e$1"
     note "undisturbed e$1"
@@ -142,6 +165,7 @@
 }
 fault_stop () { # ENTRY
   lock "e$1" || return
+  wait_for_entry "$1"
   stop_and_wait "$1"
   sleep 0.2
   start_entry "$1"
@@ -152,19 +176,21 @@
 # follows as soon as the entry is ready, unless the time of faults is over.
 fault_stop_in_series () { # ENTRY none|term|hup|hup-damaged|again MS
   lock "e$1" || return
+  wait_for_entry "$1"
   stop_and_wait "$1" &
   local stop=$!
   sleep_ms "$3"
   case $2 in
-    term) note "again e$1" && send TERM "e$1" ;;
-    hup) note "hup e$1" && send HUP "e$1" ;;
-    hup-damaged) echo '{' >"$WORK/e$1.json" && note "hup e$1" && send HUP "e$1" ;;
+    term) send TERM "e$1" "again e$1" ;;
+    hup) send HUP "e$1" "hup e$1" ;;
+    hup-damaged) echo '{' >"$WORK/e$1.json" && send HUP "e$1" "hup e$1" ;;
   esac
   wait $stop
   write_settings "$1" 1000
   sleep 0.2
   start_entry "$1"
   if [ "$2" = again ] && [ "$(date +%s)" -lt $end ] && wait_for 10 curl -sf -m 1 -o /dev/null "http://$net.1.$1:7902/ready"; then
+    wait_for_entry "$1"
     stop_and_wait "$1"
     sleep 0.2
     start_entry "$1"
@@ -214,8 +240,8 @@
   # Locked, since an entry that is started with damaged settings ends at once.
   lock "e$1" || return
   if [ "$2" = 0 ]; then echo '{' >"$WORK/e$1.json"; else write_settings "$1" $((500 + 10 * $2)); fi
-  note "hup e$1"
-  send HUP "e$1"
+  wait_for 10 handles_signals "e$1"
+  send HUP "e$1" "hup e$1"
   sleep_ms 500
   write_settings "$1" 1000
   unlock "e$1"
@@ -224,7 +250,7 @@
 stop_worker () {
   send TERM "w$1"
   for _ in $(seq 150); do
-    is_ours "$(pid_of "w$1")" || break
+    has_ended "w$1" && break
     sleep 0.1
   done
   send KILL "w$1"
