Soak: upstreams send copies of responses

Change: the worker can send the response before where the next one on the connection is due; the soak has it do that for a random time, also from the start of a worker that replaces a killed one, which refuses with 421 what entries send to the old one. Its random sequence is its own, so other faults of a seed are as before. The judge is unchanged; it reports the fault by the rule "refused".

--- a/tests/soak/judge.awk
+++ b/tests/soak/judge.awk
@@ -28,7 +28,7 @@
 #                              so long it wants none, by Retry-After
 #   said REQUEST WORKER        a response to this request states that the upstream
 #                              leaves
-# Others (fault, born, again) only explain a log to its reader.
+# Others (fault, born, again, copied) only explain a log to its reader.
 # NAME is "store", "proxy", an entry "eN" or a worker slot "wN"; WORKER is
 # "wN-INCARNATION".
 BEGIN {
--- a/tests/soak/soak.sh
+++ b/tests/soak/soak.sh
@@ -99,13 +99,14 @@
 start_entry () { launch "e$1" "$BUILD/citroncleat" gateway -f "$WORK/e$1.json"; }
 # Every third worker serves `shed'; incarnations with an odd number are quiet:
 # they delete their record when they leave instead of writing that they drain.
-start_worker () { # NUMBER INCARNATION
+start_worker () { # NUMBER INCARNATION [COPIES]
   local service=desk quiet=no
   [ $(($1 % 3)) != 0 ] || service=shed
   [ $(($2 % 2)) = 0 ] || quiet=yes
   launch "w$1" "$BUILD/standin" worker --listen "$net.2.$1:7910" --id "w$1-$2" --work-ms 30 --slots 12 --long-tail yes \
     --service $service --zone "$(worker_zone $(($1 / 3)))" --advertise "$net.3.$1:7910" \
-    --store "$net.9.1:7900" --quiet $quiet --events "$WORK/workers.events"
+    --store "$net.9.1:7900" --quiet $quiet --events "$WORK/workers.events" \
+    --copies "${3:-0}" --copies-seed $((seed + $2))
 }
 
 put () { curl -s -m 5 -X PUT --data-binary @- "$store/_put?key=$1" -o /dev/null; }
@@ -310,6 +311,47 @@
   done
   wait $said
 }
+set_copies () { # NUMBER PERCENT
+  curl -s -m 5 -X PUT "http://$net.2.$1:7910/_copies?percent=$2" -o /dev/null
+}
+# The worker repeats responses where the next ones on their connections are due.
+fault_worker_copies () { # NUMBER PERCENT MS
+  set_copies "$1" "$2"
+  sleep_ms "$3"
+  set_copies "$1" 0
+}
+# The same of a worker that starts at the address of one that was killed, which the
+# entries know for some time yet: it refuses their requests with 421.
+fault_worker_replaced () { # NUMBER PERCENT MS INCARNATION
+  lock "w$1" || return
+  note "disturbed w$1 kill"
+  send KILL "w$1"
+  start_worker "$1" "$4" "$2"
+  note "undisturbed w$1"
+  unlock "w$1"
+  sleep_ms "$3"
+  set_copies "$1" 0
+}
+# Draws these two kinds of faults.  As in stop_in_series the random sequence is
+# their own.
+upstreams_copy () {
+  local copies="" w kind ms percent n=0
+  RANDOM=$(((seed + 23197) % 32768))
+  while [ "$(date +%s)" -lt $end ]; do
+    pick "$workers"; w=$((1 + R))
+    pick 3; kind=$R
+    pick 3000; ms=$((500 + R))
+    pick 4; percent=${copies_percents[$R]}
+    n=$((n + 1))
+    if [ "$kind" = 0 ]; then set -- fault_worker_replaced "$w" $((40 + percent)) "$ms" $((2000 + n)); else set -- fault_worker_copies "$w" "$percent" "$ms"; fi
+    note "fault $*"
+    "$@" &
+    copies="$copies $!"
+    pick 3000
+    sleep_ms $((500 + R))
+  done
+  wait $copies
+}
 fault_store () { # MODE MS
   note "disturbed store $1"
   curl -s -m 5 -X PUT "$store/_mode?mode=$1" -o /dev/null
@@ -336,6 +378,7 @@
 
 worker_modes=(full lose fail crossed short long)
 store_modes=(busy silent slow compact)
+copies_percents=(2 10 30 60)
 series_extras=(none none none term hup hup hup-damaged again)
 path_modes=(delay reset silent there back)
 # Draws a fault and starts it, and in one case of four a new configuration too.
@@ -420,6 +463,8 @@
 running="$running $!"
 upstreams_say &
 running="$running $!"
+upstreams_copy &
+running="$running $!"
 while [ "$(date +%s)" -lt $end ]; do
   inject
   pick 1500
@@ -428,6 +473,7 @@
 # Every third seed kills all entries at once after the other faults began.
 [ $((seed % 3)) != 0 ] || fault_all 500
 wait $running
+for i in $(seq "$workers"); do set_copies "$i" 0; done
 sleep_ms $((recovery_s * 1000))
 note "calm begins"
 sleep_ms $((calm_s * 1000))
--- a/tests/standin/worker.c
+++ b/tests/standin/worker.c
@@ -7,6 +7,11 @@
    With --store it keeps a registry entry there; registration.h has the other
    options.  SIGTERM makes it leave as registration_leave describes.
 
+   With --copies N, as with PUT /_copies?percent=N, N % of the responses are
+   replaced by a copy of the response before on that connection, with the
+   Request-Id of the request that it answered; the response itself is then what
+   is copied next.  --copies-seed S determines which.
+
    With --long-tail yes, 3 % of the requests take 7 times as long, and one for
    /slow/N takes N milliseconds.
 
@@ -39,7 +44,9 @@
 
    The event file has a line for each of them:
      said ID WORKER             a response states that the worker leaves
-     refused ID WORKER SERVICE STATUS [SECONDS]   SECONDS: of Retry-After  */
+     refused ID WORKER SERVICE STATUS [SECONDS]   SECONDS: of Retry-After
+     copied ID WORKER STATUS ID   the response to the first ID takes the place
+   of that to the second one Copies have only the last one.  */
 #include "tests/standin/events.h"
 #include "tests/standin/registration.h"
 #include "tests/standin/standin.h"
@@ -51,6 +58,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/signalfd.h>
+#include <sys/socket.h>
 #include <time.h>
 #include <unistd.h>
 
@@ -60,6 +68,7 @@
   MAX_ID_BYTES = 64,
   MAX_TEXT_BYTES = 512,
   MAX_NOTICES = 1024,
+  MAX_CONNECTIONS = 1024,
   AWAY_GRACE_MS = 500, /* after a refusal, for requests on their way */
   LONG_WORK_MS = 1000, /* in mode `long' */
   TAIL_PERCENT = 3,
@@ -90,6 +99,16 @@
   bool work_done;
 };
 
+/* What a connection's caller got last.  */
+struct last_response
+{
+  struct sockaddr_storage
+      caller; /* tells connections of one descriptor apart */
+  char id[MAX_ID_BYTES];
+  unsigned int status;
+  struct MHD_Response *response;
+};
+
 static struct
 {
   struct loop *loop;
@@ -117,6 +136,10 @@
     apr_time_t at;
   } arrivals[MAX_RUNS]; /* after a notice that it leaves */
   size_t arrival_count;
+  uint64_t copies_percent;
+  uint64_t copies_seed;
+  uint64_t copies_draws;
+  struct last_response last_responses[MAX_CONNECTIONS]; /* by descriptor */
 } worker;
 
 static struct MHD_Response *
@@ -135,6 +158,64 @@
   return result;
 }
 
+static bool
+draw_copy (void)
+{
+  uint64_t draw = worker.copies_draws++;
+  return XXH64 (&draw, sizeof draw, worker.copies_seed) % 100
+         < worker.copies_percent;
+}
+
+/* Returns the last response on CONNECTION, without a response if there is
+   none; NULL if its descriptor is beyond the limit.  */
+static struct last_response *
+find_last_response (struct MHD_Connection *connection)
+{
+  int fd
+      = MHD_get_connection_info (connection, MHD_CONNECTION_INFO_CONNECTION_FD)
+            ->connect_fd;
+  struct sockaddr_storage caller = { 0 };
+  socklen_t size = sizeof caller;
+  if (fd >= MAX_CONNECTIONS
+      || getpeername (fd, (struct sockaddr *)&caller, &size) != 0)
+    return NULL;
+  struct last_response *last = &worker.last_responses[fd];
+  if (memcmp (&last->caller, &caller, sizeof caller) != 0)
+    {
+      if (last->response)
+        MHD_destroy_response (last->response);
+      *last = (struct last_response){ .caller = caller };
+    }
+  return last;
+}
+
+/* Responds to a request, or sends a copy of the response before instead and
+   sets IS_COPY.  */
+static enum MHD_Result
+send_or_copy (struct MHD_Connection *connection, unsigned int status,
+              struct MHD_Response *response, bool *is_copy)
+{
+  struct last_response *last = find_last_response (connection);
+  *is_copy = false;
+  if (!last)
+    return send_response (connection, status, response);
+  struct last_response before = *last;
+  *is_copy = before.response && draw_copy ();
+  snprintf (last->id, sizeof last->id, "%s",
+            httpd_header (connection, "Request-Id").data);
+  last->status = status;
+  last->response = response;
+  enum MHD_Result result
+      = MHD_queue_response (connection, *is_copy ? before.status : status,
+                            *is_copy ? before.response : response);
+  if (*is_copy)
+    events_write ("copied %s %s %u %s", before.id, worker.id, before.status,
+                  last->id);
+  if (before.response)
+    MHD_destroy_response (before.response);
+  return result;
+}
+
 /* Copies the part of the request id ID that tells callers apart.  */
 static void
 copy_caller (char *out, const char *id)
@@ -321,6 +402,7 @@
 send_work_response (struct worker_request *request)
 {
   char load[64];
+  bool is_copy;
   bool is_truncated = strcmp (request->mode, "short") == 0;
   struct MHD_Response *response
       = is_truncated ? MHD_create_response_from_callback (
@@ -334,9 +416,9 @@
   MHD_add_response_header (response, "Server-Stamp", worker.id);
   MHD_add_response_header (response, "Server-Load", load);
   add_leaving (response, request->id);
-  return send_response (request->connection,
-                        strcmp (request->mode, "fail") == 0 ? 500 : 200,
-                        response);
+  return send_or_copy (request->connection,
+                       strcmp (request->mode, "fail") == 0 ? 500 : 200,
+                       response, &is_copy);
 }
 
 static enum MHD_Result
@@ -345,16 +427,19 @@
   struct MHD_Response *response = make_response ("not run\n");
   const char *id = httpd_header (connection, "Request-Id").data;
   char seconds[MAX_ID_BYTES] = "";
+  bool is_copy;
   if (status == 503 && strcmp (worker.mode, "away") == 0)
     add_retry_after (response, id, seconds, sizeof seconds);
-  events_write ("refused %s %s %s %u%s", id, worker.id, worker.service, status,
-                seconds);
   MHD_add_response_header (response, "Request-Id", id);
   add_leaving (response, id);
   if (status == 503)
     MHD_add_response_header (response, "Not-Executed", "1");
   MHD_add_response_header (response, "Instance-Id", worker.id);
-  return send_response (connection, status, response);
+  enum MHD_Result result
+      = send_or_copy (connection, status, response, &is_copy);
+  events_write ("refused %s %s %s %u%s", id, worker.id, worker.service, status,
+                is_copy ? "" : seconds);
+  return result;
 }
 
 static void
@@ -458,6 +543,12 @@
     return send_late_report (connection);
   if (strcmp (url, "/_mode") == 0)
     return set_mode (connection);
+  if (strcmp (url, "/_copies") == 0)
+    {
+      worker.copies_percent = strtoull (
+          httpd_query_parameter (connection, "percent").data, NULL, 10);
+      return send_response (connection, 200, make_response ("set\n"));
+    }
   return start_work (request, url, method);
 }
 
@@ -524,6 +615,10 @@
   worker.has_long_tail
       = strcmp (option (argc, argv, "--long-tail", "no"), "yes") == 0;
   worker.slots = strtoll (option (argc, argv, "--slots", "4"), NULL, 10);
+  worker.copies_percent
+      = strtoull (option (argc, argv, "--copies", "0"), NULL, 10);
+  worker.copies_seed
+      = strtoull (option (argc, argv, "--copies-seed", "0"), NULL, 10);
   if (loop_create (pool, &worker.loop, &err) != ERR_NONE)
     return 1;
   desc.loop = worker.loop;
