Soak: the store comes back from an older copy

Change: at random times, from a random sequence of their own, the store comes back as it was up to 4.2 s before, and the operator writes the last configuration again. The time counts as a disturbance of the store. No evacuation is begun or ended meanwhile. Upstreams take a new lease in a new era, since theirs may be another's then.

--- a/tests/soak/soak.sh
+++ b/tests/soak/soak.sh
@@ -120,11 +120,18 @@
   local routes i
   routes="$(route look safe desk),$(route jobs unsafe desk),$(route photo upload desk),$(route move unsafe "$1"),$(route slow unsafe desk 9000 8000)"
   for i in $(seq "$2"); do routes="$routes,$(route "extra-$version-$i" safe desk)"; done
-  note "try config $version $1"
-  put op/config <<EOF
+  cat >"$WORK/config.$version" <<EOF
 {"version":$version,"routes":[$routes],"services":[{"name":"desk","max_connections":100,"cold_start_s":1.0,"cold_per_s":10.0},{"name":"shed","max_connections":100,"cold_start_s":1.0,"cold_per_s":10.0}],"limits":{"max_body_bytes":1000000}}
 EOF
-  note "ack config $version $1"
+  until lock config; do sleep 0.05; done
+  write_config "$version" "$1"
+  unlock config
+}
+write_config () { # VERSION SERVICE
+  note "try config $1 $2"
+  echo "$1 $2" >"$WORK/config"
+  put op/config <"$WORK/config.$1"
+  note "ack config $1 $2"
 }
 set_path_mode () { # ADDRESS MODE
   curl -s -m 5 -X PUT "http://$net.9.9:7900/_mode?pair=$1&mode=$2" -o /dev/null
@@ -359,6 +366,33 @@
   curl -s -m 5 -X PUT "$store/_mode?mode=normal" -o /dev/null
   note "undisturbed store"
 }
+# The store comes back as it was MS before, and the operator writes the last
+# configuration again.  What was evacuated since would be lost, so nothing is.
+fault_restore () { # MS
+  local last
+  lock evacuation || return
+  curl -s -m 5 -X PUT "$store/_copy" -o /dev/null
+  sleep_ms "$1"
+  until lock config; do sleep 0.05; done
+  note "disturbed store restore"
+  curl -s -m 5 -X PUT "$store/_restore" -o /dev/null
+  read -r -a last <"$WORK/config"
+  write_config "${last[@]}"
+  note "undisturbed store"
+  unlock config
+  unlock evacuation
+}
+# Draws when that happens, from a random sequence of its own as in stop_in_series.
+restore_store () {
+  RANDOM=$(((seed + 31013) % 32768))
+  while [ "$(date +%s)" -lt $end ]; do
+    pick 8000
+    sleep_ms $((3000 + R))
+    pick 4000; set -- fault_restore $((200 + R))
+    note "fault $*"
+    "$@"
+  done
+}
 fault_path () { # NAME ADDRESS MODE MS
   note "disturbed $1 $3"
   set_path_mode "$2" "$3"
@@ -465,6 +499,8 @@
 running="$running $!"
 upstreams_copy &
 running="$running $!"
+restore_store &
+running="$running $!"
 while [ "$(date +%s)" -lt $end ]; do
   inject
   pick 1500
--- a/tests/standin/registration.c
+++ b/tests/standin/registration.c
@@ -27,6 +27,7 @@
   bool is_leaving;
   bool leave_confirmed;
   int64_t lease;
+  int64_t era; /* of the store */
   int64_t sequence;
   int64_t started_at_ms;
   struct timer heartbeat_timer;
@@ -44,10 +45,22 @@
   struct http_request request = { .method = "POST",
                                   .url = url,
                                   .body = str_from (body),
+                                  .number_header = "Store-Era",
                                   .timeout_ms = CALL_TIMEOUT_MS };
   http_client_send (registration.client, &request, on_response, NULL);
 }
 
+/* In a new era the lease is another one's, or none, and the entry is an older
+   one.  */
+static void
+check_era (const struct http_response *response)
+{
+  if (response->number == 0 || response->number == registration.era)
+    return;
+  registration.era = response->number;
+  registration.lease = 0;
+}
+
 static void
 on_grace_over (void *user_data, apr_time_t now)
 {
@@ -60,6 +73,7 @@
 on_entry_written (void *user_data, const struct http_response *response)
 {
   (void)user_data;
+  check_era (response);
   if (response->status == 404)
     registration.lease = 0;
   if (response->status != 200 || !registration.is_leaving
@@ -101,6 +115,7 @@
 on_lease_renewed (void *user_data, const struct http_response *response)
 {
   (void)user_data;
+  check_era (response);
   if (response->status == 404)
     registration.lease = 0;
 }
@@ -109,6 +124,7 @@
 on_lease_opened (void *user_data, const struct http_response *response)
 {
   (void)user_data;
+  check_era (response);
   json_object *object = response->status == 200
                             ? json_tokener_parse (response->body.data)
                             : NULL;
