--- a/tests/soak/soak.sh
+++ b/tests/soak/soak.sh
@@ -46,20 +46,40 @@
 # is_ours PID: whether it is a process of this run.  The pid may belong to another
 # process by now; ours have this run's directory on their command line.
 is_ours () { grep -qa "$WORK" "/proc/$1/cmdline" 2>/dev/null; }
-# send SIGNAL NAME
-send () { local p; p=$(pid_of "$2") && is_ours "$p" && kill "-$1" "$p" 2>/dev/null; }
-# launch NAME COMMAND...: as `start' of tests/lib.sh, and notes with which status
-# the process ends.
+# send SIGNAL NAME [EVENT...]: the event is noted right before the signal, and
+# neither happens if the process has ended.
+send () {
+  local signal=$1 p=
+  read -r p 2>/dev/null <"$WORK/$2.pid"
+  shift 2
+  [ -n "$p" ] && is_ours "$p" || return 1
+  [ $# = 0 ] || note "$@"
+  kill "-$signal" "$p" 2>/dev/null
+}
+# has_ended NAME: whether the end of the process that was last launched is noted.
+has_ended () { local p=; read -r p <"$WORK/$1.pid"; [ -e "$WORK/ended.$p" ]; }
+# launch NAME COMMAND...: as `start' of tests/lib.sh, and notes the process's pid
+# and with which status it ends.  It starts no earlier than the end of the last
+# process of this name is noted, and has its own command line on return.
 launch () {
-  local name=$1
+  local name=$1 p=
   shift
+  [ ! -e "$WORK/$name.pid" ] || wait_for 20 has_ended "$name"
+  : >"$WORK/$name.pid"
   {
+    local t=$EPOCHREALTIME status
     "$@" >>"$WORK/$name.log" 2>&1 &
-    echo $! >"$WORK/$name.pid"
-    echo $! >>"$WORK/pids"
-    wait $!
-    note "exited $name $?"
+    p=$!
+    rm -f "$WORK/ended.$p"
+    echo "${t/./} started $name $p" >>"$WORK/driver.events"
+    echo $p >>"$WORK/pids"
+    echo $p >"$WORK/$name.pid"
+    wait $p
+    status=$?
+    note "exited $name $status $p"
+    : >"$WORK/ended.$p"
   } 2>/dev/null &
+  until read -r p <"$WORK/$name.pid" && { is_ours "$p" || [ -e "$WORK/ended.$p" ]; }; do sleep 0.01; done
 }
 
 write_settings () { # ENTRY LOG-LINES-PER-SECOND
@@ -76,17 +96,17 @@
 EOF
   mv "$WORK/e$1.json.new" "$WORK/e$1.json"
 }
-start_entry () { note "started e$1"; launch "e$1" "$BUILD/citroncleat" gateway -f "$WORK/e$1.json"; }
+start_entry () { launch "e$1" "$BUILD/citroncleat" gateway -f "$WORK/e$1.json"; }
 # Every third worker serves `shed'; incarnations with an odd number are quiet:
 # they delete their record when they leave instead of writing that they drain.
-start_worker () { # NUMBER INCARNATION
+start_worker () { # NUMBER INCARNATION [COPIES]
   local service=desk quiet=no
   [ $(($1 % 3)) != 0 ] || service=shed
   [ $(($2 % 2)) = 0 ] || quiet=yes
-  note "started w$1"
   launch "w$1" "$BUILD/standin" worker --listen "$net.2.$1:7910" --id "w$1-$2" --work-ms 30 --slots 12 --long-tail yes \
     --service $service --zone "$(worker_zone $(($1 / 3)))" --advertise "$net.3.$1:7910" \
-    --store "$net.9.1:7900" --quiet $quiet --events "$WORK/workers.events"
+    --store "$net.9.1:7900" --quiet $quiet --events "$WORK/workers.events" \
+    --copies "${3:-0}" --copies-seed $((seed + $2))
 }
 
 put () { curl -s -m 5 -X PUT --data-binary @- "$store/_put?key=$1" -o /dev/null; }
@@ -100,11 +120,18 @@
   local routes i
   routes="$(route look safe desk),$(route jobs unsafe desk),$(route photo upload desk),$(route move unsafe "$1"),$(route slow unsafe desk 9000 8000)"
   for i in $(seq "$2"); do routes="$routes,$(route "extra-$version-$i" safe desk)"; done
-  note "try config $version $1"
-  put op/config <<EOF
+  cat >"$WORK/config.$version" <<EOF
 {"version":$version,"routes":[$routes],"services":[{"name":"desk","max_connections":100,"cold_start_s":1.0,"cold_per_s":10.0},{"name":"shed","max_connections":100,"cold_start_s":1.0,"cold_per_s":10.0}],"limits":{"max_body_bytes":1000000}}
 EOF
-  note "ack config $version $1"
+  until lock config; do sleep 0.05; done
+  write_config "$version" "$1"
+  unlock config
+}
+write_config () { # VERSION SERVICE
+  note "try config $1 $2"
+  echo "$1 $2" >"$WORK/config"
+  put op/config <"$WORK/config.$1"
+  note "ack config $1 $2"
 }
 set_path_mode () { # ADDRESS MODE
   curl -s -m 5 -X PUT "http://$net.9.9:7900/_mode?pair=$1&mode=$2" -o /dev/null
@@ -125,16 +152,20 @@
   note "undisturbed e$1"
   unlock "e$1"
 }
+# handles_signals NAME: whether the process has blocked SIGTERM, to read it, or ended.
+handles_signals () { has_ended "$1" || grep -q '^SigBlk:.*[4-7c-f][0-9a-f][0-9a-f][0-9a-f]$' "/proc/$(pid_of "$1")/status"; }
 # Before an entry listens it has its signals' default actions and no requests.
-stop_and_wait () { # ENTRY
+wait_for_entry () { # ENTRY
   wait_for 1 curl -s -m 0.3 -o /dev/null "http://$net.1.$1:7902/ready"
-  note "term e$1"
-  send TERM "e$1"
+  wait_for 10 handles_signals "e$1"
+}
+stop_and_wait () { # ENTRY
+  send TERM "e$1" "term e$1"
   for _ in $(seq 80); do
-    is_ours "$(pid_of "e$1")" || break
+    has_ended "e$1" && break
     sleep 0.1
   done
-  if is_ours "$(pid_of "e$1")"; then
+  if ! has_ended "e$1"; then
     note "disturbed e$1 kill"
     send KILL "e$1"
     note "undisturbed e$1"
@@ -142,6 +173,7 @@
 }
 fault_stop () { # ENTRY
   lock "e$1" || return
+  wait_for_entry "$1"
   stop_and_wait "$1"
   sleep 0.2
   start_entry "$1"
@@ -152,19 +184,21 @@
 # follows as soon as the entry is ready, unless the time of faults is over.
 fault_stop_in_series () { # ENTRY none|term|hup|hup-damaged|again MS
   lock "e$1" || return
+  wait_for_entry "$1"
   stop_and_wait "$1" &
   local stop=$!
   sleep_ms "$3"
   case $2 in
-    term) note "again e$1" && send TERM "e$1" ;;
-    hup) note "hup e$1" && send HUP "e$1" ;;
-    hup-damaged) echo '{' >"$WORK/e$1.json" && note "hup e$1" && send HUP "e$1" ;;
+    term) send TERM "e$1" "again e$1" ;;
+    hup) send HUP "e$1" "hup e$1" ;;
+    hup-damaged) echo '{' >"$WORK/e$1.json" && send HUP "e$1" "hup e$1" ;;
   esac
   wait $stop
   write_settings "$1" 1000
   sleep 0.2
   start_entry "$1"
   if [ "$2" = again ] && [ "$(date +%s)" -lt $end ] && wait_for 10 curl -sf -m 1 -o /dev/null "http://$net.1.$1:7902/ready"; then
+    wait_for_entry "$1"
     stop_and_wait "$1"
     sleep 0.2
     start_entry "$1"
@@ -214,8 +248,8 @@
   # Locked, since an entry that is started with damaged settings ends at once.
   lock "e$1" || return
   if [ "$2" = 0 ]; then echo '{' >"$WORK/e$1.json"; else write_settings "$1" $((500 + 10 * $2)); fi
-  note "hup e$1"
-  send HUP "e$1"
+  wait_for 10 handles_signals "e$1"
+  send HUP "e$1" "hup e$1"
   sleep_ms 500
   write_settings "$1" 1000
   unlock "e$1"
@@ -224,7 +258,7 @@
 stop_worker () {
   send TERM "w$1"
   for _ in $(seq 150); do
-    is_ours "$(pid_of "w$1")" || break
+    has_ended "w$1" && break
     sleep 0.1
   done
   send KILL "w$1"
@@ -284,6 +318,47 @@
   done
   wait $said
 }
+set_copies () { # NUMBER PERCENT
+  curl -s -m 5 -X PUT "http://$net.2.$1:7910/_copies?percent=$2" -o /dev/null
+}
+# The worker repeats responses where the next ones on their connections are due.
+fault_worker_copies () { # NUMBER PERCENT MS
+  set_copies "$1" "$2"
+  sleep_ms "$3"
+  set_copies "$1" 0
+}
+# The same of a worker that starts at the address of one that was killed, which the
+# entries know for some time yet: it refuses their requests with 421.
+fault_worker_replaced () { # NUMBER PERCENT MS INCARNATION
+  lock "w$1" || return
+  note "disturbed w$1 kill"
+  send KILL "w$1"
+  start_worker "$1" "$4" "$2"
+  note "undisturbed w$1"
+  unlock "w$1"
+  sleep_ms "$3"
+  set_copies "$1" 0
+}
+# Draws these two kinds of faults.  As in stop_in_series the random sequence is
+# their own.
+upstreams_copy () {
+  local copies="" w kind ms percent n=0
+  RANDOM=$(((seed + 23197) % 32768))
+  while [ "$(date +%s)" -lt $end ]; do
+    pick "$workers"; w=$((1 + R))
+    pick 3; kind=$R
+    pick 3000; ms=$((500 + R))
+    pick 4; percent=${copies_percents[$R]}
+    n=$((n + 1))
+    if [ "$kind" = 0 ]; then set -- fault_worker_replaced "$w" $((40 + percent)) "$ms" $((2000 + n)); else set -- fault_worker_copies "$w" "$percent" "$ms"; fi
+    note "fault $*"
+    "$@" &
+    copies="$copies $!"
+    pick 3000
+    sleep_ms $((500 + R))
+  done
+  wait $copies
+}
 fault_store () { # MODE MS
   note "disturbed store $1"
   curl -s -m 5 -X PUT "$store/_mode?mode=$1" -o /dev/null
@@ -291,6 +366,33 @@
   curl -s -m 5 -X PUT "$store/_mode?mode=normal" -o /dev/null
   note "undisturbed store"
 }
+# The store comes back as it was MS before, and the operator writes the last
+# configuration again.  What was evacuated since would be lost, so nothing is.
+fault_restore () { # MS
+  local last
+  lock evacuation || return
+  curl -s -m 5 -X PUT "$store/_copy" -o /dev/null
+  sleep_ms "$1"
+  until lock config; do sleep 0.05; done
+  note "disturbed store restore"
+  curl -s -m 5 -X PUT "$store/_restore" -o /dev/null
+  read -r -a last <"$WORK/config"
+  write_config "${last[@]}"
+  note "undisturbed store"
+  unlock config
+  unlock evacuation
+}
+# Draws when that happens, from a random sequence of its own as in stop_in_series.
+restore_store () {
+  RANDOM=$(((seed + 31013) % 32768))
+  while [ "$(date +%s)" -lt $end ]; do
+    pick 8000
+    sleep_ms $((3000 + R))
+    pick 4000; set -- fault_restore $((200 + R))
+    note "fault $*"
+    "$@"
+  done
+}
 fault_path () { # NAME ADDRESS MODE MS
   note "disturbed $1 $3"
   set_path_mode "$2" "$3"
@@ -310,6 +412,7 @@
 
 worker_modes=(full lose fail crossed short long)
 store_modes=(busy silent slow compact)
+copies_percents=(2 10 30 60)
 series_extras=(none none none term hup hup hup-damaged again)
 path_modes=(delay reset silent there back)
 # Draws a fault and starts it, and in one case of four a new configuration too.
@@ -394,6 +497,10 @@
 running="$running $!"
 upstreams_say &
 running="$running $!"
+upstreams_copy &
+running="$running $!"
+restore_store &
+running="$running $!"
 while [ "$(date +%s)" -lt $end ]; do
   inject
   pick 1500
@@ -402,6 +509,7 @@
 # Every third seed kills all entries at once after the other faults began.
 [ $((seed % 3)) != 0 ] || fault_all 500
 wait $running
+for i in $(seq "$workers"); do set_copies "$i" 0; done
 sleep_ms $((recovery_s * 1000))
 note "calm begins"
 sleep_ms $((calm_s * 1000))
