Forward an upstream's error when no other upstream can take the request

Callers of a repeatable request got 502 "no slot became free in time" in place of the upstream's own 500, and up to 150 ms later: with two upstreams that both fail and max_attempts 3, the second 500 was thrown away for a third attempt, for which the request waited in the queue although no upstream was left that it had not tried.

Cause: handle_attempt_done gave the answer up as soon as the route and the budget allowed another attempt, and looked for an upstream only afterwards.

Now dispatch_would_send asks first, without changing anything, whether dispatch_admit would send the request now: to an upstream not tried yet, in the region picked or another, before a stop. Only then is the answer given up, and the retry budget charged; else it is forwarded. So a request no longer waits in the queue with an answer thrown away, also where an untried upstream is only busy: its caller gets the 500 at once. Where one has a free slot, what happens is as before.

--- a/src/gateway/attempts.c
+++ b/src/gateway/attempts.c
@@ -169,6 +169,26 @@
   dispatch_admit (request);
 }
 
+/* Sends a request whose upstream answered with an error to another one, and
+   returns true; false, and nothing is done, if none can take it now: the
+   caller then gets the answer, which is better than a refusal.  */
+static bool
+retry_error (struct request *request)
+{
+  if (!plan_kind_is_idempotent (request->route->kind)
+      || request->tried_count >= BALANCE_EXCLUDED_MAX)
+    return false;
+  request->tried_upstreams[request->tried_count++] = request->upstream->hash;
+  bool would_send = dispatch_would_send (request);
+  request->tried_count--;
+  if (!would_send || !may_retry (request, false, true))
+    return false;
+  log_attempt_failure (request, "the upstream failed", false);
+  request->may_have_run = true;
+  try_another (request, false);
+  return true;
+}
+
 /* Ends the failed attempt, and tries another upstream if that is allowed, else
    refuses the request with REASON.  */
 static void
@@ -290,20 +310,10 @@
       handle_failure (request, "the answer is not the upstream's");
       return;
     }
-  if (attempt->status >= HTTP_SERVER_ERRORS
-      && plan_kind_is_idempotent (request->route->kind)
-      && may_retry (request, false, true))
-    {
-      end_upstream_load (request, LOAD_FAILED);
-      log_attempt_failure (request, "the upstream failed", false);
-      request->may_have_run = true;
-      try_another (request, false);
-      return;
-    }
-  end_upstream_load (request, attempt->status >= HTTP_SERVER_ERRORS
-                                  ? LOAD_FAILED
-                                  : LOAD_ANSWERED);
-  deliver_response (request);
+  bool is_error = attempt->status >= HTTP_SERVER_ERRORS;
+  end_upstream_load (request, is_error ? LOAD_FAILED : LOAD_ANSWERED);
+  if (!is_error || !retry_error (request))
+    deliver_response (request);
 }
 
 /* Returns whether the response stays buffered until it is complete.  */
--- a/src/gateway/dispatch.c
+++ b/src/gateway/dispatch.c
@@ -281,11 +281,12 @@
   return true;
 }
 
-/* Sends the request to another region if it can be answered there within the
-   target latency and the overflow budget allows it; returns whether it did.
-   Called when the region that was picked can't meet the target.  */
+/* Looks for another region in which the request can be answered within the
+   target latency, if the overflow budget allows that: sets CHOICE and the
+   request's region, or returns false.  For a request whose region, as picked,
+   can't meet the target.  */
 static bool
-try_other_region (struct request *request)
+find_other_region (struct request *request, struct balance_choice *choice)
 {
   size_t first = request->region;
   bool allowed[GATEWAY_REGIONS_MAX] = { false };
@@ -297,19 +298,38 @@
       || request->service->overflow_budget.balance < 1.0)
     return false;
   request->region = other;
-  struct balance_choice choice = dispatch_choose_upstream (request);
-  if (choice.upstream
-      && timer_clock () + choice.expected_latency <= stop_limits_deadline (
-             &request->gateway->stop_limits, request->target_at)
-      && budget_try_withdraw (&request->service->overflow_budget))
-    {
-      attempts_start (request, &choice);
-      return true;
-    }
+  *choice = dispatch_choose_upstream (request);
+  if (choice->upstream
+      && timer_clock () + choice->expected_latency <= stop_limits_deadline (
+             &request->gateway->stop_limits, request->target_at))
+    return true;
   request->region = first;
   return false;
 }
 
+/* Sends the request to another region, if find_other_region finds one.  */
+static bool
+try_other_region (struct request *request)
+{
+  struct balance_choice choice;
+  if (!find_other_region (request, &choice)
+      || !budget_try_withdraw (&request->service->overflow_budget))
+    return false;
+  attempts_start (request, &choice);
+  return true;
+}
+
+/* Returns whether a request for which there is this admission state and
+   verdict is to be tried in another region first.  */
+static bool
+prefers_other_region (const struct admit_state *state,
+                      const struct admit_verdict *verdict)
+{
+  bool meets_target = verdict->action == ADMIT_SEND
+                      && state->expected_latency <= state->target_left;
+  return !meets_target && state->target_left > 0;
+}
+
 /* public functions */
 
 const struct plan_service *
@@ -386,9 +406,7 @@
   request->service->turned_back = 0;
   struct admit_state state = admission_state (request, &choice);
   struct admit_verdict verdict = admit_decide (&state);
-  bool meets_target = verdict.action == ADMIT_SEND
-                      && state.expected_latency <= state.target_left;
-  if ((!meets_target && state.target_left > 0 && try_other_region (request))
+  if ((prefers_other_region (&state, &verdict) && try_other_region (request))
       || apply_verdict (request, &choice, &verdict))
     return;
   wait_queue_add (request);
@@ -396,6 +414,27 @@
                timer_clock () + verdict.max_wait, on_queue_timeout, request);
 }
 
+bool
+dispatch_would_send (struct request *request)
+{
+  size_t region = request->region;
+  bool sends = false;
+  if (!store_sync_is_catching_up (request->gateway->store_sync)
+      && pick_region (request))
+    {
+      struct balance_choice other;
+      struct balance_choice choice = dispatch_choose_upstream (request);
+      struct admit_state state = admission_state (request, &choice);
+      struct admit_verdict verdict = admit_decide (&state);
+      sends = (choice.upstream && verdict.action == ADMIT_SEND
+               && is_expected_before_stop (request, &choice))
+              || (prefers_other_region (&state, &verdict)
+                  && find_other_region (request, &other));
+    }
+  request->region = region;
+  return sends;
+}
+
 void
 dispatch_readmit (struct request *request)
 {
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -266,6 +266,9 @@
    once the body is complete or its buffer full, and again after an attempt
    that may be repeated.  */
 void dispatch_admit (struct request *request);
+/* Returns whether dispatch_admit would send REQUEST now, and not queue or
+   refuse it; changes nothing.  */
+bool dispatch_would_send (struct request *request);
 /* Removes a request from the queue and admits it anew, in another region if
    need be; for a request whose region has lost its slots.  */
 void dispatch_readmit (struct request *request);
--- a/tests/session/edges.sh
+++ b/tests/session/edges.sh
@@ -5,8 +5,8 @@
 entry=http://127.23.0.1:7600
 gateway=http://127.39.1.1:7901
 put () { curl -s -X PUT --data-binary "$2" "$store/_put?key=$1" -o /dev/null; }
-route () { # NAME PREFIX KIND SERVICE
-  echo "{\"name\":\"$1\",\"host\":\"shop.example\",\"prefix\":\"$2\",\"kind\":\"$3\",\"timeout_ms\":2000,\"target_latency_ms\":900,\"priority\":1,\"service\":\"$4\",\"max_attempts\":2}"
+route () { # NAME PREFIX KIND SERVICE [MAX_ATTEMPTS]
+  echo "{\"name\":\"$1\",\"host\":\"shop.example\",\"prefix\":\"$2\",\"kind\":\"$3\",\"timeout_ms\":2000,\"target_latency_ms\":900,\"priority\":1,\"service\":\"$4\",\"max_attempts\":${5:-2}}"
 }
 upstream () { # N
   echo "{\"service\":\"desk\",\"address\":\"127.39.2.$1:9000\",\"zone\":\"north-a\",\"slots\":200,\"state\":\"ready\",\"cold_remaining_ms\":0,\"sequence\":1,\"born\":$1}"
@@ -25,7 +25,7 @@
 EOF
 wait_for 5 curl -s -o /dev/null "$store/kv-range?prefix=x"
 start g1 "$BUILD/citroncleat" gateway -f "$WORK/gateway.json"
-put op/config "{\"version\":1,\"routes\":[$(route look /look/ safe desk),$(route jobs /jobs/ unsafe desk),$(route archive /jobs/archive/ safe desk),$(route none /none/ upload none)],\"services\":[{\"name\":\"desk\"},{\"name\":\"none\"}]}"
+put op/config "{\"version\":1,\"routes\":[$(route look /look/ safe desk),$(route thrice /thrice/ safe desk 3),$(route jobs /jobs/ unsafe desk),$(route archive /jobs/archive/ safe desk),$(route none /none/ upload none)],\"services\":[{\"name\":\"desk\"},{\"name\":\"none\"}]}"
 for n in 1 2; do put servers/i-$n "$(upstream $n)"; done
 start_platform
 cat >"$WORK/edges.json" <<EOF
@@ -117,6 +117,16 @@
   path $entry "$target"
 done
 
+# Guards against an upstream's error that is thrown away for another attempt, which the
+# route allows and no upstream is left to make.
+echo "# errors of both upstreams, and three attempts allowed: the gateway"
+sleep 1 # both upstreams are used again after their failures
+for _ in 1 2 3 4 5; do
+  call GET $gateway/thrice/1 long-error -H "X-Body: 9"
+  echo ", run $(runs)"
+  sleep 0.3
+done
+
 # Guards against a gateway that ends, or closes the connection of a caller, since a
 # response that was about to be forwarded was given up for another attempt.
 long_errors () {
