Log and count each request and connection that the HTTP library ends

An engineer couldn't see why a caller's connection was closed: a request line that libmicrohttpd refuses left no trace, an answer held up until its caller left was counted as the caller's end, "Content-Length can't be parsed" was overwritten by the general message after it, and an entry, the operators' listener and the look-ups heard of no end at all. attempt-failed didn't say which route and path it was.

Cause: only the gateway's request_completed looked at the termination code, and the library's message was kept in one place that the next one overwrote.

httpd now hears all ends of its listeners: citroncleat_http_cut_total{listener,reason} counts them by cause, and request-unfinished (with the id, or the peer and the bytes read), connection-unfinished and http-message say cause, stage and reason, at most 40 lines a second and listener. Who closed a connection without a message is read from the state of its TCP connection. An answer that was ready when its caller left has a line too (stage "ready"). attempt-failed has the route and the path as sent.

--- a/src/base/httpd.c
+++ b/src/base/httpd.c
@@ -1,9 +1,13 @@
 #include "base/httpd.h"
 
+#include "base/log.h"
 #include "base/net.h"
 
+#include <arpa/inet.h>
 #include <ctype.h>
 #include <errno.h>
+#include <netinet/in.h>
+#include <linux/tcp.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -24,9 +28,29 @@
   int fd;
   bool is_in_request;
   bool has_completed_request;
-  bool is_watched;       /* FD is registered with close_fd */
+  bool request_ended_early; /* and with it the connection */
+  bool head_is_late;        /* closed by check_header_timeouts */
+  bool is_watched;          /* FD is registered with close_fd */
   void *watched_request; /* to be reported when the caller closes, or NULL */
   apr_time_t idle_since; /* start, or end of the last request */
+  struct sockaddr_in peer;
+};
+
+/* Why a request or a connection ended early.  */
+enum cut
+{
+  CUT_ANSWER_HEAD,  /* no memory for the head of the answer */
+  CUT_REQUEST_HEAD, /* refused by libmicrohttpd */
+  CUT_ANSWER,       /* the source of the answer failed, or it was refused */
+  CUT_HANDLER,      /* the handler closed the connection */
+  CUT_HEAD_LATE,
+  CUT_IDLE,
+  CUT_CONNECTIONS, /* as many as allowed are open, or the process has no
+                      descriptor left */
+  CUT_STOP,
+  CUT_CALLER,
+  CUT_OTHER,
+  CUTS
 };
 
 struct httpd
@@ -38,7 +62,12 @@
   struct timer timer;        /* for libmicrohttpd's timeouts */
   struct timer header_timer; /* for check_header_timeouts */
   struct connection *connections;
-  char message[160]; /* of libmicrohttpd, since a request ended; or empty */
+  char message[240]; /* of libmicrohttpd, of no request's end yet; or empty */
+  apr_time_t message_at;
+  enum cut ending; /* of the request whose request_completed is called */
+  struct counter *cuts[CUTS];
+  apr_time_t lines_began_at; /* of the second in which `lines' were written */
+  int lines;
 };
 
 /* constants */
@@ -58,7 +87,51 @@
   DEFAULT_IDLE_TIMEOUT_S = 60,
   HEADER_CHECK_INTERVAL_MS = 1000,
   LISTEN_BACKLOG = 1024,
-  MAX_CLOSES_PER_CALL = 64
+  MAX_CLOSES_PER_CALL = 64,
+  LINES_PER_S = 40 /* on ends, of one server; all are counted */
+};
+
+/* States of TCP, in tcpi_state, in which the peer has closed its direction;
+   <netinet/tcp.h> has them, but not all fields of struct tcp_info.  */
+enum
+{
+  PEER_CLOSE = 7,
+  PEER_CLOSE_WAIT = 8,
+  PEER_LAST_ACK = 9,
+  PEER_CLOSING = 11
+};
+
+static const char late_head[] = "no whole head in time";
+
+static const char *const cut_names[CUTS]
+    = { "answer-head", "request-head", "answer", "handler", "head-late",
+        "idle",        "connections",  "stop",   "caller",  "other" };
+
+/* By a part of libmicrohttpd's message, the first that matches.  */
+static const struct
+{
+  const char *part;
+  enum cut cut;
+} message_cuts[] = {
+  { "create response header", CUT_ANSWER_HEAD },
+  { "Error processing request", CUT_REQUEST_HEAD },
+  { "Content-Length", CUT_REQUEST_HEAD },
+  { "error response", CUT_REQUEST_HEAD },
+  { "error generating data", CUT_ANSWER },
+  { "error generating response", CUT_ANSWER },
+  { "more data than requested", CUT_ANSWER },
+  { "response footer", CUT_ANSWER },
+  { "wrong status code", CUT_ANSWER },
+  { "Wrong status code", CUT_ANSWER },
+  { "Application reported internal error", CUT_HANDLER },
+  { "connection limit", CUT_CONNECTIONS },
+  { "resource limit", CUT_CONNECTIONS },
+  { "Error accepting connection", CUT_CONNECTIONS },
+  { "Failed to start serving", CUT_CONNECTIONS },
+  { "Connection socket is closed", CUT_CALLER },
+  { "Connection was closed by remote", CUT_CALLER },
+  { "closed by remote peer", CUT_CALLER },
+  { "Failed to send", CUT_CALLER },
 };
 
 /* By enum MHD_RequestTerminationCode.  */
@@ -83,14 +156,169 @@
   httpd_run (user_data);
 }
 
+static enum cut
+message_cut (const char *message)
+{
+  for (size_t i = 0; i < sizeof message_cuts / sizeof *message_cuts; i++)
+    if (strstr (message, message_cuts[i].part))
+      return message_cuts[i].cut;
+  return CUT_OTHER;
+}
+
+/* Returns why a request ended with CODE, which is not a whole response.  */
+static enum cut
+request_cut (const struct httpd *httpd, enum MHD_RequestTerminationCode code)
+{
+  switch (code)
+    {
+    case MHD_REQUEST_TERMINATED_TIMEOUT_REACHED:
+      return CUT_IDLE;
+    case MHD_REQUEST_TERMINATED_DAEMON_SHUTDOWN:
+      return CUT_STOP;
+    case MHD_REQUEST_TERMINATED_READ_ERROR:
+    case MHD_REQUEST_TERMINATED_CLIENT_ABORT:
+      return CUT_CALLER;
+    default:
+      return httpd->message[0] ? message_cut (httpd->message) : CUT_OTHER;
+    }
+}
+
+/* Counts CUT, and returns whether there is to be a log line on it.  */
+static bool
+count_cut (struct httpd *httpd, enum cut cut)
+{
+  apr_time_t now = timer_clock ();
+  if (httpd->desc.counters)
+    counter_add (httpd->cuts[cut], 1);
+  if (cut == CUT_CALLER)
+    return false;
+  if (now - httpd->lines_began_at >= APR_USEC_PER_SEC)
+    {
+      httpd->lines_began_at = now;
+      httpd->lines = 0;
+    }
+  return httpd->lines++ < LINES_PER_S;
+}
+
+/* Logs a message of libmicrohttpd that belongs to no request, nor to a
+   connection that ended.  */
+static void
+flush_message (struct httpd *httpd)
+{
+  if (!httpd->message[0])
+    return;
+  enum cut cut = message_cut (httpd->message);
+  if (count_cut (httpd, cut))
+    LOG (LOG_WARN, "http-message", LOG_TEXT ("listener", httpd->desc.name),
+         LOG_TEXT ("cause", cut_names[cut]),
+         LOG_TEXT ("reason", httpd->message));
+  httpd->message[0] = 0;
+}
+
+static const char *
+format_peer (const struct connection *state, char *text, size_t size)
+{
+  char ip[INET_ADDRSTRLEN] = "?";
+  inet_ntop (AF_INET, &state->peer.sin_addr, ip, sizeof ip);
+  snprintf (text, size, "%s:%d", ip, ntohs (state->peer.sin_port));
+  return text;
+}
+
+static struct tcp_info
+read_tcp_info (const struct connection *state)
+{
+  struct tcp_info info;
+  socklen_t size = sizeof info;
+  memset (&info, 0, sizeof info);
+  getsockopt (state->fd, IPPROTO_TCP, TCP_INFO, &info, &size);
+  return info;
+}
+
+static bool
+peer_has_closed (const struct tcp_info *info)
+{
+  return info->tcpi_state == PEER_CLOSE || info->tcpi_state == PEER_CLOSE_WAIT
+         || info->tcpi_state == PEER_LAST_ACK
+         || info->tcpi_state == PEER_CLOSING;
+}
+
+/* Counts and logs the end of a connection, if it ended before the request line
+   was read and not between two requests.  */
+static void
+report_connection_end (struct httpd *httpd, const struct connection *state)
+{
+  char peer[INET_ADDRSTRLEN + 8];
+  bool has_message = httpd->message[0] != 0;
+  struct tcp_info info = read_tcp_info (state);
+  int64_t bytes = (int64_t)info.tcpi_bytes_received;
+  if (!has_message
+      && (state->has_completed_request
+          || (bytes <= 0 && !state->head_is_late)))
+    return;
+  enum cut cut = state->head_is_late       ? CUT_HEAD_LATE
+                 : has_message             ? message_cut (httpd->message)
+                 : peer_has_closed (&info) ? CUT_CALLER
+                                           : CUT_REQUEST_HEAD;
+  if (count_cut (httpd, cut))
+    LOG (LOG_WARN, "connection-unfinished",
+         LOG_TEXT ("listener", httpd->desc.name),
+         LOG_TEXT ("peer", format_peer (state, peer, sizeof peer)),
+         LOG_TEXT ("stage", "request line"),
+         LOG_TEXT ("cause", cut_names[cut]),
+         LOG_TEXT ("reason", state->head_is_late ? late_head
+                             : has_message       ? httpd->message
+                                           : "the request line can't be read"),
+         LOG_INT ("bytes", bytes),
+         LOG_INT ("kept", state->has_completed_request));
+  httpd->message[0] = 0;
+}
+
+/* Counts and logs the end of a request with CODE.  */
+static void
+report_request_end (struct httpd *httpd, const struct connection *state,
+                    void *request, enum MHD_RequestTerminationCode code)
+{
+  char peer[INET_ADDRSTRLEN + 8] = "";
+  struct httpd_request_state described = { "", "head" };
+  enum cut cut = state && state->head_is_late ? CUT_HEAD_LATE
+                                              : request_cut (httpd, code);
+  httpd->ending = cut;
+  bool has_line = count_cut (httpd, cut);
+  if (!httpd->desc.describe || !has_line)
+    return;
+  if (request)
+    described = httpd->desc.describe (request);
+  else if (state && state->is_in_request)
+    described.stage = "response";
+  LOG (
+      LOG_WARN, "request-unfinished", LOG_TEXT ("listener", httpd->desc.name),
+      LOG_TEXT ("id", described.id),
+      LOG_TEXT ("peer", state ? format_peer (state, peer, sizeof peer) : peer),
+      LOG_TEXT ("stage", described.stage), LOG_TEXT ("cause", cut_names[cut]),
+      LOG_TEXT ("reason", httpd_end_reason (httpd, code)),
+      LOG_INT ("bytes",
+               state ? (int64_t)read_tcp_info (state).tcpi_bytes_received
+                     : -1));
+}
+
 /* Callback of libmicrohttpd for its messages, with which it says why it closes
    a connection by itself.  */
 static void __attribute__ ((format (printf, 2, 0)))
 on_message (void *user_data, const char *format, va_list arguments)
 {
   struct httpd *httpd = user_data;
-  vsnprintf (httpd->message, sizeof httpd->message, format, arguments);
-  httpd->message[strcspn (httpd->message, "\r\n")] = 0;
+  char text[sizeof httpd->message];
+  vsnprintf (text, sizeof text, format, arguments);
+  text[strcspn (text, "\r\n")] = 0;
+  /* Before these there may be one that says more.  */
+  bool follows = strstr (text, "Error processing request")
+                 || strstr (text, "Application reported internal error");
+  if (!follows)
+    flush_message (httpd);
+  size_t used = strlen (httpd->message);
+  snprintf (httpd->message + used, sizeof httpd->message - used, "%s%s",
+            used ? " " : "", text);
+  httpd->message_at = timer_clock ();
 }
 
 /* Closes the connections that did not deliver a complete header in time;
@@ -100,10 +328,16 @@
 {
   struct httpd *httpd = user_data;
   apr_time_t limit = TIMER_SEC (httpd->desc.header_timeout_s);
+  /* A connection may be closed a while after the message.  */
+  if (now - httpd->message_at > TIMER_MS (HEADER_CHECK_INTERVAL_MS))
+    flush_message (httpd);
   for (struct connection *state = httpd->connections; state;
        state = state->next)
     if (!state->is_in_request && now - state->idle_since > limit)
-      shutdown (state->fd, SHUT_RDWR);
+      {
+        state->head_is_late = true;
+        shutdown (state->fd, SHUT_RDWR);
+      }
   timer_start (loop_timers (httpd->desc.loop), &httpd->header_timer,
                now + TIMER_MS (HEADER_CHECK_INTERVAL_MS),
                check_header_timeouts, httpd);
@@ -123,6 +357,12 @@
                                            MHD_CONNECTION_INFO_CONNECTION_FD)
                       ->connect_fd;
       state->idle_since = timer_clock ();
+      const struct sockaddr *peer
+          = MHD_get_connection_info (connection,
+                                     MHD_CONNECTION_INFO_CLIENT_ADDRESS)
+                ->client_addr;
+      if (peer && peer->sa_family == AF_INET)
+        memcpy (&state->peer, peer, sizeof state->peer);
       state->next = httpd->connections;
       state->previous_next = &httpd->connections;
       if (state->next)
@@ -132,6 +372,8 @@
       return;
     }
   struct connection *state = *socket_context;
+  if (!state->request_ended_early)
+    report_connection_end (httpd, state);
   *state->previous_next = state->next;
   if (state->next)
     state->next->previous_next = state->previous_next;
@@ -196,16 +438,20 @@
 {
   struct httpd *httpd = user_data;
   struct connection *state = connection_state (connection);
+  if (code != MHD_REQUEST_TERMINATED_COMPLETED_OK)
+    report_request_end (httpd, state, *request, code);
   if (state)
     {
       state->is_in_request = false;
+      state->request_ended_early = code != MHD_REQUEST_TERMINATED_COMPLETED_OK;
       state->has_completed_request = true;
       state->idle_since = timer_clock ();
     }
   if (httpd->desc.request_completed)
     httpd->desc.request_completed (httpd->desc.user_data, connection, request,
                                    code);
-  httpd->message[0] = 0;
+  if (code != MHD_REQUEST_TERMINATED_COMPLETED_OK)
+    httpd->message[0] = 0;
 }
 
 static void
@@ -219,6 +465,19 @@
     desc->header_timeout_s = DEFAULT_HEADER_TIMEOUT_S;
   if (!desc->idle_timeout_s)
     desc->idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S;
+  if (!desc->name)
+    desc->name = "";
+}
+
+static void
+create_counters (struct httpd *httpd, apr_pool_t *pool)
+{
+  for (int i = 0; httpd->desc.counters && i < CUTS; i++)
+    httpd->cuts[i] = counter_get (
+        httpd->desc.counters, "citroncleat_http_cut_total",
+        str_format (pool, "listener=\"%s\",reason=\"%s\"", httpd->desc.name,
+                    cut_names[i]),
+        "Requests and connections that ended before a whole response.");
 }
 
 /* public functions */
@@ -230,6 +489,7 @@
   struct httpd *httpd = apr_pcalloc (pool, sizeof *httpd);
   httpd->desc = *desc;
   set_defaults (&httpd->desc);
+  create_counters (httpd, pool);
   int fd = -1;
   if (net_listen (desc->address, LISTEN_BACKLOG, &fd, err) != ERR_NONE)
     return err->code;
@@ -391,6 +651,8 @@
 httpd_end_reason (const struct httpd *httpd,
                   enum MHD_RequestTerminationCode code)
 {
+  if (httpd->ending == CUT_HEAD_LATE)
+    return late_head;
   if (code == MHD_REQUEST_TERMINATED_WITH_ERROR && httpd->message[0])
     return httpd->message;
   return (size_t)code < sizeof end_reasons / sizeof *end_reasons
@@ -398,6 +660,18 @@
              : "unknown";
 }
 
+const char *
+httpd_end_cause (const struct httpd *httpd)
+{
+  return cut_names[httpd->ending];
+}
+
+bool
+httpd_ended_by_caller (const struct httpd *httpd)
+{
+  return httpd->ending == CUT_CALLER;
+}
+
 unsigned int
 httpd_connection_count (const struct httpd *httpd)
 {
--- a/src/base/httpd.h
+++ b/src/base/httpd.h
@@ -21,10 +21,17 @@
    before it queues a response with fields of others it compares their size
    with httpd_response_space.
 
+   Nothing ends unseen: each request without a whole response, each connection
+   that ends before its request line was read, and each connection that is
+   refused is counted in citroncleat_http_cut_total by its reason, and logged
+   unless the caller ended it (`request-unfinished', `connection-unfinished',
+   `http-message').
+
    Threads: the loop's thread only.  */
 #ifndef BASE_HTTPD_H
 #define BASE_HTTPD_H
 
+#include "base/counter.h"
 #include "base/loop.h"
 #include "base/str.h"
 
@@ -33,9 +40,18 @@
 
 struct httpd;
 
+/* What a server says of a request that ended early.  */
+struct httpd_request_state
+{
+  const char *id;    /* "": not known */
+  const char *stage; /* `head', `body', `waiting', `ready', `response' */
+};
+
 struct httpd_desc
 {
   struct loop *loop;
+  const char *name; /* of the listener, in log lines and metrics */
+  struct counters *counters;
   struct str address; /* IP:PORT to listen on */
   MHD_AccessHandlerCallback handler;
   /* Called first for each request, with the request target as received.  The
@@ -49,6 +65,10 @@
   /* Called with the request given to httpd_watch_caller_close when its caller
      has closed the connection; may be NULL.  */
   void (*caller_closed) (void *request);
+  /* Describes a request that ends before its caller has a whole response, for
+     the log line on it; called before request_completed.  NULL: those lines
+     are written by request_completed.  */
+  struct httpd_request_state (*describe) (void *request);
   void *user_data; /* user data of the first three functions */
   /* Maximum of open connections; default 1024.  */
   int64_t max_connections;
@@ -96,6 +116,10 @@
    until the next request ends.  */
 const char *httpd_end_reason (const struct httpd *httpd,
                               enum MHD_RequestTerminationCode code);
+/* Returns the same in one word, as in citroncleat_http_cut_total.  */
+const char *httpd_end_cause (const struct httpd *httpd);
+/* Returns whether it was the caller that ended it.  */
+bool httpd_ended_by_caller (const struct httpd *httpd);
 /* Returns how many bytes the fields of the response to the request on
    CONNECTION may have, each with its name, value, and four bytes more.  What
    libmicrohttpd adds by itself is left out.  */
--- a/src/call/requests.c
+++ b/src/call/requests.c
@@ -138,6 +138,19 @@
   return MHD_YES;
 }
 
+struct httpd_request_state
+requests_describe (void *request)
+{
+  const struct call *call = request;
+  return (struct httpd_request_state){ .id = call->opened ? call->id.data : "",
+                                       .stage
+                                       = !call->opened           ? "head"
+                                         : call->response_queued ? "response"
+                                         : call->response_ready  ? "ready"
+                                         : call->body_ended      ? "waiting"
+                                                                 : "body" };
+}
+
 void
 requests_completed (void *user_data, struct MHD_Connection *connection,
                     void **request, enum MHD_RequestTerminationCode code)
--- a/src/call/requests.h
+++ b/src/call/requests.h
@@ -23,6 +23,8 @@
                                  const char *url, const char *method,
                                  const char *version, const char *upload_data,
                                  size_t *upload_data_size, void **request);
+/* Describes the call of a request that ends early.  */
+struct httpd_request_state requests_describe (void *request);
 /* Destroys the call of a request, however the request ended.  */
 void requests_completed (void *user_data, struct MHD_Connection *connection,
                          void **request, enum MHD_RequestTerminationCode code);
--- a/src/call/worker.c
+++ b/src/call/worker.c
@@ -155,6 +155,9 @@
 {
   const struct settings_limits *limits = &worker->desc.settings->limits;
   struct httpd_desc desc = { .loop = worker->context.loop,
+                             .name = "callers",
+                             .counters = worker->desc.counters,
+                             .describe = requests_describe,
                              .address = worker->desc.settings->listen.callers,
                              .handler = requests_handle,
                              .request_started = requests_begin,
--- a/src/gateway/attempts.c
+++ b/src/gateway/attempts.c
@@ -28,6 +28,7 @@
   /* Attempts of one request.  The route's maximum of attempts doesn't limit
      repeating those that an upstream refused.  */
   SENDS_MAX = 4,
+  PATH_BYTES_MAX = 128, /* in a log line */
   HTTP_BAD_GATEWAY = 502,
   HTTP_UNAVAILABLE = 503,
   HTTP_MISDIRECTED = 421,
@@ -135,13 +136,22 @@
   const struct connection_history *connection = &attempt->connection;
   apr_time_t now = timer_clock ();
   curl_off_t body_bytes = 0;
+  /* From the target, which upstreams get; the route may have been found by
+     another form of it.  */
+  struct str path = httpd_target_path (request->target);
+  int path_bytes
+      = path.size < PATH_BYTES_MAX ? (int)path.size : PATH_BYTES_MAX;
   curl_easy_getinfo (attempt->transfer.easy, CURLINFO_SIZE_UPLOAD_T,
                      &body_bytes);
   LOG (LOG_INFO, "attempt-failed", LOG_TEXT ("id", request->id.data),
        LOG_TEXT ("upstream", request->upstream->id.data),
        LOG_TEXT ("address", request->upstream->address.data),
-       LOG_TEXT ("reason", reason), LOG_INT ("not_run", not_run),
-       LOG_INT ("status", attempt->status),
+       LOG_TEXT ("reason", reason),
+       LOG_TEXT ("route", request->route->name.data),
+       LOG_TEXT (
+           "path",
+           str_printf (request->pool, "%.*s", path_bytes, path.data).data),
+       LOG_INT ("not_run", not_run), LOG_INT ("status", attempt->status),
        LOG_INT ("send", request->send_count),
        LOG_INT ("connection", connection->local_port),
        LOG_INT ("carried", connection->responses),
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -397,6 +397,8 @@
   const struct gateway_addresses *listen = &gateway->settings.listen;
   struct httpd_desc callers
       = { .loop = gateway->loop,
+          .name = "callers",
+          .counters = gateway->counters,
           .address = listen->callers,
           .handler = request_handle,
           .request_started = request_begin,
@@ -408,18 +410,23 @@
           .header_timeout_s = HEADER_TIMEOUT_S };
   const struct
   {
+    const char *name;
     struct str address;
     struct httpd **httpd;
-  } others[] = { { listen->readiness, &gateway->readiness_listener },
-                 { listen->lookups, &gateway->lookup_listener },
-                 { listen->metrics, &gateway->metrics_listener } };
+  } others[]
+      = { { "readiness", listen->readiness, &gateway->readiness_listener },
+          { "lookups", listen->lookups, &gateway->lookup_listener },
+          { "metrics", listen->metrics, &gateway->metrics_listener } };
   enum err_code code
       = httpd_create (gateway->pool, &callers, &gateway->caller_listener, err);
   for (size_t i = 0; i < 3 && code == ERR_NONE; i++)
     {
       struct httpd_desc desc = { .loop = gateway->loop,
+                                 .name = others[i].name,
+                                 .counters = gateway->counters,
                                  .address = others[i].address,
                                  .handler = lookup_handle,
+                                 .describe = lookup_describe,
                                  .user_data = gateway };
       if (others[i].address.size > 0)
         code = httpd_create (gateway->pool, &desc, others[i].httpd, err);
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -335,6 +335,8 @@
                                const char *url, const char *method,
                                const char *version, const char *data,
                                size_t *size, void **context);
+/* The `describe' of those listeners; their requests have no ids.  */
+struct httpd_request_state lookup_describe (void *request);
 /* Returns whether this entry is ready for callers: it is not stopping, and
    knows a plan and upstreams.  */
 bool lookup_is_ready (const struct gateway *gateway);
--- a/src/gateway/lookup.c
+++ b/src/gateway/lookup.c
@@ -165,6 +165,13 @@
          && fleet_upstream_count (gateway->fleet) > 0;
 }
 
+struct httpd_request_state
+lookup_describe (void *request)
+{
+  (void)request;
+  return (struct httpd_request_state){ "", "response" };
+}
+
 enum MHD_Result
 lookup_handle (void *user_data, struct MHD_Connection *connection,
                const char *url, const char *method, const char *version,
--- a/src/gateway/request.c
+++ b/src/gateway/request.c
@@ -401,16 +401,18 @@
                    enum MHD_RequestTerminationCode code)
 {
   struct gateway *gateway = request->gateway;
-  bool by_caller = code == MHD_REQUEST_TERMINATED_CLIENT_ABORT
-                   || code == MHD_REQUEST_TERMINATED_READ_ERROR;
+  bool by_caller = httpd_ended_by_caller (gateway->caller_listener);
+  /* An answer that its caller left without may have been held up here.  */
+  bool is_ready = request->response_ready && !request->answered;
   const char *stage = !request->head_received  ? "head"
                       : request->answered      ? "response"
+                      : is_ready               ? "ready"
                       : request->body_complete ? "waiting"
                                                : "body";
   counter_add (gateway->unfinished[by_caller], 1);
   if (request->outcome == REQUEST_SERVED)
     request->outcome = by_caller ? REQUEST_ABANDONED : REQUEST_FAILED;
-  if (by_caller || !gateway_allow_log_line (gateway))
+  if ((by_caller && !is_ready) || !gateway_allow_log_line (gateway))
     return;
   const union MHD_ConnectionInfo *head_bytes = MHD_get_connection_info (
       connection, MHD_CONNECTION_INFO_REQUEST_HEADER_SIZE);
@@ -418,6 +420,8 @@
        LOG_TEXT ("id", request->id.data ? request->id.data : ""),
        LOG_TEXT ("stage", stage),
        LOG_TEXT ("reason", httpd_end_reason (gateway->caller_listener, code)),
+       LOG_TEXT ("cause", httpd_end_cause (gateway->caller_listener)),
+       LOG_INT ("elapsed_ms", (timer_clock () - request->began_at) / 1000),
        LOG_INT ("head_bytes",
                 head_bytes ? (int64_t)head_bytes->header_size : 0),
        LOG_INT ("fields", (int64_t)request->headers.count),
--- a/src/operator/api.c
+++ b/src/operator/api.c
@@ -241,6 +241,15 @@
   return MHD_YES;
 }
 
+static struct httpd_request_state
+describe (void *context)
+{
+  const struct request *request = context;
+  return (struct httpd_request_state){ "", request->finished  ? "response"
+                                           : request->started ? "waiting"
+                                                              : "body" };
+}
+
 /* Called when the response was sent or the connection ended.  A change that
    was submitted goes on.  A request that waits for the worker's view is
    destroyed once that arrives, in on_worker_view.  */
@@ -335,6 +344,9 @@
   api->last_snapshot = snapshot_ref (
       config_manager_document (desc->config_manager)->snapshot);
   struct httpd_desc httpd = { .loop = desc->loop,
+                              .name = "operators",
+                              .counters = desc->counters,
+                              .describe = describe,
                               .address = desc->settings->listen.operators,
                               .handler = on_request,
                               .request_completed = on_completed,
