Bound what changes its region, however few the requests

Cause: each entry had two requests saved up that it might send to another region at any moment: of 300 entries with one request each all went, 600 of 1,500 with five each, 126 of 315 of 63 entries; when demand began, 0.157 to 0.265 of a region's requests changed their region within 2 s (300, 63 and 11 entries, less three standard errors; allowed 0.15). And fractions moved by the whole time since the last update, in one step after a pause.

Change: what may overflow is earned by requests, starts at a random fraction of one and expires after 2 s; it follows region_shift and its reload (2 in 100 at 0.15). After a pause fractions move by half a second. The split takes 0.33 of the allowed shift (0.4 before).

Tests: plays of the decision code with 11, 63 and 300 entries whose demand falls to 2 %, ends, returns and begins, in steps and ramps; a table for the budget; a pause. All three failed with the old figures in the same code, with the numbers above.

Tried: 4 in 100 with 0.4 of the shift (0.171 sent elsewhere), 2 in 100 for 1 s with 0.4 (0.160), 3 in 100 for 2 s, and 0.33.

--- a/bench/gateway/internal.h
+++ b/bench/gateway/internal.h
@@ -66,6 +66,7 @@
   int upstream;
   int generation;                    /* of the upstream when it was sent */
   int target_region;                 /* chosen to serve it */
+  bool overflowed;                   /* not the region of its object */
   int retry_count;                   /* of the caller */
   int send_count;                    /* of the latest submission */
   int tried_upstreams[MAX_EXCLUDED]; /* the first of them */
@@ -120,7 +121,7 @@
   struct balance_reports reports[SIM_REGIONS];
   struct balance_service_time service_times[SIM_REQUEST_KINDS];
   struct budget retry_budget;
-  struct budget overflow_budget;
+  struct region_overflow overflow;
   int queued_by_region[SIM_REGIONS]; /* calls, by target region */
   struct sim_call *queue[1024];      /* by priority, then order of arrival */
   int queue_length;
@@ -224,7 +225,7 @@
 
 /* Functions of sim.c.  */
 
-/* Returns how many entries a region has.  */
+/* Returns how many entries a region has, or one less.  */
 int sim_entries_per_region (const struct sim *sim);
 /* Returns a random number from 0 to less than 1.  */
 double sim_random (struct sim *sim);
--- a/bench/gateway/policies.c
+++ b/bench/gateway/policies.c
@@ -113,7 +113,8 @@
   int original = call->target_region;
   size_t other = region_split_find_overflow (
       &entry->region_split, entry->region_loads, (size_t)original, allowed);
-  if (other >= SIM_REGIONS || entry->overflow_budget.balance < 1.0)
+  if (other >= SIM_REGIONS
+      || !region_overflow_may_withdraw (&entry->overflow, sim->now))
     return false;
   call->target_region = (int)other;
   struct balance_choice choice = choose (sim, call);
@@ -121,9 +122,10 @@
       && sim->now + choice.expected_latency
              <= call->arrived_at
                     + sim_request_kind (sim, call->kind)->target_latency
-      && budget_try_withdraw (&entry->overflow_budget))
+      && region_overflow_try_withdraw (&entry->overflow, sim->now))
     {
       *decision = send_to (sim, call, &choice);
+      call->overflowed = true;
       return true;
     }
   call->target_region = original;
@@ -137,6 +139,7 @@
   struct sim_decision decision = { .upstream = NO_UPSTREAM };
   if (!from_queue)
     {
+      call->overflowed = false;
       bool allowed[SIM_REGIONS];
       for (int r = 0; r < SIM_REGIONS; r++)
         allowed[r] = !sim->plan.unique_objects || r == entry->region
--- a/bench/gateway/sim.c
+++ b/bench/gateway/sim.c
@@ -34,13 +34,15 @@
 static const double retry_budget_per_call = 0.17;
 static const double retry_slack = 64.0; /* of all entries together, as in the
                                            users' deployment */
-static const double overflow_budget_per_call = 0.04;
-static const double overflow_max_balance = 2.0;
-static const double max_shift_per_s = 0.03; /* fraction of the requests */
+static const double overflow_budget_per_call = 0.02;
+static const double max_shift_per_s = 0.025; /* fraction of the requests */
 /* First estimates of the service times, as fractions of the target latency. */
 static const double initial_cached_fraction = 0.5;
 static const double initial_uncached_fraction = 0.85;
 
+/* By which the demand of a region moves later than that of the one before. */
+static const double region_shape_delay = TIMER_SEC (3);
+
 /* Utilization below which a refusal counts as needless; admission sends late
    calls below it (src/balance/admit.c).  */
 static const double low_utilization = 0.3;
@@ -158,6 +160,39 @@
   return fraction * (1.0 - plan->demand_swing * sin (2.0 * M_PI * periods));
 }
 
+/* Returns the first entry of REGION, or the number of entries for the one
+   after the last.  */
+static int
+first_entry (const struct sim *sim, int region)
+{
+  return (region * sim->entry_count + SIM_REGIONS - 1) / SIM_REGIONS;
+}
+
+/* Returns the factor of the demand of REGION now.  */
+static double
+shape_factor (const struct sim *sim, int region)
+{
+  static const double floor = 0.02;
+  double t = ((double)sim->now - region_shape_delay * region)
+             / (double)sim->plan.duration;
+  switch (sim->plan.demand_shape)
+    {
+    case SIM_DEMAND_STEADY:
+      return 1.0;
+    case SIM_DEMAND_STEPS:
+      return t > 0.4 && t < 0.7 ? floor : 1.0;
+    case SIM_DEMAND_RAMPS:
+      if (t < 0.3 || t > 0.7)
+        return 1.0;
+      return floor + (1.0 - floor) * fabs (t - 0.5) / 0.2;
+    case SIM_DEMAND_STOPS:
+      return t > 0.4 && t < 0.7 ? 0.0 : 1.0;
+    case SIM_DEMAND_FROM_NONE:
+      return t < 0.3 ? 0.0 : 1.0;
+    }
+  return 1.0;
+}
+
 static int
 pick_region (struct sim *sim)
 {
@@ -200,8 +235,16 @@
   struct sim_call *call = calloc (1, sizeof *call);
   call->kind = sim_random (sim) < sim_request_kind (sim, 0)->fraction ? 0 : 1;
   call->region = pick_region (sim);
-  call->entry = call->region * sim_entries_per_region (sim)
-                + (int)(sim_random (sim) * sim_entries_per_region (sim));
+  if (sim->plan.demand_shape != SIM_DEMAND_STEADY
+      && sim_random (sim) >= shape_factor (sim, call->region))
+    {
+      free (call);
+      return;
+    }
+  int first = first_entry (sim, call->region);
+  call->entry = first
+                + (int)(sim_random (sim)
+                        * (first_entry (sim, call->region + 1) - first));
   call->object = pick_object (sim);
   call->arrived_at = sim->now;
   double weight = sim_request_kind (sim, call->kind)->weight;
@@ -244,6 +287,16 @@
   free (call);
 }
 
+/* Counts CALL now in COUNTS.  */
+static void
+count_in_bin (const struct sim *sim, const struct sim_call *call,
+              int32_t counts[SIM_REGIONS][SIM_REGIONS][SIM_MAX_BINS])
+{
+  apr_time_t bin = sim->now / TIMER_MS (SIM_BIN_MS);
+  if (bin < SIM_MAX_BINS)
+    counts[call->region][sim->upstreams[call->upstream].region][bin]++;
+}
+
 static void
 send_call (struct sim *sim, struct sim_call *call, int upstream)
 {
@@ -254,6 +307,13 @@
     call->tried_upstreams[call->send_count] = upstream;
   call->send_count++;
   call->sent_at = sim->now;
+  if (sim->plan.region_counts)
+    {
+      apr_time_t bin = sim->now / TIMER_MS (SIM_BIN_MS);
+      count_in_bin (sim, call, sim->plan.region_counts->sent);
+      if (call->overflowed && bin < SIM_MAX_BINS)
+        sim->plan.region_counts->overflowed[call->region][bin]++;
+    }
   entry->views[upstream].own_in_flight++;
   if (sim_is_own_policy (sim))
     load_begin_request (&entry->upstreams[upstream]->load, sim->now);
@@ -308,7 +368,7 @@
   if (call->send_count == 0)
     {
       budget_deposit (&entry->retry_budget);
-      budget_deposit (&entry->overflow_budget);
+      region_overflow_deposit (&entry->overflow, sim->now);
       call->submitted_at = sim->now;
     }
   struct sim_decision decision = sim_decide (sim, call, false);
@@ -366,6 +426,8 @@
 {
   enum upstream_action action = sim_upstream_accept (sim, call);
   call->refused = action == UPSTREAM_REFUSES;
+  if (sim->plan.region_counts && !call->refused)
+    count_in_bin (sim, call, sim->plan.region_counts->reached);
   call->says_leaving
       = !call->unreachable
         && sim_upstream_is_leaving (sim, &sim->upstreams[call->upstream]);
@@ -740,7 +802,7 @@
     {
       struct sim_entry *entry = &sim->entries[e];
       struct fleet_desc desc = { .find_region = find_region };
-      entry->region = e / sim_entries_per_region (sim);
+      entry->region = e * SIM_REGIONS / sim->entry_count;
       entry->fleet = fleet_create (sim->pool, &desc);
       for (u = 0; u < sim->upstream_count; u++)
         add_upstream (sim, entry, u);
@@ -755,8 +817,9 @@
         };
       budget_init (&entry->retry_budget, retry_budget_per_call,
                    budget_max_balance (retry_slack, (size_t)sim->entry_count));
-      budget_init (&entry->overflow_budget, overflow_budget_per_call,
-                   overflow_max_balance);
+      region_overflow_init (&entry->overflow, overflow_budget_per_call,
+                            (sim->plan.seed + 1 + (uint64_t)e)
+                                * 0x9e3779b97f4a7c15ULL);
     }
 }
 
--- a/bench/gateway/sim.h
+++ b/bench/gateway/sim.h
@@ -43,6 +43,16 @@
   SIM_POLICY_FIRST_BASELINE = SIM_POLICY_RANDOM
 };
 
+/* How the demand of each region moves, one region after the other.  */
+enum sim_demand_shape
+{
+  SIM_DEMAND_STEADY,
+  SIM_DEMAND_STEPS,    /* falls to nearly nothing at once, returns at once */
+  SIM_DEMAND_RAMPS,    /* the same within seconds */
+  SIM_DEMAND_STOPS,    /* ends at once, returns at once */
+  SIM_DEMAND_FROM_NONE /* begins at once */
+};
+
 enum
 {
   /* Kind 0, and kind 1, which is more urgent and has more weight.  */
@@ -69,7 +79,8 @@
      each region is a third of a period ahead of the region before.  0: steady
      demand.  */
   double demand_swing;
-  apr_time_t demand_period;   /* of that wave; needed with demand_swing */
+  apr_time_t demand_period; /* of that wave; needed with demand_swing */
+  enum sim_demand_shape demand_shape;
   apr_time_t one_way_latency; /* between regions; default 55 ms */
   double slow_fraction;       /* of the upstreams; slow in the second half */
   double slow_factor;         /* of their service times */
@@ -116,12 +127,33 @@
   bool ignores_notices;
   /* What one entry is told in both cases is known to all after 300 ms.  */
   bool shares_notices;
-  /* A multiple of SIM_REGIONS, divided evenly over the regions; default 6, at
-     most 300.  */
+  /* Divided as evenly as possible over the regions; default 6, at most 300.
+   */
   int entries;
   /* Calls that may wait at an upstream, beyond its slots; at most 32.  */
   int queue_capacity;
   apr_time_t duration; /* default 30 s */
+  /* Added to, if not NULL.  */
+  struct sim_region_counts *region_counts;
+};
+
+enum
+{
+  SIM_BIN_MS = 100,  /* of the counts of requests by region */
+  SIM_MAX_BINS = 600 /* later requests are not counted there */
+};
+
+/* Requests, by the region of their callers, the region to which an entry sent
+   them and the time.  A request that is sent several times counts each time.
+ */
+struct sim_region_counts
+{
+  int32_t sent[SIM_REGIONS][SIM_REGIONS][SIM_MAX_BINS];
+  /* Of them, those that overflowed: that were sent to another region than that
+     of their object.  */
+  int32_t overflowed[SIM_REGIONS][SIM_MAX_BINS];
+  /* Of all, by the time at which they reached the upstream.  */
+  int32_t reached[SIM_REGIONS][SIM_REGIONS][SIM_MAX_BINS];
 };
 
 /* What a run counted.  Weighted fractions of the requests use the weights of
--- a/src/balance/region_split.c
+++ b/src/balance/region_split.c
@@ -1,5 +1,7 @@
 #include "balance/region_split.h"
 
+#include "base/random.h"
+
 #include <math.h>
 #include <string.h>
 
@@ -28,6 +30,11 @@
 /* Requests do not return from a region that gets this fraction or less, since
    their responses report its load.  */
 static const double min_moved_fraction = 0.02;
+/* Longest time between two updates for which fractions move.  */
+static const apr_time_t max_update_gap = APR_USEC_PER_SEC / 2;
+/* Requests that may be saved up to overflow, and for how long.  */
+static const double max_overflow_balance = 2.0;
+static const apr_time_t overflow_expiry = 2 * APR_USEC_PER_SEC;
 
 /* private functions */
 
@@ -135,6 +142,24 @@
   split->fractions[to] += fraction;
 }
 
+/* Sets the balance to a random fraction of a request, so that of the first
+   requests of many entries as many may overflow as they earn.  */
+static void
+restart_balance (struct region_overflow *overflow)
+{
+  overflow->balance
+      = (double)(random_next (&overflow->random) >> 11) / (double)(1ULL << 53);
+  overflow->full_at = 0;
+}
+
+/* Drops what was saved up too long ago, by a demand that may be gone.  */
+static void
+expire_balance (struct region_overflow *overflow, apr_time_t now)
+{
+  if (overflow->full_at != 0 && now - overflow->full_at > overflow_expiry)
+    restart_balance (overflow);
+}
+
 /* public functions */
 
 void
@@ -160,8 +185,11 @@
       split->updated_at = now;
       return;
     }
-  double max_shift = split->max_shift_per_s * (double)(now - split->updated_at)
-                     / APR_USEC_PER_SEC;
+  apr_time_t elapsed = now - split->updated_at;
+  double max_shift
+      = split->max_shift_per_s
+        * (double)(elapsed < max_update_gap ? elapsed : max_update_gap)
+        / APR_USEC_PER_SEC;
   split->updated_at = now;
   double own = utilization (&region_loads[split->own_region]);
   double full_from = full_utilization (&region_loads[split->own_region]);
@@ -225,3 +253,42 @@
       best = i;
   return best;
 }
+
+void
+region_overflow_init (struct region_overflow *overflow, double fraction,
+                      uint64_t seed)
+{
+  *overflow = (struct region_overflow){
+    .earned_per_request = fraction,
+    .random = seed ? seed : RANDOM_DEFAULT_SEED,
+  };
+  restart_balance (overflow);
+}
+
+void
+region_overflow_deposit (struct region_overflow *overflow, apr_time_t now)
+{
+  expire_balance (overflow, now);
+  overflow->balance += overflow->earned_per_request;
+  if (overflow->balance > max_overflow_balance)
+    overflow->balance = max_overflow_balance;
+  if (overflow->balance >= 1.0 && overflow->full_at == 0)
+    overflow->full_at = now;
+}
+
+bool
+region_overflow_may_withdraw (struct region_overflow *overflow, apr_time_t now)
+{
+  expire_balance (overflow, now);
+  return overflow->balance >= 1.0;
+}
+
+bool
+region_overflow_try_withdraw (struct region_overflow *overflow, apr_time_t now)
+{
+  if (!region_overflow_may_withdraw (overflow, now))
+    return false;
+  overflow->balance -= 1.0;
+  overflow->full_at = overflow->balance >= 1.0 ? now : 0;
+  return true;
+}
--- a/src/gateway/dispatch.c
+++ b/src/gateway/dispatch.c
@@ -294,14 +294,16 @@
                                              request->service->region_loads,
                                              first, allowed);
   if (other >= request->gateway->region_count
-      || request->service->overflow_budget.balance < 1.0)
+      || !region_overflow_may_withdraw (&request->service->overflow,
+                                        timer_clock ()))
     return false;
   request->region = other;
   struct balance_choice choice = dispatch_choose_upstream (request);
   if (choice.upstream
       && timer_clock () + choice.expected_latency <= stop_limits_deadline (
              &request->gateway->stop_limits, request->target_at)
-      && budget_try_withdraw (&request->service->overflow_budget))
+      && region_overflow_try_withdraw (&request->service->overflow,
+                                       timer_clock ()))
     {
       attempts_start (request, &choice);
       return true;
@@ -367,7 +369,7 @@
   if (!request->admitted)
     {
       budget_deposit (&request->service->retry_budget);
-      budget_deposit (&request->service->overflow_budget);
+      region_overflow_deposit (&request->service->overflow, timer_clock ());
     }
   request->admitted = true;
   if (request->route->priority < request->service->most_urgent_priority)
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -49,15 +49,16 @@
    each request that arrives, also by those that are never sent.  */
 static const double retry_ratio_fraction = 0.85;
 /* Fraction that is used of the allowed shift between regions; the rest allows
-   for random variation in which requests arrive.  */
-static const double region_shift_fraction = 0.4;
+   for single requests sent elsewhere, for refusals, which change which
+   requests are sent, and for random variation in which requests arrive.  */
+static const double region_shift_fraction = 0.33;
 /* Window of the allowed shift (`region_shift' in the settings).  */
 static const double shift_window_s = 2.0;
 /* Fraction of the requests that may be sent to another region one by one, on
-   top of the slow shift, and how many of them may be saved up.  The fraction
-   is well below the allowed shift within the window.  */
-static const double overflow_earned = 0.04;
-static const double overflow_max_balance = 2.0;
+   top of the slow shift: at most this, and this of the allowed shift.  What is
+   saved up within the window may double it.  */
+static const double max_overflow = 0.04;
+static const double overflow_shift_fraction = 0.133;
 
 /* private functions */
 
@@ -70,6 +71,15 @@
          / shift_window_s;
 }
 
+/* Returns the fraction of the requests that may be sent to another region one
+   by one.  */
+static double
+overflow_fraction (const struct gateway *gateway)
+{
+  double fraction = gateway->settings.region_shift * overflow_shift_fraction;
+  return fraction < max_overflow ? fraction : max_overflow;
+}
+
 /* Sets the bounds of retries from the settings and the number of entries.  */
 static void
 update_retry_budget (struct gateway *gateway, struct service_state *service)
@@ -320,6 +330,7 @@
     {
       struct service_state *service = apr_hash_this_val (i);
       service->region_split.max_shift_per_s = max_shift_per_s (gateway);
+      service->overflow.earned_per_request = overflow_fraction (gateway);
     }
   LOG (LOG_INFO, "settings-reloaded");
 }
@@ -627,8 +638,10 @@
   service->name = str_dup (gateway->pool, name);
   service->most_urgent_priority = PRIORITY_LEVELS;
   update_retry_budget (gateway, service);
-  budget_init (&service->overflow_budget, overflow_earned,
-               overflow_max_balance);
+  region_overflow_init (&service->overflow, overflow_fraction (gateway),
+                        1
+                            + (uint64_t)(gateway_random_fraction (gateway)
+                                         * (double)(1ULL << 53)));
   region_split_init (&service->region_split, gateway->region_count,
                      gateway->own_region, max_shift_per_s (gateway));
   apr_hash_set (gateway->services, service->name.data,
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -87,7 +87,7 @@
   struct budget retry_budget;
   /* For requests that are sent to another region than `region_split' picked,
      see dispatch.c.  */
-  struct budget overflow_budget;
+  struct region_overflow overflow;
   int64_t most_urgent_priority; /* lowest priority number seen */
   size_t queued[GATEWAY_REGIONS_MAX];
   size_t turned_back; /* requests refused since all upstreams turned this entry
--- a/tests/unit/balance_test.c
+++ b/tests/unit/balance_test.c
@@ -351,6 +351,87 @@
   CU_ASSERT_EQUAL (region_split_pick (&split, 5, last_region), 2);
 }
 
+/* After a pause of the process, fractions move by no more than within half a
+   second: the requests that come next see no step.  */
+static void
+test_region_split_after_pause (void)
+{
+  static const int pauses_ms[] = { 500, 3000, 60000 };
+  for (size_t i = 0; i < COUNT (pauses_ms); i++)
+    {
+      struct region_split split;
+      struct balance_region_load loads[3]
+          = { { 36, 0 }, { 144, 0 }, { 108, 0 } };
+      now = TIMER_SEC (1000);
+      region_split_init (&split, 3, 0, 0.03);
+      region_split_update (&split, loads, now);
+      double before = split.fractions[0];
+      loads[0].busy = 36;
+      region_split_update (&split, loads, now + TIMER_MS (pauses_ms[i]));
+      CU_ASSERT (split.fractions[0] < before);
+      CU_ASSERT (before - split.fractions[0] <= 0.03 * 0.5 + 1e-9);
+    }
+}
+
+/* Whatever demand each entry has, and had before, no more than the allowed
+   fraction of the requests overflows within two seconds, though all of them
+   would; and in the long run as many do as the budget says.  */
+static void
+test_overflow (void)
+{
+  enum
+  {
+    MAX_ENTRIES = 300
+  };
+  static const double max_shift = 0.15; /* of the users' sites */
+  static const double fraction = 0.04;
+  static const struct
+  {
+    int entries;
+    int requests; /* of each entry, within two seconds */
+    int before;   /* requests before, none of which overflowed */
+    int pause_ms; /* after them */
+  } cases[] = { { 11, 60, 0, 0 },       { 63, 5, 0, 0 },
+                { 63, 60, 0, 0 },       { 300, 1, 0, 0 },
+                { 300, 5, 0, 0 },       { 300, 60, 0, 0 },
+                { 63, 5, 2000, 3000 },  { 300, 1, 2000, 3000 },
+                { 300, 5, 2000, 60000 } };
+  static struct region_overflow overflows[MAX_ENTRIES];
+  for (size_t c = 0; c < COUNT (cases); c++)
+    {
+      int sent = 0;
+      int overflowed = 0;
+      int later = 0;
+      for (int e = 0; e < cases[c].entries; e++)
+        {
+          struct region_overflow *o = &overflows[e];
+          now = TIMER_SEC (1000);
+          region_overflow_init (o, fraction,
+                                (uint64_t)(e + 1) * 0x9e3779b97f4a7c15ULL);
+          for (int i = 0; i < cases[c].before; i++)
+            region_overflow_deposit (o, now += TIMER_MS (10));
+          now += TIMER_MS (cases[c].pause_ms);
+          for (int i = 0; i < cases[c].requests; i++)
+            {
+              now += TIMER_SEC (2) / cases[c].requests;
+              region_overflow_deposit (o, now);
+              sent++;
+              overflowed += region_overflow_try_withdraw (o, now);
+            }
+          for (int i = 0; i < 1000; i++)
+            {
+              region_overflow_deposit (o, now += TIMER_MS (10));
+              later += region_overflow_try_withdraw (o, now);
+            }
+        }
+      CU_ASSERT (overflowed <= max_shift * sent);
+      CU_ASSERT_DOUBLE_EQUAL (later, fraction * 1000 * cases[c].entries,
+                              cases[c].entries);
+      if (overflowed > max_shift * sent)
+        printf ("# case %d: %d of %d\n", (int)c, overflowed, sent);
+    }
+}
+
 /* A request whose object does not recur is not expected to find it cached: it
    uses the service time of objects that are not cached, and nothing is
    concluded from it about those that are.  */
@@ -708,25 +789,28 @@
                      TIMER_MS (callers[i].wait_ms));
 }
 
-const struct unit_test balance_tests[]
-    = { { "an object's requests go where it is cached", test_affinity },
-        { "requests wait only where their object is cached", test_queue },
-        { "no upstream gets more than its slots", test_slots },
-        { "slow, failing and unreachable upstreams are avoided for a time",
-          test_faults },
-        { "an upstream that turns away gets nothing, then one at a time",
-          test_turned_away },
-        { "upstreams that turn away have no slots", test_turned_away_region },
-        { "entries and callers don't return at once", test_return },
-        { "a cold upstream gets this entry's share of its rate", test_cold },
-        { "an object that does not recur is not expected to be cached",
-          test_no_recurrence },
-        { "single long requests hardly change the service time",
-          test_service_time },
-        { "requests are sent, wait or are refused at once", test_admit },
-        { "the split among regions changes slowly", test_region_split },
-        { "the load of a region counts upstreams that were not heard of",
-          test_region_load },
-        { "the mean of reports is not that of the busiest upstreams",
-          test_mean_of_reports },
-        { NULL, NULL } };
+const struct unit_test balance_tests[] = {
+  { "an object's requests go where it is cached", test_affinity },
+  { "requests wait only where their object is cached", test_queue },
+  { "no upstream gets more than its slots", test_slots },
+  { "slow, failing and unreachable upstreams are avoided for a time",
+    test_faults },
+  { "an upstream that turns away gets nothing, then one at a time",
+    test_turned_away },
+  { "upstreams that turn away have no slots", test_turned_away_region },
+  { "entries and callers don't return at once", test_return },
+  { "a cold upstream gets this entry's share of its rate", test_cold },
+  { "an object that does not recur is not expected to be cached",
+    test_no_recurrence },
+  { "single long requests hardly change the service time", test_service_time },
+  { "requests are sent, wait or are refused at once", test_admit },
+  { "the split among regions changes slowly", test_region_split },
+  { "the split among regions makes no step after a pause",
+    test_region_split_after_pause },
+  { "few requests overflow within two seconds, at any demand", test_overflow },
+  { "the load of a region counts upstreams that were not heard of",
+    test_region_load },
+  { "the mean of reports is not that of the busiest upstreams",
+    test_mean_of_reports },
+  { NULL, NULL }
+};
--- a/tests/unit/gateway_sim_test.c
+++ b/tests/unit/gateway_sim_test.c
@@ -6,7 +6,14 @@
 #include "base/timer.h"
 #include "tests/unit/unit.h"
 
+#include <math.h>
 #include <stdio.h>
+#include <string.h>
+
+/* Largest fraction of a region's requests that may change their region from
+   one window to the next: `max_shift' of the users' sites.  */
+static const double max_shift = 0.15;
+static const double shift_window_s = 2.0;
 
 /* The least that the callers of one region get, as a fraction of what all
    callers get: the limit of this test, not a requirement of the users.  */
@@ -202,6 +209,118 @@
       }
 }
 
+typedef int32_t region_bins[SIM_REGIONS][SIM_MAX_BINS];
+
+/* Returns the fraction of the requests of REGION that are in another region
+   in the window from bin FROM on than in the one before, less what chance
+   explains; 0 if there are too few.  COUNTS: of the requests of REGION.  */
+static double
+shift_at (region_bins counts, int from)
+{
+  enum
+  {
+    MIN_REQUESTS = 50
+  };
+  int window = (int)(shift_window_s * 1000) / SIM_BIN_MS;
+  double before[SIM_REGIONS] = { 0 };
+  double after[SIM_REGIONS] = { 0 };
+  double sum_before = 0.0;
+  double sum_after = 0.0;
+  double shift = 0.0;
+  for (int r = 0; r < SIM_REGIONS; r++)
+    {
+      for (int b = 0; b < window; b++)
+        {
+          before[r] += counts[r][from - window + b];
+          after[r] += counts[r][from + b];
+        }
+      sum_before += before[r];
+      sum_after += after[r];
+    }
+  if (sum_before < MIN_REQUESTS || sum_after < MIN_REQUESTS)
+    return 0.0;
+  for (int r = 0; r < SIM_REGIONS; r++)
+    shift += fabs (before[r] / sum_before - after[r] / sum_after) / 2.0;
+  /* Three standard errors of a fraction around one half.  */
+  double chance = 3.0 * sqrt (0.25 / sum_before + 0.25 / sum_after);
+  return shift - chance;
+}
+
+/* Returns the largest shift of any region in any sliding window of a run.  */
+static double
+worst_shift (region_bins *counts)
+{
+  int window = (int)(shift_window_s * 1000) / SIM_BIN_MS;
+  int bins = (int)(TIMER_SEC (30) / TIMER_MS (SIM_BIN_MS));
+  double worst = 0.0;
+  for (int r = 0; r < SIM_REGIONS; r++)
+    for (int from = window; from + window <= bins; from++)
+      worst = fmax (worst, shift_at (counts[r], from));
+  return worst;
+}
+
+/* Adds up runs in which demand moves, of as many entries as the users'
+   deployments have, in COUNTS.  */
+static void
+run_shape (enum sim_demand_shape shape, int entries, int upstreams,
+           uint64_t seeds, struct sim_region_counts *counts)
+{
+  memset (counts, 0, sizeof *counts);
+  struct sim_plan plan = { .policy = SIM_POLICY_OWN,
+                           .demand = 0.8,
+                           .demand_shape = shape,
+                           .upstreams = upstreams,
+                           .first_region_upstreams = upstreams / 10,
+                           .slowdown_noise = 0.2,
+                           .entries = entries,
+                           .queue_capacity = 32,
+                           .region_counts = counts };
+  for (plan.seed = 1; plan.seed <= seeds; plan.seed++)
+    sim_run (&plan);
+}
+
+/* No more than the allowed fraction of a region's requests is sent to another
+   region in any window of 2 s than in the one before, while demand falls to
+   nearly nothing, ends, returns, and begins.  What many entries had saved up
+   for single requests was sent elsewhere at once when demand began.  */
+static void
+test_shift (void)
+{
+  static const struct
+  {
+    int entries;
+    int upstreams;
+    uint64_t seeds;
+  } sizes[] = { { 11, 27, 8 }, { 63, 150, 3 }, { 300, 600, 1 } };
+  static struct sim_region_counts counts;
+  for (size_t s = 0; s < COUNT (sizes); s++)
+    for (int shape = SIM_DEMAND_STEPS; shape <= SIM_DEMAND_FROM_NONE; shape++)
+      {
+        run_shape ((enum sim_demand_shape)shape, sizes[s].entries,
+                   sizes[s].upstreams, sizes[s].seeds, &counts);
+        double worst = worst_shift (counts.sent);
+        CU_ASSERT (worst <= max_shift);
+        if (worst > max_shift)
+          printf ("# %d entries, demand %d: %.3f of the requests\n",
+                  sizes[s].entries, shape, worst);
+      }
+}
+
+/* The same by where requests run, when demand ends: then those that are on
+   their way to another region, for 55 ms, are nearly all that begin to run.
+ */
+static void
+test_shift_in_flight (void)
+{
+  static struct sim_region_counts counts;
+  run_shape (SIM_DEMAND_STOPS, 300, 600, 1, &counts);
+  double worst = worst_shift (counts.reached);
+  CU_ASSERT (worst <= max_shift);
+  if (worst > max_shift)
+    printf ("# %.3f of the requests; of those sent %.3f\n", worst,
+            worst_shift (counts.sent));
+}
+
 /* Two runs of the same plan have the same result.  */
 static void
 test_deterministic (void)
@@ -226,6 +345,10 @@
     test_notices },
   { "leaving upstreams alone at once costs callers nothing",
     test_leaving_value },
+  { "few requests change their region at once, whatever demand does",
+    test_shift },
+  { "when demand ends, few of the last to run change their region",
+    test_shift_in_flight },
   { "a run is determined by its plan", test_deterministic },
   { NULL, NULL }
 };
