--- a/src/gateway/dispatch.c
+++ b/src/gateway/dispatch.c
@@ -295,7 +295,8 @@
                                              request->service->region_loads,
                                              first, allowed);
   if (other >= request->gateway->region_count
-      || request->service->overflow_budget.balance < 1.0)
+      || !region_overflow_may_withdraw (&request->service->overflow,
+                                        timer_clock ()))
     return false;
   request->region = other;
   *choice = dispatch_choose_upstream (request);
@@ -311,12 +312,17 @@
 static bool
 try_other_region (struct request *request)
 {
+  size_t first = request->region;
   struct balance_choice choice;
-  if (!find_other_region (request, &choice)
-      || !budget_try_withdraw (&request->service->overflow_budget))
-    return false;
-  attempts_start (request, &choice);
-  return true;
+  if (find_other_region (request, &choice)
+      && region_overflow_try_withdraw (&request->service->overflow,
+                                       timer_clock ()))
+    {
+      attempts_start (request, &choice);
+      return true;
+    }
+  request->region = first;
+  return false;
 }
 
 /* Returns whether a request for which there is this admission state and
@@ -387,7 +393,7 @@
   if (!request->admitted)
     {
       budget_deposit (&request->service->retry_budget);
-      budget_deposit (&request->service->overflow_budget);
+      region_overflow_deposit (&request->service->overflow, timer_clock ());
     }
   request->admitted = true;
   if (request->route->priority < request->service->most_urgent_priority)
