Close a probe's connection after each answer

What operators saw: after an upstream sent one answer to a health check again where the next was due, each later probe read the answer to the one before, for as long as the connection was kept; a notice that it leaves was read one health_interval_ms (up to 60 s) late.

Cause: a report bears no id, so nothing ties it to its probe; libcurl 7.88 reuses a connection on which unread bytes wait. If two whole answers wait they arrive in one read and libcurl closes, so the delay stayed at one interval.

Change: the connection closes after each probe. It costs one connection per probe.

--- a/src/base/http_client.c
+++ b/src/base/http_client.c
@@ -227,6 +227,8 @@
       curl_easy_setopt (easy, CURLOPT_LOW_SPEED_TIME,
                         (long)request->stall_timeout_s);
     }
+  if (request->closes_connection)
+    curl_easy_setopt (easy, CURLOPT_FORBID_REUSE, 1L);
   curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt (easy, CURLOPT_PROXY, "");
   curl_easy_setopt (easy, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
--- a/src/base/http_client.h
+++ b/src/base/http_client.h
@@ -36,6 +36,7 @@
   /* Aborts the exchange if no byte is transferred for so many seconds; 0: only
      the timeout applies.  */
   int64_t stall_timeout_s;
+  bool closes_connection;    /* after the response */
   size_t max_response_bytes; /* bytes of the response's body, default 4 MiB */
   /* Frees the user data of this request if the client is destroyed before
      the request has ended, since the completion function is then not called;
--- a/src/platform/health.c
+++ b/src/platform/health.c
@@ -97,7 +97,9 @@
 static void
 send_probe (struct probe *probe)
 {
+  /* A report has no id that tells it from an earlier one.  */
   struct http_request request = { .url = probe->url,
+                                  .closes_connection = true,
                                   .timeout_ms = TIMEOUT_MS,
                                   .max_response_bytes = RESPONSE_MAX_BYTES,
                                   .free_user_data = free };
--- a/tests/standin/faulty_upstream.c
+++ b/tests/standin/faulty_upstream.c
@@ -32,7 +32,10 @@
    and those of the table `endless', which never end: bytes that are no
    response, or no more of one, until the caller closes.
    Requests are counted by their X-Caller-Token; GET /_runs/TOKEN returns the
-   count as the response's token.  */
+   count as the response's token.
+   GET /_health reports the state, "leaving" after GET /_leave; the first
+   report on a connection is sent again before the response to the next
+   request.  Each report is logged.  */
 #include "base/net.h"
 #include "tests/standin/standin.h"
 
@@ -55,7 +58,8 @@
   CLOSE_DELAY_MS = 100,
   LARGE_BODY_BYTES = 400000,
   PIECES_BYTES = 4096,
-  SLOW_PIECE_MS = 20
+  SLOW_PIECE_MS = 20,
+  DUPLICATE_LEAD_MS = 10 /* of a report that is sent again */
 };
 
 struct request_head
@@ -123,6 +127,7 @@
 
 static char stamp[64];     /* header line of whole responses, or empty */
 static const char *own_id; /* "": requests for any instance are accepted */
+static const char *state = "serving"; /* guarded by `mutex' */
 static pthread_mutex_t mutex = PTHREAD_MUTEX_INITIALIZER;
 static struct request_head last_request; /* of any connection */
 static struct
@@ -333,6 +338,39 @@
     }
 }
 
+/* Sends a report that the state is REPORTED.  */
+static void
+write_health (int fd, const char *reported)
+{
+  char text[256];
+  int size
+      = snprintf (text, sizeof text,
+                  "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n"
+                  "{\"state\":\"%s\"}",
+                  strlen (reported) + strlen ("{\"state\":\"\"}"), reported);
+  if (send (fd, text, (size_t)size, MSG_NOSIGNAL) != size)
+    return;
+}
+
+/* Responds to the health check NUMBER of a connection; *FIRST is the state
+   that the first one reported.  */
+static void
+serve_health (int fd, int number, const char **first)
+{
+  pthread_mutex_lock (&mutex);
+  const char *now = state;
+  pthread_mutex_unlock (&mutex);
+  if (number == 1)
+    *first = now;
+  if (number == 2)
+    {
+      write_health (fd, *first);
+      usleep (DUPLICATE_LEAD_MS * 1000);
+    }
+  write_health (fd, now);
+  fprintf (stderr, "reported %s\n", now);
+}
+
 /* Responds to REQUEST; returns false if the connection is to be closed.
    DUPLICATE is the request whose response is sent again first, or has an empty
    id; it is set for the next request.  */
@@ -340,6 +378,12 @@
 serve (int fd, struct request_head *request, struct request_head *duplicate)
 {
   struct request_head previous_request;
+  if (strcmp (request->path, "/_leave") == 0)
+    {
+      pthread_mutex_lock (&mutex);
+      state = "leaving";
+      pthread_mutex_unlock (&mutex);
+    }
   if (strncmp (request->path, "/_runs/", 7) == 0)
     {
       struct request_head source = *request;
@@ -408,8 +452,14 @@
   FILE *in = fdopen (fd, "r");
   struct request_head request;
   struct request_head duplicate = { 0 };
-  while (read_request (in, &request) && serve (fd, &request, &duplicate))
-    ;
+  const char *first_report = NULL;
+  int reports = 0;
+  bool goes_on = true;
+  while (goes_on && read_request (in, &request))
+    if (strcmp (request.path, "/_health") == 0)
+      serve_health (fd, ++reports, &first_report);
+    else
+      goes_on = serve (fd, &request, &duplicate);
   fclose (in);
   return NULL;
 }
