--- a/tests/session/copies.sh
+++ b/tests/session/copies.sh
@@ -89,6 +89,8 @@
   calls /replaced/ $((4 * round - 3)) $((4 * round)) 1 misdirected-twice 1
 done
 judge /replaced/ 127.41.2.1:9000
+gone=$(grep '"another upstream has the address"' "$WORK/g1.log" | grep -o '"i-gone-[0-9]*"' | sort -u | wc -l)
+echo "$gone of 12 replaced ids were refused"
 
 # Guards against a refusal whose copy spoils the next request on its connection.
 echo "# every other request is refused"
