Soak: another configuration after the store came back

Change: the operator writes one with the other service at once, whose revision may have been given out before. Versions are counted in a file under a lock, since two of the soak's processes write configurations.

--- a/tests/soak/soak.sh
+++ b/tests/soak/soak.sh
@@ -29,7 +29,6 @@
 store=http://$net.9.1:7900
 RANDOM=$((seed % 32768))
 zones=(north-a north-b south-a)
-version=0
 
 # pick N: sets R to a random number from 0 to N-1.  Not for use in subshells,
 # which would not advance the sequence that the seed determines.
@@ -114,25 +113,26 @@
 route () { # NAME KIND SERVICE [TIMEOUT-MS TARGET-MS]
   echo "{\"name\":\"$1\",\"host\":\"shop.example\",\"prefix\":\"/$1/\",\"kind\":\"$2\",\"timeout_ms\":${4:-1500},\"target_latency_ms\":${5:-400},\"priority\":1,\"service\":\"$3\",\"max_attempts\":2,\"sticky_sessions\":true,\"allowed_regions\":[]}"
 }
-# Writes configuration $version, in which route /move/ leads to SERVICE and there
-# are N more routes.
-configure () { # SERVICE N
-  local routes i
+# Writes the next configuration, in which route /move/ leads to SERVICE and there are
+# N more routes, and whose version is STEP higher.  Needs the lock "config".
+write_config () { # SERVICE N STEP
+  local routes i version
+  read -r version _ <"$WORK/config"
+  version=$((version + $3))
+  echo "$version $1" >"$WORK/config"
   routes="$(route look safe desk),$(route jobs unsafe desk),$(route photo upload desk),$(route move unsafe "$1"),$(route slow unsafe desk 9000 8000)"
   for i in $(seq "$2"); do routes="$routes,$(route "extra-$version-$i" safe desk)"; done
-  cat >"$WORK/config.$version" <<EOF
+  note "try config $version $1"
+  put op/config <<EOF
 {"version":$version,"routes":[$routes],"services":[{"name":"desk","max_connections":100,"cold_start_s":1.0,"cold_per_s":10.0},{"name":"shed","max_connections":100,"cold_start_s":1.0,"cold_per_s":10.0}],"limits":{"max_body_bytes":1000000}}
 EOF
+  note "ack config $version $1"
+}
+configure () { # SERVICE N STEP
   until lock config; do sleep 0.05; done
-  write_config "$version" "$1"
+  write_config "$@"
   unlock config
 }
-write_config () { # VERSION SERVICE
-  note "try config $1 $2"
-  echo "$1 $2" >"$WORK/config"
-  put op/config <"$WORK/config.$1"
-  note "ack config $1 $2"
-}
 set_path_mode () { # ADDRESS MODE
   curl -s -m 5 -X PUT "http://$net.9.9:7900/_mode?pair=$1&mode=$2" -o /dev/null
 }
@@ -366,18 +366,20 @@
   curl -s -m 5 -X PUT "$store/_mode?mode=normal" -o /dev/null
   note "undisturbed store"
 }
-# The store comes back as it was MS before, and the operator writes the last
-# configuration again.  What was evacuated since would be lost, so nothing is.
+# The store comes back as it was MS before, and the operator writes another
+# configuration at once, whose revision may have been given out before.  What was
+# evacuated since would be lost, so nothing is.
 fault_restore () { # MS
-  local last
+  local last other=desk
   lock evacuation || return
   curl -s -m 5 -X PUT "$store/_copy" -o /dev/null
   sleep_ms "$1"
   until lock config; do sleep 0.05; done
   note "disturbed store restore"
   curl -s -m 5 -X PUT "$store/_restore" -o /dev/null
-  read -r -a last <"$WORK/config"
-  write_config "${last[@]}"
+  read -r _ last <"$WORK/config"
+  [ "$last" = shed ] || other=shed
+  write_config $other 0 1
   note "undisturbed store"
   unlock config
   unlock evacuation
@@ -419,7 +421,7 @@
 # Whatever a fault may need is drawn first, so that the random sequence doesn't
 # depend on the kind of fault.
 inject () {
-  local kind e w ms worker_mode store_mode path_mode zone
+  local kind e w ms step worker_mode store_mode path_mode zone
   pick 3500; ms=$((300 + R))
   pick "$entries"; e=$((1 + R))
   pick "$workers"; w=$((1 + R))
@@ -449,9 +451,9 @@
   run_fault "$@"
   pick 4
   [ "$R" = 0 ] || return
-  pick 5; version=$((version + 1 + R))
+  pick 5; step=$((1 + R))
   pick 4
-  if [ $((RANDOM % 2)) = 0 ]; then run_fault configure desk $((R * 20)); else run_fault configure shed $((R * 20)); fi
+  if [ $((RANDOM % 2)) = 0 ]; then run_fault configure desk $((R * 20)) $step; else run_fault configure shed $((R * 20)) $step; fi
 }
 run_fault () { # COMMAND...
   note "fault $*"
@@ -479,8 +481,8 @@
 launch store "$BUILD/standin" metadata --listen "$net.9.1:7900" --mark "$WORK"
 launch proxy "$BUILD/standin" proxy --listen "$net.9.9:7900" --pairs "${pairs#,}" --mark "$WORK"
 wait_for 5 curl -s -o /dev/null "$store/kv-range?prefix=x" || exit 2
-version=1
-configure desk 0
+echo "0 desk" >"$WORK/config"
+configure desk 0 1
 for i in $(seq "$workers"); do start_worker "$i" 2; done
 for i in $(seq "$entries"); do write_settings "$i" 1000 && start_entry "$i"; done
 for i in $(seq "$entries"); do
