Limits of sizes in one table

Change: call/limits.h declares each with its name, value and what it limits; the code takes its constants from there. Values are the same.

--- a/src/call/attempt.c
+++ b/src/call/attempt.c
@@ -1,5 +1,7 @@
 #include "call/attempt.h"
 
+#include "call/limits.h"
+
 #include <apr_strings.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -11,11 +13,7 @@
 
 enum
 {
-  EXPECT_MIN_BYTES = 65536,    /* larger bodies wait for "100 Continue" */
-  UPLOAD_BUFFER_BYTES = 16384, /* the least that libcurl takes */
-  EXPECT_MAX_WAIT_MS = 1000,   /* then the body is sent without it */
-  MAX_HEADERS = 256, /* fields of a response; the attempt fails with more */
-  MAX_HEAD_BYTES = 64 * 1024,        /* the same of its heads and trailers */
+  EXPECT_MAX_WAIT_MS = 1000,         /* then the body is sent without it */
   LINK_RECEIVE_BUFFER_BYTES = 65536, /* of sockets to another region */
   HTTP_CONTINUE = 100,
   HTTP_OK = 200
--- a/src/gateway/attempts.c
+++ b/src/gateway/attempts.c
@@ -4,6 +4,7 @@
    attempt in progress.  */
 #include "gateway/internal.h"
 
+#include "call/limits.h"
 #include "platform/decode.h"
 #include "platform/words.h"
 
@@ -21,10 +22,6 @@
      and two round trips is taken for dead; a lost packet is sent again once or
      twice before that.  */
   UNACKNOWLEDGED_MS = 600,
-  /* Responses up to about this size are buffered until they are complete;
-     longer ones are streamed.  Eight times the largest responses of the users'
-     sites.  */
-  RESPONSE_BUFFER_BYTES = 256 * 1024,
   /* Attempts of one request.  The route's maximum of attempts doesn't limit
      repeating those that an upstream refused.  */
   SENDS_MAX = 4,
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -2,6 +2,7 @@
    loop and handles signals, the periodic updates and the stop.  */
 #include "gateway/gateway.h"
 
+#include "call/limits.h"
 #include "gateway/internal.h"
 #include "platform/mirror.h"
 #include "platform/store.h"
@@ -29,13 +30,6 @@
      answer's too, are as long as may be; and of the process without any.  */
   BUSY_CONNECTION_KB = 112,
   IDLE_PROCESS_KB = 16 * 1024,
-  /* The largest head of a request that operators allow.  */
-  REQUEST_HEADER_BYTES = 16 * 1024,
-  /* Memory of a caller's connection: the head, a copy of its cookies, and 12
-     KiB for the entries of a hundred fields and cookies and for the head of
-     the response (base/httpd.h).  All of it is in use after the first request,
-     so more would cost each entry memory on calm days too.  */
-  CALLER_CONNECTION_BYTES = 2 * REQUEST_HEADER_BYTES + 12 * 1024,
   HEADER_TIMEOUT_S = 30, /* at least the idle time that operators allow */
   /* Several times as long as an iteration of a busy loop takes, and less than
      upstreams take to drain.  */
--- a/src/gateway/request.c
+++ b/src/gateway/request.c
@@ -2,6 +2,7 @@
    sets the deadlines, and sends the response.  */
 #include "gateway/internal.h"
 
+#include "call/limits.h"
 #include "call/relay.h"
 #include "platform/decode.h"
 #include "platform/words.h"
@@ -13,10 +14,6 @@
 
 enum
 {
-  /* A request's body is buffered up to this size before it is sent, so that it
-     can be sent again; a longer one is streamed.  Three times the largest
-     uploads of the users' sites.  */
-  BODY_BUFFER_BYTES = 1024 * 1024,
   /* For callers that state none; several times what others state.  */
   DEFAULT_TIMEOUT_MS = 30000,
   /* The deadline is this much earlier than the timeout, so that the response
