--- a/Makefile
+++ b/Makefile
@@ -71,7 +71,7 @@
 # The same tests under the address and undefined-behaviour sanitizers.
 check-sanitized: setup
 	@$(MAKE) -s check BUILD=build-sanitized \
-	  CFLAGS="-O1 -g -fsanitize=address,undefined -fno-sanitize-recover=all"
+	  CFLAGS="$(SANITIZED)"
 
 # Random faults in real processes; SEEDS as in tests/soak/run.sh.
 SEEDS     ?= fresh:8
@@ -137,6 +137,21 @@
 	  echo "fuzz: $$f: $$(sed -n 's/stat::number_of_executed_units: *//p' build-fuzz/$$f.log) runs, no crash"; \
 	done
 
+# Random requests at a real gateway; the sizes come from its own limits.
+# FUZZ_WITHOUT: classes of faults to leave out (tests/standin/fuzz_callers.c).
+FUZZ_SEEDS    ?= 1 2 3
+FUZZ_REQUESTS ?= 2000
+FUZZ_WITHOUT  ?=
+SANITIZED = -O1 -g -fsanitize=address,undefined -fno-sanitize-recover=all
+fuzz-gateway: setup
+	@$(MAKE) -s -j$$(nproc) $(BINARY) $(STANDIN)
+	@BUILD=$(BUILD) FUZZ_SEEDS="$(FUZZ_SEEDS)" FUZZ_REQUESTS=$(FUZZ_REQUESTS) \
+	  FUZZ_WITHOUT=$(FUZZ_WITHOUT) bash tests/fuzz/gateway.sh
+
+# The same under the address and undefined-behaviour sanitizers.
+fuzz-gateway-sanitized: setup
+	@$(MAKE) -s fuzz-gateway BUILD=build-sanitized CFLAGS="$(SANITIZED)"
+
 install: $(BINARY)
 	install -D -m 755 $(BINARY) $(DESTDIR)$(PREFIX)/bin/citroncleat
 	install -D -m 644 share/citroncleat.1 \
@@ -159,6 +174,9 @@
 	@echo "make bench-recover  effects of failures on operators and callers"
 	@echo "make bench-slopes  cost of control messages at 11, 50 and 100 entries"
 	@echo "make fuzz        fuzz the decoders (FUZZ_SECONDS=N each)"
+	@echo "make fuzz-gateway  random requests at a real gateway, and the rules checked"
+	@echo "                 (FUZZ_SEEDS=, FUZZ_REQUESTS=N each, FUZZ_WITHOUT=copies)"
+	@echo "make fuzz-gateway-sanitized  the same under ASan and UBSan"
 	@echo "make install     DESTDIR= PREFIX=/usr/local"
 
 BENCH_STEER         = $(BUILD)/bench-steer
@@ -184,4 +202,5 @@
 
 .PHONY: all packages setup soak check model check-sanitized demo lint bench bench-path bench-steer bench-rush \
         bench-slopes bench-fleet bench-heads bench-recover fuzz \
+        fuzz-gateway fuzz-gateway-sanitized \
         install help clean
--- a/tests/standin/faulty_upstream.c
+++ b/tests/standin/faulty_upstream.c
@@ -26,13 +26,22 @@
               buffer; closes the connection 100 ms later
    those of the table `long_bodies': a whole response, in chunks that arrive
    together, whose body has the size that X-Body: N states,
-   and those of the table `endless', which never end: bytes that are no
-   response, or no more of one, until the caller closes.
+   those of the table `endless', which never end: bytes that are no
+   response, or no more of one, until the caller closes,
+   and those of the table `sized', for the fuzzer of gateways: responses whose
+   body has X-Body: N bytes, the pattern of the token (standin.h), in the form
+   X-Form (length, chunked or close), in writes of X-Split: N bytes at most
+   (0: one write).
+   Several options --listen make one process listen on several addresses.
    Requests are counted by their X-Caller-Token; GET /_runs/TOKEN returns the
-   count as the response's token.  */
+   count as the response's token, and GET /_record/TOKEN a line for each of its
+   first runs: address, hash of method and target, size and hash of the body,
+   and whether the body was read whole before it ran.  */
 #include "base/net.h"
 #include "tests/standin/standin.h"
 
+#include <arpa/inet.h>
+#include <netinet/in.h>
 #include <pthread.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -40,6 +49,7 @@
 #include <strings.h>
 #include <sys/socket.h>
 #include <unistd.h>
+#include <xxhash.h>
 
 enum
 {
@@ -47,11 +57,13 @@
   MAX_ANSWER_FIELDS_BYTES = 65536,
   MAX_BODY_BYTES = 1024 * 1024,
   ANSWER_FIELD_BYTES = 250, /* of one added field */
-  MAX_TOKENS = 4096,
+  MAX_TOKENS = 1 << 18,
+  MAX_RECORDED_RUNS = 4,
   LATE_RESPONSE_MS = 1500,
   CLOSE_DELAY_MS = 100,
   LARGE_BODY_BYTES = 400000,
   PIECES_BYTES = 4096,
+  DRIP_PIECES = 20,
   SLOW_PIECE_MS = 20
 };
 
@@ -63,7 +75,15 @@
   char token[64];
   char fault[32];
   char path[256];
+  char form[16];
+  bool is_head;
+  bool is_chunked;
+  bool expects_continue;
+  uint64_t head_hash; /* of method and target */
+  uint64_t body_hash;
+  bool body_read;
   size_t body_size;
+  size_t split;
   size_t answer_fields_bytes;
   size_t response_body_bytes; /* of the faults with long bodies */
 };
@@ -118,30 +138,135 @@
   { "long-unstamped", "200 OK" },
 };
 
-static char stamp[64]; /* header line of whole responses, or empty */
+/* Where the response of a fault of `sized' breaks off.  */
+enum stage
+{
+  STAGE_NONE, /* not at all: it is whole */
+  STAGE_START,
+  STAGE_IN_HEAD,
+  STAGE_AFTER_HEAD,
+  STAGE_IN_BODY
+};
+
+static const struct
+{
+  const char *name;
+  const char *status; /* and fields, without the last line end */
+  enum stage stage;
+  bool runs;
+  bool is_early; /* before the request's body is read */
+  bool resets;   /* where it breaks off, instead of closing */
+  bool drips;    /* slowly, in some pieces */
+  bool is_sent_again;
+} sized[] = {
+  { .name = "sized", .status = "200 OK\r\nServer-Stamp: s", .runs = true },
+  { .name = "sized-error",
+    .status = "500 Internal Server Error\r\nServer-Stamp: s",
+    .runs = true },
+  { .name = "sized-missing",
+    .status = "404 Not Found\r\nServer-Stamp: s",
+    .runs = true },
+  { .name = "sized-unstamped", .status = "200 OK", .runs = true },
+  { .name = "refusal",
+    .status = "503 Service Unavailable\r\nNot-Executed: full" },
+  { .name = "refusal-wait",
+    .status = "503 Service Unavailable\r\nNot-Executed: full\r\n"
+              "Retry-After: 0.02" },
+  { .name = "refusal-busy",
+    .status = "429 Too Many Requests\r\nNot-Executed: full" },
+  { .name = "refusal-misdirected", .status = "421 Misdirected Request" },
+  { .name = "early",
+    .status = "200 OK\r\nServer-Stamp: s",
+    .runs = true,
+    .is_early = true },
+  { .name = "early-error",
+    .status = "500 Internal Server Error\r\nServer-Stamp: s",
+    .runs = true,
+    .is_early = true },
+  { .name = "early-refusal",
+    .status = "503 Service Unavailable\r\nNot-Executed: full",
+    .is_early = true },
+  { .name = "drip",
+    .status = "200 OK\r\nServer-Stamp: s",
+    .runs = true,
+    .drips = true },
+  { .name = "close-start", .stage = STAGE_START, .runs = true },
+  { .name = "reset-start",
+    .stage = STAGE_START,
+    .runs = true,
+    .resets = true },
+  { .name = "close-in-head",
+    .status = "200 OK\r\nServer-Stamp: s",
+    .stage = STAGE_IN_HEAD,
+    .runs = true },
+  { .name = "reset-after-head",
+    .status = "200 OK\r\nServer-Stamp: s",
+    .stage = STAGE_AFTER_HEAD,
+    .runs = true,
+    .resets = true },
+  { .name = "close-in-body",
+    .status = "200 OK\r\nServer-Stamp: s",
+    .stage = STAGE_IN_BODY,
+    .runs = true },
+  { .name = "reset-in-body",
+    .status = "200 OK\r\nServer-Stamp: s",
+    .stage = STAGE_IN_BODY,
+    .runs = true,
+    .resets = true },
+  { .name = "reset-early",
+    .stage = STAGE_START,
+    .runs = true,
+    .is_early = true,
+    .resets = true },
+  { .name = "copy",
+    .status = "200 OK\r\nServer-Stamp: s",
+    .runs = true,
+    .is_sent_again = true },
+  { .name = "copy-refusal",
+    .status = "503 Service Unavailable\r\nNot-Executed: full",
+    .is_sent_again = true },
+  { .name = "copy-misdirected",
+    .status = "421 Misdirected Request",
+    .is_sent_again = true },
+};
+
+static char stamp[64];     /* header line of whole responses, or empty */
 static const char *own_id; /* "": requests for any instance are accepted */
 static pthread_mutex_t mutex = PTHREAD_MUTEX_INITIALIZER;
 static struct request_head last_request; /* of any connection */
+/* By the hash of the token.  */
 static struct
 {
   char token[64];
   int runs;
-} counts[MAX_TOKENS];
+  struct run
+  {
+    struct in_addr address;
+    uint64_t head_hash;
+    uint64_t body_hash;
+    size_t body_size;
+    bool body_read;
+  } records[MAX_RECORDED_RUNS];
+} * counts;
 
-/* Adds INCREMENT to the runs of TOKEN and returns their number.  */
+/* Adds INCREMENT to the runs of TOKEN and returns their number.  Keeps RUN, if
+   given; copies the runs kept so far to OUT, if given.  */
 static int
-add_runs (const char *token, int increment)
+add_runs (const char *token, int increment, const struct run *run,
+          struct run *out)
 {
   int runs = 0;
+  size_t slot = XXH64 (token, strlen (token), 0) % MAX_TOKENS;
   pthread_mutex_lock (&mutex);
-  for (int i = 0; i < MAX_TOKENS; i++)
-    if (counts[i].token[0] == 0 || strcmp (counts[i].token, token) == 0)
-      {
-        snprintf (counts[i].token, sizeof counts[i].token, "%s", token);
-        counts[i].runs += increment;
-        runs = counts[i].runs;
-        break;
-      }
+  while (counts[slot].token[0] && strcmp (counts[slot].token, token) != 0)
+    slot = (slot + 1) % MAX_TOKENS;
+  snprintf (counts[slot].token, sizeof counts[slot].token, "%s", token);
+  if (run && counts[slot].runs < MAX_RECORDED_RUNS)
+    counts[slot].records[counts[slot].runs] = *run;
+  counts[slot].runs += increment;
+  runs = counts[slot].runs;
+  if (out)
+    memcpy (out, counts[slot].records, sizeof counts[slot].records);
   pthread_mutex_unlock (&mutex);
   return runs;
 }
@@ -162,8 +287,55 @@
   snprintf (out, size, "%.*s", (int)length, value);
 }
 
-/* Reads one request and skips its body; returns false at the end of input and
-   if the head is too large.  */
+/* Reads SIZE bytes and adds them to HASH.  */
+static bool
+read_bytes (FILE *in, size_t size, XXH64_state_t *hash)
+{
+  char bytes[16384];
+  while (size > 0)
+    {
+      size_t n = size < sizeof bytes ? size : sizeof bytes;
+      if (fread (bytes, 1, n, in) != n)
+        return false;
+      XXH64_update (hash, bytes, n);
+      size -= n;
+    }
+  return true;
+}
+
+/* Reads the body of REQUEST, which sends "100 Continue" if that is expected;
+   returns false at the end of input.  */
+static bool
+read_body (FILE *in, int fd, struct request_head *request)
+{
+  static const char go_on[] = "HTTP/1.1 100 Continue\r\n\r\n";
+  char line[256];
+  size_t size = request->body_size;
+  XXH64_state_t *hash = XXH64_createState ();
+  XXH64_reset (hash, 0);
+  if (request->expects_continue)
+    send (fd, go_on, strlen (go_on), MSG_NOSIGNAL);
+  bool whole = request->is_chunked || read_bytes (in, size, hash);
+  while (whole && request->is_chunked)
+    {
+      whole = fgets (line, sizeof line, in);
+      size = whole ? strtoul (line, NULL, 16) : 0;
+      if (!whole || size == 0)
+        break;
+      request->body_size += size;
+      whole = read_bytes (in, size, hash) && fgets (line, sizeof line, in);
+    }
+  while (whole && request->is_chunked && fgets (line, sizeof line, in)
+         && strlen (line) > 2)
+    ;
+  request->body_hash = XXH64_digest (hash);
+  request->body_read = whole;
+  XXH64_freeState (hash);
+  return whole;
+}
+
+/* Reads the head of one request; returns false at the end of input and if the
+   head is too large.  */
 static bool
 read_request (FILE *in, struct request_head *request)
 {
@@ -185,6 +357,15 @@
     return false;
   memset (request, 0, sizeof *request);
   sscanf (head, "%*s %255s", request->path);
+  char *target_end = strstr (head, " HTTP/1.1");
+  if (target_end)
+    request->head_hash = XXH64 (head, (size_t)(target_end - head), 0);
+  request->is_head = strncmp (head, "HEAD ", 5) == 0;
+  request->is_chunked = strcasestr (head, "\nTransfer-Encoding:");
+  request->expects_continue = strcasestr (head, "\nExpect: 100-continue");
+  read_field (head, "\nX-Form:", request->form, sizeof request->form);
+  read_field (head, "\nX-Split:", length_text, sizeof length_text);
+  request->split = (size_t)atoll (length_text);
   read_field (head, "\nRequest-Id:", request->id, sizeof request->id);
   read_field (head, "\nX-Caller-Token:", request->token,
               sizeof request->token);
@@ -204,10 +385,7 @@
   if (request->response_body_bytes > MAX_BODY_BYTES)
     return false;
   read_field (head, "\nContent-Length:", length_text, sizeof length_text);
-  for (request->body_size = (size_t)atoll (length_text);
-       request->body_size > 0; request->body_size--)
-    if (fgetc (in) == EOF)
-      return false;
+  request->body_size = (size_t)atoll (length_text);
   return true;
 }
 
@@ -305,6 +483,144 @@
   free (text);
 }
 
+/* Sends the SIZE bytes at TEXT in writes of at most SPLIT bytes (0: one).  */
+static void
+send_split (int fd, const char *text, size_t size, size_t split, bool drips)
+{
+  if (drips)
+    split = size / DRIP_PIECES + 1;
+  if (split == 0)
+    split = size;
+  for (size_t sent = 0; sent < size;)
+    {
+      size_t n = size - sent < split ? size - sent : split;
+      ssize_t written = send (fd, text + sent, n, MSG_NOSIGNAL);
+      if (written < 0)
+        return;
+      sent += (size_t)written;
+      if (drips)
+        usleep (SLOW_PIECE_MS * 1000);
+    }
+}
+
+/* Adds the body of REQUEST's response to OUT, which has space for it, and
+   returns its size there.  */
+static size_t
+format_body (char *out, const struct request_head *request)
+{
+  size_t size = request->response_body_bytes;
+  size_t n = 0;
+  bool is_chunked = strcmp (request->form, "chunked") == 0;
+  uint64_t seed = XXH64 (request->token, strlen (request->token), 0);
+  for (size_t at = 0, piece = 0; at < size; at += piece)
+    {
+      piece = is_chunked && at == 0 ? (size + 1) / 2 : size - at;
+      if (is_chunked)
+        n += (size_t)sprintf (out + n, "%zx\r\n", piece);
+      fill_pattern (out + n, piece, at, seed);
+      n += piece;
+      if (is_chunked)
+        n += (size_t)sprintf (out + n, "\r\n");
+    }
+  if (is_chunked)
+    n += (size_t)sprintf (out + n, "0\r\n\r\n");
+  return n;
+}
+
+/* Sends the fault NUMBER of `sized'; returns false if the connection is to be
+   closed.  */
+static bool
+write_sized (int fd, const struct request_head *request, size_t number)
+{
+  static const struct linger at_once = { .l_onoff = 1 };
+  enum stage stage = sized[number].stage;
+  bool by_close = strcmp (request->form, "close") == 0;
+  bool is_chunked = strcmp (request->form, "chunked") == 0;
+  char *text
+      = malloc (request->response_body_bytes + MAX_ANSWER_FIELDS_BYTES + 2048);
+  size_t size = 0;
+  if (!text)
+    abort ();
+  if (sized[number].status)
+    {
+      size = (size_t)sprintf (text, "HTTP/1.1 %s\r\nRequest-Id: %s\r\n",
+                              sized[number].status, request->id);
+      format_answer_fields (text + size, request->answer_fields_bytes);
+      size += request->answer_fields_bytes;
+      if (by_close)
+        size += (size_t)sprintf (text + size, "Connection: close\r\n\r\n");
+      else if (is_chunked)
+        size += (size_t)sprintf (text + size,
+                                 "Transfer-Encoding: chunked\r\n\r\n");
+      else
+        size += (size_t)sprintf (text + size, "Content-Length: %zu\r\n\r\n",
+                                 request->response_body_bytes);
+    }
+  size_t head_size = size;
+  if (!request->is_head)
+    size += format_body (text + size, request);
+  if (stage == STAGE_START)
+    size = 0;
+  else if (stage == STAGE_IN_HEAD)
+    size = head_size / 2;
+  else if (stage == STAGE_AFTER_HEAD)
+    size = head_size;
+  else if (stage == STAGE_IN_BODY)
+    size = head_size + (size - head_size) / 2;
+  send_split (fd, text, size, request->split, sized[number].drips);
+  free (text);
+  if (stage != STAGE_NONE && sized[number].resets)
+    setsockopt (fd, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+  return stage == STAGE_NONE && !by_close;
+}
+
+/* Returns the number of the fault of `sized' that REQUEST selects; -1 if it
+   selects none of them.  */
+static int
+find_sized (const struct request_head *request)
+{
+  for (size_t i = 0; i < sizeof sized / sizeof *sized; i++)
+    if (strcmp (request->fault, sized[i].name) == 0)
+      return (int)i;
+  return -1;
+}
+
+/* Counts a run of REQUEST.  */
+static void
+record_run (int fd, const struct request_head *request)
+{
+  struct sockaddr_in self = { 0 };
+  socklen_t size = sizeof self;
+  getsockname (fd, (struct sockaddr *)&self, &size);
+  struct run run = { .address = self.sin_addr,
+                     .head_hash = request->head_hash,
+                     .body_hash = request->body_hash,
+                     .body_size = request->body_size,
+                     .body_read = request->body_read };
+  add_runs (request->token, 1, &run, NULL);
+}
+
+/* Sends the recorded runs of TOKEN.  */
+static void
+write_record (int fd, const char *token)
+{
+  struct run runs[MAX_RECORDED_RUNS];
+  char body[1024] = "";
+  char text[1280];
+  int count = add_runs (token, 0, NULL, runs);
+  size_t size = 0;
+  for (int i = 0; i < count && i < MAX_RECORDED_RUNS; i++)
+    size += (size_t)snprintf (
+        body + size, sizeof body - size, "%s %llx %zu %llx %d\n",
+        inet_ntoa (runs[i].address), (unsigned long long)runs[i].head_hash,
+        runs[i].body_size, (unsigned long long)runs[i].body_hash,
+        runs[i].body_read);
+  int total = snprintf (text, sizeof text,
+                        "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n%s",
+                        size, body);
+  send (fd, text, (size_t)total, MSG_NOSIGNAL);
+}
+
 /* Sends the endless fault NUMBER until the caller closes the connection.  */
 static void
 write_endless (int fd, const struct request_head *request, size_t number)
@@ -342,11 +658,19 @@
     {
       struct request_head source = *request;
       snprintf (source.token, sizeof source.token, "%d",
-                add_runs (request->path + 7, 0));
+                add_runs (request->path + 7, 0, NULL, NULL));
       write_response (fd, &source, 0);
       return true;
     }
-  if (duplicate->refusal)
+  if (strncmp (request->path, "/_record/", 9) == 0)
+    {
+      write_record (fd, request->path + 9);
+      return true;
+    }
+  int duplicate_number = find_sized (duplicate);
+  if (duplicate_number >= 0)
+    write_sized (fd, duplicate, (size_t)duplicate_number);
+  else if (duplicate->refusal)
     write_refusal (fd, duplicate);
   else if (duplicate->id[0])
     write_response (fd, duplicate, 0);
@@ -359,7 +683,15 @@
         *duplicate = *request;
       return true;
     }
-  add_runs (request->token, 1);
+  int number = find_sized (request);
+  if (number < 0 || sized[number].runs)
+    record_run (fd, request);
+  if (number >= 0)
+    {
+      if (sized[number].is_sent_again)
+        *duplicate = *request;
+      return write_sized (fd, request, (size_t)number);
+    }
   pthread_mutex_lock (&mutex);
   previous_request = last_request;
   last_request = *request;
@@ -403,8 +735,17 @@
   FILE *in = fdopen (fd, "r");
   struct request_head request;
   struct request_head duplicate = { 0 };
-  while (read_request (in, &request) && serve (fd, &request, &duplicate))
-    ;
+  bool is_open = true;
+  while (is_open && read_request (in, &request))
+    {
+      int number = find_sized (&request);
+      bool is_early = number >= 0 && sized[number].is_early;
+      is_open = is_early || read_body (in, fd, &request);
+      is_open = is_open && serve (fd, &request, &duplicate);
+      request.expects_continue = false;
+      if (is_early && is_open)
+        is_open = read_body (in, fd, &request);
+    }
   fclose (in);
   return NULL;
 }
@@ -432,17 +773,22 @@
   if (*text)
     snprintf (stamp, sizeof stamp, "Server-Stamp: %s\r\n", text);
   own_id = option (argc, argv, "--id", "");
-  if (loop_create (pool, &loop, &err) != ERR_NONE
-      || net_listen (
-             str_from (option (argc, argv, "--listen", "127.0.0.1:7510")), 64,
-             &fd, &err)
-             != ERR_NONE)
-    {
-      fprintf (stderr, "standin: %s\n", err.detail);
-      return 1;
-    }
+  counts = calloc (MAX_TOKENS, sizeof *counts);
+  if (!counts)
+    abort ();
+  if (loop_create (pool, &loop, &err) != ERR_NONE)
+    return 1;
   stop_on_signal (loop);
-  loop_watch (loop, fd, LOOP_READ, on_accept, NULL);
+  for (int i = 0; i + 1 < argc; i++)
+    if (strcmp (argv[i], "--listen") == 0)
+      {
+        if (net_listen (str_from (argv[i + 1]), 64, &fd, &err) != ERR_NONE)
+          {
+            fprintf (stderr, "standin: %s\n", err.detail);
+            return 1;
+          }
+        loop_watch (loop, fd, LOOP_READ, on_accept, NULL);
+      }
   loop_run (loop);
   return 0;
 }
--- a/tests/standin/main.c
+++ b/tests/standin/main.c
@@ -22,6 +22,7 @@
               { "worker", run_worker },
               { "proxy", run_proxy },
               { "directory-callers", run_directory_callers },
+              { "fuzz-callers", run_fuzz_callers },
               { NULL, NULL } };
 
 const char *
@@ -145,7 +146,7 @@
       return roles[i].run (argc - 1, argv + 1, pool);
   fputs ("usage: standin "
          "platform|upstreams|faulty-upstream|callers|load|metadata|worker|"
-         "proxy|directory-callers ...\n",
+         "proxy|directory-callers|fuzz-callers ...\n",
          stderr);
   return 2;
 }
