An answer to a request with a folded field is counted with the memory that is left

Cause: libmicrohttpd copies a field in two lines behind its buffer for reading, which is half of a connection's memory and can't shrink after that. httpd_response_space counted with the whole memory, so a request with such a field and an answer with a head above about 22 KB ran, and its connection was closed without an answer (LOST).

Change: a field that isn't in the head's place in memory halves what is left. Such an answer is told as 502, as others that don't fit.

--- a/src/base/httpd.c
+++ b/src/base/httpd.c
@@ -22,6 +22,7 @@
   struct connection *next;
   struct connection **previous_next;
   int fd;
+  const char *head; /* of the request in progress */
   bool is_in_request;
   bool has_completed_request;
   bool is_watched;       /* FD is registered with close_fd */
@@ -185,7 +186,9 @@
             const char *upload_data, size_t *upload_data_size, void **request)
 {
   struct httpd *httpd = user_data;
-  connection_state (connection)->is_in_request = true;
+  struct connection *state = connection_state (connection);
+  state->is_in_request = true;
+  state->head = method;
   return httpd->desc.handler (httpd->desc.user_data, connection, url, method,
                               version, upload_data, upload_data_size, request);
 }
@@ -311,6 +314,41 @@
   return MHD_YES;
 }
 
+/* Where the head of a request is, and the memory of fields elsewhere.  */
+struct head_place
+{
+  const char *begin;
+  const char *end;
+  size_t copied_bytes;
+};
+
+/* Adds the size of the field NAME to `copied_bytes' of the struct head_place
+   at USER_DATA if it isn't there.  */
+static enum MHD_Result
+add_copied_bytes (void *user_data, enum MHD_ValueKind kind, const char *name,
+                  const char *value)
+{
+  (void)kind;
+  struct head_place *head = user_data;
+  if (name < head->begin || name >= head->end)
+    head->copied_bytes
+        += strlen (name) + (value ? strlen (value) : 0) + FIELD_ENTRY_BYTES;
+  return MHD_YES;
+}
+
+/* Returns the memory that libmicrohttpd took for fields in several lines of
+   the head, which has SIZE bytes.  It copies them behind its buffer for
+   reading, which it then can't make smaller any more.  */
+static size_t
+folded_bytes (struct MHD_Connection *connection, size_t size)
+{
+  const char *begin = connection_state (connection)->head;
+  struct head_place head = { begin, begin + size, 0 };
+  MHD_get_connection_values (connection, MHD_HEADER_KIND, add_copied_bytes,
+                             &head);
+  return head.copied_bytes;
+}
+
 size_t
 httpd_response_space (const struct httpd *httpd,
                       struct MHD_Connection *connection)
@@ -323,11 +361,15 @@
                                                | MHD_FOOTER_KIND,
                                            NULL, NULL);
   size_t used = RESPONSE_OWN_BYTES + (size_t)entries * FIELD_ENTRY_BYTES;
-  if (head)
-    used += head->header_size;
   MHD_get_connection_values (connection, MHD_HEADER_KIND, add_cookie_bytes,
                              &used);
   size_t memory = (size_t)httpd->desc.connection_bytes;
+  size_t head_bytes = head ? head->header_size : 0;
+  size_t folded = folded_bytes (connection, head_bytes);
+  /* The buffer for reading, which has the head, is half of the memory.  */
+  if (folded > 0)
+    memory = head_bytes < memory / 2 ? memory / 2 : 0;
+  used += folded > 0 ? folded : head_bytes;
   return used < memory ? memory - used : 0;
 }
 
--- a/tests/session/heads.sh
+++ b/tests/session/heads.sh
@@ -40,6 +40,7 @@
 calls=0
 # call URL PART...: one unsafe call.  Its head has the parts NAME=COUNTxBYTES:
 #   field   COUNT fields of BYTES bytes
+#   fold    the same, each in two lines
 #   cookie  a Cookie of COUNT cookies of BYTES bytes
 #   answer  asks for an answer whose head has BYTES bytes of fields
 # Prints how it ended, and whether it ran.
@@ -54,6 +55,7 @@
     cookie=
     for ((i = 1; i <= count; i++)); do
       case $name in
+        fold) fields+=(-H "$(printf 'F%04d: a\r\n %0*d' "$i" $((bytes - 12)) 0)") ;;
         field) fields+=(-H "$(printf 'F%04d: %0*d' "$i" $((bytes - 9)) 0)") ;;
         cookie) cookie+=$(printf 'c=%0*d;' $((bytes - 3)) 0) ;;
         answer) fields+=(-H "X-Answer-Fields: $bytes") ;;
@@ -76,6 +78,10 @@
 done
 echo "## an answer too large for what its request leaves: the caller hears that it may have run"
 for parts in "cookie=1x16000 answer=1x20000" "field=130x124 answer=1x30000" answer=1x60000; do call $gateway $parts; done
+echo "## an answer to a request with a folded field, which takes half of the memory"
+for parts in "fold=1x40 answer=1x15000" "fold=1x40 answer=1x30000" "fold=3x400 cookie=1x8000 answer=1x1000"; do
+  call $gateway $parts
+done
 echo "## larger requests, and more than a hundred cookies: served, or refused before they run"
 for parts in cookie=1x40000 cookie=1x20000 field=1x43000 "field=1x30000 answer=1x10000" cookie=200x80 cookie=4000x4; do
   call $gateway $parts
