--- a/Makefile
+++ b/Makefile
@@ -137,7 +137,7 @@
 	  echo "fuzz: $$f: $$(sed -n 's/stat::number_of_executed_units: *//p' build-fuzz/$$f.log) runs, no crash"; \
 	done
 
-# Random requests at a real gateway; the sizes come from its own limits.
+# Random requests at a real gateway, with sizes around its own limits.
 # FUZZ_WITHOUT: classes of faults to leave out (tests/standin/fuzz_callers.c).
 FUZZ_SEEDS    ?= 1 2 3
 FUZZ_REQUESTS ?= 2000
