Fuzz-gateway: late answers by the rule CONFIG

Change: eight or more requests, and more than half of those unanswered at the route's timeout_ms, without an answer 500 ms later break the rule.

--- a/tests/fuzz/gateway.sh
+++ b/tests/fuzz/gateway.sh
@@ -75,12 +75,14 @@
 
 # run_seed SEED: plays one run; adds its figures to `requests' and `broken'.
 run_seed () {
-  local status line
+  local status line timeout=3000
+  # A paused gateway may be late.
+  [ -z "${FUZZ_STATES:-}" ] || timeout=0
   start_deployment || { echo "fuzz-gateway: the deployment didn't start" >&2; tail -n 3 "$WORK"/*.log >&2; exit 2; }
   [ -z "${FUZZ_STATES:-}" ] || { change_states & PIDS="$PIDS $!"; }
   "$BUILD/standin" fuzz-callers --connect 127.43.1.1:7901 --upstream 127.43.2.1:9000 --seed "$1" \
     --requests "${FUZZ_REQUESTS:-2000}" --first "${FUZZ_FIRST:-0}" --threads "${FUZZ_THREADS:-8}" \
-    --without "${FUZZ_WITHOUT:-}" --max-body $max_body >"$WORK/result"
+    --without "${FUZZ_WITHOUT:-}" --max-body $max_body --timeout $timeout >"$WORK/result"
   status=$?
   sed '$d' "$WORK/result"
   line=$(tail -n 1 "$WORK/result")
--- a/tests/standin/fuzz_callers.c
+++ b/tests/standin/fuzz_callers.c
@@ -4,7 +4,8 @@
 
      standin fuzz-callers --connect IP:PORT --upstream IP:PORT
                           [--seed N] [--requests N] [--first N] [--threads N]
-                          [--without CLASS,...] [--max-body N] [--show yes]
+                          [--without CLASS,...] [--max-body N] [--timeout MS]
+                          [--show yes]
 
    Request N has the same bytes in each run with the same seed, and is sent by
    thread N modulo the number of threads, on the connection of that thread's
@@ -13,7 +14,8 @@
    that a part of a run can be played again, and --show prints each request
    instead of sending it.  --without leaves classes of faults out (see
    `faults'), or requests with folded fields ("folded").  --max-body is
-   `max_body_bytes' of the configuration.  The upstreams are one process, which
+   `max_body_bytes' of the configuration, and --timeout the `timeout_ms' of its
+   routes (0: lateness isn't judged).  The upstreams are one process, which
    --upstream names; host 127.x.2.N is an upstream of the service `desk' and
    127.x.3.N one of `shop'.
 
@@ -79,6 +81,7 @@
   int status;
   bool has_stamp;
   bool was_kept; /* the connection had carried a request */
+  int64_t elapsed_ms;
   char detail[96];
 };
 
@@ -133,6 +136,8 @@
   OWN_RESPONSE_BYTES = 200, /* of a head beside the fields asked for */
   SETTLE_MS = 1500,         /* for runs that come after the last answer */
   BUDGET_EXCUSED = 3,
+  LATE_MS = 500,  /* after the timeout, by which an answer is due */
+  LATE_COUNT = 8, /* of requests without it that break the rule */
   MAX_ATTEMPTS = 2
 };
 
@@ -219,6 +224,7 @@
 static long request_count;
 static int thread_count;
 static size_t max_body_bytes;
+static int64_t timeout_ms;
 static const char *excluded_classes;
 static struct outcome *outcomes;
 
@@ -859,7 +865,9 @@
       if (n % thread_count != caller->number)
         continue;
       struct fuzz_request *request = generate (n);
+      int64_t began = now_ms ();
       exchange (caller, request, outcome);
+      outcome->elapsed_ms = now_ms () - began;
       free_request (request);
       if (outcome->ending == ENDING_UNCONNECTED)
         break;
@@ -1017,6 +1025,8 @@
 {
   long broken = 0;
   long over_budget = 0;
+  long unanswered = 0;
+  long late = 0;
   long statuses[600] = { 0 };
   long endings[ENDING_GARBLED + 1] = { 0 };
   int fd = connect_to (&upstream);
@@ -1036,6 +1046,11 @@
         }
       bool is_served = outcome->ending == ENDING_ANSWERED && outcome->has_stamp
                        && outcome->status == 200;
+      if (timeout_ms > 0 && outcome->ending == ENDING_ANSWERED)
+        {
+          unanswered += outcome->elapsed_ms > timeout_ms;
+          late += outcome->elapsed_ms > timeout_ms + LATE_MS;
+        }
       ++*sent;
       *served += is_served;
       if (strcmp (request->fault->class, "plain") == 0 && !request->leave_at
@@ -1065,6 +1080,13 @@
         }
       free_request (request);
     }
+  if (late >= LATE_COUNT && 2 * late > unanswered)
+    {
+      broken++;
+      printf ("broken: CONFIG: of %ld requests without an answer at the "
+              "timeout, %ld had none %d ms later\n",
+              unanswered, late, LATE_MS);
+    }
   printf ("fuzz-gateway: seed %llu: answers", (unsigned long long)seed);
   for (int i = 0; i < 600; i++)
     if (statuses[i] > 0)
@@ -1097,6 +1119,7 @@
   first_number = atol (option (argc, argv, "--first", "0"));
   thread_count = atoi (option (argc, argv, "--threads", "8"));
   max_body_bytes = (size_t)atoll (option (argc, argv, "--max-body", "0"));
+  timeout_ms = atoll (option (argc, argv, "--timeout", "0"));
   excluded_classes = option (argc, argv, "--without", "");
   if (strcmp (option (argc, argv, "--show", ""), "yes") == 0)
     {
