--- a/tests/fuzz/gateway.sh
+++ b/tests/fuzz/gateway.sh
@@ -95,8 +95,7 @@
     grep -E -A 12 'Sanitizer|runtime error' "$WORK/g1.log" | head -40
     broken=$((broken + 1))
   fi
-  kill -KILL $PIDS 2>/dev/null
-  wait 2>/dev/null
+  { kill -KILL $PIDS; wait; } 2>/dev/null
   PIDS=""
 }
 
--- a/tests/standin/faulty_upstream.c
+++ b/tests/standin/faulty_upstream.c
@@ -814,6 +814,11 @@
   if (loop_create (pool, &loop, &err) != ERR_NONE)
     return 1;
   stop_on_signal (loop);
+  if (!*option (argc, argv, "--listen", ""))
+    {
+      fputs ("standin: faulty-upstream needs --listen\n", stderr);
+      return 2;
+    }
   for (int i = 0; i + 1 < argc; i++)
     if (strcmp (argv[i], "--listen") == 0)
       {
