An entry answers 502, not 503, where an earlier attempt may have run

A repeatable call whose first attempt was lost and whose second was refused got 503 with Retry-After and the outcome `unknown': a caller that doesn't know the outcome's header reads 503 as "not run".

--- a/src/call/call.h
+++ b/src/call/call.h
@@ -170,7 +170,8 @@
    failed.  */
 bool call_try_dispatch (struct call *call);
 /* Makes an error response of STATUS the call's response, with the outcome
-   `unknown' if the call may have run, otherwise `not-run'.  CODE, STEP and
+   `unknown' if the call may have run, otherwise `not-run'; 502 instead of 503
+   if it may have run.  CODE, STEP and
    DETAIL are sent to the caller.  Discards the attempts.  */
 void call_fail (struct call *call, unsigned int status, enum err_code code,
                 const char *step, const char *detail);
--- a/src/call/dispatch.c
+++ b/src/call/dispatch.c
@@ -503,7 +503,10 @@
            const char *step, const char *detail)
 {
   err_set (&call->err, code, step, upstream_name (call), "%s", detail);
-  call->status = status;
+  /* 503 is read as "not run" by callers that don't know the outcome.  */
+  call->status = status == HTTP_UNAVAILABLE && call->may_have_run
+                     ? HTTP_BAD_GATEWAY
+                     : status;
   call->outcome = call->may_have_run ? OUTCOME_UNKNOWN : OUTCOME_NOT_RUN;
   call->response_ready = true;
   call->discard_body = true;
