--- a/src/base/httpd.c
+++ b/src/base/httpd.c
@@ -250,11 +250,11 @@
 {
   char peer[INET_ADDRSTRLEN + 8];
   bool has_message = httpd->message[0] != 0;
+  if (!has_message && state->has_completed_request)
+    return;
   struct tcp_info info = read_tcp_info (state);
   int64_t bytes = (int64_t)info.tcpi_bytes_received;
-  if (!has_message
-      && (state->has_completed_request
-          || (bytes <= 0 && !state->head_is_late)))
+  if (!has_message && bytes <= 0 && !state->head_is_late)
     return;
   enum cut cut = state->head_is_late       ? CUT_HEAD_LATE
                  : has_message             ? message_cut (httpd->message)
