Stand-in of the store: a copy that is put back has its leases

An upstream that had ended before the store came back from an older copy stayed listed for good, its calls got 421 from its successor, and one had no budget for another attempt. _restore kept only leases that had not ended since the copy, so that the keys of the others had none that could end; the manual says that the copy has keys and leases. Now they are put back and run from the return.

--- a/tests/standin/metadata.c
+++ b/tests/standin/metadata.c
@@ -78,7 +78,7 @@
     int64_t id;
     int64_t ttl_ms;
     apr_time_t expires_at;
-  } leases[MAX_LEASES];
+  } leases[MAX_LEASES], copied_leases[MAX_LEASES];
   int64_t last_lease;
   int64_t era;
   size_t copied_events; /* of the copy that was taken */
@@ -300,7 +300,8 @@
       }
 }
 
-/* Undoes what was written and which leases were opened since the copy.  */
+/* Undoes what was written, and which leases were opened or ended, since the
+   copy.  */
 static void
 restore (void)
 {
@@ -320,11 +321,9 @@
             = strcmp (store.events[i].key, store.events[later].key) == 0;
     }
   apr_time_t now = timer_clock ();
+  memcpy (store.leases, store.copied_leases, sizeof store.leases);
   for (int i = 0; i < MAX_LEASES; i++)
-    if (store.leases[i].id > store.copied_lease)
-      store.leases[i].id = 0;
-    else
-      store.leases[i].expires_at = now + TIMER_MS (store.leases[i].ttl_ms);
+    store.leases[i].expires_at = now + TIMER_MS (store.leases[i].ttl_ms);
   store.last_lease = store.copied_lease;
   store.era++;
 }
@@ -358,6 +357,7 @@
     {
       store.copied_events = store.event_count;
       store.copied_lease = store.last_lease;
+      memcpy (store.copied_leases, store.leases, sizeof store.leases);
     }
   else if (strcmp (url, "/_restore") == 0)
     restore ();
