--- a/tests/session/heads.sh
+++ b/tests/session/heads.sh
@@ -86,6 +86,9 @@
 for parts in cookie=1x40000 cookie=1x20000 field=1x43000 "field=1x30000 answer=1x10000" cookie=200x80 cookie=4000x4; do
   call $gateway $parts
 done
+# The last line is written after the caller has its answer.
+all_have_lines () { [ "$(grep -c request-unfinished "$WORK/g1.log")" = 3 ]; }
+wait_for 5 all_have_lines
 grep -c request-unfinished "$WORK/g1.log" | sed 's/$/ requests were refused by the library, with a line each/'
 sed -n 's/.*request-unfinished.*"stage":"\([a-z]*\)".*code is \([0-9]*\).*/\1 \2/p' "$WORK/g1.log" | sort | uniq -c | sed 's/^ *//'
 
