--- a/src/balance/load.c
+++ b/src/balance/load.c
@@ -130,10 +130,25 @@
 {
   if (load->in_flight++ == 0)
     load->last_activity_at = now;
+  load->recent_sends[load->sends++ % LOAD_RECENT_SENDS] = now;
   if (now < load->restricted_until)
     load->restricted_requests++;
 }
 
+int64_t
+load_sends_since (const struct load *load, apr_time_t since)
+{
+  size_t known
+      = load->sends < LOAD_RECENT_SENDS ? load->sends : LOAD_RECENT_SENDS;
+  int64_t count = 0;
+  while (count < (int64_t)known
+         && load->recent_sends[(load->sends - 1 - (size_t)count)
+                               % LOAD_RECENT_SENDS]
+                >= since)
+    count++;
+  return count;
+}
+
 void
 load_apply_report (struct load *load, const struct load_report *report,
                    apr_time_t now)
--- a/src/balance/load.h
+++ b/src/balance/load.h
@@ -46,6 +46,12 @@
   int64_t slowdown_percent;
 };
 
+enum
+{
+  LOAD_RECENT_SENDS = 16 /* whose times are kept; an entry sends fewer to one
+                            upstream within the seconds that matter */
+};
+
 struct load
 {
   int64_t slots;            /* as listed in the store, then as reported */
@@ -67,7 +73,9 @@
   bool is_returning;            /* none was answered since then */
   apr_time_t restricted_until;  /* the time that it stated, without a bound */
   int64_t restricted_requests;  /* begun in that time */
-  double cold_tokens;           /* token bucket of requests while it is cold */
+  apr_time_t recent_sends[LOAD_RECENT_SENDS]; /* ring buffer of the latest */
+  size_t sends;       /* in all; the next one's place in the ring */
+  double cold_tokens; /* token bucket of requests while it is cold */
   apr_time_t cold_tokens_at;
 };
 
@@ -75,6 +83,9 @@
 void load_init (struct load *load, int64_t slots);
 /* A request of this entry is sent to the upstream.  */
 void load_begin_request (struct load *load, apr_time_t now);
+/* Returns how many requests this entry has sent there since SINCE, at most
+   LOAD_RECENT_SENDS.  */
+int64_t load_sends_since (const struct load *load, apr_time_t since);
 /* Applies the report of a response, before its request ends.  */
 void load_apply_report (struct load *load, const struct load_report *report,
                         apr_time_t now);
--- a/src/gateway/attempts.c
+++ b/src/gateway/attempts.c
@@ -160,6 +160,8 @@
        LOG_INT ("busy",
                 (int64_t)load_in_flight (&request->upstream->load, now)),
        LOG_INT ("cold", request->upstream->cold_until > now),
+       LOG_TEXT ("held_for", request->held_for),
+       LOG_INT ("record_age_ms", request->record_age_ms),
        LOG_INT ("elapsed_ms", (now - attempt->started_at) / 1000));
 }
 
@@ -489,6 +491,8 @@
   request->upstream = fleet_upstream_ref (upstream);
   request->service_time = choice->service_time;
   request->object_cached = choice->object_cached;
+  request->held_for = upstream->cold_until > now ? "cold" : "warm";
+  request->record_age_ms = store_sync_age (gateway->store_sync, now) / 1000;
   request->upstream_slowdown = upstream->load.reported_slowdown > 0
                                    ? upstream->load.reported_slowdown
                                    : 1.0;
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -34,6 +34,7 @@
   /* Several times as long as an iteration of a busy loop takes, and less than
      upstreams take to drain.  */
   PAUSE_MS = 500,
+  REGIONS_TEXT_BYTES = 512, /* of the log line on a split; the rest is cut */
   LOG_BURST_S = 1 /* the rate limiter of log lines saves up this long */
 };
 
@@ -54,6 +55,9 @@
 static const double max_overflow = 0.04;
 static const double overflow_shift_fraction = 0.133;
 
+/* A fraction that moved by less is not logged.  */
+static const double min_logged_shift = 0.02;
+
 /* private functions */
 
 /* Returns the largest fraction of the requests that may move to another region
@@ -115,9 +119,48 @@
         upstream->cold_share_version = version;
         upstream->cold_share = registry_cold_share (
             gateway->registry, upstream->hash, upstream->region, max_senders);
+        if (upstream->cold_share > 0 && gateway_allow_log_line (gateway))
+          LOG (LOG_INFO, "cold-share",
+               LOG_TEXT ("upstream", upstream->id.data),
+               LOG_INT ("born", upstream->incarnation),
+               LOG_INT ("percent", (int64_t)(upstream->cold_share * 100)),
+               LOG_INT ("entries",
+                        (int64_t)registry_count (gateway->registry)));
       }
 }
 
+/* Logs, once a second at most, how the requests of SERVICE are divided over
+   the regions and what that follows from, if it changed.  */
+static void
+log_region_split (struct gateway *gateway, struct service_state *service,
+                  apr_time_t now)
+{
+  const double *fractions = service->region_split.fractions;
+  char text[REGIONS_TEXT_BYTES] = "";
+  size_t used = 0;
+  bool has_changed = false;
+  if (now - service->split_logged_at < APR_USEC_PER_SEC)
+    return;
+  for (size_t i = 0; i < gateway->region_count; i++)
+    {
+      const struct balance_region_load *load = &service->region_loads[i];
+      double change = fractions[i] - service->logged_fractions[i];
+      has_changed |= change > min_logged_shift || change < -min_logged_shift;
+      if (used < sizeof text)
+        used += (size_t)snprintf (text + used, sizeof text - used,
+                                  "%s%s:%.3f:%.0f/%.0f", i > 0 ? " " : "",
+                                  gateway->regions[i].data, fractions[i],
+                                  load->busy, load->slots);
+    }
+  if (!has_changed || !gateway_allow_log_line (gateway))
+    return;
+  memcpy (service->logged_fractions, fractions,
+          sizeof service->logged_fractions);
+  service->split_logged_at = now;
+  LOG (LOG_INFO, "region-split", LOG_TEXT ("service", service->name.data),
+       LOG_TEXT ("regions", text));
+}
+
 /* Updates what depends on the state of the upstreams of SERVICE: the load of
    the regions, their fractions of the requests, the retry budget and the
    shares of cold upstreams.  */
@@ -133,6 +176,7 @@
         fleet_group (upstreams, gateway->regions[i]),
         weight * balance_mean_requests (&service->reports[i], now), now);
   region_split_update (&service->region_split, service->region_loads, now);
+  log_region_split (gateway, service, now);
   update_retry_budget (gateway, service);
   share_cold_upstreams (gateway, upstreams, now);
 }
@@ -292,6 +336,8 @@
        LOG_TEXT ("zone", upstream->zone->name.data),
        LOG_TEXT ("address", upstream->address.data),
        LOG_INT ("born", upstream->incarnation),
+       LOG_INT ("sent_3s", load_sends_since (&upstream->load,
+                                             timer_clock () - TIMER_SEC (3))),
        LOG_INT ("cold_ms", upstream->cold_until > 0
                                ? (upstream->cold_until - timer_clock ()) / 1000
                                : 0));
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -82,6 +82,9 @@
 {
   struct str name;
   struct region_split region_split;
+  /* Of the latest log line on the split.  */
+  double logged_fractions[REGION_SPLIT_MAX_REGIONS];
+  apr_time_t split_logged_at;
   struct balance_region_load region_loads[GATEWAY_REGIONS_MAX];
   struct balance_reports reports[GATEWAY_REGIONS_MAX];
   struct budget retry_budget;
@@ -215,6 +218,9 @@
   apr_time_t service_time;
   double upstream_slowdown;
   bool object_cached;
+  const char *held_for; /* "warm" or "cold": the upstream, when the attempt
+                           started */
+  int64_t record_age_ms; /* of what was known of the store then */
   bool load_is_counted; /* load_begin_request was called for the attempt and
                            load_end_request not yet */
   int send_count;
--- a/src/gateway/request.c
+++ b/src/gateway/request.c
@@ -363,6 +363,7 @@
                  request->route ? gateway->regions[request->region].data : ""),
        LOG_INT ("object", request->object & 0xffff),
        LOG_INT ("first_choice", request->object_cached),
+       LOG_TEXT ("held_for", request->held_for ? request->held_for : ""),
        LOG_INT ("sends", request->send_count),
        LOG_INT ("busy", load ? (int64_t)load_in_flight (load, now) : -1),
        LOG_INT ("pace", (int64_t)(request->upstream_slowdown * 100)),
