--- a/src/base/http_client.c
+++ b/src/base/http_client.c
@@ -1,5 +1,6 @@
 #include "base/http_client.h"
 
+#include <errno.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
@@ -70,12 +71,19 @@
   struct exchange *ex = user_data;
   struct http_response response = { .request_sent = ex->request_sent,
                                     .index = ex->index,
-                                    .number = ex->number };
+                                    .number = ex->number,
+                                    .easy = ex->transfer.easy };
   if (result == CURLE_OK)
     curl_easy_getinfo (ex->transfer.easy, CURLINFO_RESPONSE_CODE,
                        &response.status);
   else
-    response.reason = curl_easy_strerror (result);
+    {
+      long cause = 0;
+      response.reason = curl_easy_strerror (result);
+      curl_easy_getinfo (ex->transfer.easy, CURLINFO_OS_ERRNO, &cause);
+      response.refused
+          = result == CURLE_COULDNT_CONNECT && cause == ECONNREFUSED;
+    }
   response.body
       = str_view (ex->response ? ex->response : "", ex->response_size);
   ex->done (ex->user_data, &response);
@@ -187,6 +195,17 @@
   curl_loop_destroy (client->curl_loop);
 }
 
+struct str
+http_response_header (const struct http_response *response, const char *name)
+{
+  struct curl_header *header;
+  if (!response->easy
+      || curl_easy_header (response->easy, name, 0, CURLH_HEADER, -1, &header)
+             != CURLHE_OK)
+    return STR ("");
+  return str_from (header->value);
+}
+
 void
 http_client_send (struct http_client *client,
                   const struct http_request *request, http_response_fn *done,
--- a/src/base/http_client.h
+++ b/src/base/http_client.h
@@ -48,10 +48,12 @@
 {
   long status;        /* HTTP status; 0: no complete response */
   bool request_sent;  /* the request may have reached the peer */
+  bool refused;       /* nothing listens at the address */
   struct str body;    /* ends with a NUL; valid during the call only */
   int64_t index;      /* the X-Consul-Index header, or 0 */
   int64_t number;     /* of the request's `number_header', or 0 */
   const char *reason; /* libcurl's error text if the status is 0 */
+  CURL *easy;         /* of http_response_header */
 };
 
 /* Receives the result of a request.  It must not destroy the client.  */
@@ -65,6 +67,10 @@
 /* Aborts all requests in progress without calling their completion functions.
    NULL is ignored.  */
 void http_client_destroy (struct http_client *client);
+/* Returns the value of the header NAME of RESPONSE, valid during the call of
+   the completion function, or an empty string.  */
+struct str http_response_header (const struct http_response *response,
+                                 const char *name);
 /* Sends REQUEST, which may be freed after that, and calls DONE once with
    USER_DATA when it has ended.  */
 void http_client_send (struct http_client *client,
