--- a/src/balance/balance.c
+++ b/src/balance/balance.c
@@ -121,7 +121,7 @@
       || load_is_unresponsive (load, (apr_time_t)max_silence + request->rtt,
                                request->now))
     return false;
-  if (upstream->cold_until > request->now
+  if (fleet_is_cold (upstream, request->now)
       && (upstream->cold_share <= 0
           || !load_has_cold_token (load,
                                    request->cold_rate * upstream->cold_share,
--- a/src/balance/load.c
+++ b/src/balance/load.c
@@ -1,6 +1,7 @@
 #include "balance/load.h"
 
 #include <math.h>
+#include <string.h>
 
 /* constants */
 
@@ -273,6 +274,30 @@
   load->restricted_requests = old->restricted_requests;
 }
 
+void
+load_end_avoidance (struct load *load, apr_time_t as_of)
+{
+  load->avoid_until = 0;
+  load->connect_failures = 0;
+  if (as_of > load->answered_at)
+    load->answered_at = as_of;
+}
+
+void
+load_start_cold (struct load *load, apr_time_t now)
+{
+  load->cold_tokens
+      = load_sends_since (load, now - APR_USEC_PER_SEC) > 0 ? 0.0 : 1.0;
+  load->cold_tokens_at = now;
+}
+
+void
+load_inherit_sends (struct load *load, const struct load *old)
+{
+  memcpy (load->recent_sends, old->recent_sends, sizeof load->recent_sends);
+  load->sends = old->sends;
+}
+
 double
 load_report_weight (const struct load *load, apr_time_t now)
 {
--- a/src/balance/load.h
+++ b/src/balance/load.h
@@ -136,6 +136,16 @@
    LIMIT none of them ended, nor the first of them began.  */
 bool load_is_unresponsive (const struct load *load, apr_time_t limit,
                            apr_time_t now);
+/* The upstream responded, AS_OF that time, to a health check of this entry or
+   of another one: it is not avoided any more.  */
+void load_end_avoidance (struct load *load, apr_time_t as_of);
+/* The upstream counts as cold from NOW on.  The bucket below is then empty if
+   this entry sent a request there in the last second, else it holds one
+   token.  */
+void load_start_cold (struct load *load, apr_time_t now);
+/* Makes LOAD, of the next process of an upstream, continue what was sent to
+   the process of OLD.  */
+void load_inherit_sends (struct load *load, const struct load *old);
 /* Takes a token for a request to a cold upstream, from a bucket that gets RATE
    tokens per second, holds at most BURST, and is full at first.  Returns
    false, and takes nothing, if there is none.  Called when the request is
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -27,6 +27,7 @@
   size_t expired_count; /* upstreams in their grace period */
   size_t held_count;    /* upstreams that are held back */
   size_t lost_count;    /* evacuations in their grace period */
+  bool has_doubts;      /* perhaps, about some upstream */
 };
 
 /* constants */
@@ -346,6 +347,8 @@
              const struct fleet_record *record, int64_t revision,
              apr_time_t now)
 {
+  bool was_cold = fleet_is_cold (upstream, now);
+  doubt_count_write (&upstream->doubt);
   upstream->record_is_cold = record->cold_remaining > 0;
   if (upstream->record_is_cold)
     {
@@ -354,6 +357,8 @@
     }
   else if (revision > upstream->cold_revision)
     upstream->cold_until = 0;
+  if (!was_cold && fleet_is_cold (upstream, now))
+    load_start_cold (&upstream->load, now);
 }
 
 /* Removes UPSTREAM, whose record vanished, or starts its grace period if the
@@ -400,6 +405,8 @@
       struct fleet_upstream *upstream = apr_hash_this_val (i);
       if (upstream->zone != zone)
         continue;
+      if (!fleet_is_cold (upstream, now))
+        load_start_cold (&upstream->load, now);
       upstream->cold_until = now + cold_time;
       upstream->cold_revision = revision;
       if (why)
@@ -424,6 +431,22 @@
     }
 }
 
+/* Ends the doubts that are over.  */
+static void
+end_doubts (struct fleet *fleet, apr_time_t now)
+{
+  if (!fleet->has_doubts)
+    return;
+  fleet->has_doubts = false;
+  for (apr_hash_index_t *i = apr_hash_first (NULL, fleet->ids); i;
+       i = apr_hash_next (i))
+    {
+      struct fleet_upstream *upstream = apr_hash_this_val (i);
+      doubt_expire (&upstream->doubt, now);
+      fleet->has_doubts |= upstream->doubt.since > 0;
+    }
+}
+
 /* public functions */
 
 struct fleet *
@@ -495,8 +518,10 @@
   if (has_departed && fleet->is_restoring
       && record->incarnation < departed_incarnation)
     return true;
+  struct fleet_upstream *replaced = NULL;
   if (upstream && !is_same_incarnation (upstream, record))
     {
+      replaced = fleet_upstream_ref (upstream);
       remove_upstream (fleet, upstream, "replaced", now);
       upstream = NULL;
     }
@@ -506,6 +531,13 @@
       upstream = add_upstream (fleet, record, region);
       recall (fleet, upstream);
     }
+  /* What was sent to the id in the last second has reached the new process if
+     it started within that.  */
+  if (replaced)
+    {
+      load_inherit_sends (&upstream->load, &replaced->load);
+      fleet_upstream_unref (replaced);
+    }
   bool was_leaving = is_leaving (upstream);
   upstream->leaving = record->leaving;
   upstream->slots = record->slots;
@@ -546,6 +578,7 @@
   if (revision > fleet->revision)
     fleet->revision = revision;
   set_expired_at (fleet, upstream, 0);
+  doubt_count_write (&upstream->doubt);
   if (!upstream->record_is_cold && revision > upstream->cold_revision)
     upstream->cold_until = 0;
   return true;
@@ -580,6 +613,7 @@
   departed_expire (fleet->departed, now);
   forget_remembered (fleet, false, now);
   end_lost_evacuations (fleet, now);
+  end_doubts (fleet, now);
   if (fleet->expired_count == 0 && fleet->held_count == 0)
     return;
   for (apr_hash_index_t *i = apr_hash_first (NULL, fleet->ids); i;
@@ -609,6 +643,13 @@
         upstream->expired_at += upstream->expired_at > 0 ? by : 0;
         upstream->held_until += upstream->held_until > 0 ? by : 0;
       }
+  if (fleet->has_doubts)
+    for (apr_hash_index_t *i = apr_hash_first (NULL, fleet->ids); i;
+         i = apr_hash_next (i))
+      {
+        struct fleet_upstream *upstream = apr_hash_this_val (i);
+        doubt_postpone (&upstream->doubt, by);
+      }
   if (fleet->lost_count > 0)
     for (apr_hash_index_t *i = apr_hash_first (NULL, fleet->zones); i;
          i = apr_hash_next (i))
@@ -663,12 +704,36 @@
     }
 }
 
-void
-fleet_mark_cold (struct fleet *fleet, struct fleet_upstream *upstream,
-                 apr_time_t cold_time, apr_time_t now)
+bool
+fleet_is_cold (const struct fleet_upstream *upstream, apr_time_t now)
+{
+  return upstream->cold_until > now || doubt_is_cold (&upstream->doubt, now);
+}
+
+bool
+fleet_doubt (struct fleet *fleet, struct fleet_upstream *upstream,
+             apr_time_t at, apr_time_t now)
 {
-  upstream->cold_until = now + cold_time;
-  upstream->cold_revision = fleet->revision;
+  bool was_cold = fleet_is_cold (upstream, now);
+  if (!doubt_begin (&upstream->doubt, at))
+    return false;
+  fleet->has_doubts = true;
+  if (!was_cold)
+    load_start_cold (&upstream->load, now);
+  return true;
+}
+
+bool
+fleet_settle (struct fleet_upstream *upstream, apr_time_t as_of,
+              apr_time_t cold_left, apr_time_t now)
+{
+  bool was_cold = fleet_is_cold (upstream, now);
+  if (!doubt_settle (&upstream->doubt, as_of, as_of + cold_left))
+    return false;
+  if (!was_cold && fleet_is_cold (upstream, now))
+    load_start_cold (&upstream->load, now);
+  load_end_avoidance (&upstream->load, as_of);
+  return true;
 }
 
 /* Returns the listed object of the incarnation of UPSTREAM, which may be a
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -45,7 +45,9 @@
    over.
 
    A cold upstream has started a short while ago and can serve only few
-   requests; how many is up to the caller.
+   requests; how many is up to the caller.  One that can't be reached, or
+   breaks off, may start again under its id before the store shows that; it
+   counts as cold from then on (fleet_doubt, fleet_settle).
 
    Units: microseconds.  Threads: one thread.  */
 #ifndef FLEET_FLEET_H
@@ -54,6 +56,7 @@
 #include "balance/load.h"
 #include "balance/affinity.h"
 #include "base/str.h"
+#include "fleet/doubt.h"
 
 #include <apr_time.h>
 #include <stdbool.h>
@@ -110,6 +113,7 @@
   int64_t cold_revision; /* of the record or event that made it cold; only a
                             later record ends that */
   bool record_is_cold;   /* the latest record said that it is cold */
+  struct doubt doubt;    /* whether it may have started again since then */
   double cold_share;     /* share of the requests to it while it is cold that
                            falls to this entry, 0 to 1; set by the gateway */
   uint64_t cold_share_version; /* of the list of entries for which `cold_share'
@@ -192,8 +196,8 @@
 void fleet_begin_restore (struct fleet *fleet);
 void fleet_end_restore (struct fleet *fleet);
 /* Ends the grace periods that are over: of upstreams and of evacuations that
-   are not listed, and of upstreams that are held back.  Not to be called
-   during an outage of the store, when none can be listed again.  */
+   are not listed, of upstreams that are held back, and of doubts.  Not to be
+   called during an outage of the store, when none can be listed again.  */
 void fleet_remove_expired (struct fleet *fleet, apr_time_t now);
 /* Extends the grace periods by BY, for which nothing was heard of the store:
    leases may have paused, and nothing could be written again.  */
@@ -213,11 +217,17 @@
                                     void (*each) (void *user_data,
                                                   struct str zone),
                                     void *user_data);
-/* Treats UPSTREAM as cold for COLD_TIME, or until a record that is later than
-   all received so far says otherwise.  Called when it seems to have restarted
-   before the store shows it.  */
-void fleet_mark_cold (struct fleet *fleet, struct fleet_upstream *upstream,
-                      apr_time_t cold_time, apr_time_t now);
+/* Contact with UPSTREAM was lost AT that time: it may have started again, and
+   counts as cold until it is known what it is, see fleet/doubt.h.  Returns
+   false if that changes nothing.  */
+bool fleet_doubt (struct fleet *fleet, struct fleet_upstream *upstream,
+                  apr_time_t at, apr_time_t now);
+/* UPSTREAM said, AS_OF that time, that it is cold for COLD_LEFT, 0: that it is
+   not.  Returns false if something later is known.  */
+bool fleet_settle (struct fleet_upstream *upstream, apr_time_t as_of,
+                   apr_time_t cold_left, apr_time_t now);
+/* Returns whether UPSTREAM is cold, as far as it is known, or may be.  */
+bool fleet_is_cold (const struct fleet_upstream *upstream, apr_time_t now);
 /* UPSTREAM, which may have been removed, said in a response that it is
    leaving: it gets no new requests, as if its record said so.  Returns false
    if that was known.  */
--- a/src/fleet/unreachable.c
+++ b/src/fleet/unreachable.c
@@ -128,6 +128,19 @@
   item->listed_until = now + item->duration;
 }
 
+void
+unreachable_forget (struct unreachable *list, struct str id,
+                    int64_t incarnation)
+{
+  for (size_t i = 0; i < UNREACHABLE_MAX; i++)
+    {
+      struct item *item = &list->items[i];
+      if (item->id_size == id.size && item->incarnation == incarnation
+          && memcmp (item->id, id.data, id.size) == 0)
+        *item = (struct item){ 0 };
+    }
+}
+
 size_t
 unreachable_query (const struct unreachable *list, apr_time_t now,
                    struct unreachable_warning *out, size_t max_count)
--- a/src/gateway/attempts.c
+++ b/src/gateway/attempts.c
@@ -159,7 +159,7 @@
        LOG_INT ("body_sent", body_bytes),
        LOG_INT ("busy",
                 (int64_t)load_in_flight (&request->upstream->load, now)),
-       LOG_INT ("cold", request->upstream->cold_until > now),
+       LOG_INT ("cold", fleet_is_cold (request->upstream, now)),
        LOG_TEXT ("held_for", request->held_for),
        LOG_INT ("record_age_ms", request->record_age_ms),
        LOG_INT ("elapsed_ms", (now - attempt->started_at) / 1000));
@@ -236,19 +236,35 @@
          || headers_has (&attempt->headers, STR (PLATFORM_NOT_EXECUTED));
 }
 
+/* Holds the upstream of REQUEST for cold until it is known what it is: contact
+   was lost, and it may return as a new process before its record shows it.  */
+static void
+doubt_upstream (struct request *request, const char *reason)
+{
+  struct gateway *gateway = request->gateway;
+  struct fleet_upstream *upstream = request->upstream;
+  apr_time_t now = timer_clock ();
+  if (upstream->removed || !fleet_doubt (gateway->fleet, upstream, now, now))
+    return;
+  counter_add (gateway->doubts, 1);
+  if (gateway_allow_log_line (gateway))
+    LOG (LOG_INFO, "upstream-doubted", LOG_TEXT ("id", request->id.data),
+         LOG_TEXT ("upstream", upstream->id.data),
+         LOG_INT ("born", upstream->incarnation), LOG_TEXT ("reason", reason));
+  verify_upstream (gateway->verify, upstream);
+}
+
 /* Ends an attempt that the upstream refused to run, and tries another one.  */
 static void
 handle_refusal (struct request *request)
 {
   struct gateway *gateway = request->gateway;
-  const struct plan_service *service = dispatch_service (request);
   bool is_misdirected = request->attempt->status == HTTP_MISDIRECTED;
   end_upstream_load (request,
                      is_misdirected ? LOAD_UNREACHABLE : LOAD_REFUSED);
   if (is_misdirected)
     {
-      fleet_mark_cold (gateway->fleet, request->upstream, service->cold_time,
-                       timer_clock ());
+      doubt_upstream (request, "another upstream has the address");
       reachability_report (gateway->reachability, request->upstream, true);
     }
   fail_or_retry (request,
@@ -269,16 +285,11 @@
   /* ETIMEDOUT: sent data stayed unacknowledged.  */
   bool is_unreachable = not_run || cause == ETIMEDOUT;
   end_upstream_load (request, is_unreachable ? LOAD_UNREACHABLE : LOAD_FAILED);
+  if (attempt->result != CURLE_OK)
+    doubt_upstream (request, reason);
   if (is_unreachable)
-    {
-      /* The upstream may return as a new process, which is cold, before its
-         key in the store shows that.  */
-      const struct plan_service *service = dispatch_service (request);
-      fleet_mark_cold (request->gateway->fleet, request->upstream,
-                       service->cold_time, timer_clock ());
-      reachability_report (request->gateway->reachability, request->upstream,
-                           cause == ECONNREFUSED);
-    }
+    reachability_report (request->gateway->reachability, request->upstream,
+                         cause == ECONNREFUSED);
   if (request->answered)
     {
       /* The callback that reads the response ends it with an error, so that
@@ -491,12 +502,12 @@
   request->upstream = fleet_upstream_ref (upstream);
   request->service_time = choice->service_time;
   request->object_cached = choice->object_cached;
-  request->held_for = upstream->cold_until > now ? "cold" : "warm";
+  request->held_for = fleet_is_cold (upstream, now) ? "cold" : "warm";
   request->record_age_ms = store_sync_age (gateway->store_sync, now) / 1000;
   request->upstream_slowdown = upstream->load.reported_slowdown > 0
                                    ? upstream->load.reported_slowdown
                                    : 1.0;
-  if (upstream->cold_until > now)
+  if (fleet_is_cold (upstream, now))
     load_take_cold_token (&upstream->load,
                           dispatch_cold_rate (request) * upstream->cold_share,
                           1.0, now);
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -113,8 +113,12 @@
       {
         struct fleet_upstream *upstream
             = upstreams->groups[g]->members[i].upstream;
-        if (upstream->cold_until <= now
-            || upstream->cold_share_version == version)
+        if (!fleet_is_cold (upstream, now))
+          continue;
+        /* Those that send to it find out what it is.  */
+        if (upstream->doubt.since > 0 && upstream->cold_share > 0)
+          verify_upstream (gateway->verify, upstream);
+        if (upstream->cold_share_version == version)
           continue;
         upstream->cold_share_version = version;
         upstream->cold_share = registry_cold_share (
@@ -308,10 +312,57 @@
 }
 
 static struct str
-reader_address (void *user_data)
+reader_address (void *user_data, size_t number)
+{
+  struct gateway *gateway = user_data;
+  return registry_reader_address (gateway->registry, number);
+}
+
+static size_t
+reader_addresses (void *user_data, struct str *out, size_t max_count)
+{
+  struct gateway *gateway = user_data;
+  return registry_reader_addresses (gateway->registry, out, max_count);
+}
+
+static struct str
+health_path (void *user_data, struct str name)
 {
   struct gateway *gateway = user_data;
-  return registry_reader_address (gateway->registry, 0);
+  const struct plan *plan = store_sync_plan (gateway->store_sync);
+  const struct plan_service *service = plan ? plan_service (plan, name) : NULL;
+  return service ? service->health_path : STR ("");
+}
+
+/* The upstream of a check is gone, and may return as a new process: the other
+   entries have to know that before it does.  */
+static void
+on_upstream_gone (void *user_data, struct fleet_upstream *upstream)
+{
+  struct gateway *gateway = user_data;
+  if (upstream->doubt.since > 0)
+    reachability_report_doubt (gateway->reachability, upstream,
+                               upstream->doubt.since);
+}
+
+static void
+on_check_answered (void *user_data, struct fleet_upstream *upstream,
+                   apr_time_t as_of, apr_time_t cold_left)
+{
+  struct gateway *gateway = user_data;
+  apr_time_t now = timer_clock ();
+  apr_time_t since = upstream->doubt.since;
+  if (!fleet_settle (upstream, as_of, cold_left, now))
+    return;
+  gateway->upstreams_changed = true;
+  reachability_report_settled (gateway->reachability, upstream, as_of,
+                               cold_left);
+  if (gateway_allow_log_line (gateway))
+    LOG (LOG_INFO, "upstream-settled",
+         LOG_TEXT ("upstream", upstream->id.data),
+         LOG_INT ("born", upstream->incarnation),
+         LOG_INT ("cold_ms", cold_left / 1000),
+         LOG_INT ("after_ms", since ? (now - since) / 1000 : -1));
 }
 
 static struct str
@@ -498,6 +549,10 @@
   gateway->leaving_by_response = counter_get (
       gateway->counters, "citroncleat_upstreams_leaving_by_answer_total", "",
       "Upstreams that said in a response that they are leaving.");
+  gateway->doubts = counter_get (
+      gateway->counters, "citroncleat_upstream_doubts_total", "",
+      "Upstreams that this entry lost contact with, so that they may have "
+      "started again.");
   gateway->turned_away
       = counter_get (gateway->counters, "citroncleat_turned_away_total", "",
                      "Requests that an upstream refused, stating for how long "
@@ -557,8 +612,17 @@
                                             .fleet = gateway->fleet,
                                             .name = gateway->settings.name,
                                             .reader_address = reader_address,
+                                            .hubs = reader_addresses,
                                             .user_data = gateway };
   gateway->reachability = reachability_create (gateway->pool, &reachability);
+  struct verify_desc verify = { .loop = gateway->loop,
+                                .client = gateway->client,
+                                .counters = gateway->counters,
+                                .health_path = health_path,
+                                .gone = on_upstream_gone,
+                                .answered = on_check_answered,
+                                .user_data = gateway };
+  gateway->verify = verify_create (gateway->pool, &verify);
   return create_listeners (gateway, err);
 }
 
@@ -583,6 +647,7 @@
   registry_destroy (gateway->registry);
   store_sync_destroy (gateway->store_sync);
   reachability_destroy (gateway->reachability);
+  verify_destroy (gateway->verify);
   platform_mirror_destroy (gateway->mirror);
   fleet_destroy (gateway->fleet);
   if (gateway->signal_fd > 0)
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -23,6 +23,7 @@
 #include "call/attempt.h"
 #include "call/stop_limits.h"
 #include "gateway/reachability.h"
+#include "gateway/verify.h"
 #include "gateway/registry.h"
 #include "gateway/settings.h"
 #include "gateway/store_sync.h"
@@ -115,6 +116,7 @@
   struct registry *registry;
   struct store_sync *store_sync;
   struct reachability *reachability;
+  struct verify *verify;
   struct platform_mirror *mirror; /* copy of the store, served to peers */
   apr_hash_t *peer_stores; /* struct store of other entries by address */
   struct httpd *caller_listener;
@@ -155,8 +157,9 @@
   apr_time_t log_refilled_at;
   struct counter *suppressed_log_lines;
   struct counter *leaving_by_response; /* upstreams */
-  struct counter *turned_away;         /* requests, by upstreams */
-  struct counter *turned_back;         /* requests, to callers */
+  struct counter *doubts;      /* upstreams that may have started again */
+  struct counter *turned_away; /* requests, by upstreams */
+  struct counter *turned_back; /* requests, to callers */
   /* Requests without a whole response or head: ended by this entry or its
      library, and by the caller.  */
   struct counter *unfinished[2];
@@ -218,11 +221,11 @@
   apr_time_t service_time;
   double upstream_slowdown;
   bool object_cached;
-  const char *held_for; /* "warm" or "cold": the upstream, when the attempt
-                           started */
+  const char *held_for;  /* "warm" or "cold": the upstream, when the attempt
+                            started */
   int64_t record_age_ms; /* of what was known of the store then */
-  bool load_is_counted; /* load_begin_request was called for the attempt and
-                           load_end_request not yet */
+  bool load_is_counted;  /* load_begin_request was called for the attempt and
+                            load_end_request not yet */
   int send_count;
   int run_count; /* ended attempts that an upstream may have run */
   uint64_t tried_upstreams[BALANCE_EXCLUDED_MAX]; /* hashes of their ids */
--- a/src/gateway/lookup.c
+++ b/src/gateway/lookup.c
@@ -147,10 +147,14 @@
 {
   apr_pool_t *pool;
   apr_pool_create (&pool, gateway->pool);
-  struct str text = reachability_handle (
-      gateway->reachability,
-      httpd_query_parameter (connection, reachability_seen),
-      httpd_query_parameter (connection, reachability_from), pool);
+  struct reachability_message message
+      = { .seen = httpd_query_parameter (connection, reachability_seen),
+          .from = httpd_query_parameter (connection, reachability_from),
+          .doubts = httpd_query_parameter (connection, reachability_doubts),
+          .after = httpd_query_parameter (connection, reachability_after),
+          .hub = httpd_query_parameter (connection, reachability_hub) };
+  struct str text
+      = reachability_handle (gateway->reachability, &message, pool);
   enum MHD_Result result = respond_text (connection, HTTP_OK, text);
   apr_pool_destroy (pool);
   return result;
--- a/src/gateway/reachability.c
+++ b/src/gateway/reachability.c
@@ -1,5 +1,6 @@
 #include "gateway/reachability.h"
 
+#include "fleet/doubt_list.h"
 #include "fleet/unreachable.h"
 
 #include <stdio.h>
@@ -16,13 +17,22 @@
   PENDING_MAX = 64, /* reports between two exchanges; further ones are
                        dropped */
   RESPONSE_MAX_BYTES = 64 * 1024,
-  REPORT_MAX_BYTES = 96, /* of one report or warning as text */
+  REPORT_MAX_BYTES = 96,   /* of one report or warning as text */
+  NEWS_MS = 20,            /* collects what becomes known at the same moment */
+  NEWS_MAX = 64,           /* in one message; the rest follows */
+  NEWS_PENDING_MAX = 1024, /* not sent yet; further ones are dropped */
+  NEWS_MAX_BYTES = 128,    /* of one as text */
+  NUMBER_MAX_BYTES = 21,   /* of a number as text */
+  HUBS_MAX = 128,          /* two readers in each of 64 regions */
   HTTP_OK = 200
 };
 
 const char reachability_path[] = "/reachability";
 const char reachability_seen[] = "seen";
 const char reachability_from[] = "from";
+const char reachability_doubts[] = "doubts";
+const char reachability_after[] = "after";
+const char reachability_hub[] = "hub";
 
 /* types */
 
@@ -31,7 +41,17 @@
   struct reachability_desc desc;
   apr_pool_t *pool;
   struct unreachable *list; /* of this entry as a reader */
+  struct doubt_list *doubts;
   struct timer timer;
+  struct timer news_timer;
+  bool news_scheduled;
+  char (*news)[NEWS_MAX_BYTES]; /* ring buffer, "ID,INCARNATION,AT,COLD" */
+  size_t news_first;
+  size_t news_count;
+  size_t news_sent;            /* of them, in the exchange in progress */
+  size_t reader_number;        /* asked next */
+  char reader[NEWS_MAX_BYTES]; /* address of the latest one asked */
+  int64_t reader_after;        /* number of the latest news from there */
   uint64_t name_hash;
   bool call_in_progress;
   struct
@@ -41,6 +61,8 @@
   size_t pending_count;
   struct counter *reports;
   struct counter *warnings;
+  struct counter *doubts_heard;
+  struct counter *hub_failures;
 };
 
 /* private functions */
@@ -101,26 +123,145 @@
   return true;
 }
 
+/* Returns the news as text, with the time as an age.  */
+static int
+format_news (char *text, const struct doubt_news *news, apr_time_t now)
+{
+  return snprintf (
+      text, NEWS_MAX_BYTES, "%.*s,%lld,%lld,%lld;", STR_ARGS (news->id),
+      (long long)news->incarnation,
+      (long long)((now - news->at) / (APR_USEC_PER_SEC / 1000)),
+      news->cold_left == DOUBT_UNSETTLED
+          ? -1LL
+          : (long long)(news->cold_left / (APR_USEC_PER_SEC / 1000)));
+}
+
+/* Applies NEWS to the upstream that it is about.  */
+static void
+apply_news (struct reachability *reachability, const struct doubt_news *news,
+            apr_time_t now)
+{
+  struct fleet_upstream *upstream
+      = fleet_find (reachability->desc.fleet, news->id);
+  if (!upstream || upstream->incarnation != news->incarnation)
+    return;
+  if (news->cold_left == DOUBT_UNSETTLED
+          ? fleet_doubt (reachability->desc.fleet, upstream, news->at, now)
+          : fleet_settle (upstream, news->at, news->cold_left, now))
+    counter_add (reachability->doubts_heard, 1);
+}
+
+static void on_news_due (void *user_data, apr_time_t now);
+
+static void
+schedule_news (struct reachability *reachability)
+{
+  if (reachability->news_scheduled || reachability->news_count == 0)
+    return;
+  reachability->news_scheduled = true;
+  timer_start (loop_timers (reachability->desc.loop),
+               &reachability->news_timer, timer_clock () + TIMER_MS (NEWS_MS),
+               on_news_due, reachability);
+}
+
+/* Adds NEWS, of this entry or another one, and passes it on unless it comes
+   from an entry that has sent it to all it concerns.  */
+static void
+add_news (struct reachability *reachability, const struct doubt_news *news,
+          bool is_from_hub, apr_time_t now)
+{
+  if (!doubt_list_add (reachability->doubts, news, now))
+    return;
+  if (news->cold_left != DOUBT_UNSETTLED)
+    unreachable_forget (reachability->list, news->id, news->incarnation);
+  if (is_from_hub || !is_plain (news->id)
+      || news->id.size + sizeof ",,," + 3 * NUMBER_MAX_BYTES > NEWS_MAX_BYTES
+      || reachability->news_count == NEWS_PENDING_MAX)
+    return;
+  size_t place = (reachability->news_first + reachability->news_count++)
+                 % NEWS_PENDING_MAX;
+  format_news (reachability->news[place], news, now);
+  schedule_news (reachability);
+}
+
+/* Reads the news in TEXT into NEWS; returns false at the end.  */
+static bool
+read_news (struct str *text, struct doubt_news *news, apr_time_t now)
+{
+  if (text->size == 0)
+    return false;
+  struct str line = next_field (text, ';');
+  news->id = next_field (&line, ',');
+  news->incarnation = number_in (next_field (&line, ','));
+  news->at = now - TIMER_MS (number_in (next_field (&line, ',')));
+  news->cold_left = str_starts_with (line, STR ("-"))
+                        ? DOUBT_UNSETTLED
+                        : TIMER_MS (number_in (line));
+  return true;
+}
+
 static void
 on_exchanged (void *user_data, const struct http_response *response)
 {
   struct reachability *reachability = user_data;
   reachability->call_in_progress = false;
   if (response->status != HTTP_OK)
-    return;
+    {
+      reachability->reader_number = 1 - reachability->reader_number;
+      schedule_news (reachability);
+      return;
+    }
+  reachability->news_first
+      = (reachability->news_first + reachability->news_sent)
+        % NEWS_PENDING_MAX;
+  reachability->news_count -= reachability->news_sent;
+  schedule_news (reachability);
   apr_time_t now = timer_clock ();
   struct str text = response->body;
-  while (text.size > 0)
+  struct str warnings = next_field (&text, '|');
+  while (warnings.size > 0)
     {
-      struct str line = next_field (&text, ';');
+      struct str line = next_field (&warnings, ';');
       struct unreachable_warning warning = { .id = next_field (&line, ',') };
       warning.incarnation = number_in (next_field (&line, ','));
       warning.left = TIMER_MS (number_in (next_field (&line, ',')));
       apply_warning (reachability, &warning, now);
     }
+  if (text.size == 0)
+    return;
+  struct doubt_news news;
+  reachability->reader_after = number_in (next_field (&text, '|'));
+  while (read_news (&text, &news, now))
+    {
+      doubt_list_add (reachability->doubts, &news, now);
+      apply_news (reachability, &news, now);
+    }
 }
 
-/* Sends the pending reports to the reader at ADDRESS.  */
+/* Returns the first NEWS_MAX of the pending news as text in POOL, and sets
+   COUNT.  */
+static char *
+pending_news (const struct reachability *reachability, size_t *count,
+              apr_pool_t *pool)
+{
+  *count = reachability->news_count < NEWS_MAX ? reachability->news_count
+                                               : NEWS_MAX;
+  char *text = apr_palloc (pool, *count * NEWS_MAX_BYTES + 1);
+  size_t size = 0;
+  for (size_t i = 0; i < *count; i++)
+    {
+      const char *news
+          = reachability
+                ->news[(reachability->news_first + i) % NEWS_PENDING_MAX];
+      size_t length = strlen (news);
+      memcpy (text + size, news, length);
+      size += length;
+    }
+  text[size] = 0;
+  return text;
+}
+
+/* Sends the pending reports and news to the reader at ADDRESS.  */
 static void
 send_reports (struct reachability *reachability, struct str address)
 {
@@ -129,11 +270,21 @@
   char *seen = apr_pcalloc (pool, PENDING_MAX * REPORT_MAX_BYTES + 1);
   for (size_t i = 0; i < reachability->pending_count; i++)
     strcat (strcat (seen, i > 0 ? ";" : ""), reachability->pending[i].text);
+  reachability->pending_count = 0;
+  if (!str_equal (address, str_from (reachability->reader)))
+    {
+      snprintf (reachability->reader, sizeof reachability->reader, "%.*s",
+                STR_ARGS (address));
+      reachability->reader_after = 0;
+    }
+  char *news = pending_news (reachability, &reachability->news_sent, pool);
   struct http_request request
       = { .url
-          = str_format (pool, "http://%s%s?%s=%s&%s=%s", address.data,
-                        reachability_path, reachability_from,
-                        reachability->desc.name.data, reachability_seen, seen),
+          = str_format (pool, "http://%s%s?%s=%s&%s=%s&%s=%s&%s=%lld",
+                        address.data, reachability_path, reachability_from,
+                        reachability->desc.name.data, reachability_seen, seen,
+                        reachability_doubts, news, reachability_after,
+                        (long long)reachability->reader_after),
           .timeout_ms = TIMEOUT_MS,
           .max_response_bytes = RESPONSE_MAX_BYTES };
   reachability->call_in_progress = true;
@@ -142,6 +293,67 @@
   apr_pool_destroy (pool);
 }
 
+static void
+on_sent_to_hub (void *user_data, const struct http_response *response)
+{
+  struct reachability *reachability = user_data;
+  counter_add (reachability->hub_failures, response->status != HTTP_OK);
+}
+
+/* Sends the pending news to all other entries that have no reader.  */
+static void
+send_to_hubs (struct reachability *reachability)
+{
+  struct str hubs[HUBS_MAX];
+  size_t sent;
+  apr_pool_t *pool;
+  apr_pool_create (&pool, reachability->pool);
+  size_t count
+      = reachability->desc.hubs (reachability->desc.user_data, hubs, HUBS_MAX);
+  char *news = pending_news (reachability, &sent, pool);
+  for (size_t i = 0; i < count; i++)
+    {
+      struct http_request request
+          = { .url
+              = str_format (pool, "http://%s%s?%s=%s&%s=%s&%s=1", hubs[i].data,
+                            reachability_path, reachability_from,
+                            reachability->desc.name.data, reachability_doubts,
+                            news, reachability_hub),
+              .timeout_ms = TIMEOUT_MS,
+              .max_response_bytes = RESPONSE_MAX_BYTES };
+      http_client_send (reachability->desc.client, &request, on_sent_to_hub,
+                        reachability);
+    }
+  reachability->news_first
+      = (reachability->news_first + sent) % NEWS_PENDING_MAX;
+  reachability->news_count -= sent;
+  apr_pool_destroy (pool);
+}
+
+/* Returns the address of the reader to ask, or an empty string.  */
+static struct str
+reader_address (const struct reachability *reachability)
+{
+  return reachability->desc.reader_address (reachability->desc.user_data,
+                                            reachability->reader_number);
+}
+
+static void
+on_news_due (void *user_data, apr_time_t now)
+{
+  (void)now;
+  struct reachability *reachability = user_data;
+  reachability->news_scheduled = false;
+  struct str address = reader_address (reachability);
+  if (address.size == 0)
+    {
+      send_to_hubs (reachability);
+      schedule_news (reachability);
+    }
+  else if (!reachability->call_in_progress)
+    send_reports (reachability, address);
+}
+
 /* As a reader, avoids what is on the own list.  */
 static void
 apply_own_list (struct reachability *reachability, apr_time_t now)
@@ -157,15 +369,11 @@
 on_exchange_due (void *user_data, apr_time_t now)
 {
   struct reachability *reachability = user_data;
-  struct str address
-      = reachability->desc.reader_address (reachability->desc.user_data);
+  struct str address = reader_address (reachability);
   if (address.size == 0)
     apply_own_list (reachability, now);
   else if (!reachability->call_in_progress)
-    {
-      send_reports (reachability, address);
-      reachability->pending_count = 0;
-    }
+    send_reports (reachability, address);
   timer_start (loop_timers (reachability->desc.loop), &reachability->timer,
                now + TIMER_MS (EXCHANGE_MS), on_exchange_due, reachability);
 }
@@ -179,6 +387,9 @@
   reachability->desc = *desc;
   reachability->pool = pool;
   reachability->list = unreachable_create (pool);
+  reachability->doubts = doubt_list_create (pool);
+  reachability->news
+      = apr_pcalloc (pool, NEWS_PENDING_MAX * sizeof *reachability->news);
   reachability->name_hash = XXH64 (desc->name.data, desc->name.size, 0);
   reachability->reports
       = counter_get (desc->counters, "citroncleat_unreachable_reports_total",
@@ -186,6 +397,12 @@
   reachability->warnings = counter_get (
       desc->counters, "citroncleat_unreachable_warnings_total", "",
       "Upstreams avoided since other entries could not reach them.");
+  reachability->doubts_heard = counter_get (
+      desc->counters, "citroncleat_upstream_doubts_heard_total", "",
+      "Doubts about upstreams that other entries began or settled.");
+  reachability->hub_failures = counter_get (
+      desc->counters, "citroncleat_doubt_messages_lost_total", "",
+      "Messages on such doubts that an entry of another region did not get.");
   timer_start (loop_timers (desc->loop), &reachability->timer,
                timer_clock () + TIMER_MS (EXCHANGE_MS), on_exchange_due,
                reachability);
@@ -195,8 +412,11 @@
 void
 reachability_destroy (struct reachability *reachability)
 {
-  if (reachability)
-    timer_stop (loop_timers (reachability->desc.loop), &reachability->timer);
+  if (!reachability)
+    return;
+  timer_stop (loop_timers (reachability->desc.loop), &reachability->timer);
+  timer_stop (loop_timers (reachability->desc.loop),
+              &reachability->news_timer);
 }
 
 void
@@ -217,13 +437,56 @@
     reachability->pending_count++;
 }
 
+void
+reachability_report_doubt (struct reachability *reachability,
+                           const struct fleet_upstream *upstream,
+                           apr_time_t at)
+{
+  struct doubt_news news
+      = { upstream->id, upstream->incarnation, at, DOUBT_UNSETTLED };
+  add_news (reachability, &news, false, timer_clock ());
+}
+
+void
+reachability_report_settled (struct reachability *reachability,
+                             const struct fleet_upstream *upstream,
+                             apr_time_t as_of, apr_time_t cold_left)
+{
+  struct doubt_news news
+      = { upstream->id, upstream->incarnation, as_of, cold_left };
+  add_news (reachability, &news, false, timer_clock ());
+}
+
+/* Returns the news after the number AFTER as text in POOL, which begins with
+   the number of the last one.  */
+static struct str
+news_after (const struct reachability *reachability, int64_t after,
+            apr_time_t now, apr_pool_t *pool)
+{
+  struct doubt_news *news = apr_palloc (pool, DOUBT_NEWS_MAX * sizeof *news);
+  size_t count = doubt_list_query (reachability->doubts, &after, now, news,
+                                   DOUBT_NEWS_MAX);
+  char *text = apr_palloc (pool, (count + 1) * NEWS_MAX_BYTES);
+  size_t size
+      = (size_t)snprintf (text, NEWS_MAX_BYTES, "%lld|", (long long)after);
+  for (size_t i = 0; i < count; i++)
+    {
+      int length = format_news (text + size, &news[i], now);
+      size += length < NEWS_MAX_BYTES ? (size_t)length : 0;
+    }
+  return str_view (text, size);
+}
+
 struct str
-reachability_handle (struct reachability *reachability, struct str seen,
-                     struct str from, apr_pool_t *pool)
+reachability_handle (struct reachability *reachability,
+                     const struct reachability_message *message,
+                     apr_pool_t *pool)
 {
   apr_time_t now = timer_clock ();
+  struct str seen = message->seen;
+  struct str doubts = message->doubts;
   struct unreachable_report report
-      = { .reporter = XXH64 (from.data, from.size, 0) };
+      = { .reporter = XXH64 (message->from.data, message->from.size, 0) };
   while (seen.size > 0)
     {
       struct str line = next_field (&seen, ';');
@@ -232,6 +495,14 @@
       report.is_certain = number_in (next_field (&line, ',')) != 0;
       unreachable_report (reachability->list, &report, now);
     }
+  struct doubt_news news;
+  while (read_news (&doubts, &news, now))
+    {
+      add_news (reachability, &news, message->hub.size > 0, now);
+      apply_news (reachability, &news, now);
+    }
+  if (message->hub.size > 0)
+    return STR ("");
   struct unreachable_warning warnings[UNREACHABLE_MAX];
   size_t count
       = unreachable_query (reachability->list, now, warnings, UNREACHABLE_MAX);
@@ -242,5 +513,7 @@
         text + size, REPORT_MAX_BYTES, "%.*s,%lld,%lld;",
         STR_ARGS (warnings[i].id), (long long)warnings[i].incarnation,
         (long long)(warnings[i].left / (APR_USEC_PER_SEC / 1000)));
-  return str_view (text, size);
+  struct str rest
+      = news_after (reachability, number_in (message->after), now, pool);
+  return str_printf (pool, "%.*s|%.*s", (int)size, text, STR_ARGS (rest));
 }
--- a/src/gateway/reachability.h
+++ b/src/gateway/reachability.h
@@ -1,18 +1,24 @@
-/* Exchange with a reader of which upstreams entries could not reach (see
-   fleet/unreachable.h).
+/* Exchange between entries of which upstreams they could not reach (see
+   fleet/unreachable.h), and which may have started again (fleet/doubt.h).
 
    Twice a second an entry sends what it found out since the last time to one
    of its readers, and gets the list of all that the reader knows; a reader
-   adds to its own list.  If no reader responds, an entry relies on what it
-   finds out itself, as it does for upstreams that only one entry can't reach.
+   adds to its own list.  News of upstreams that may have started again don't
+   wait for that: an entry sends them at once, and its reader to all other
+   entries that have no reader, in all regions.  If no reader responds, an
+   entry relies on what it finds out itself, as it does for upstreams that only
+   one entry can't reach.
 
      reachability = reachability_create (pool, &desc);
      reachability_report (reachability, upstream, is_certain);
-     text = reachability_handle (reachability, seen, from, pool);
+     reachability_report_doubt (reachability, upstream, at);
+     reachability_report_settled (reachability, upstream, as_of, cold_left);
+     text = reachability_handle (reachability, &message, pool);
      reachability_destroy (reachability);
 
    Units: microseconds.  Threads: the event loop's thread only.  Errors: a
-   failed exchange loses its reports, and the next one follows.  */
+   failed exchange loses its reports of unreachable upstreams; news of doubts
+   are sent again, to the other reader.  */
 #ifndef GATEWAY_REACHABILITY_H
 #define GATEWAY_REACHABILITY_H
 
@@ -30,16 +36,34 @@
   struct counters *counters;
   struct fleet *fleet;
   struct str name; /* of this entry */
-  /* Returns the address of a reader, or an empty string if this entry is one.
-   */
-  struct str (*reader_address) (void *user_data);
+  /* Returns the address of the reader NUMBER, 0 or 1, or an empty string if
+     this entry has none.  */
+  struct str (*reader_address) (void *user_data, size_t number);
+  /* Fills OUT with the addresses of up to MAX_COUNT other entries that have no
+     reader; returns how many.  */
+  size_t (*hubs) (void *user_data, struct str *out, size_t max_count);
   void *user_data;
 };
 
 /* Path of the listener for other entries, and its query parameters.  */
 extern const char reachability_path[];
-extern const char reachability_seen[]; /* what the sender found out */
-extern const char reachability_from[]; /* the sender's name */
+extern const char reachability_seen[];   /* what the sender could not reach */
+extern const char reachability_from[];   /* the sender's name */
+extern const char reachability_doubts[]; /* its news of doubts */
+extern const char reachability_after[];  /* number of the latest news of the
+                                            receiver that it has */
+extern const char reachability_hub[];    /* 1: it has no reader, and sends its
+                                            news to all others that have none */
+
+/* The query parameters of an exchange, as received.  */
+struct reachability_message
+{
+  struct str seen;
+  struct str from;
+  struct str doubts;
+  struct str after;
+  struct str hub;
+};
 
 /* Creates the module in POOL and begins to exchange.  */
 struct reachability *
@@ -52,10 +76,18 @@
 void reachability_report (struct reachability *reachability,
                           const struct fleet_upstream *upstream,
                           bool is_certain);
-/* Handles the exchange of the entry FROM, which found out SEEN; returns the
-   response in POOL.  */
+/* UPSTREAM may have started again; contact was lost AT that time.  */
+void reachability_report_doubt (struct reachability *reachability,
+                                const struct fleet_upstream *upstream,
+                                apr_time_t at);
+/* UPSTREAM said, AS_OF that time, that it is cold for COLD_LEFT, 0: that it is
+   not.  */
+void reachability_report_settled (struct reachability *reachability,
+                                  const struct fleet_upstream *upstream,
+                                  apr_time_t as_of, apr_time_t cold_left);
+/* Handles MESSAGE of another entry; returns the response in POOL.  */
 struct str reachability_handle (struct reachability *reachability,
-                                struct str seen, struct str from,
+                                const struct reachability_message *message,
                                 apr_pool_t *pool);
 
 #endif
--- a/src/gateway/registry.c
+++ b/src/gateway/registry.c
@@ -716,13 +716,15 @@
   return readers[(self.hash + number) % REGISTRY_READERS]->peer_address;
 }
 
-struct str
-registry_next_peer_address (struct registry *registry)
+/* Fills PEERS, which has space for REGIONS_MAX * REGISTRY_READERS, with the
+   readers of all regions but this entry; returns how many.  */
+static size_t
+find_all_readers (const struct registry *registry,
+                  const struct registry_entry **peers)
 {
   struct registry_entry self = own_entry (registry);
   struct str regions[REGIONS_MAX];
   size_t region_count = 0;
-  const struct registry_entry *peers[REGIONS_MAX * REGISTRY_READERS];
   size_t peer_count = 0;
   for (size_t i = 0; i < registry->count && region_count < REGIONS_MAX; i++)
     {
@@ -737,6 +739,27 @@
         if (readers[r] != &self)
           peers[peer_count++] = readers[r];
     }
+  return peer_count;
+}
+
+size_t
+registry_reader_addresses (const struct registry *registry, struct str *out,
+                           size_t max_count)
+{
+  const struct registry_entry *peers[REGIONS_MAX * REGISTRY_READERS];
+  size_t count = find_all_readers (registry, peers);
+  if (count > max_count)
+    count = max_count;
+  for (size_t i = 0; i < count; i++)
+    out[i] = peers[i]->peer_address;
+  return count;
+}
+
+struct str
+registry_next_peer_address (struct registry *registry)
+{
+  const struct registry_entry *peers[REGIONS_MAX * REGISTRY_READERS];
+  size_t peer_count = find_all_readers (registry, peers);
   size_t number = registry->next_peer++;
   if (peer_count > 0)
     return peers[number % peer_count]->peer_address;
--- a/src/gateway/registry.h
+++ b/src/gateway/registry.h
@@ -132,6 +132,11 @@
    NUMBER 1.  */
 struct str registry_reader_address (const struct registry *registry,
                                     size_t number);
+/* Fills OUT with the addresses of up to MAX_COUNT other entries for which
+   registry_reader_address returns none: those that read the store, in all
+   regions.  Returns how many; they are valid until the next change.  */
+size_t registry_reader_addresses (const struct registry *registry,
+                                  struct str *out, size_t max_count);
 /* Returns the address of another entry that reads the store, in any region, a
    different one each time (round robin); if the keys of all of them are gone,
    that of any other entry whose record is kept; or an empty string.  */
--- a/src/plan/plan.h
+++ b/src/plan/plan.h
@@ -93,7 +93,8 @@
 struct plan_service
 {
   struct str name;
-  apr_time_t cold_time; /* for which an upstream is cold after a start */
+  struct str health_path; /* of its upstreams; empty: none */
+  apr_time_t cold_time;   /* for which an upstream is cold after a start */
   /* Requests per second that a cold upstream can serve.  */
   double cold_rate;
 };
--- /dev/null
+++ b/tests/unit/doubt_test.c
@@ -0,0 +1,283 @@
+/* Upstreams that may have started again under their id.  Guards against a cold
+   process that gets the requests of the warm one before it.  */
+#include "base/timer.h"
+#include "fleet/doubt_list.h"
+#include "fleet/fleet.h"
+#include "tests/unit/unit.h"
+
+static struct fleet *fleet;
+static apr_time_t now;
+
+static struct str
+find_region (void *user_data, struct str zone)
+{
+  (void)user_data;
+  (void)zone;
+  return STR ("north");
+}
+
+static struct fleet_record
+make_record (int64_t incarnation, int64_t cold_ms)
+{
+  return (struct fleet_record){ .id = STR ("a"),
+                                .service = STR ("desk"),
+                                .address = STR ("10.0.0.1:80"),
+                                .zone = STR ("north-a"),
+                                .slots = 4,
+                                .cold_remaining = TIMER_MS (cold_ms),
+                                .incarnation = incarnation };
+}
+
+static struct fleet_upstream *
+set_up_upstream (void)
+{
+  struct fleet_desc desc = { .find_region = find_region };
+  struct fleet_record r = make_record (1, 0);
+  fleet = fleet_create (test_pool, &desc);
+  now = TIMER_SEC (1000);
+  fleet_put_upstream (fleet, &r, 1, now);
+  return fleet_find (fleet, r.id);
+}
+
+enum event
+{
+  END,
+  LOSE,        /* contact is lost */
+  WRITE,       /* the record of the same process is written again, put */
+  RENEW,       /* the same, renewed */
+  SAY_WARM,    /* the upstream says that it is not cold */
+  SAY_COLD,    /* that it is cold for 2 s */
+  SAID_BEFORE, /* that it is not cold, before contact was lost */
+  RESTART      /* the record of the next process, cold for 3 s */
+};
+
+/* What happens a second apart, and whether the upstream is cold after each. */
+static void
+test_doubt (void)
+{
+  static const struct
+  {
+    const char *name;
+    enum event events[8];
+    const char *cold; /* y or n after each event */
+  } cases[] = {
+    { "the doubt outlasts an outage of the upstream",
+      { LOSE, LOSE, LOSE, LOSE, LOSE, LOSE, LOSE, END },
+      "yyyyyyy" },
+    { "writes from before the end do not end it",
+      { LOSE, WRITE, RENEW },
+      "yyy" },
+    { "later ones do", { LOSE, RENEW, WRITE, RENEW, END }, "yyyn" },
+    { "contact lost again begins anew",
+      { LOSE, RENEW, RENEW, RENEW, LOSE, RENEW, RENEW, RENEW },
+      "yyynyyyn" },
+    { "the upstream settles it", { LOSE, SAY_WARM, END }, "yn" },
+    { "it is cold for as long as it said",
+      { LOSE, SAY_COLD, WRITE, WRITE, END },
+      "yyyn" },
+    { "no record ends what it said", { SAY_COLD, RENEW, WRITE, END }, "yyn" },
+    { "what it said before settles nothing",
+      { LOSE, SAID_BEFORE, END },
+      "yy" },
+    { "the next process is cold by its record", { LOSE, RESTART, END }, "yy" },
+    { "so it is without a sign", { RESTART, RENEW, END }, "yy" },
+  };
+  for (size_t i = 0; i < sizeof cases / sizeof *cases; i++)
+    {
+      struct fleet_upstream *upstream = set_up_upstream ();
+      struct fleet_record r = make_record (1, 0);
+      struct fleet_record next = make_record (2, 3000);
+      apr_time_t lost_at = 0;
+      for (int64_t e = 0; e < 8 && cases[i].events[e] != END; e++)
+        {
+          now += TIMER_SEC (1);
+          switch (cases[i].events[e])
+            {
+            case LOSE:
+              lost_at = lost_at ? lost_at : now;
+              fleet_doubt (fleet, upstream, now, now);
+              break;
+            case WRITE:
+              fleet_put_upstream (fleet, &r, e + 2, now);
+              break;
+            case RENEW:
+              fleet_renew_upstream (fleet, r.id, e + 2);
+              break;
+            case SAY_WARM:
+              fleet_settle (upstream, now, 0, now);
+              break;
+            case SAY_COLD:
+              fleet_settle (upstream, now, TIMER_SEC (2), now);
+              break;
+            case SAID_BEFORE:
+              fleet_settle (upstream, lost_at - 1, 0, now);
+              break;
+            case RESTART:
+              fleet_put_upstream (fleet, &next, e + 2, now);
+              break;
+            case END:
+              break;
+            }
+          upstream = fleet_find (fleet, r.id);
+          if (fleet_is_cold (upstream, now) != (cases[i].cold[e] == 'y'))
+            {
+              printf ("%s: event %d\n", cases[i].name, (int)e);
+              CU_FAIL ("wrong state");
+            }
+        }
+      fleet_destroy (fleet);
+    }
+}
+
+/* A doubt that nothing settles ends when the store would have removed the
+   record, for which outages of the store don't count.  */
+static void
+test_end_of_doubt (void)
+{
+  static const struct
+  {
+    const char *name;
+    int64_t away_ms; /* the store */
+    int64_t cold_ms; /* the upstream is cold then */
+    int64_t warm_ms; /* and it is not then */
+  } cases[] = { { "the store is there", 0, 7900, 8100 },
+                { "the store was away", 5000, 12900, 13100 } };
+  for (size_t i = 0; i < sizeof cases / sizeof *cases; i++)
+    {
+      struct fleet_upstream *upstream = set_up_upstream ();
+      fleet_doubt (fleet, upstream, now, now);
+      fleet_postpone_expiry (fleet, TIMER_MS (cases[i].away_ms));
+      fleet_remove_expired (fleet, now + TIMER_MS (cases[i].cold_ms));
+      CU_ASSERT (fleet_is_cold (upstream, now + TIMER_MS (cases[i].cold_ms)));
+      fleet_remove_expired (fleet, now + TIMER_MS (cases[i].warm_ms));
+      CU_ASSERT_FALSE (
+          fleet_is_cold (upstream, now + TIMER_MS (cases[i].warm_ms)));
+      fleet_destroy (fleet);
+    }
+}
+
+/* What was sent in the last second counts against the first second of a cold
+   upstream, also if the requests were sent to the process before it.  */
+static void
+test_first_second (void)
+{
+  static const struct
+  {
+    const char *name;
+    int64_t sent_ms; /* before; -1: never */
+    bool is_replaced;
+    bool has_token;
+  } cases[] = { { "nothing sent", -1, false, true },
+                { "sent just now", 10, false, false },
+                { "sent long ago", 1500, false, true },
+                { "replaced, nothing sent", -1, true, true },
+                { "replaced, sent just now", 10, true, false } };
+  for (size_t i = 0; i < sizeof cases / sizeof *cases; i++)
+    {
+      struct fleet_upstream *upstream = set_up_upstream ();
+      struct fleet_record next = make_record (2, 3000);
+      if (cases[i].sent_ms >= 0)
+        load_begin_request (&upstream->load,
+                            now - TIMER_MS (cases[i].sent_ms));
+      if (cases[i].is_replaced)
+        fleet_put_upstream (fleet, &next, 2, now);
+      else
+        fleet_doubt (fleet, upstream, now, now);
+      upstream = fleet_find (fleet, STR ("a"));
+      CU_ASSERT (fleet_is_cold (upstream, now));
+      CU_ASSERT_EQUAL (load_has_cold_token (&upstream->load, 4.0, 1.0, now),
+                       cases[i].has_token);
+      CU_ASSERT (load_has_cold_token (&upstream->load, 4.0, 1.0,
+                                      now + TIMER_MS (300)));
+      fleet_destroy (fleet);
+    }
+}
+
+/* News are passed on once, in order, and until they are old.  */
+static void
+test_list (void)
+{
+  static const struct
+  {
+    const char *name;
+    const char *id;
+    int64_t incarnation;
+    int64_t at_ms;
+    int64_t cold_ms; /* -1: a doubt */
+    bool is_news;
+  } cases[] = { { "a doubt", "a", 1, 0, -1, true },
+                { "the same again", "a", 1, 100, -1, false },
+                { "another incarnation", "a", 2, 100, -1, true },
+                { "another upstream", "b", 1, 100, -1, true },
+                { "said before the doubt", "a", 1, -100, 0, false },
+                { "it is cold", "a", 1, 500, 2500, true },
+                { "a doubt of before", "a", 1, 400, -1, false },
+                { "contact lost again", "a", 1, 900, -1, true },
+                { "it is not cold", "a", 1, 950, 0, true },
+                { "no name", "", 1, 950, 0, false } };
+  struct doubt_list *list = doubt_list_create (test_pool);
+  apr_time_t start = TIMER_SEC (1000);
+  int64_t number = 0;
+  struct doubt_news out[8];
+  for (size_t i = 0; i < sizeof cases / sizeof *cases; i++)
+    {
+      struct doubt_news news
+          = { str_from (cases[i].id), cases[i].incarnation,
+              start + TIMER_MS (cases[i].at_ms),
+              cases[i].cold_ms < 0 ? DOUBT_UNSETTLED
+                                   : TIMER_MS (cases[i].cold_ms) };
+      bool is_news = doubt_list_add (list, &news, start + TIMER_SEC (1));
+      if (is_news != cases[i].is_news)
+        {
+          printf ("%s\n", cases[i].name);
+          CU_FAIL ("wrong result");
+        }
+      size_t count
+          = doubt_list_query (list, &number, start + TIMER_SEC (1), out, 8);
+      CU_ASSERT_EQUAL (count, (size_t)is_news);
+      if (count == 1)
+        CU_ASSERT (str_equal (out[0].id, news.id) && out[0].at == news.at
+                   && out[0].cold_left == news.cold_left);
+    }
+  /* One that asks for the first time, or asked another list before, gets all
+     that holds; in parts if there is too much.  */
+  int64_t unknown = INT64_MAX;
+  CU_ASSERT_EQUAL (
+      doubt_list_query (list, &unknown, start + TIMER_SEC (1), out, 2), 2);
+  CU_ASSERT_EQUAL (
+      doubt_list_query (list, &unknown, start + TIMER_SEC (1), out, 2), 1);
+  number = 0;
+  CU_ASSERT_EQUAL (
+      doubt_list_query (list, &number, start + TIMER_SEC (12), out, 8), 0);
+}
+
+/* As many upstreams as there may be, and then one more.  */
+static void
+test_list_bounds (void)
+{
+  struct doubt_list *list = doubt_list_create (test_pool);
+  apr_time_t start = TIMER_SEC (1000);
+  char id[16];
+  for (int i = 0; i <= DOUBT_LIST_MAX; i++)
+    {
+      snprintf (id, sizeof id, "u%d", i);
+      struct doubt_news news = { str_from (id), 1, start, DOUBT_UNSETTLED };
+      CU_ASSERT_EQUAL (doubt_list_add (list, &news, start),
+                       i < DOUBT_LIST_MAX);
+    }
+  struct doubt_news later
+      = { STR ("later"), 1, start + TIMER_SEC (11), DOUBT_UNSETTLED };
+  CU_ASSERT (doubt_list_add (list, &later, start + TIMER_SEC (11)));
+}
+
+const struct unit_test doubt_tests[]
+    = { { "an upstream that contact was lost with is held for cold until it "
+          "is known",
+          test_doubt },
+        { "a doubt ends when the store shows that the upstream is there",
+          test_end_of_doubt },
+        { "what was sent before an upstream became cold counts",
+          test_first_second },
+        { "news of doubts are passed on once", test_list },
+        { "the list of doubts is bounded", test_list_bounds },
+        { NULL, NULL } };
--- a/tests/unit/platform_test.c
+++ b/tests/unit/platform_test.c
@@ -48,6 +48,8 @@
   CU_ASSERT_EQUAL (look->weighted_service_count, 2);
   CU_ASSERT (plan_route_allows_region (look, STR ("south")));
   CU_ASSERT_EQUAL (plan_service (plan, STR ("desk"))->cold_time, 3500000);
+  CU_ASSERT (str_equal (plan_service (plan, STR ("desk"))->health_path,
+                        STR ("/healthz")));
   CU_ASSERT_EQUAL (plan_limits (plan)->body_bytes, 100);
   plan_unref (plan);
 }
