Checks of upstreams: a failing one says too whether it is cold

A check that got 503 was repeated for ten seconds, also from an upstream that is leaving or unhealthy and says nothing else in its next response. Only a rejected check (the upstream is full) says nothing of the upstream.

--- a/src/gateway/verify.c
+++ b/src/gateway/verify.c
@@ -17,8 +17,7 @@
   TRIES_MAX = FAST_TRIES + 7,
   INTERVAL_MS = 1000,
   TIMEOUT_MS = 500, /* a check that waits for a slot says nothing in time */
-  RESPONSE_MAX_BYTES = 4096,
-  HTTP_OK = 200
+  RESPONSE_MAX_BYTES = 4096
 };
 
 /* types */
@@ -83,9 +82,10 @@
   bool is_other = id.size > 0 && !str_equal (id, check->upstream->id);
   if (response->refused || is_other)
     desc->gone (desc->user_data, check->upstream);
-  /* One that is full rejects health checks as it rejects requests.  */
+  /* One that is full rejects health checks as it rejects requests.  One that
+     fails says all the same whether it is cold.  */
   if (response->status == 0 || is_other || id.size == 0
-      || (response->status != HTTP_OK && cold_left == 0))
+      || http_response_header (response, PLATFORM_NOT_EXECUTED).size > 0)
     {
       ask_later (check);
       return;
