Send news of cold upstreams to the entries that ask a reader, not when they ask next

An entry heard of a restart with its next exchange, up to half a second later; an upstream that is away for 0.3 s is back by then. Readers now send news on at once (each 0.1 s at most) to the entries that ask them, and eight entries instead of five may send to a cold upstream, as hardly any are left that don't know.

--- /dev/null
+++ b/src/gateway/doubt_queue.c
@@ -0,0 +1,148 @@
+#include "gateway/doubt_queue.h"
+
+#include "base/timer.h"
+
+#include <stdio.h>
+#include <string.h>
+
+/* constants */
+
+enum
+{
+  ID_MAX_BYTES = 60, /* leaves space for three numbers in DOUBT_NEWS_BYTES */
+  US_PER_MS = APR_USEC_PER_SEC / 1000
+};
+
+/* types */
+
+struct item
+{
+  char id[ID_MAX_BYTES];
+  struct doubt_news news; /* whose id is the one above */
+  bool is_relayed;
+};
+
+struct doubt_queue
+{
+  struct item items[DOUBT_QUEUE_MAX]; /* ring buffer */
+  size_t first;
+  size_t count;
+};
+
+/* private functions */
+
+/* Returns whether ID can be part of a URL as it is.  */
+static bool
+is_plain (struct str id)
+{
+  for (size_t i = 0; i < id.size; i++)
+    if (id.data[i] == 0
+        || !strchr ("ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz"
+                    "0123456789-_.",
+                    id.data[i]))
+      return false;
+  return id.size > 0;
+}
+
+/* Splits the number before the next SEPARATOR off *TEXT; 0 if there is none.
+ */
+static int64_t
+take_number (struct str *text, char separator)
+{
+  int64_t number = 0;
+  size_t i = 0;
+  bool is_negative = text->size > 0 && text->data[0] == '-';
+  for (i = is_negative; i < text->size && text->data[i] >= '0'
+                        && text->data[i] <= '9' && number < INT64_MAX / 100;
+       i++)
+    number = number * 10 + (text->data[i] - '0');
+  while (i < text->size && text->data[i] != separator)
+    i++;
+  i += i < text->size;
+  *text = str_view (text->data + i, text->size - i);
+  return is_negative ? -number : number;
+}
+
+/* public functions */
+
+struct doubt_queue *
+doubt_queue_create (apr_pool_t *pool)
+{
+  return apr_pcalloc (pool, sizeof (struct doubt_queue));
+}
+
+void
+doubt_queue_add (struct doubt_queue *queue, const struct doubt_news *news,
+                 bool is_relayed)
+{
+  if (queue->count == DOUBT_QUEUE_MAX || news->id.size > ID_MAX_BYTES
+      || !is_plain (news->id))
+    return;
+  struct item *item
+      = &queue->items[(queue->first + queue->count++) % DOUBT_QUEUE_MAX];
+  memcpy (item->id, news->id.data, news->id.size);
+  item->news = *news;
+  item->news.id = str_view (item->id, news->id.size);
+  item->is_relayed = is_relayed;
+}
+
+bool
+doubt_queue_is_empty (const struct doubt_queue *queue)
+{
+  return queue->count == 0;
+}
+
+const char *
+doubt_queue_text (const struct doubt_queue *queue, bool without_relayed,
+                  apr_time_t now, size_t *count, apr_pool_t *pool)
+{
+  *count = queue->count < DOUBT_QUEUE_BATCH ? queue->count : DOUBT_QUEUE_BATCH;
+  char *text = apr_palloc (pool, *count * DOUBT_NEWS_BYTES + 1);
+  size_t size = 0;
+  for (size_t i = 0; i < *count; i++)
+    {
+      const struct item *item
+          = &queue->items[(queue->first + i) % DOUBT_QUEUE_MAX];
+      if (!without_relayed || !item->is_relayed)
+        size += doubt_news_write (text + size, &item->news, now);
+    }
+  text[size] = 0;
+  return text;
+}
+
+void
+doubt_queue_drop (struct doubt_queue *queue, size_t count)
+{
+  queue->first = (queue->first + count) % DOUBT_QUEUE_MAX;
+  queue->count -= count;
+}
+
+size_t
+doubt_news_write (char *text, const struct doubt_news *news, apr_time_t now)
+{
+  int size = snprintf (text, DOUBT_NEWS_BYTES, "%.*s,%lld,%lld,%lld;",
+                       STR_ARGS (news->id), (long long)news->incarnation,
+                       (long long)((now - news->at) / US_PER_MS),
+                       news->cold_left == DOUBT_UNSETTLED
+                           ? (long long)DOUBT_UNSETTLED
+                           : (long long)(news->cold_left / US_PER_MS));
+  return size > 0 && size < DOUBT_NEWS_BYTES ? (size_t)size : 0;
+}
+
+bool
+doubt_news_read (struct str *text, struct doubt_news *news, apr_time_t now)
+{
+  size_t size = 0;
+  while (size < text->size && text->data[size] != ',')
+    size++;
+  if (text->size == 0)
+    return false;
+  news->id = str_view (text->data, size);
+  size += size < text->size;
+  *text = str_view (text->data + size, text->size - size);
+  news->incarnation = take_number (text, ',');
+  news->at = now - take_number (text, ',') * US_PER_MS;
+  int64_t cold_ms = take_number (text, ';');
+  news->cold_left = cold_ms < 0 ? DOUBT_UNSETTLED : cold_ms * US_PER_MS;
+  return true;
+}
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -19,7 +19,7 @@
 
 enum
 {
-  COLD_SENDERS_MAX = 5,     /* entries that may send to one cold upstream */
+  COLD_SENDERS_MAX = 8,     /* entries that may send to one cold upstream */
   SETTINGS_CHECK_MS = 2000, /* between two checks of the file; a stat so
                                seldom costs nothing */
   TICK_MS = 100,            /* between two updates of the load of regions */
@@ -325,6 +325,13 @@
   return registry_reader_addresses (gateway->registry, out, max_count);
 }
 
+static size_t
+client_addresses (void *user_data, struct str *out, size_t max_count)
+{
+  struct gateway *gateway = user_data;
+  return registry_client_addresses (gateway->registry, out, max_count);
+}
+
 static struct str
 health_path (void *user_data, struct str name)
 {
@@ -612,7 +619,8 @@
                                             .fleet = gateway->fleet,
                                             .name = gateway->settings.name,
                                             .reader_address = reader_address,
-                                            .hubs = reader_addresses,
+                                            .readers = reader_addresses,
+                                            .clients = client_addresses,
                                             .user_data = gateway };
   gateway->reachability = reachability_create (gateway->pool, &reachability);
   struct verify_desc verify = { .loop = gateway->loop,
--- a/src/gateway/lookup.c
+++ b/src/gateway/lookup.c
@@ -152,7 +152,8 @@
           .from = httpd_query_parameter (connection, reachability_from),
           .doubts = httpd_query_parameter (connection, reachability_doubts),
           .after = httpd_query_parameter (connection, reachability_after),
-          .hub = httpd_query_parameter (connection, reachability_hub) };
+          .relayed
+          = httpd_query_parameter (connection, reachability_relayed) };
   struct str text
       = reachability_handle (gateway->reachability, &message, pool);
   enum MHD_Result result = respond_text (connection, HTTP_OK, text);
--- a/src/gateway/reachability.c
+++ b/src/gateway/reachability.c
@@ -1,7 +1,7 @@
 #include "gateway/reachability.h"
 
-#include "fleet/doubt_list.h"
 #include "fleet/unreachable.h"
+#include "gateway/doubt_queue.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -17,13 +17,11 @@
   PENDING_MAX = 64, /* reports between two exchanges; further ones are
                        dropped */
   RESPONSE_MAX_BYTES = 64 * 1024,
-  REPORT_MAX_BYTES = 96,   /* of one report or warning as text */
-  NEWS_MS = 20,            /* collects what becomes known at the same moment */
-  NEWS_MAX = 64,           /* in one message; the rest follows */
-  NEWS_PENDING_MAX = 1024, /* not sent yet; further ones are dropped */
-  NEWS_MAX_BYTES = 128,    /* of one as text */
-  NUMBER_MAX_BYTES = 21,   /* of a number as text */
-  HUBS_MAX = 128,          /* two readers in each of 64 regions */
+  REPORT_MAX_BYTES = 96,  /* of one report or warning as text */
+  NEWS_MS = 20,           /* collects what becomes known at the same moment */
+  NEWS_INTERVAL_MS = 100, /* between two messages, if there are many news */
+  RECEIVERS_MAX = 1024,   /* of news: readers of other regions, and the entries
+                             that this one reads for */
   HTTP_OK = 200
 };
 
@@ -32,7 +30,7 @@
 const char reachability_from[] = "from";
 const char reachability_doubts[] = "doubts";
 const char reachability_after[] = "after";
-const char reachability_hub[] = "hub";
+const char reachability_relayed[] = "relayed";
 
 /* types */
 
@@ -45,13 +43,12 @@
   struct timer timer;
   struct timer news_timer;
   bool news_scheduled;
-  char (*news)[NEWS_MAX_BYTES]; /* ring buffer, "ID,INCARNATION,AT,COLD" */
-  size_t news_first;
-  size_t news_count;
-  size_t news_sent;            /* of them, in the exchange in progress */
-  size_t reader_number;        /* asked next */
-  char reader[NEWS_MAX_BYTES]; /* address of the latest one asked */
-  int64_t reader_after;        /* number of the latest news from there */
+  apr_time_t news_sent_at; /* the latest ones */
+  struct doubt_queue *news;
+  size_t news_in_call;           /* of them, in the exchange in progress */
+  size_t reader_number;          /* asked next */
+  char reader[REPORT_MAX_BYTES]; /* address of the latest one asked */
+  int64_t reader_after;          /* number of the latest news from there */
   uint64_t name_hash;
   bool call_in_progress;
   struct
@@ -62,7 +59,7 @@
   struct counter *reports;
   struct counter *warnings;
   struct counter *doubts_heard;
-  struct counter *hub_failures;
+  struct counter *lost_messages;
 };
 
 /* private functions */
@@ -123,19 +120,6 @@
   return true;
 }
 
-/* Returns the news as text, with the time as an age.  */
-static int
-format_news (char *text, const struct doubt_news *news, apr_time_t now)
-{
-  return snprintf (
-      text, NEWS_MAX_BYTES, "%.*s,%lld,%lld,%lld;", STR_ARGS (news->id),
-      (long long)news->incarnation,
-      (long long)((now - news->at) / (APR_USEC_PER_SEC / 1000)),
-      news->cold_left == DOUBT_UNSETTLED
-          ? -1LL
-          : (long long)(news->cold_left / (APR_USEC_PER_SEC / 1000)));
-}
-
 /* Applies NEWS to the upstream that it is about.  */
 static void
 apply_news (struct reachability *reachability, const struct doubt_news *news,
@@ -156,50 +140,46 @@
 static void
 schedule_news (struct reachability *reachability)
 {
-  if (reachability->news_scheduled || reachability->news_count == 0)
+  if (reachability->news_scheduled
+      || doubt_queue_is_empty (reachability->news))
     return;
+  apr_time_t now = timer_clock ();
+  apr_time_t at = reachability->news_sent_at + TIMER_MS (NEWS_INTERVAL_MS);
+  if (at < now + TIMER_MS (NEWS_MS))
+    at = now + TIMER_MS (NEWS_MS);
   reachability->news_scheduled = true;
   timer_start (loop_timers (reachability->desc.loop),
-               &reachability->news_timer, timer_clock () + TIMER_MS (NEWS_MS),
-               on_news_due, reachability);
+               &reachability->news_timer, at, on_news_due, reachability);
+}
+
+/* Returns whether this entry passes news on to others: it has no reader.  */
+static bool
+is_hub (const struct reachability *reachability)
+{
+  return reachability->desc
+             .reader_address (reachability->desc.user_data,
+                              reachability->reader_number)
+             .size
+         == 0;
 }
 
-/* Adds NEWS, of this entry or another one, and passes it on unless it comes
-   from an entry that has sent it to all it concerns.  */
+/* Adds NEWS, of this entry or another one, and passes them on.  IS_RELAYED:
+   they come from an entry that has sent them to all entries without a
+   reader.  */
 static void
 add_news (struct reachability *reachability, const struct doubt_news *news,
-          bool is_from_hub, apr_time_t now)
+          bool is_relayed, apr_time_t now)
 {
   if (!doubt_list_add (reachability->doubts, news, now))
     return;
   if (news->cold_left != DOUBT_UNSETTLED)
     unreachable_forget (reachability->list, news->id, news->incarnation);
-  if (is_from_hub || !is_plain (news->id)
-      || news->id.size + sizeof ",,," + 3 * NUMBER_MAX_BYTES > NEWS_MAX_BYTES
-      || reachability->news_count == NEWS_PENDING_MAX)
+  if (is_relayed && !is_hub (reachability))
     return;
-  size_t place = (reachability->news_first + reachability->news_count++)
-                 % NEWS_PENDING_MAX;
-  format_news (reachability->news[place], news, now);
+  doubt_queue_add (reachability->news, news, is_relayed);
   schedule_news (reachability);
 }
 
-/* Reads the news in TEXT into NEWS; returns false at the end.  */
-static bool
-read_news (struct str *text, struct doubt_news *news, apr_time_t now)
-{
-  if (text->size == 0)
-    return false;
-  struct str line = next_field (text, ';');
-  news->id = next_field (&line, ',');
-  news->incarnation = number_in (next_field (&line, ','));
-  news->at = now - TIMER_MS (number_in (next_field (&line, ',')));
-  news->cold_left = str_starts_with (line, STR ("-"))
-                        ? DOUBT_UNSETTLED
-                        : TIMER_MS (number_in (line));
-  return true;
-}
-
 static void
 on_exchanged (void *user_data, const struct http_response *response)
 {
@@ -211,10 +191,7 @@
       schedule_news (reachability);
       return;
     }
-  reachability->news_first
-      = (reachability->news_first + reachability->news_sent)
-        % NEWS_PENDING_MAX;
-  reachability->news_count -= reachability->news_sent;
+  doubt_queue_drop (reachability->news, reachability->news_in_call);
   schedule_news (reachability);
   apr_time_t now = timer_clock ();
   struct str text = response->body;
@@ -231,36 +208,13 @@
     return;
   struct doubt_news news;
   reachability->reader_after = number_in (next_field (&text, '|'));
-  while (read_news (&text, &news, now))
+  while (doubt_news_read (&text, &news, now))
     {
       doubt_list_add (reachability->doubts, &news, now);
       apply_news (reachability, &news, now);
     }
 }
 
-/* Returns the first NEWS_MAX of the pending news as text in POOL, and sets
-   COUNT.  */
-static char *
-pending_news (const struct reachability *reachability, size_t *count,
-              apr_pool_t *pool)
-{
-  *count = reachability->news_count < NEWS_MAX ? reachability->news_count
-                                               : NEWS_MAX;
-  char *text = apr_palloc (pool, *count * NEWS_MAX_BYTES + 1);
-  size_t size = 0;
-  for (size_t i = 0; i < *count; i++)
-    {
-      const char *news
-          = reachability
-                ->news[(reachability->news_first + i) % NEWS_PENDING_MAX];
-      size_t length = strlen (news);
-      memcpy (text + size, news, length);
-      size += length;
-    }
-  text[size] = 0;
-  return text;
-}
-
 /* Sends the pending reports and news to the reader at ADDRESS.  */
 static void
 send_reports (struct reachability *reachability, struct str address)
@@ -277,7 +231,9 @@
                 STR_ARGS (address));
       reachability->reader_after = 0;
     }
-  char *news = pending_news (reachability, &reachability->news_sent, pool);
+  const char *news
+      = doubt_queue_text (reachability->news, true, timer_clock (),
+                          &reachability->news_in_call, pool);
   struct http_request request
       = { .url
           = str_format (pool, "http://%s%s?%s=%s&%s=%s&%s=%s&%s=%lld",
@@ -294,39 +250,52 @@
 }
 
 static void
-on_sent_to_hub (void *user_data, const struct http_response *response)
+on_news_sent (void *user_data, const struct http_response *response)
 {
   struct reachability *reachability = user_data;
-  counter_add (reachability->hub_failures, response->status != HTTP_OK);
+  counter_add (reachability->lost_messages, response->status != HTTP_OK);
 }
 
-/* Sends the pending news to all other entries that have no reader.  */
+/* Sends NEWS, text, to COUNT entries.  */
 static void
-send_to_hubs (struct reachability *reachability)
+send_news (struct reachability *reachability, const char *news,
+           const struct str *receivers, size_t count, apr_pool_t *pool)
 {
-  struct str hubs[HUBS_MAX];
-  size_t sent;
-  apr_pool_t *pool;
-  apr_pool_create (&pool, reachability->pool);
-  size_t count
-      = reachability->desc.hubs (reachability->desc.user_data, hubs, HUBS_MAX);
-  char *news = pending_news (reachability, &sent, pool);
-  for (size_t i = 0; i < count; i++)
+  for (size_t i = 0; news[0] && i < count; i++)
     {
       struct http_request request
           = { .url
-              = str_format (pool, "http://%s%s?%s=%s&%s=%s&%s=1", hubs[i].data,
-                            reachability_path, reachability_from,
-                            reachability->desc.name.data, reachability_doubts,
-                            news, reachability_hub),
+              = str_format (pool, "http://%s%s?%s=%s&%s=%s&%s=1",
+                            receivers[i].data, reachability_path,
+                            reachability_from, reachability->desc.name.data,
+                            reachability_doubts, news, reachability_relayed),
               .timeout_ms = TIMEOUT_MS,
               .max_response_bytes = RESPONSE_MAX_BYTES };
-      http_client_send (reachability->desc.client, &request, on_sent_to_hub,
+      http_client_send (reachability->desc.client, &request, on_news_sent,
                         reachability);
     }
-  reachability->news_first
-      = (reachability->news_first + sent) % NEWS_PENDING_MAX;
-  reachability->news_count -= sent;
+}
+
+/* As an entry without a reader, sends the pending news to all others without
+   one, unless they have them, and to the entries that this one reads for.  */
+static void
+pass_news_on (struct reachability *reachability)
+{
+  const struct reachability_desc *desc = &reachability->desc;
+  apr_time_t now = timer_clock ();
+  apr_pool_t *pool;
+  size_t count;
+  apr_pool_create (&pool, reachability->pool);
+  struct str *receivers = apr_palloc (pool, RECEIVERS_MAX * sizeof *receivers);
+  send_news (reachability,
+             doubt_queue_text (reachability->news, true, now, &count, pool),
+             receivers,
+             desc->readers (desc->user_data, receivers, RECEIVERS_MAX), pool);
+  send_news (reachability,
+             doubt_queue_text (reachability->news, false, now, &count, pool),
+             receivers,
+             desc->clients (desc->user_data, receivers, RECEIVERS_MAX), pool);
+  doubt_queue_drop (reachability->news, count);
   apr_pool_destroy (pool);
 }
 
@@ -341,13 +310,13 @@
 static void
 on_news_due (void *user_data, apr_time_t now)
 {
-  (void)now;
   struct reachability *reachability = user_data;
   reachability->news_scheduled = false;
+  reachability->news_sent_at = now;
   struct str address = reader_address (reachability);
   if (address.size == 0)
     {
-      send_to_hubs (reachability);
+      pass_news_on (reachability);
       schedule_news (reachability);
     }
   else if (!reachability->call_in_progress)
@@ -388,8 +357,7 @@
   reachability->pool = pool;
   reachability->list = unreachable_create (pool);
   reachability->doubts = doubt_list_create (pool);
-  reachability->news
-      = apr_pcalloc (pool, NEWS_PENDING_MAX * sizeof *reachability->news);
+  reachability->news = doubt_queue_create (pool);
   reachability->name_hash = XXH64 (desc->name.data, desc->name.size, 0);
   reachability->reports
       = counter_get (desc->counters, "citroncleat_unreachable_reports_total",
@@ -400,9 +368,9 @@
   reachability->doubts_heard = counter_get (
       desc->counters, "citroncleat_upstream_doubts_heard_total", "",
       "Doubts about upstreams that other entries began or settled.");
-  reachability->hub_failures = counter_get (
+  reachability->lost_messages = counter_get (
       desc->counters, "citroncleat_doubt_messages_lost_total", "",
-      "Messages on such doubts that an entry of another region did not get.");
+      "Messages on such doubts that another entry did not get.");
   timer_start (loop_timers (desc->loop), &reachability->timer,
                timer_clock () + TIMER_MS (EXCHANGE_MS), on_exchange_due,
                reachability);
@@ -466,14 +434,11 @@
   struct doubt_news *news = apr_palloc (pool, DOUBT_NEWS_MAX * sizeof *news);
   size_t count = doubt_list_query (reachability->doubts, &after, now, news,
                                    DOUBT_NEWS_MAX);
-  char *text = apr_palloc (pool, (count + 1) * NEWS_MAX_BYTES);
+  char *text = apr_palloc (pool, (count + 1) * DOUBT_NEWS_BYTES);
   size_t size
-      = (size_t)snprintf (text, NEWS_MAX_BYTES, "%lld|", (long long)after);
+      = (size_t)snprintf (text, DOUBT_NEWS_BYTES, "%lld|", (long long)after);
   for (size_t i = 0; i < count; i++)
-    {
-      int length = format_news (text + size, &news[i], now);
-      size += length < NEWS_MAX_BYTES ? (size_t)length : 0;
-    }
+    size += doubt_news_write (text + size, &news[i], now);
   return str_view (text, size);
 }
 
@@ -496,12 +461,12 @@
       unreachable_report (reachability->list, &report, now);
     }
   struct doubt_news news;
-  while (read_news (&doubts, &news, now))
+  while (doubt_news_read (&doubts, &news, now))
     {
-      add_news (reachability, &news, message->hub.size > 0, now);
+      add_news (reachability, &news, message->relayed.size > 0, now);
       apply_news (reachability, &news, now);
     }
-  if (message->hub.size > 0)
+  if (message->relayed.size > 0)
     return STR ("");
   struct unreachable_warning warnings[UNREACHABLE_MAX];
   size_t count
--- a/src/gateway/reachability.h
+++ b/src/gateway/reachability.h
@@ -4,10 +4,10 @@
    Twice a second an entry sends what it found out since the last time to one
    of its readers, and gets the list of all that the reader knows; a reader
    adds to its own list.  News of upstreams that may have started again don't
-   wait for that: an entry sends them at once, and its reader to all other
-   entries that have no reader, in all regions.  If no reader responds, an
-   entry relies on what it finds out itself, as it does for upstreams that only
-   one entry can't reach.
+   wait for that: an entry sends them at once to its reader, the reader to the
+   readers of all regions, and each of these to the entries that ask it.  If no
+   reader responds, an entry relies on what it finds out itself, as it does for
+   upstreams that only one entry can't reach.
 
      reachability = reachability_create (pool, &desc);
      reachability_report (reachability, upstream, is_certain);
@@ -39,21 +39,23 @@
   /* Returns the address of the reader NUMBER, 0 or 1, or an empty string if
      this entry has none.  */
   struct str (*reader_address) (void *user_data, size_t number);
-  /* Fills OUT with the addresses of up to MAX_COUNT other entries that have no
-     reader; returns how many.  */
-  size_t (*hubs) (void *user_data, struct str *out, size_t max_count);
+  /* Fill OUT with the addresses of up to MAX_COUNT other entries, and return
+     how many: all that have no reader, and those that have this one.  */
+  size_t (*readers) (void *user_data, struct str *out, size_t max_count);
+  size_t (*clients) (void *user_data, struct str *out, size_t max_count);
   void *user_data;
 };
 
 /* Path of the listener for other entries, and its query parameters.  */
 extern const char reachability_path[];
-extern const char reachability_seen[];   /* what the sender could not reach */
-extern const char reachability_from[];   /* the sender's name */
-extern const char reachability_doubts[]; /* its news of doubts */
-extern const char reachability_after[];  /* number of the latest news of the
-                                            receiver that it has */
-extern const char reachability_hub[];    /* 1: it has no reader, and sends its
-                                            news to all others that have none */
+extern const char reachability_seen[];    /* what the sender could not reach */
+extern const char reachability_from[];    /* the sender's name */
+extern const char reachability_doubts[];  /* its news of doubts */
+extern const char reachability_after[];   /* number of the latest news of the
+                                             receiver that it has */
+extern const char reachability_relayed[]; /* 1: it has no reader, and sends its
+                                             news to all others that have none;
+                                             no response is wanted */
 
 /* The query parameters of an exchange, as received.  */
 struct reachability_message
@@ -62,7 +64,7 @@
   struct str from;
   struct str doubts;
   struct str after;
-  struct str hub;
+  struct str relayed;
 };
 
 /* Creates the module in POOL and begins to exchange.  */
--- a/tests/unit/doubt_test.c
+++ b/tests/unit/doubt_test.c
@@ -3,6 +3,7 @@
 #include "base/timer.h"
 #include "fleet/doubt_list.h"
 #include "fleet/fleet.h"
+#include "gateway/doubt_queue.h"
 #include "tests/unit/unit.h"
 
 static struct fleet *fleet;
@@ -270,6 +271,95 @@
   CU_ASSERT (doubt_list_add (list, &later, start + TIMER_SEC (11)));
 }
 
+/* What is read from the text of news is what was written, with times as ages
+   in milliseconds.  */
+static void
+test_text (void)
+{
+  static const struct
+  {
+    const char *id;
+    int64_t incarnation;
+    int64_t age_ms;
+    int64_t cold_ms; /* -1: a doubt */
+    bool is_relayed;
+    bool is_sent;
+  } cases[] = { { "i-1", 17, 0, -1, false, true },
+                { "i-2", 0, 250, 2500, false, true },
+                { "i-3", INT64_MAX / 200, 9000, 0, false, true },
+                { "i-4", 17, 0, -1, true, true },
+                { "i 5", 17, 0, -1, false, false },
+                { "i;6", 17, 0, -1, false, false },
+                { "", 17, 0, -1, false, false } };
+  struct doubt_queue *queue = doubt_queue_create (test_pool);
+  apr_time_t start = TIMER_SEC (1000);
+  struct doubt_news news;
+  size_t sent = 0;
+  size_t relayed = 0;
+  size_t count;
+  for (size_t i = 0; i < COUNT (cases); i++)
+    {
+      news = (struct doubt_news){ str_from (cases[i].id), cases[i].incarnation,
+                                  start - TIMER_MS (cases[i].age_ms),
+                                  cases[i].cold_ms < 0
+                                      ? DOUBT_UNSETTLED
+                                      : TIMER_MS (cases[i].cold_ms) };
+      doubt_queue_add (queue, &news, cases[i].is_relayed);
+    }
+  /* The age grows while news wait to be sent.  */
+  apr_time_t sent_at = start + TIMER_SEC (1);
+  struct str text
+      = str_from (doubt_queue_text (queue, false, sent_at, &count, test_pool));
+  for (size_t i = 0; i < COUNT (cases); i++)
+    if (cases[i].is_sent)
+      {
+        sent++;
+        relayed += cases[i].is_relayed;
+        CU_ASSERT (doubt_news_read (&text, &news, sent_at));
+        CU_ASSERT (str_equal (news.id, str_from (cases[i].id)));
+        CU_ASSERT_EQUAL (news.incarnation, cases[i].incarnation);
+        CU_ASSERT_EQUAL (news.at, start - TIMER_MS (cases[i].age_ms));
+        CU_ASSERT_EQUAL (news.cold_left, cases[i].cold_ms < 0
+                                             ? DOUBT_UNSETTLED
+                                             : TIMER_MS (cases[i].cold_ms));
+      }
+  CU_ASSERT_FALSE (doubt_news_read (&text, &news, sent_at));
+  CU_ASSERT_EQUAL (count, sent);
+  text = str_from (doubt_queue_text (queue, true, sent_at, &count, test_pool));
+  CU_ASSERT_EQUAL (count, sent);
+  for (size_t i = relayed; i < sent; i++)
+    CU_ASSERT (doubt_news_read (&text, &news, sent_at));
+  CU_ASSERT_FALSE (doubt_news_read (&text, &news, sent_at));
+  doubt_queue_drop (queue, sent);
+  CU_ASSERT (doubt_queue_is_empty (queue));
+}
+
+/* News beyond the queue's size are dropped, and those in it come in order, in
+   as many messages as they need.  */
+static void
+test_queue_bounds (void)
+{
+  struct doubt_queue *queue = doubt_queue_create (test_pool);
+  size_t received = 0;
+  size_t count;
+  for (int i = 0; i < DOUBT_QUEUE_MAX + 10; i++)
+    {
+      struct doubt_news news = { STR ("i-1"), i, 0, DOUBT_UNSETTLED };
+      doubt_queue_add (queue, &news, false);
+    }
+  while (!doubt_queue_is_empty (queue))
+    {
+      struct doubt_news news;
+      struct str text
+          = str_from (doubt_queue_text (queue, false, 0, &count, test_pool));
+      CU_ASSERT (count <= DOUBT_QUEUE_BATCH);
+      while (doubt_news_read (&text, &news, 0))
+        CU_ASSERT_EQUAL (news.incarnation, (int64_t)received++);
+      doubt_queue_drop (queue, count);
+    }
+  CU_ASSERT_EQUAL (received, DOUBT_QUEUE_MAX);
+}
+
 const struct unit_test doubt_tests[]
     = { { "an upstream that contact was lost with is held for cold until it "
           "is known",
@@ -280,4 +370,6 @@
           test_first_second },
         { "news of doubts are passed on once", test_list },
         { "the list of doubts is bounded", test_list_bounds },
+        { "news arrive as they were sent", test_text },
+        { "the queue of news is bounded", test_queue_bounds },
         { NULL, NULL } };
--- a/tests/unit/registry_test.c
+++ b/tests/unit/registry_test.c
@@ -51,6 +51,16 @@
   return registry;
 }
 
+/* Returns the mask of the entries whose addresses are in LIST.  */
+static int
+mask_of (const struct str *list, size_t count)
+{
+  int mask = 0;
+  for (size_t i = 0; i < count; i++)
+    mask |= 1 << (list[i].data[7] - '0');
+  return mask;
+}
+
 /* Every entry either reads the store itself or asks two that do.  In each
    region of more than two entries two read: the one of largest capacity, and
    the one of largest capacity in another zone, if there is one.  Were entries
@@ -115,6 +125,9 @@
       int reader_count = 0;
       int reader_mask = 0;
       int asked_mask = 0;
+      int others[ENTRIES_MAX] = { 0 };   /* readers that each reader knows */
+      int clients[ENTRIES_MAX] = { 0 };  /* of each reader */
+      int first_of[ENTRIES_MAX] = { 0 }; /* mask of the reader asked first */
       for (int e = 0; e < cases[c].count; e++)
         {
           /* An entry knows that it is leaving from its own state, not from
@@ -126,6 +139,11 @@
               = make_registry (e, cases[c].entries, cases[c].count, &settings);
           struct str first = registry_reader_address (registry, 0);
           struct str second = registry_reader_address (registry, 1);
+          struct str list[ENTRIES_MAX];
+          others[e] = mask_of (
+              list, registry_reader_addresses (registry, list, ENTRIES_MAX));
+          clients[e] = mask_of (
+              list, registry_client_addresses (registry, list, ENTRIES_MAX));
           if (first.size == 0)
             {
               reader_count++;
@@ -134,13 +152,24 @@
           else
             {
               CU_ASSERT_FALSE (str_equal (first, second));
-              asked_mask |= 1 << (first.data[7] - '0');
+              first_of[e] = mask_of (&first, 1);
+              asked_mask |= first_of[e];
               asked_mask |= 1 << (second.data[7] - '0');
             }
           registry_destroy (registry);
         }
       CU_ASSERT_EQUAL (reader_count, cases[c].readers);
       CU_ASSERT_EQUAL (reader_mask & cases[c].required, cases[c].required);
+      /* News reach every entry, from the reader that it asks first.  */
+      for (int e = 0; e < cases[c].count; e++)
+        {
+          CU_ASSERT (!(reader_mask & 1 << e)
+                     || others[e] == (reader_mask & ~(1 << e)));
+          for (int r = 0; r < cases[c].count; r++)
+            CU_ASSERT_EQUAL ((clients[r] & 1 << e) != 0
+                                 && !cases[c].entries[e].leaving,
+                             first_of[e] == 1 << r);
+        }
       /* Only entries that read are asked.  */
       CU_ASSERT_EQUAL (asked_mask & ~reader_mask, 0);
       if (reader_count != cases[c].readers || (asked_mask & ~reader_mask) != 0)
