Count what is sent to a cold upstream in any second, not by a token bucket

Requests for which the cold upstream was the right one went elsewhere or were refused.

What an entry sent in the last second counts whether it held the upstream for warm or cold, and whether it was sent to this process or the one before. The result of taking a token, which nobody read, is gone with it.

--- a/src/balance/balance.c
+++ b/src/balance/balance.c
@@ -122,10 +122,8 @@
                                request->now))
     return false;
   if (fleet_is_cold (upstream, request->now)
-      && (upstream->cold_share <= 0
-          || !load_has_cold_token (load,
-                                   request->cold_rate * upstream->cold_share,
-                                   1.0, request->now)))
+      && load_sends_since (load, request->now - APR_USEC_PER_SEC)
+             >= upstream->cold_quota)
     return false;
   return load_in_flight (load, request->now) + 1.0 + request->reserved_slots
          <= (double)load->slots * (1.0 + max_queue) + slot_rounding;
--- a/src/balance/balance.h
+++ b/src/balance/balance.h
@@ -65,9 +65,6 @@
   double max_queue_per_slot;
   /* Slots of each upstream kept free for requests that are more urgent.  */
   double reserved_slots;
-  /* Requests per second that all entries together may send to a cold
-     upstream.  */
-  double cold_rate;
   /* Most requests of this entry at one upstream.  */
   int64_t max_in_flight;
   apr_time_t now;
--- a/src/balance/load.c
+++ b/src/balance/load.c
@@ -105,17 +105,6 @@
   load->observed_at = now;
 }
 
-/* Returns the tokens in the bucket now.  */
-static double
-available_cold_tokens (const struct load *load, double rate, double burst,
-                       apr_time_t now)
-{
-  double tokens
-      = load->cold_tokens
-        + rate * (double)(now - load->cold_tokens_at) / APR_USEC_PER_SEC;
-  return tokens < burst ? tokens : burst;
-}
-
 /* public functions */
 
 void
@@ -283,14 +272,6 @@
     load->answered_at = as_of;
 }
 
-void
-load_start_cold (struct load *load, apr_time_t now)
-{
-  load->cold_tokens
-      = load_sends_since (load, now - APR_USEC_PER_SEC) > 0 ? 0.0 : 1.0;
-  load->cold_tokens_at = now;
-}
-
 void
 load_inherit_sends (struct load *load, const struct load *old)
 {
@@ -339,22 +320,3 @@
 {
   return load->in_flight > 0 && now - load->last_activity_at > limit;
 }
-
-bool
-load_has_cold_token (const struct load *load, double rate, double burst,
-                     apr_time_t now)
-{
-  return available_cold_tokens (load, rate, burst, now) >= 1.0;
-}
-
-bool
-load_take_cold_token (struct load *load, double rate, double burst,
-                      apr_time_t now)
-{
-  double tokens = available_cold_tokens (load, rate, burst, now);
-  if (tokens < 1.0)
-    return false;
-  load->cold_tokens = tokens - 1.0;
-  load->cold_tokens_at = now;
-  return true;
-}
--- a/src/balance/load.h
+++ b/src/balance/load.h
@@ -74,9 +74,7 @@
   apr_time_t restricted_until;  /* the time that it stated, without a bound */
   int64_t restricted_requests;  /* begun in that time */
   apr_time_t recent_sends[LOAD_RECENT_SENDS]; /* ring buffer of the latest */
-  size_t sends;       /* in all; the next one's place in the ring */
-  double cold_tokens; /* token bucket of requests while it is cold */
-  apr_time_t cold_tokens_at;
+  size_t sends; /* in all; the next one's place in the ring */
 };
 
 /* Initializes the load of an upstream that has SLOTS and no requests.  */
@@ -139,22 +137,7 @@
 /* The upstream responded, AS_OF that time, to a health check of this entry or
    of another one: it is not avoided any more.  */
 void load_end_avoidance (struct load *load, apr_time_t as_of);
-/* The upstream counts as cold from NOW on.  The bucket below is then empty if
-   this entry sent a request there in the last second, else it holds one
-   token.  */
-void load_start_cold (struct load *load, apr_time_t now);
 /* Makes LOAD, of the next process of an upstream, continue what was sent to
    the process of OLD.  */
 void load_inherit_sends (struct load *load, const struct load *old);
-/* Takes a token for a request to a cold upstream, from a bucket that gets RATE
-   tokens per second, holds at most BURST, and is full at first.  Returns
-   false, and takes nothing, if there is none.  Called when the request is
-   sent.  */
-bool load_take_cold_token (struct load *load, double rate, double burst,
-                           apr_time_t now);
-/* Returns whether load_take_cold_token would succeed; balance/balance.h asks
-   before it chooses a cold upstream.  */
-bool load_has_cold_token (const struct load *load, double rate, double burst,
-                          apr_time_t now);
-
 #endif
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -347,7 +347,6 @@
              const struct fleet_record *record, int64_t revision,
              apr_time_t now)
 {
-  bool was_cold = fleet_is_cold (upstream, now);
   doubt_count_write (&upstream->doubt);
   upstream->record_is_cold = record->cold_remaining > 0;
   if (upstream->record_is_cold)
@@ -357,8 +356,6 @@
     }
   else if (revision > upstream->cold_revision)
     upstream->cold_until = 0;
-  if (!was_cold && fleet_is_cold (upstream, now))
-    load_start_cold (&upstream->load, now);
 }
 
 /* Removes UPSTREAM, whose record vanished, or starts its grace period if the
@@ -405,8 +402,6 @@
       struct fleet_upstream *upstream = apr_hash_this_val (i);
       if (upstream->zone != zone)
         continue;
-      if (!fleet_is_cold (upstream, now))
-        load_start_cold (&upstream->load, now);
       upstream->cold_until = now + cold_time;
       upstream->cold_revision = revision;
       if (why)
@@ -712,26 +707,20 @@
 
 bool
 fleet_doubt (struct fleet *fleet, struct fleet_upstream *upstream,
-             apr_time_t at, apr_time_t now)
+             apr_time_t at)
 {
-  bool was_cold = fleet_is_cold (upstream, now);
   if (!doubt_begin (&upstream->doubt, at))
     return false;
   fleet->has_doubts = true;
-  if (!was_cold)
-    load_start_cold (&upstream->load, now);
   return true;
 }
 
 bool
 fleet_settle (struct fleet_upstream *upstream, apr_time_t as_of,
-              apr_time_t cold_left, apr_time_t now)
+              apr_time_t cold_left)
 {
-  bool was_cold = fleet_is_cold (upstream, now);
   if (!doubt_settle (&upstream->doubt, as_of, as_of + cold_left))
     return false;
-  if (!was_cold && fleet_is_cold (upstream, now))
-    load_start_cold (&upstream->load, now);
   load_end_avoidance (&upstream->load, as_of);
   return true;
 }
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -114,10 +114,12 @@
                             later record ends that */
   bool record_is_cold;   /* the latest record said that it is cold */
   struct doubt doubt;    /* whether it may have started again since then */
-  double cold_share;     /* share of the requests to it while it is cold that
-                           falls to this entry, 0 to 1; set by the gateway */
-  uint64_t cold_share_version; /* of the list of entries for which `cold_share'
-                                  was computed; 0: not yet */
+  size_t rank;           /* of this entry among those that may send to it while
+                            it is cold, from 0; set by the gateway */
+  uint64_t rank_version; /* of the list of entries for which it was computed;
+                            0: not yet */
+  int64_t cold_quota;    /* requests that this entry may send to it in any
+                            second while it is cold; set by the gateway */
   struct load load;
   apr_time_t removed_at;
   struct fleet_upstream *next_remembered; /* removed one that is remembered for
@@ -221,11 +223,11 @@
    counts as cold until it is known what it is, see fleet/doubt.h.  Returns
    false if that changes nothing.  */
 bool fleet_doubt (struct fleet *fleet, struct fleet_upstream *upstream,
-                  apr_time_t at, apr_time_t now);
+                  apr_time_t at);
 /* UPSTREAM said, AS_OF that time, that it is cold for COLD_LEFT, 0: that it is
    not.  Returns false if something later is known.  */
 bool fleet_settle (struct fleet_upstream *upstream, apr_time_t as_of,
-                   apr_time_t cold_left, apr_time_t now);
+                   apr_time_t cold_left);
 /* Returns whether UPSTREAM is cold, as far as it is known, or may be.  */
 bool fleet_is_cold (const struct fleet_upstream *upstream, apr_time_t now);
 /* UPSTREAM, which may have been removed, said in a response that it is
--- a/src/gateway/attempts.c
+++ b/src/gateway/attempts.c
@@ -244,7 +244,7 @@
   struct gateway *gateway = request->gateway;
   struct fleet_upstream *upstream = request->upstream;
   apr_time_t now = timer_clock ();
-  if (upstream->removed || !fleet_doubt (gateway->fleet, upstream, now, now))
+  if (upstream->removed || !fleet_doubt (gateway->fleet, upstream, now))
     return;
   counter_add (gateway->doubts, 1);
   if (gateway_allow_log_line (gateway))
@@ -507,10 +507,6 @@
   request->upstream_slowdown = upstream->load.reported_slowdown > 0
                                    ? upstream->load.reported_slowdown
                                    : 1.0;
-  if (fleet_is_cold (upstream, now))
-    load_take_cold_token (&upstream->load,
-                          dispatch_cold_rate (request) * upstream->cold_share,
-                          1.0, now);
   load_begin_request (&upstream->load, now);
   request->load_is_counted = true;
   request->send_count++;
--- a/src/gateway/dispatch.c
+++ b/src/gateway/dispatch.c
@@ -25,10 +25,6 @@
 static const double initial_uncached_fraction = 0.85;
 /* Target latency of a route that has none configured.  */
 static const double default_target_us = 500000.0;
-/* Fraction that the entries together use of the rate allowed to a cold
-   upstream.  While entries have different views of which entries exist, they
-   may send twice as much.  */
-static const double cold_rate_fraction = 0.6;
 /* Requests for each slot that may be queued at an upstream.  Upstreams queue
    three to four before they refuse; the rest is left for what other entries
    send at the same time.  */
@@ -124,7 +120,6 @@
               && dispatch_utilization (request) > reserve_min_utilization
           ? reserved_slots
           : 0.0,
-    .cold_rate = dispatch_cold_rate (request),
     .max_in_flight = GATEWAY_UPSTREAM_REQUESTS_MAX,
     .now = timer_clock (),
     .excluded_count = request->tried_count,
@@ -357,13 +352,6 @@
   return load->slots > 0 ? load->busy / load->slots : 1.0;
 }
 
-double
-dispatch_cold_rate (const struct request *request)
-{
-  return dispatch_service (request)->cold_rate
-         * request->gateway->settings.cold.multiplier * cold_rate_fraction;
-}
-
 bool
 dispatch_is_turned_away (const struct request *request)
 {
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -2,6 +2,7 @@
    loop and handles signals, the periodic updates and the stop.  */
 #include "gateway/gateway.h"
 
+#include "balance/cold_quota.h"
 #include "call/limits.h"
 #include "gateway/internal.h"
 #include "platform/mirror.h"
@@ -19,7 +20,6 @@
 
 enum
 {
-  COLD_SENDERS_MAX = 8,     /* entries that may send to one cold upstream */
   SETTINGS_CHECK_MS = 2000, /* between two checks of the file; a stat so
                                seldom costs nothing */
   TICK_MS = 100,            /* between two updates of the load of regions */
@@ -88,25 +88,21 @@
       = budget_max_balance (retry->slack, registry_count (gateway->registry));
 }
 
-/* Returns how many entries may send to one cold upstream.  */
-static size_t
-cold_senders (const struct gateway *gateway)
-{
-  /* Each sender may send one request at the same moment, beyond the rate; the
-     slack must cover these.  */
-  double slack = gateway->settings.cold.slack;
-  return slack >= COLD_SENDERS_MAX ? (size_t)COLD_SENDERS_MAX
-         : slack >= 1              ? (size_t)slack
-                                   : 1;
-}
-
-/* Sets which fraction of the requests that a cold upstream can serve this
-   entry may send.  */
+/* Sets how many requests this entry may send to each cold one of UPSTREAMS,
+   of SERVICE, and asks those in doubt to which it sends what they are.  */
 static void
-share_cold_upstreams (struct gateway *gateway,
-                      const struct fleet_service *upstreams, apr_time_t now)
+update_cold_quotas (struct gateway *gateway,
+                    const struct service_state *service,
+                    const struct fleet_service *upstreams, apr_time_t now)
 {
-  size_t max_senders = cold_senders (gateway);
+  const struct plan *plan = store_sync_plan (gateway->store_sync);
+  const struct plan_service *planned
+      = plan ? plan_service (plan, service->name) : NULL;
+  const struct gateway_cold *cold = &gateway->settings.cold;
+  double max
+      = (planned ? planned->cold_rate : 0) * cold->multiplier + cold->slack;
+  struct cold_quota quota
+      = cold_quota_divide (max, registry_count (gateway->registry));
   uint64_t version = registry_version (gateway->registry);
   for (size_t g = 0; upstreams && g < upstreams->group_count; g++)
     for (size_t i = 0; i < upstreams->groups[g]->count; i++)
@@ -114,22 +110,29 @@
         struct fleet_upstream *upstream
             = upstreams->groups[g]->members[i].upstream;
         if (!fleet_is_cold (upstream, now))
-          continue;
-        /* Those that send to it find out what it is.  */
-        if (upstream->doubt.since > 0 && upstream->cold_share > 0)
-          verify_upstream (gateway->verify, upstream);
-        if (upstream->cold_share_version == version)
-          continue;
-        upstream->cold_share_version = version;
-        upstream->cold_share = registry_cold_share (
-            gateway->registry, upstream->hash, upstream->region, max_senders);
-        if (upstream->cold_share > 0 && gateway_allow_log_line (gateway))
-          LOG (LOG_INFO, "cold-share",
+          {
+            upstream->cold_quota = 0;
+            continue;
+          }
+        if (upstream->rank_version != version)
+          {
+            upstream->rank_version = version;
+            upstream->rank = registry_rank (gateway->registry, upstream->hash,
+                                            upstream->region);
+          }
+        bool may_send = upstream->rank < quota.senders;
+        if (may_send && upstream->cold_quota == 0
+            && gateway_allow_log_line (gateway))
+          LOG (LOG_INFO, "cold-quota",
                LOG_TEXT ("upstream", upstream->id.data),
                LOG_INT ("born", upstream->incarnation),
-               LOG_INT ("percent", (int64_t)(upstream->cold_share * 100)),
+               LOG_INT ("per_s", quota.per_sender),
+               LOG_INT ("senders", (int64_t)quota.senders),
                LOG_INT ("entries",
                         (int64_t)registry_count (gateway->registry)));
+        upstream->cold_quota = may_send ? quota.per_sender : 0;
+        if (may_send && upstream->doubt.since > 0)
+          verify_upstream (gateway->verify, upstream);
       }
 }
 
@@ -167,7 +170,7 @@
 
 /* Updates what depends on the state of the upstreams of SERVICE: the load of
    the regions, their fractions of the requests, the retry budget and the
-   shares of cold upstreams.  */
+   quotas of cold upstreams.  */
 static void
 update_service (struct gateway *gateway, struct service_state *service,
                 apr_time_t now)
@@ -182,7 +185,7 @@
   region_split_update (&service->region_split, service->region_loads, now);
   log_region_split (gateway, service, now);
   update_retry_budget (gateway, service);
-  share_cold_upstreams (gateway, upstreams, now);
+  update_cold_quotas (gateway, service, upstreams, now);
 }
 
 static void
@@ -359,7 +362,7 @@
   struct gateway *gateway = user_data;
   apr_time_t now = timer_clock ();
   apr_time_t since = upstream->doubt.since;
-  if (!fleet_settle (upstream, as_of, cold_left, now))
+  if (!fleet_settle (upstream, as_of, cold_left))
     return;
   gateway->upstreams_changed = true;
   reachability_report_settled (gateway->reachability, upstream, as_of,
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -297,9 +297,6 @@
 /* Returns the fraction of the slots in the request's region that is in use, 0
    to 1; 1 if there are none.  */
 double dispatch_utilization (const struct request *request);
-/* Returns the requests per second that all entries together may send to one
-   cold upstream of the request's service.  */
-double dispatch_cold_rate (const struct request *request);
 /* Returns whether all upstreams that may serve REQUEST have turned this entry
    away for a time.  */
 bool dispatch_is_turned_away (const struct request *request);
--- a/src/gateway/reachability.c
+++ b/src/gateway/reachability.c
@@ -122,16 +122,15 @@
 
 /* Applies NEWS to the upstream that it is about.  */
 static void
-apply_news (struct reachability *reachability, const struct doubt_news *news,
-            apr_time_t now)
+apply_news (struct reachability *reachability, const struct doubt_news *news)
 {
   struct fleet_upstream *upstream
       = fleet_find (reachability->desc.fleet, news->id);
   if (!upstream || upstream->incarnation != news->incarnation)
     return;
   if (news->cold_left == DOUBT_UNSETTLED
-          ? fleet_doubt (reachability->desc.fleet, upstream, news->at, now)
-          : fleet_settle (upstream, news->at, news->cold_left, now))
+          ? fleet_doubt (reachability->desc.fleet, upstream, news->at)
+          : fleet_settle (upstream, news->at, news->cold_left))
     counter_add (reachability->doubts_heard, 1);
 }
 
@@ -211,7 +210,7 @@
   while (doubt_news_read (&text, &news, now))
     {
       doubt_list_add (reachability->doubts, &news, now);
-      apply_news (reachability, &news, now);
+      apply_news (reachability, &news);
     }
 }
 
@@ -464,7 +463,7 @@
   while (doubt_news_read (&doubts, &news, now))
     {
       add_news (reachability, &news, message->relayed.size > 0, now);
-      apply_news (reachability, &news, now);
+      apply_news (reachability, &news);
     }
   if (message->relayed.size > 0)
     return STR ("");
--- a/src/gateway/registry.c
+++ b/src/gateway/registry.c
@@ -693,15 +693,6 @@
   return preceding;
 }
 
-double
-registry_cold_share (const struct registry *registry, uint64_t hash,
-                     struct str region, size_t max_senders)
-{
-  return registry_rank (registry, hash, region) < max_senders
-             ? 1.0 / (double)max_senders
-             : 0.0;
-}
-
 struct str
 registry_reader_address (const struct registry *registry, size_t number)
 {
--- a/src/gateway/registry.h
+++ b/src/gateway/registry.h
@@ -150,12 +150,6 @@
    upstream's.  */
 size_t registry_rank (const struct registry *registry, uint64_t hash,
                       struct str region);
-/* Returns this entry's share of the requests that a cold upstream can serve:
-   1 / MAX_SENDERS (at least 1), or 0.  The MAX_SENDERS entries that rank first
-   by rendezvous hash get a share, those in the upstream's region before all
-   others.  HASH and REGION are the upstream's.  */
-double registry_cold_share (const struct registry *registry, uint64_t hash,
-                            struct str region, size_t max_senders);
 /* Returns the prefix of the entries' keys; what follows it is the name.  */
 struct str registry_key_prefix (void);
 
