Replaced upstreams and checks that end: code that the analyzer can follow

clang-tidy took the reference of a replaced upstream and the list of checks for used after being freed; both are now plain copies and a plain loop.

--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -513,10 +513,12 @@
   if (has_departed && fleet->is_restoring
       && record->incarnation < departed_incarnation)
     return true;
-  struct fleet_upstream *replaced = NULL;
+  struct load replaced_load;
+  bool is_next_process = false;
   if (upstream && !is_same_incarnation (upstream, record))
     {
-      replaced = fleet_upstream_ref (upstream);
+      replaced_load = upstream->load;
+      is_next_process = true;
       remove_upstream (fleet, upstream, "replaced", now);
       upstream = NULL;
     }
@@ -528,11 +530,8 @@
     }
   /* What was sent to the id in the last second has reached the new process if
      it started within that.  */
-  if (replaced)
-    {
-      load_inherit_sends (&upstream->load, &replaced->load);
-      fleet_upstream_unref (replaced);
-    }
+  if (is_next_process)
+    load_inherit_sends (&upstream->load, &replaced_load);
   bool was_leaving = is_leaving (upstream);
   upstream->leaving = record->leaving;
   upstream->slots = record->slots;
--- a/src/gateway/verify.c
+++ b/src/gateway/verify.c
@@ -136,10 +136,14 @@
 void
 verify_destroy (struct verify *verify)
 {
-  while (verify && verify->checks)
+  struct check *next;
+  for (struct check *check = verify ? verify->checks : NULL; check;
+       check = next)
     {
-      timer_stop (loop_timers (verify->desc.loop), &verify->checks->timer);
-      end_check (verify->checks);
+      next = check->next;
+      timer_stop (loop_timers (verify->desc.loop), &check->timer);
+      fleet_upstream_unref (check->upstream);
+      free (check);
     }
 }
 
