Doubts: writes that are heard of together, or twice, count once

A doubt ends with the third write of the record, since two may be on their way when the process ends. What an entry hears after a silence of the store or of its reader are several writes at once, and two sources bring the same write twice (the mirror takes an equal index): an upstream that ended during such a silence counted as warm again while it was away, and its checks ended.

A write counts now if its revision is new and 0.5 s after the one before it; upstreams write every 1.5 s. fleet_renew_upstream gets the time for that.

--- a/src/fleet/doubt.h
+++ b/src/fleet/doubt.h
@@ -15,7 +15,8 @@
 
      if (doubt_begin (&doubt, now)) ...      a connection was lost
      if (doubt_settle (&doubt, as_of, cold_until)) ...   it responded
-     if (doubt_count_write (&doubt)) ...     its record was written again
+     if (doubt_count_write (&doubt, revision, now)) ...
+                                             its record was written again
      if (doubt_expire (&doubt, now)) ...     several times a second
      if (doubt_is_cold (&doubt, now)) ...
 
@@ -25,6 +26,7 @@
 
 #include <apr_time.h>
 #include <stdbool.h>
+#include <stdint.h>
 
 /* All zero: there is no doubt.  */
 struct doubt
@@ -33,6 +35,8 @@
   apr_time_t settled_at; /* as of when it last said what it is; 0: never */
   apr_time_t cold_until; /* as it said then */
   int writes;            /* of its record since the doubt began */
+  int64_t revision;      /* of the latest write heard of */
+  apr_time_t counted_at; /* the latest one that counts */
   apr_time_t ends_at;    /* when the record of a process that ended is gone */
 };
 
@@ -44,9 +48,10 @@
    the upstream said something else later.  */
 bool doubt_settle (struct doubt *doubt, apr_time_t as_of,
                    apr_time_t cold_until);
-/* A record of the same incarnation was written again.  Returns whether that
-   ends a doubt.  */
-bool doubt_count_write (struct doubt *doubt);
+/* A record of the same incarnation was written again at REVISION, as is heard
+   NOW.  Writes that are heard of together, after a silence of the store or a
+   reader, count as one.  Returns whether that ends a doubt.  */
+bool doubt_count_write (struct doubt *doubt, int64_t revision, apr_time_t now);
 /* Ends a doubt after which the record stayed listed for long enough; returns
    whether it did.  Not to be called during an outage of the store.  */
 bool doubt_expire (struct doubt *doubt, apr_time_t now);
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -347,7 +347,7 @@
              const struct fleet_record *record, int64_t revision,
              apr_time_t now)
 {
-  doubt_count_write (&upstream->doubt);
+  doubt_count_write (&upstream->doubt, revision, now);
   upstream->record_is_cold = record->cold_remaining > 0;
   if (upstream->record_is_cold)
     {
@@ -563,7 +563,8 @@
 }
 
 bool
-fleet_renew_upstream (struct fleet *fleet, struct str id, int64_t revision)
+fleet_renew_upstream (struct fleet *fleet, struct str id, int64_t revision,
+                      apr_time_t now)
 {
   struct fleet_upstream *upstream
       = apr_hash_get (fleet->ids, id.data, (apr_ssize_t)id.size);
@@ -573,7 +574,7 @@
   if (revision > fleet->revision)
     fleet->revision = revision;
   set_expired_at (fleet, upstream, 0);
-  doubt_count_write (&upstream->doubt);
+  doubt_count_write (&upstream->doubt, revision, now);
   if (!upstream->record_is_cold && revision > upstream->cold_revision)
     upstream->cold_until = 0;
   return true;
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -187,7 +187,7 @@
    the record tells more than what is known of it since the store was restored;
    then the record has to be put.  */
 bool fleet_renew_upstream (struct fleet *fleet, struct str id,
-                           int64_t revision);
+                           int64_t revision, apr_time_t now);
 /* The record of ID vanished.  MAY_BE_EXPIRED: perhaps only because its lease
    could not be renewed; the upstream then stays in use for the grace period.
    An upstream that is leaving is removed in any case.  */
--- a/src/gateway/store_sync.c
+++ b/src/gateway/store_sync.c
@@ -97,7 +97,7 @@
       return;
     }
   if (change == MIRROR_RENEWED
-      && fleet_renew_upstream (store_sync->desc.fleet, id, revision))
+      && fleet_renew_upstream (store_sync->desc.fleet, id, revision, now))
     return;
   apr_pool_create (&pool, NULL);
   if (decode_upstream (id, item->value, pool, &record, &err) != ERR_NONE
--- a/tests/model/departure_model.c
+++ b/tests/model/departure_model.c
@@ -152,7 +152,7 @@
       fleet_put_upstream (fleet, &record, call->revision, now);
       break;
     case RENEW:
-      if (!fleet_renew_upstream (fleet, record.id, call->revision))
+      if (!fleet_renew_upstream (fleet, record.id, call->revision, now))
         fleet_put_upstream (fleet, &record, call->revision, now);
       break;
     case REMOVE:
--- a/tests/unit/doubt_test.c
+++ b/tests/unit/doubt_test.c
@@ -103,7 +103,7 @@
               fleet_put_upstream (fleet, &r, e + 2, now);
               break;
             case RENEW:
-              fleet_renew_upstream (fleet, r.id, e + 2);
+              fleet_renew_upstream (fleet, r.id, e + 2, now);
               break;
             case SAY_WARM:
               fleet_settle (upstream, now, 0);
@@ -131,6 +131,67 @@
     }
 }
 
+/* Writes show that the process is there only if they are different ones, and
+   not all from before contact was lost.  */
+static void
+test_writes_that_settle (void)
+{
+  static const struct
+  {
+    const char *name;
+    int64_t at_ms[4]; /* when writes are heard of */
+    int64_t revisions[4];
+    bool is_put; /* or renewed */
+    bool is_cold;
+  } cases[] = { { "one after the other",
+                  { 1500, 3000, 4500, 6000 },
+                  { 2, 3, 4, 5 },
+                  false,
+                  false },
+                { "all at once, after a silence of the reader",
+                  { 1500, 1500, 1500, 1500 },
+                  { 2, 3, 4, 5 },
+                  false,
+                  true },
+                { "the same, put",
+                  { 1500, 1500, 1500, 1500 },
+                  { 2, 3, 4, 5 },
+                  true,
+                  true },
+                { "one write from several sources",
+                  { 1500, 3000, 4500, 6000 },
+                  { 2, 2, 2, 2 },
+                  false,
+                  true },
+                { "the same, put",
+                  { 1500, 3000, 4500, 6000 },
+                  { 2, 2, 2, 2 },
+                  true,
+                  true } };
+  for (size_t i = 0; i < COUNT (cases); i++)
+    {
+      struct fleet_upstream *upstream = set_up_upstream ();
+      struct fleet_record r = make_record (1, 0);
+      apr_time_t heard_at = now;
+      fleet_doubt (fleet, upstream, now);
+      for (size_t w = 0; w < COUNT (cases[i].at_ms); w++)
+        {
+          heard_at = now + TIMER_MS (cases[i].at_ms[w]);
+          if (cases[i].is_put)
+            fleet_put_upstream (fleet, &r, cases[i].revisions[w], heard_at);
+          else
+            fleet_renew_upstream (fleet, r.id, cases[i].revisions[w],
+                                  heard_at);
+        }
+      if (fleet_is_cold (upstream, heard_at) != cases[i].is_cold)
+        {
+          printf ("%s\n", cases[i].name);
+          CU_FAIL ("wrong state");
+        }
+      fleet_destroy (fleet);
+    }
+}
+
 /* A doubt that nothing settles ends when the store would have removed the
    record, for which outages of the store don't count.  */
 static void
@@ -393,6 +454,8 @@
   { "an upstream that contact was lost with is held for cold until it "
     "is known",
     test_doubt },
+  { "writes from before contact was lost do not end a doubt, however late",
+    test_writes_that_settle },
   { "a doubt ends when the store shows that the upstream is there",
     test_end_of_doubt },
   { "what was sent before an upstream became cold counts", test_first_second },
--- a/tests/unit/fleet_test.c
+++ b/tests/unit/fleet_test.c
@@ -106,17 +106,17 @@
 {
   set_up_fleet ();
   struct fleet_record r = make_record ("a");
-  CU_ASSERT_FALSE (fleet_renew_upstream (fleet, r.id, 1));
+  CU_ASSERT_FALSE (fleet_renew_upstream (fleet, r.id, 1, now));
   fleet_put_upstream (fleet, &r, 1, now);
   fleet_remove_upstream (fleet, r.id, true, now);
-  CU_ASSERT (fleet_renew_upstream (fleet, r.id, 2));
+  CU_ASSERT (fleet_renew_upstream (fleet, r.id, 2, now));
   CU_ASSERT_FALSE (fleet_is_cold (get_only_upstream (), now));
   fleet_remove_expired (fleet, now + TIMER_SEC (9));
   CU_ASSERT_PTR_NOT_NULL (get_only_upstream ());
   /* One whose record says that it is cold stays so.  */
   r.cold_remaining = TIMER_SEC (2);
   fleet_put_upstream (fleet, &r, 3, now);
-  CU_ASSERT (fleet_renew_upstream (fleet, r.id, 4));
+  CU_ASSERT (fleet_renew_upstream (fleet, r.id, 4, now));
   CU_ASSERT (get_only_upstream ()->cold_until > now);
   fleet_destroy (fleet);
 }
@@ -337,7 +337,7 @@
         if (written)
           {
             r.write_count += 3;
-            if (!fleet_renew_upstream (fleet, r.id, 52))
+            if (!fleet_renew_upstream (fleet, r.id, 52, now))
               fleet_put_upstream (fleet, &r, 52, now);
           }
         else
@@ -540,7 +540,7 @@
 {
   bool may_be_expired = step == EXPIRED_AND_BACK || step == LAPSED_AND_BACK;
   if (step == RENEWED)
-    fleet_renew_upstream (fleet, record->id, 60);
+    fleet_renew_upstream (fleet, record->id, 60, now);
   if (step == OLDER || step == REMOVED_AND_RESTORED)
     fleet_begin_restore (fleet);
   if (may_be_expired || step == REMOVED_AND_BACK
