Doubts: news of one that has ended begin it no more

A doubt that writes of the record ended, or that ended by itself, left no trace. The list of doubts keeps it for ten seconds, and an entry that changes its reader gets the list from the start: the doubt began anew with its old time, and the upstream was held for cold until 8 s after that or three more writes. The time at which it began is remembered as settled.

The new test failed in both cases before.

--- a/src/fleet/doubt.c
+++ b/src/fleet/doubt.c
@@ -14,6 +14,15 @@
   HOLD_MS = 8000
 };
 
+/* Ends a doubt that the upstream said nothing to.  News of it may come again,
+   and begin no new one.  */
+static void
+end_unsettled (struct doubt *doubt)
+{
+  doubt->settled_at = doubt->since;
+  doubt->since = 0;
+}
+
 bool
 doubt_begin (struct doubt *doubt, apr_time_t at)
 {
@@ -49,7 +58,7 @@
   doubt->counted_at = now;
   if (++doubt->writes < WRITES_TO_SETTLE)
     return false;
-  doubt->since = 0;
+  end_unsettled (doubt);
   return true;
 }
 
@@ -58,7 +67,7 @@
 {
   if (doubt->since == 0 || now <= doubt->ends_at)
     return false;
-  doubt->since = 0;
+  end_unsettled (doubt);
   return true;
 }
 
--- a/src/fleet/doubt.h
+++ b/src/fleet/doubt.h
@@ -32,7 +32,8 @@
 struct doubt
 {
   apr_time_t since;      /* 0: there is none */
-  apr_time_t settled_at; /* as of when it last said what it is; 0: never */
+  apr_time_t settled_at; /* as of when it last said what it is, or the latest
+                            doubt that ended otherwise began; 0: never */
   apr_time_t cold_until; /* as it said then */
   int writes;            /* of its record since the doubt began */
   int64_t revision;      /* of the latest write heard of */
@@ -41,7 +42,7 @@
 };
 
 /* Contact was lost AT that time.  Returns false, changing nothing, if there is
-   a doubt or the upstream said later what it is.  */
+   a doubt, the upstream said later what it is, or that doubt has ended.  */
 bool doubt_begin (struct doubt *doubt, apr_time_t at);
 /* The upstream said, AS_OF that time, that it is cold until COLD_UNTIL, which
    may be over.  Returns false, changing nothing, if the doubt began later or
--- a/tests/unit/doubt_test.c
+++ b/tests/unit/doubt_test.c
@@ -143,31 +143,29 @@
     int64_t revisions[4];
     bool is_put; /* or renewed */
     bool is_cold;
-  } cases[] = { { "one after the other",
-                  { 1500, 3000, 4500, 6000 },
-                  { 2, 3, 4, 5 },
-                  false,
-                  false },
-                { "all at once, after a silence of the reader",
-                  { 1500, 1500, 1500, 1500 },
-                  { 2, 3, 4, 5 },
-                  false,
-                  true },
-                { "the same, put",
-                  { 1500, 1500, 1500, 1500 },
-                  { 2, 3, 4, 5 },
-                  true,
-                  true },
-                { "one write from several sources",
-                  { 1500, 3000, 4500, 6000 },
-                  { 2, 2, 2, 2 },
-                  false,
-                  true },
-                { "the same, put",
-                  { 1500, 3000, 4500, 6000 },
-                  { 2, 2, 2, 2 },
-                  true,
-                  true } };
+  } cases[] = {
+    { "one after the other",
+      { 1500, 3000, 4500, 6000 },
+      { 2, 3, 4, 5 },
+      false,
+      false },
+    { "all at once, after a silence of the reader",
+      { 1500, 1500, 1500, 1500 },
+      { 2, 3, 4, 5 },
+      false,
+      true },
+    { "the same, put",
+      { 1500, 1500, 1500, 1500 },
+      { 2, 3, 4, 5 },
+      true,
+      true },
+    { "one write from several sources",
+      { 1500, 3000, 4500, 6000 },
+      { 2, 2, 2, 2 },
+      false,
+      true },
+    { "the same, put", { 1500, 3000, 4500, 6000 }, { 2, 2, 2, 2 }, true, true }
+  };
   for (size_t i = 0; i < COUNT (cases); i++)
     {
       struct fleet_upstream *upstream = set_up_upstream ();
@@ -192,6 +190,36 @@
     }
 }
 
+/* News of a doubt that has ended begin no new one; an entry gets them again
+   when it changes its reader.  */
+static void
+test_repeated_doubt (void)
+{
+  static const struct
+  {
+    const char *name;
+    int writes; /* which end it; 0: it ends by itself */
+  } cases[] = { { "ended by writes", 3 }, { "ended by itself", 0 } };
+  for (size_t i = 0; i < COUNT (cases); i++)
+    {
+      struct fleet_upstream *upstream = set_up_upstream ();
+      apr_time_t lost_at = now;
+      fleet_doubt (fleet, upstream, lost_at);
+      for (int w = 0; w < cases[i].writes; w++)
+        {
+          now += TIMER_MS (1500);
+          fleet_renew_upstream (fleet, STR ("a"), w + 2, now);
+        }
+      if (cases[i].writes == 0)
+        fleet_remove_expired (fleet, now += TIMER_SEC (9));
+      CU_ASSERT_FALSE (fleet_is_cold (upstream, now));
+      CU_ASSERT_FALSE (fleet_doubt (fleet, upstream, lost_at));
+      CU_ASSERT_FALSE (fleet_is_cold (upstream, now));
+      CU_ASSERT (fleet_doubt (fleet, upstream, now));
+      fleet_destroy (fleet);
+    }
+}
+
 /* A doubt that nothing settles ends when the store would have removed the
    record, for which outages of the store don't count.  */
 static void
@@ -456,6 +484,7 @@
     test_doubt },
   { "writes from before contact was lost do not end a doubt, however late",
     test_writes_that_settle },
+  { "a doubt that has ended does not begin again", test_repeated_doubt },
   { "a doubt ends when the store shows that the upstream is there",
     test_end_of_doubt },
   { "what was sent before an upstream became cold counts", test_first_second },
