News of doubts: an upstream that isn't cold is no news unless it was in doubt

Each check after a reset connection ended in a verdict that all entries got, also if the upstream had always been there and nobody else doubted it. Under resets these verdicts fill the list (1,024 places for ten seconds, shared by 1,350 upstreams on the largest site) and the queue to other entries (1,024, 64 in 0.1 s), and news of restarts are dropped. They take no place any more, and are passed on only for upstreams that were reported unreachable.

The new test failed before: the list had no place for a doubt.

--- a/src/fleet/doubt_list.c
+++ b/src/fleet/doubt_list.c
@@ -61,9 +61,8 @@
       if (!unused && is_over (item, now))
         unused = item;
     }
-  if (!unused && list->count < DOUBT_LIST_MAX)
-    unused = &list->items[list->count++];
-  return unused;
+  return unused || list->count == DOUBT_LIST_MAX ? unused
+                                                 : &list->items[list->count];
 }
 
 /* public functions */
@@ -89,10 +88,19 @@
     return false;
   bool is_known = is_about (item, news) && !is_over (item, now);
   bool is_doubt = news->cold_left == DOUBT_UNSETTLED;
+  /* Nothing else is supposed of an upstream that is not listed.  */
+  if (news->cold_left == 0 && (!is_known || item->cold_left == 0))
+    {
+      if (is_known && news->at > item->at)
+        item->at = news->at;
+      return false;
+    }
   if (is_known
       && (news->at <= item->at
           || (is_doubt && item->cold_left == DOUBT_UNSETTLED)))
     return false;
+  if (item == &list->items[list->count])
+    list->count++;
   *item = (struct item){ .id_size = news->id.size,
                          .incarnation = news->incarnation,
                          .at = news->at,
--- a/src/fleet/doubt_list.h
+++ b/src/fleet/doubt_list.h
@@ -43,7 +43,8 @@
 
 /* Creates an empty list in POOL.  */
 struct doubt_list *doubt_list_create (apr_pool_t *pool);
-/* Adds NEWS; returns whether it says more than what is known.  */
+/* Adds NEWS; returns whether it says more than what is known: an upstream that
+   is not listed is not cold.  */
 bool doubt_list_add (struct doubt_list *list, const struct doubt_news *news,
                      apr_time_t now);
 /* Stores up to MAX_COUNT news that are later than *NUMBER in OUT, oldest
--- a/src/fleet/unreachable.c
+++ b/src/fleet/unreachable.c
@@ -128,17 +128,22 @@
   item->listed_until = now + item->duration;
 }
 
-void
+bool
 unreachable_forget (struct unreachable *list, struct str id,
                     int64_t incarnation)
 {
+  bool was_listed = false;
   for (size_t i = 0; i < UNREACHABLE_MAX; i++)
     {
       struct item *item = &list->items[i];
       if (item->id_size == id.size && item->incarnation == incarnation
           && memcmp (item->id, id.data, id.size) == 0)
-        *item = (struct item){ 0 };
+        {
+          *item = (struct item){ 0 };
+          was_listed = true;
+        }
     }
+  return was_listed;
 }
 
 size_t
--- a/src/fleet/unreachable.h
+++ b/src/fleet/unreachable.h
@@ -54,8 +54,9 @@
 void unreachable_report (struct unreachable *list,
                          const struct unreachable_report *report,
                          apr_time_t now);
-/* INCARNATION of the upstream ID, or the next one, responds again.  */
-void unreachable_forget (struct unreachable *list, struct str id,
+/* INCARNATION of the upstream ID, or the next one, responds again.  Returns
+   whether it was reported.  */
+bool unreachable_forget (struct unreachable *list, struct str id,
                          int64_t incarnation);
 /* Stores up to MAX_COUNT upstreams that are to be avoided in OUT; returns how
    many.  Their ids are valid until the next report.  */
--- a/src/gateway/reachability.c
+++ b/src/gateway/reachability.c
@@ -169,10 +169,12 @@
 add_news (struct reachability *reachability, const struct doubt_news *news,
           bool is_relayed, apr_time_t now)
 {
-  if (!doubt_list_add (reachability->doubts, news, now))
+  bool is_reachable_again
+      = news->cold_left != DOUBT_UNSETTLED
+        && unreachable_forget (reachability->list, news->id,
+                               news->incarnation);
+  if (!doubt_list_add (reachability->doubts, news, now) && !is_reachable_again)
     return;
-  if (news->cold_left != DOUBT_UNSETTLED)
-    unreachable_forget (reachability->list, news->id, news->incarnation);
   if (is_relayed && !is_hub (reachability))
     return;
   doubt_queue_add (reachability->news, news, is_relayed);
--- a/tests/unit/doubt_test.c
+++ b/tests/unit/doubt_test.c
@@ -389,6 +389,38 @@
   CU_ASSERT (doubt_list_add (list, &later, start + TIMER_SEC (11)));
 }
 
+/* Upstreams that were never in doubt elsewhere, and answered that they are not
+   cold, leave the list to those that may be.  */
+static void
+test_list_of_warm (void)
+{
+  struct doubt_list *list = doubt_list_create (test_pool);
+  apr_time_t start = TIMER_SEC (1000);
+  struct doubt_news news = { STR ("warm"), 1, start, 0 };
+  char id[16];
+  CU_ASSERT_FALSE (doubt_list_add (list, &news, start));
+  for (int i = 0; i < DOUBT_LIST_MAX; i++)
+    {
+      snprintf (id, sizeof id, "u%d", i);
+      news.id = str_from (id);
+      doubt_list_add (list, &news, start);
+    }
+  news = (struct doubt_news){ STR ("ended"), 1, start, DOUBT_UNSETTLED };
+  CU_ASSERT (doubt_list_add (list, &news, start));
+  /* Said again and again, it is news once.  */
+  for (int i = 1; i <= 3; i++)
+    {
+      news.at = start + TIMER_MS (i);
+      news.cold_left = 0;
+      CU_ASSERT_EQUAL (doubt_list_add (list, &news, news.at), i == 1);
+    }
+  news.at = start + TIMER_MS (2);
+  news.cold_left = DOUBT_UNSETTLED;
+  CU_ASSERT_FALSE (doubt_list_add (list, &news, start + TIMER_MS (4)));
+  news.at = start + TIMER_MS (4);
+  CU_ASSERT (doubt_list_add (list, &news, start + TIMER_MS (4)));
+}
+
 /* What is read from the text of news is what was written, with times as ages
    in milliseconds.  */
 static void
@@ -491,6 +523,8 @@
   { "what all entries may send to a cold upstream is divided", test_quota },
   { "news of doubts are passed on once", test_list },
   { "the list of doubts is bounded", test_list_bounds },
+  { "upstreams that are not cold take no place in the list",
+    test_list_of_warm },
   { "news arrive as they were sent", test_text },
   { "the queue of news is bounded", test_queue_bounds },
   { NULL, NULL }
