--- a/tests/unit/doubt_test.c
+++ b/tests/unit/doubt_test.c
@@ -103,7 +103,7 @@
               fleet_put_upstream (fleet, &r, e + 2, now);
               break;
             case RENEW:
-              fleet_renew_upstream (fleet, r.id, e + 2);
+              fleet_renew_upstream (fleet, r.id, e + 2, now);
               break;
             case SAY_WARM:
               fleet_settle (upstream, now, 0);
@@ -131,6 +131,95 @@
     }
 }
 
+/* Writes show that the process is there only if they are different ones, and
+   not all from before contact was lost.  */
+static void
+test_writes_that_settle (void)
+{
+  static const struct
+  {
+    const char *name;
+    int64_t at_ms[4]; /* when writes are heard of */
+    int64_t revisions[4];
+    bool is_put; /* or renewed */
+    bool is_cold;
+  } cases[] = {
+    { "one after the other",
+      { 1500, 3000, 4500, 6000 },
+      { 2, 3, 4, 5 },
+      false,
+      false },
+    { "all at once, after a silence of the reader",
+      { 1500, 1500, 1500, 1500 },
+      { 2, 3, 4, 5 },
+      false,
+      true },
+    { "the same, put",
+      { 1500, 1500, 1500, 1500 },
+      { 2, 3, 4, 5 },
+      true,
+      true },
+    { "one write from several sources",
+      { 1500, 3000, 4500, 6000 },
+      { 2, 2, 2, 2 },
+      false,
+      true },
+    { "the same, put", { 1500, 3000, 4500, 6000 }, { 2, 2, 2, 2 }, true, true }
+  };
+  for (size_t i = 0; i < COUNT (cases); i++)
+    {
+      struct fleet_upstream *upstream = set_up_upstream ();
+      struct fleet_record r = make_record (1, 0);
+      apr_time_t heard_at = now;
+      fleet_doubt (fleet, upstream, now);
+      for (size_t w = 0; w < COUNT (cases[i].at_ms); w++)
+        {
+          heard_at = now + TIMER_MS (cases[i].at_ms[w]);
+          if (cases[i].is_put)
+            fleet_put_upstream (fleet, &r, cases[i].revisions[w], heard_at);
+          else
+            fleet_renew_upstream (fleet, r.id, cases[i].revisions[w],
+                                  heard_at);
+        }
+      if (fleet_is_cold (upstream, heard_at) != cases[i].is_cold)
+        {
+          printf ("%s\n", cases[i].name);
+          CU_FAIL ("wrong state");
+        }
+      fleet_destroy (fleet);
+    }
+}
+
+/* News of a doubt that has ended begin no new one; an entry gets them again
+   when it changes its reader.  */
+static void
+test_repeated_doubt (void)
+{
+  static const struct
+  {
+    const char *name;
+    int writes; /* which end it; 0: it ends by itself */
+  } cases[] = { { "ended by writes", 3 }, { "ended by itself", 0 } };
+  for (size_t i = 0; i < COUNT (cases); i++)
+    {
+      struct fleet_upstream *upstream = set_up_upstream ();
+      apr_time_t lost_at = now;
+      fleet_doubt (fleet, upstream, lost_at);
+      for (int w = 0; w < cases[i].writes; w++)
+        {
+          now += TIMER_MS (1500);
+          fleet_renew_upstream (fleet, STR ("a"), w + 2, now);
+        }
+      if (cases[i].writes == 0)
+        fleet_remove_expired (fleet, now += TIMER_SEC (9));
+      CU_ASSERT_FALSE (fleet_is_cold (upstream, now));
+      CU_ASSERT_FALSE (fleet_doubt (fleet, upstream, lost_at));
+      CU_ASSERT_FALSE (fleet_is_cold (upstream, now));
+      CU_ASSERT (fleet_doubt (fleet, upstream, now));
+      fleet_destroy (fleet);
+    }
+}
+
 /* A doubt that nothing settles ends when the store would have removed the
    record, for which outages of the store don't count.  */
 static void
@@ -300,6 +389,38 @@
   CU_ASSERT (doubt_list_add (list, &later, start + TIMER_SEC (11)));
 }
 
+/* Upstreams that were never in doubt elsewhere, and answered that they are not
+   cold, leave the list to those that may be.  */
+static void
+test_list_of_warm (void)
+{
+  struct doubt_list *list = doubt_list_create (test_pool);
+  apr_time_t start = TIMER_SEC (1000);
+  struct doubt_news news = { STR ("warm"), 1, start, 0 };
+  char id[16];
+  CU_ASSERT_FALSE (doubt_list_add (list, &news, start));
+  for (int i = 0; i < DOUBT_LIST_MAX; i++)
+    {
+      snprintf (id, sizeof id, "u%d", i);
+      news.id = str_from (id);
+      doubt_list_add (list, &news, start);
+    }
+  news = (struct doubt_news){ STR ("ended"), 1, start, DOUBT_UNSETTLED };
+  CU_ASSERT (doubt_list_add (list, &news, start));
+  /* Said again and again, it is news once.  */
+  for (int i = 1; i <= 3; i++)
+    {
+      news.at = start + TIMER_MS (i);
+      news.cold_left = 0;
+      CU_ASSERT_EQUAL (doubt_list_add (list, &news, news.at), i == 1);
+    }
+  news.at = start + TIMER_MS (2);
+  news.cold_left = DOUBT_UNSETTLED;
+  CU_ASSERT_FALSE (doubt_list_add (list, &news, start + TIMER_MS (4)));
+  news.at = start + TIMER_MS (4);
+  CU_ASSERT (doubt_list_add (list, &news, start + TIMER_MS (4)));
+}
+
 /* What is read from the text of news is what was written, with times as ages
    in milliseconds.  */
 static void
@@ -393,12 +514,17 @@
   { "an upstream that contact was lost with is held for cold until it "
     "is known",
     test_doubt },
+  { "writes from before contact was lost do not end a doubt, however late",
+    test_writes_that_settle },
+  { "a doubt that has ended does not begin again", test_repeated_doubt },
   { "a doubt ends when the store shows that the upstream is there",
     test_end_of_doubt },
   { "what was sent before an upstream became cold counts", test_first_second },
   { "what all entries may send to a cold upstream is divided", test_quota },
   { "news of doubts are passed on once", test_list },
   { "the list of doubts is bounded", test_list_bounds },
+  { "upstreams that are not cold take no place in the list",
+    test_list_of_warm },
   { "news arrive as they were sent", test_text },
   { "the queue of news is bounded", test_queue_bounds },
   { NULL, NULL }
