News of doubts: malformed numbers are dropped

An age or a cold time beyond an hour, or an age below 0, overflowed or made a time in the future: such a verdict outweighs every later one, and such a doubt. Entries write no such numbers; the check is for what others may send to the listener. The new test failed before.

--- a/src/gateway/doubt_queue.c
+++ b/src/gateway/doubt_queue.c
@@ -10,7 +10,8 @@
 enum
 {
   ID_MAX_BYTES = 60, /* leaves space for three numbers in DOUBT_NEWS_BYTES */
-  US_PER_MS = APR_USEC_PER_SEC / 1000
+  US_PER_MS = APR_USEC_PER_SEC / 1000,
+  TIME_MAX_MS = 3600 * 1000 /* larger ages and cold times are malformed */
 };
 
 /* types */
@@ -63,6 +64,26 @@
   return is_negative ? -number : number;
 }
 
+/* Reads the first news off *TEXT; returns whether they are well-formed.  */
+static bool
+read_first (struct str *text, struct doubt_news *news, apr_time_t now)
+{
+  size_t size = 0;
+  while (size < text->size && text->data[size] != ',')
+    size++;
+  news->id = str_view (text->data, size);
+  size += size < text->size;
+  *text = str_view (text->data + size, text->size - size);
+  news->incarnation = take_number (text, ',');
+  int64_t age_ms = take_number (text, ',');
+  int64_t cold_ms = take_number (text, ';');
+  if (age_ms < 0 || age_ms > TIME_MAX_MS || cold_ms > TIME_MAX_MS)
+    return false;
+  news->at = now - age_ms * US_PER_MS;
+  news->cold_left = cold_ms < 0 ? DOUBT_UNSETTLED : cold_ms * US_PER_MS;
+  return true;
+}
+
 /* public functions */
 
 struct doubt_queue *
@@ -132,17 +153,8 @@
 bool
 doubt_news_read (struct str *text, struct doubt_news *news, apr_time_t now)
 {
-  size_t size = 0;
-  while (size < text->size && text->data[size] != ',')
-    size++;
-  if (text->size == 0)
-    return false;
-  news->id = str_view (text->data, size);
-  size += size < text->size;
-  *text = str_view (text->data + size, text->size - size);
-  news->incarnation = take_number (text, ',');
-  news->at = now - take_number (text, ',') * US_PER_MS;
-  int64_t cold_ms = take_number (text, ';');
-  news->cold_left = cold_ms < 0 ? DOUBT_UNSETTLED : cold_ms * US_PER_MS;
-  return true;
+  while (text->size > 0)
+    if (read_first (text, news, now))
+      return true;
+  return false;
 }
--- a/src/gateway/doubt_queue.h
+++ b/src/gateway/doubt_queue.h
@@ -48,7 +48,8 @@
 /* Writes NEWS to TEXT, which has DOUBT_NEWS_BYTES; returns the length.  */
 size_t doubt_news_write (char *text, const struct doubt_news *news,
                          apr_time_t now);
-/* Splits the first news off *TEXT; returns false at the end.  Their id is a
+/* Splits the first news off *TEXT, after any malformed ones; returns false at
+   the end.  Their id is a
    view of the text.  */
 bool doubt_news_read (struct str *text, struct doubt_news *news,
                       apr_time_t now);
--- a/tests/unit/doubt_test.c
+++ b/tests/unit/doubt_test.c
@@ -421,6 +421,39 @@
   CU_ASSERT (doubt_list_add (list, &news, start + TIMER_MS (4)));
 }
 
+/* Numbers that no entry writes make no time in the future, and no doubt that
+   nothing can end.  */
+static void
+test_text_bounds (void)
+{
+  static const struct
+  {
+    const char *text;
+    bool is_news;
+  } cases[] = { { "a,1,250,-1;", true },
+                { "a,1,-250,0;", false },
+                { "a,1,99999999999999999999,0;", false },
+                { "a,1,250,99999999999999999999;", false },
+                { "a,1,250,3600001;", false },
+                { "a,1,250,3600000;", true } };
+  apr_time_t start = TIMER_SEC (1000);
+  for (size_t i = 0; i < COUNT (cases); i++)
+    {
+      struct str text = str_from (cases[i].text);
+      struct doubt_news news;
+      bool is_news = doubt_news_read (&text, &news, start);
+      if (is_news != cases[i].is_news || (is_news && news.at > start))
+        {
+          printf ("%s\n", cases[i].text);
+          CU_FAIL ("wrong result");
+        }
+    }
+  struct str text = STR ("a,1,-5,0;b,1,5,0;");
+  struct doubt_news news;
+  CU_ASSERT (doubt_news_read (&text, &news, start)
+             && str_equal (news.id, STR ("b")));
+}
+
 /* What is read from the text of news is what was written, with times as ages
    in milliseconds.  */
 static void
@@ -526,6 +559,7 @@
   { "upstreams that are not cold take no place in the list",
     test_list_of_warm },
   { "news arrive as they were sent", test_text },
+  { "malformed news change nothing", test_text_bounds },
   { "the queue of news is bounded", test_queue_bounds },
   { NULL, NULL }
 };
