News of cold upstreams: two ways to each entry, and for those that come too early

Found by the review of the fix, by reading: - a message between readers that was lost was not repeated, and a reader that had just ended left half of its region without news until the next exchange: readers now send news to all entries of their region, the other reader included, which passes them on if they are news there; - an entry that had not listed an upstream yet dropped news of it: what is known is applied when an upstream is added; and news of a later process show that the one that is known here has ended; - the cold time in a response was counted from the question; - what an upstream said was dated from its arrival; it counts from when the exchange began; - a batch that a reader refuses was sent again and again; - a response to another request is no sign that the process ended; - checks ended after ten seconds and began anew at once.

The test of readers asserts the two ways.

--- a/src/fleet/doubt_list.c
+++ b/src/fleet/doubt_list.c
@@ -110,6 +110,23 @@
   return true;
 }
 
+bool
+doubt_list_find (const struct doubt_list *list, struct str id,
+                 int64_t incarnation, apr_time_t now, struct doubt_news *news)
+{
+  struct doubt_news sought = { .id = id, .incarnation = incarnation };
+  for (size_t i = 0; i < list->count; i++)
+    {
+      const struct item *item = &list->items[i];
+      if (!is_about (item, &sought) || is_over (item, now))
+        continue;
+      *news
+          = (struct doubt_news){ id, incarnation, item->at, item->cold_left };
+      return true;
+    }
+  return false;
+}
+
 /* Returns the item with the lowest number above NUMBER that is not over, or
    NULL.  */
 static const struct item *
--- a/src/fleet/doubt_list.h
+++ b/src/fleet/doubt_list.h
@@ -47,6 +47,11 @@
    is not listed is not cold.  */
 bool doubt_list_add (struct doubt_list *list, const struct doubt_news *news,
                      apr_time_t now);
+/* Sets NEWS to what is known of INCARNATION of the upstream ID; returns false
+   if nothing is.  */
+bool doubt_list_find (const struct doubt_list *list, struct str id,
+                      int64_t incarnation, apr_time_t now,
+                      struct doubt_news *news);
 /* Stores up to MAX_COUNT news that are later than *NUMBER in OUT, oldest
    first, sets *NUMBER to that of the last one, and returns how many.  A number
    that the list has not given out yet is taken for 0.  The ids are valid until
--- a/src/gateway/attempts.c
+++ b/src/gateway/attempts.c
@@ -285,7 +285,8 @@
   /* ETIMEDOUT: sent data stayed unacknowledged.  */
   bool is_unreachable = not_run || cause == ETIMEDOUT;
   end_upstream_load (request, is_unreachable ? LOAD_UNREACHABLE : LOAD_FAILED);
-  if (attempt->result != CURLE_OK)
+  /* A response to another request shows that the process is there.  */
+  if (attempt->result != CURLE_OK && !attempt->echo_mismatch)
     doubt_upstream (request, reason);
   if (is_unreachable)
     reachability_report (request->gateway->reachability, request->upstream,
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -329,10 +329,10 @@
 }
 
 static size_t
-client_addresses (void *user_data, struct str *out, size_t max_count)
+region_addresses (void *user_data, struct str *out, size_t max_count)
 {
   struct gateway *gateway = user_data;
-  return registry_client_addresses (gateway->registry, out, max_count);
+  return registry_region_addresses (gateway->registry, out, max_count);
 }
 
 static struct str
@@ -387,6 +387,8 @@
                   const struct fleet_upstream *upstream)
 {
   struct gateway *gateway = user_data;
+  if (strcmp (what, "added") == 0 && gateway->reachability)
+    reachability_recall (gateway->reachability, upstream);
   /* At the start there are thousands; the line on the listing counts them.  */
   if (store_sync_is_listing (gateway->store_sync)
       && strcmp (what, "added") == 0)
@@ -623,7 +625,7 @@
                                             .name = gateway->settings.name,
                                             .reader_address = reader_address,
                                             .readers = reader_addresses,
-                                            .clients = client_addresses,
+                                            .region_entries = region_addresses,
                                             .user_data = gateway };
   gateway->reachability = reachability_create (gateway->pool, &reachability);
   struct verify_desc verify = { .loop = gateway->loop,
--- a/src/gateway/reachability.c
+++ b/src/gateway/reachability.c
@@ -51,6 +51,7 @@
   int64_t reader_after;          /* number of the latest news from there */
   uint64_t name_hash;
   bool call_in_progress;
+  apr_time_t asked_at; /* when it was sent */
   struct
   {
     char text[REPORT_MAX_BYTES]; /* "ID,INCARNATION,CERTAIN" */
@@ -126,7 +127,15 @@
 {
   struct fleet_upstream *upstream
       = fleet_find (reachability->desc.fleet, news->id);
-  if (!upstream || upstream->incarnation != news->incarnation)
+  if (!upstream)
+    return;
+  /* News of a later process: the one that is known here has ended.  */
+  if (upstream->incarnation > 0 && news->incarnation > upstream->incarnation)
+    {
+      fleet_doubt (reachability->desc.fleet, upstream, news->at);
+      return;
+    }
+  if (upstream->incarnation != news->incarnation)
     return;
   if (news->cold_left == DOUBT_UNSETTLED
           ? fleet_doubt (reachability->desc.fleet, upstream, news->at)
@@ -188,6 +197,9 @@
   reachability->call_in_progress = false;
   if (response->status != HTTP_OK)
     {
+      /* What a reader refuses would be refused again.  */
+      if (response->status > 0)
+        doubt_queue_drop (reachability->news, reachability->news_in_call);
       reachability->reader_number = 1 - reachability->reader_number;
       schedule_news (reachability);
       return;
@@ -211,6 +223,10 @@
   reachability->reader_after = number_in (next_field (&text, '|'));
   while (doubt_news_read (&text, &news, now))
     {
+      /* On its way for up to the whole exchange.  A doubt that is taken for
+         later than it is does no harm, what an upstream said does.  */
+      if (news.cold_left != DOUBT_UNSETTLED)
+        news.at -= now - reachability->asked_at;
       doubt_list_add (reachability->doubts, &news, now);
       apply_news (reachability, &news);
     }
@@ -245,6 +261,7 @@
           .timeout_ms = TIMEOUT_MS,
           .max_response_bytes = RESPONSE_MAX_BYTES };
   reachability->call_in_progress = true;
+  reachability->asked_at = timer_clock ();
   http_client_send (reachability->desc.client, &request, on_exchanged,
                     reachability);
   apr_pool_destroy (pool);
@@ -295,7 +312,8 @@
   send_news (reachability,
              doubt_queue_text (reachability->news, false, now, &count, pool),
              receivers,
-             desc->clients (desc->user_data, receivers, RECEIVERS_MAX), pool);
+             desc->region_entries (desc->user_data, receivers, RECEIVERS_MAX),
+             pool);
   doubt_queue_drop (reachability->news, count);
   apr_pool_destroy (pool);
 }
@@ -426,6 +444,16 @@
   add_news (reachability, &news, false, timer_clock ());
 }
 
+void
+reachability_recall (struct reachability *reachability,
+                     const struct fleet_upstream *upstream)
+{
+  struct doubt_news news;
+  if (doubt_list_find (reachability->doubts, upstream->id,
+                       upstream->incarnation, timer_clock (), &news))
+    apply_news (reachability, &news);
+}
+
 /* Returns the news after the number AFTER as text in POOL, which begins with
    the number of the last one.  */
 static struct str
--- a/src/gateway/reachability.h
+++ b/src/gateway/reachability.h
@@ -5,9 +5,10 @@
    of its readers, and gets the list of all that the reader knows; a reader
    adds to its own list.  News of upstreams that may have started again don't
    wait for that: an entry sends them at once to its reader, the reader to the
-   readers of all regions, and each of these to the entries that ask it.  If no
-   reader responds, an entry relies on what it finds out itself, as it does for
-   upstreams that only one entry can't reach.
+   readers of all regions, and each of these to all entries of its region, so
+   that each gets them twice, by two ways.  If no reader responds, an entry
+   relies on what it finds out itself, as it does for upstreams that only one
+   entry can't reach.
 
      reachability = reachability_create (pool, &desc);
      reachability_report (reachability, upstream, is_certain);
@@ -40,9 +41,10 @@
      this entry has none.  */
   struct str (*reader_address) (void *user_data, size_t number);
   /* Fill OUT with the addresses of up to MAX_COUNT other entries, and return
-     how many: all that have no reader, and those that have this one.  */
+     how many: all that have no reader, and all in the region.  */
   size_t (*readers) (void *user_data, struct str *out, size_t max_count);
-  size_t (*clients) (void *user_data, struct str *out, size_t max_count);
+  size_t (*region_entries) (void *user_data, struct str *out,
+                            size_t max_count);
   void *user_data;
 };
 
@@ -87,6 +89,9 @@
 void reachability_report_settled (struct reachability *reachability,
                                   const struct fleet_upstream *upstream,
                                   apr_time_t as_of, apr_time_t cold_left);
+/* Applies to UPSTREAM, which was added to the fleet, what is known of it.  */
+void reachability_recall (struct reachability *reachability,
+                          const struct fleet_upstream *upstream);
 /* Handles MESSAGE of another entry; returns the response in POOL.  */
 struct str reachability_handle (struct reachability *reachability,
                                 const struct reachability_message *message,
--- a/src/gateway/registry.c
+++ b/src/gateway/registry.c
@@ -747,26 +747,16 @@
 }
 
 size_t
-registry_client_addresses (const struct registry *registry, struct str *out,
+registry_region_addresses (const struct registry *registry, struct str *out,
                            size_t max_count)
 {
-  const struct registry_entry *readers[REGISTRY_READERS];
-  struct registry_entry self = own_entry (registry);
-  size_t own_number = REGISTRY_READERS;
+  struct str region = registry->desc.settings->region;
   size_t count = 0;
-  if (find_readers (registry, &self, self.region, readers) <= REGISTRY_READERS)
-    return 0;
-  for (size_t i = 0; i < REGISTRY_READERS; i++)
-    if (readers[i] == &self)
-      own_number = i;
   for (size_t i = 0; i < registry->count && count < max_count; i++)
     {
       const struct registry_entry *entry = registry->list[i];
-      if (entry != readers[0] && entry != readers[1]
-          && !is_self (registry, entry)
-          && str_equal (entry->region, self.region)
-          && entry->peer_address.size > 0
-          && entry->hash % REGISTRY_READERS == own_number)
+      if (!is_self (registry, entry) && entry->peer_address.size > 0
+          && str_equal (entry->region, region))
         out[count++] = entry->peer_address;
     }
   return count;
--- a/src/gateway/registry.h
+++ b/src/gateway/registry.h
@@ -137,9 +137,9 @@
    regions.  Returns how many; they are valid until the next change.  */
 size_t registry_reader_addresses (const struct registry *registry,
                                   struct str *out, size_t max_count);
-/* Fills OUT with the addresses of up to MAX_COUNT entries for which this one
-   is the reader NUMBER 0.  Returns how many; valid as above.  */
-size_t registry_client_addresses (const struct registry *registry,
+/* Fills OUT with the addresses of up to MAX_COUNT other entries in the region
+   of this one.  Returns how many; valid as above.  */
+size_t registry_region_addresses (const struct registry *registry,
                                   struct str *out, size_t max_count);
 /* Returns the address of another entry that reads the store, in any region, a
    different one each time (round robin); if the keys of all of them are gone,
--- a/src/gateway/verify.c
+++ b/src/gateway/verify.c
@@ -14,7 +14,6 @@
      back is cold for seconds.  */
   FAST_TRIES = 15,
   FAST_INTERVAL_MS = 200,
-  TRIES_MAX = FAST_TRIES + 7,
   INTERVAL_MS = 1000,
   TIMEOUT_MS = 500, /* a check that waits for a slot says nothing in time */
   RESPONSE_MAX_BYTES = 4096
@@ -57,16 +56,11 @@
   free (check);
 }
 
-/* Asks again after a while, unless it was asked often enough.  */
+/* Asks again after a while.  */
 static void
 ask_later (struct check *check)
 {
   int64_t wait_ms = check->tries < FAST_TRIES ? FAST_INTERVAL_MS : INTERVAL_MS;
-  if (check->tries >= TRIES_MAX)
-    {
-      end_check (check);
-      return;
-    }
   timer_start (loop_timers (check->verify->desc.loop), &check->timer,
                timer_clock () + TIMER_MS (wait_ms), on_due, check);
 }
@@ -90,6 +84,9 @@
       ask_later (check);
       return;
     }
+  /* It was cold for so long when it responded, not when it was asked.  */
+  if (cold_left > 0)
+    cold_left += timer_clock () - check->sent_at;
   desc->answered (desc->user_data, check->upstream, check->sent_at, cold_left);
   end_check (check);
 }
--- a/tests/unit/registry_test.c
+++ b/tests/unit/registry_test.c
@@ -126,7 +126,7 @@
       int reader_mask = 0;
       int asked_mask = 0;
       int others[ENTRIES_MAX] = { 0 };   /* readers that each reader knows */
-      int clients[ENTRIES_MAX] = { 0 };  /* of each reader */
+      int clients[ENTRIES_MAX] = { 0 };  /* in the region of each */
       int first_of[ENTRIES_MAX] = { 0 }; /* mask of the reader asked first */
       for (int e = 0; e < cases[c].count; e++)
         {
@@ -143,7 +143,7 @@
           others[e] = mask_of (
               list, registry_reader_addresses (registry, list, ENTRIES_MAX));
           clients[e] = mask_of (
-              list, registry_client_addresses (registry, list, ENTRIES_MAX));
+              list, registry_region_addresses (registry, list, ENTRIES_MAX));
           if (first.size == 0)
             {
               reader_count++;
@@ -160,15 +160,18 @@
         }
       CU_ASSERT_EQUAL (reader_count, cases[c].readers);
       CU_ASSERT_EQUAL (reader_mask & cases[c].required, cases[c].required);
-      /* News reach every entry, from the reader that it asks first.  */
+      /* News reach every entry, from both readers of its region, so also when
+         the one that it asks has just ended.  */
       for (int e = 0; e < cases[c].count; e++)
         {
           CU_ASSERT (!(reader_mask & 1 << e)
                      || others[e] == (reader_mask & ~(1 << e)));
           for (int r = 0; r < cases[c].count; r++)
-            CU_ASSERT_EQUAL ((clients[r] & 1 << e) != 0
-                                 && !cases[c].entries[e].leaving,
-                             first_of[e] == 1 << r);
+            CU_ASSERT_EQUAL (
+                (clients[r] & 1 << e) != 0,
+                r != e && !cases[c].entries[r].leaving
+                    && (cases[c].entries[r].zone[0] == 's')
+                           == (cases[c].entries[e].zone[0] == 's'));
         }
       /* Only entries that read are asked.  */
       CU_ASSERT_EQUAL (asked_mask & ~reader_mask, 0);
