--- a/src/gateway/verify.h
+++ b/src/gateway/verify.h
@@ -2,9 +2,8 @@
 
    A lost connection doesn't show whether the process at its other end has
    ended.  The upstream's health path says at once, without the store, whether
-   it is cold.  It is asked until it says so, five times a second and after
-   three seconds once a second, for ten seconds; then its record in the store
-   has to show it.
+   it is cold.  It is asked until it says so or its doubt ends, five times a
+   second and after three seconds once a second.
 
      verify = verify_create (pool, &desc);
      verify_upstream (verify, upstream);   when a doubt begins
