--- a/bench/gateway/internal.h
+++ b/bench/gateway/internal.h
@@ -8,6 +8,7 @@
 #define BENCH_GATEWAY_INTERNAL_H
 
 #include "balance/admit.h"
+#include "balance/cold_quota.h"
 #include "balance/region_split.h"
 #include "base/timer.h"
 #include "bench/gateway/sim.h"
@@ -65,6 +66,7 @@
   double slowdown;
   int upstream;
   int generation;                    /* of the upstream when it was sent */
+  int start_count;                   /* of the upstream when it arrived */
   int target_region;                 /* chosen to serve it */
   bool overflowed;                   /* not the region of its object */
   int retry_count;                   /* of the caller */
@@ -90,6 +92,7 @@
   double slow_factor;     /* 1, or more in the second half */
   double failure_rate;    /* 0, or more in the second half */
   int generation;         /* how often it was replaced */
+  int start_count;        /* how often it started again under its id */
   apr_time_t away_until;  /* refuses until then */
   apr_time_t leaves_at;   /* in a rolling release; 0: not in one */
   bool has_ended;         /* and is not yet replaced */
@@ -129,6 +132,16 @@
   int next_upstream; /* of SIM_POLICY_ROUND_ROBIN */
 };
 
+/* What the outage of the plan has come to.  */
+enum sim_outage_phase
+{
+  OUTAGE_NONE,    /* not begun, or there is none */
+  OUTAGE_AWAY,    /* upstreams have ended */
+  OUTAGE_DOUBTED, /* and the entries know that contact was lost */
+  OUTAGE_COLD,    /* they have started again */
+  OUTAGE_OVER     /* they are warm */
+};
+
 enum sim_event_kind
 {
   EVENT_NEW_CALL = 1,     /* creates a call and schedules the next one */
@@ -156,6 +169,7 @@
   int slots;          /* of each upstream */
   int cache_capacity; /* of each upstream */
   int replaced_count; /* upstreams replaced so far */
+  enum sim_outage_phase outage_phase;
   struct sim_entry entries[MAX_ENTRIES];
   int entry_count;
   uint64_t random; /* state of the generator */
--- a/bench/gateway/sim.h
+++ b/bench/gateway/sim.h
@@ -60,6 +60,19 @@
   SIM_REGIONS = 3
 };
 
+/* Upstreams of one region end at once, with the calls that are there, and
+   start again at once under their ids.  */
+struct sim_outage
+{
+  double fraction;      /* of the upstreams of the region; 0: no outage */
+  int region;           /* from 0 */
+  apr_time_t begins_at; /* since the start of the run */
+  apr_time_t lasts;
+  apr_time_t cold_time; /* for which they are cold after it */
+  /* What all entries together may send to a cold upstream in a second.  */
+  double cold_rate;
+};
+
 /* Parameters of a run.  Zero means the default, or that there is none.  */
 struct sim_plan
 {
@@ -127,6 +140,7 @@
   bool ignores_notices;
   /* What one entry is told in both cases is known to all after 300 ms.  */
   bool shares_notices;
+  struct sim_outage outage;
   /* Divided as evenly as possible over the regions; default 6, at most 300.
    */
   int entries;
