--- a/bench/gateway/sim.c
+++ b/bench/gateway/sim.c
@@ -710,7 +710,8 @@
 {
   double position = (double)(number * 7 % sim->upstream_count)
                     / (double)sim->upstream_count;
-  return sim->upstreams[number].region == sim->plan.outage.region
+  return (sim->plan.outage.region == SIM_REGIONS
+          || sim->upstreams[number].region == sim->plan.outage.region)
          && position < sim->plan.outage.fraction;
 }
 
--- a/bench/gateway/sim.h
+++ b/bench/gateway/sim.h
@@ -60,12 +60,12 @@
   SIM_REGIONS = 3
 };
 
-/* Upstreams of one region end at once, with the calls that are there, and
-   start again at once under their ids.  */
+/* Upstreams of one or all regions end at once, with the calls that are there,
+   and start again at once under their ids.  */
 struct sim_outage
 {
-  double fraction;      /* of the upstreams of the region; 0: no outage */
-  int region;           /* from 0 */
+  double fraction;      /* of the upstreams there; 0: no outage */
+  int region;           /* from 0; SIM_REGIONS: all of them */
   apr_time_t begins_at; /* since the start of the run */
   apr_time_t lasts;
   apr_time_t cold_time; /* for which they are cold after it */
--- a/tests/unit/gateway_sim_test.c
+++ b/tests/unit/gateway_sim_test.c
@@ -331,8 +331,9 @@
             worst_shift (counts.sent));
 }
 
-/* The same by where requests run, when upstreams of a region end at once: from
-   their return on, while they are cold and when all of them become warm.  */
+/* The same by where requests run, when up to half of the upstreams of one or
+   all regions end at once: from their return on, while they are cold and when
+   all of them become warm.  */
 static void
 test_shift_after_outage (void)
 {
@@ -363,6 +364,10 @@
       15,
       false,
       { 0.5, 0, TIMER_SEC (8), TIMER_SEC (4), TIMER_SEC (3), 6 } },
+    { 0.8,
+      15,
+      false,
+      { 0.5, SIM_REGIONS, TIMER_SEC (8), TIMER_SEC (1), TIMER_SEC (3), 19 } },
     { 1.2,
       50,
       false,
