Let an entry that starts while the store is away list another entry's copy

An entry that starts knows only its settings. Without the store it refused all calls, beside entries that served. All upstreams of an old copy count as cold until each has said at its health path what it is: one may have started again since, and this process has lost no connection by which to know.

The session names the other entry and a health path, as the platform does; what it expects is unchanged.

--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -715,12 +715,24 @@
   return true;
 }
 
+void
+fleet_doubt_all (struct fleet *fleet, apr_time_t at)
+{
+  for (apr_hash_index_t *i = apr_hash_first (NULL, fleet->ids); i;
+       i = apr_hash_next (i))
+    {
+      struct fleet_upstream *upstream = apr_hash_this_val (i);
+      upstream->is_unseen = fleet_doubt (fleet, upstream, at);
+    }
+}
+
 bool
 fleet_settle (struct fleet_upstream *upstream, apr_time_t as_of,
               apr_time_t cold_left)
 {
   if (!doubt_settle (&upstream->doubt, as_of, as_of + cold_left))
     return false;
+  upstream->is_unseen = false;
   load_end_avoidance (&upstream->load, as_of);
   return true;
 }
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -114,6 +114,8 @@
                             later record ends that */
   bool record_is_cold;   /* the latest record said that it is cold */
   struct doubt doubt;    /* whether it may have started again since then */
+  bool is_unseen;        /* the doubt is about an old copy of its record: no
+                            other entry has it, so this one asks */
   size_t rank;           /* of this entry among those that may send to it while
                             it is cold, from 0; set by the gateway */
   uint64_t rank_version; /* of the list of entries for which it was computed;
@@ -224,6 +226,9 @@
    false if that changes nothing.  */
 bool fleet_doubt (struct fleet *fleet, struct fleet_upstream *upstream,
                   apr_time_t at);
+/* All that is known is an old copy of the store: no upstream's record need be
+   true any more, and all count as cold as after fleet_doubt.  */
+void fleet_doubt_all (struct fleet *fleet, apr_time_t at);
 /* UPSTREAM said, AS_OF that time, that it is cold for COLD_LEFT, 0: that it is
    not.  Returns false if something later is known.  */
 bool fleet_settle (struct fleet_upstream *upstream, apr_time_t as_of,
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -131,7 +131,7 @@
                LOG_INT ("entries",
                         (int64_t)registry_count (gateway->registry)));
         upstream->cold_quota = may_send ? quota.per_sender : 0;
-        if (may_send && upstream->doubt.since > 0)
+        if ((may_send || upstream->is_unseen) && upstream->doubt.since > 0)
           verify_upstream (gateway->verify, upstream);
       }
 }
@@ -299,11 +299,28 @@
   return peer;
 }
 
+/* Returns the address of an entry from the settings, a different one each
+   time, or an empty string.  */
+static struct str
+next_seed_address (struct gateway *gateway)
+{
+  const struct str_list *seeds = &gateway->settings.seeds;
+  for (size_t i = 0; i < seeds->count; i++)
+    {
+      struct str address = seeds->items[gateway->next_seed++ % seeds->count];
+      if (!str_equal (address, gateway->settings.listen.copies))
+        return address;
+    }
+  return STR ("");
+}
+
 static struct store *
 next_peer_store (void *user_data)
 {
   struct gateway *gateway = user_data;
-  return peer_store (gateway, registry_next_peer_address (gateway->registry));
+  struct str address = registry_next_peer_address (gateway->registry);
+  return peer_store (gateway, address.size > 0 ? address
+                                               : next_seed_address (gateway));
 }
 
 static struct store *
@@ -528,10 +545,11 @@
   } others[]
       = { { "readiness", listen->readiness, &gateway->readiness_listener },
           { "lookups", listen->lookups, &gateway->lookup_listener },
-          { "metrics", listen->metrics, &gateway->metrics_listener } };
+          { "metrics", listen->metrics, &gateway->metrics_listener },
+          { "copies", listen->copies, &gateway->copy_listener } };
   enum err_code code
       = httpd_create (gateway->pool, &callers, &gateway->caller_listener, err);
-  for (size_t i = 0; i < 3 && code == ERR_NONE; i++)
+  for (size_t i = 0; i < sizeof others / sizeof *others && code == ERR_NONE; i++)
     {
       struct httpd_desc desc = { .loop = gateway->loop,
                                  .name = others[i].name,
@@ -653,6 +671,7 @@
   httpd_destroy (gateway->readiness_listener);
   httpd_destroy (gateway->lookup_listener);
   httpd_destroy (gateway->metrics_listener);
+  httpd_destroy (gateway->copy_listener);
   curl_loop_destroy (gateway->curl_loop);
   http_client_destroy (gateway->client);
   registry_destroy (gateway->registry);
@@ -695,6 +714,7 @@
   log_start (LOG_FORMAT_JSON, LOG_INFO, gateway.settings.name.data);
   log_buffer_stdout ();
   gateway.random_state = (uint64_t)timer_clock () ^ (uint64_t)getpid () << 32;
+  gateway.next_seed = gateway.random_state % 1024;
   init_regions (&gateway);
   if (create_modules (&gateway, &err) != ERR_NONE
       || watch_signals (&gateway, &err) != ERR_NONE)
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -119,10 +119,12 @@
   struct verify *verify;
   struct platform_mirror *mirror; /* copy of the store, served to peers */
   apr_hash_t *peer_stores; /* struct store of other entries by address */
+  size_t next_seed;        /* index into the seeds of the settings */
   struct httpd *caller_listener;
   struct httpd *readiness_listener;
   struct httpd *lookup_listener;
   struct httpd *metrics_listener;
+  struct httpd *copy_listener;
   struct curl_loop *curl_loop;
   struct connections *connections;
   apr_hash_t *routes;   /* struct route_state by name */
--- a/src/gateway/lookup.c
+++ b/src/gateway/lookup.c
@@ -16,7 +16,7 @@
   HTTP_NOT_FOUND = 404,
   HTTP_GONE = 410,
   HTTP_UNAVAILABLE = 503,
-  MIRROR_AGE_MAX_MS = 3000,  /* an older copy of the store is not served */
+  MIRROR_AGE_MAX_MS = 3000,  /* an older copy isn't sent to who knows more */
   LOOKUP_ADDRESSES_MAX = 64, /* in one response; callers use no more */
   NUMBER_MAX_BYTES = 24      /* of a number as text */
 };
@@ -103,13 +103,17 @@
   return result;
 }
 
-/* Sends the whole copy of the store to an entry that can't reach it.  */
+/* Sends the whole copy of the store to an entry that can't reach it.  One that
+   starts knows less than the oldest copy, and says that it takes any.  */
 static enum MHD_Result
 respond_mirror (struct gateway *gateway, struct MHD_Connection *connection)
 {
   apr_pool_t *pool;
   apr_time_t age = store_sync_age (gateway->store_sync, timer_clock ());
-  if (age > TIMER_MS (MIRROR_AGE_MAX_MS))
+  bool may_be_stale
+      = httpd_query_parameter (connection, PLATFORM_MAY_BE_STALE).size > 0;
+  if (!store_sync_plan (gateway->store_sync)
+      || (!may_be_stale && age > TIMER_MS (MIRROR_AGE_MAX_MS)))
     return respond_text (connection, HTTP_UNAVAILABLE, STR ("too old\n"));
   apr_pool_create (&pool, gateway->pool);
   enum MHD_Result result = respond_copy (
--- a/src/gateway/settings.c
+++ b/src/gateway/settings.c
@@ -35,6 +35,9 @@
         { .name = "metrics",
           .type = FIELD_ADDRESS,
           FIELD_OFFSET (gateway_addresses, metrics) },
+        { .name = "copies",
+          .type = FIELD_ADDRESS,
+          FIELD_OFFSET (gateway_addresses, copies) },
         { 0 } };
 
 /* lease_ms: a dead entry stays in the responses to look-ups for no longer.  */
@@ -79,6 +82,9 @@
         OBJECT (retry, retry_fields, false),
         OBJECT (cold, cold_fields, false),
         OBJECT (machine, machine_fields, false),
+        { .name = "seeds",
+          .type = FIELD_ADDRESS_LIST,
+          FIELD_OFFSET (gateway_settings, seeds) },
         REAL (gateway_settings, stop_s, 0, 3600, 10),
         REAL (gateway_settings, lookup_most_s, 0, 3600, 5),
         REAL (gateway_settings, region_shift, 0, 1, 1),
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -29,6 +29,8 @@
   struct str readiness;
   struct str lookups;
   struct str metrics; /* also for other entries; may be empty */
+  struct str copies;  /* for entries that start, in whose settings it is one of
+                         `seeds'; may be empty */
 };
 
 /* The platform's store.  */
@@ -80,6 +82,9 @@
   struct gateway_retry retry;
   struct gateway_cold cold;
   struct gateway_machine machine;
+  /* Addresses `copies' of some entries, perhaps of this one or of none that
+     runs; asked for a copy of the store while no other entry is known.  */
+  struct str_list seeds;
   double stop_s; /* bound on the time from the signal to the exit */
   /* Longest lifetime of a look-up that callers respect.  */
   double lookup_most_s;
--- a/src/gateway/store_sync_sources.c
+++ b/src/gateway/store_sync_sources.c
@@ -311,6 +311,16 @@
   return (struct position){ store_sync->epoch, store_sync->index };
 }
 
+/* Returns whether RESPONSE, if it is a copy's, is recent enough to be relied
+   on.  */
+static bool
+is_recent_copy (const struct sync_query *query,
+                const struct store_items_response *response, apr_time_t now)
+{
+  return now - query->asked_at + response->age
+         <= store_sync_max_copy_age (query->store_sync);
+}
+
 /* Applies RESPONSE, which has content.  Returns whether this makes what is
    known current.  */
 static bool
@@ -323,8 +333,9 @@
   bool is_store = query->source == SOURCE_STORE;
   bool may_be_expired
       = is_store && outage_is_recent (&store_sync->outage, now);
-  bool is_stale = is_store && query->is_listing && store_sync->index == 0
-                  && !store_sync->needs_fresh_listing;
+  bool is_first_listing = query->is_listing && store_sync->index == 0;
+  bool is_stale
+      = is_store && is_first_listing && !store_sync->needs_fresh_listing;
   if (is_store)
     record_store_response (store_sync, now);
   if (!query->is_listing)
@@ -337,7 +348,14 @@
     log_outdated (query, response);
   if (is_stale || response->is_full || response->index < store_sync->index)
     return false;
+  /* An upstream may have started again since the copy was read, and no
+     connection of this process was lost by which to know.  */
+  if (!is_store && is_first_listing && !is_recent_copy (query, response, now))
+    fleet_doubt_all (store_sync->desc.fleet, now);
+  /* The clock begins with the machine, which may be younger than the copy.  */
   apr_time_t as_of = query->asked_at - response->age;
+  if (as_of < 1)
+    as_of = 1;
   if (as_of > store_sync->current_as_of)
     store_sync->current_as_of = as_of;
   return true;
@@ -428,8 +446,7 @@
       hold_source (query, was_waited_for, now);
       return;
     }
-  bool is_fresh = now - query->asked_at + response->age
-                  <= store_sync_max_copy_age (store_sync);
+  bool is_fresh = is_recent_copy (query, response, now);
   bool is_first_listing = query->is_listing && store_sync->index == 0;
   /* Also what is old may be news here.  */
   bool is_current = apply_response (query, response, now);
--- a/tests/session/cold-start.sh
+++ b/tests/session/cold-start.sh
@@ -9,7 +9,7 @@
   echo "{\"service\":\"desk\",\"address\":\"127.36.2.$1:7910\",\"zone\":\"north-a\",\"slots\":4,\"state\":\"$2\",\"cold_remaining_ms\":0,\"sequence\":$3,\"born\":$1}"
 }
 config () { # VERSION ROUTE
-  echo "{\"version\":$1,\"routes\":[{\"name\":\"$2\",\"host\":\"shop.example\",\"prefix\":\"/$2/\",\"kind\":\"safe\",\"timeout_ms\":1200,\"target_latency_ms\":400,\"priority\":1,\"service\":\"desk\",\"max_attempts\":2,\"sticky_sessions\":true,\"allowed_regions\":[]}],\"services\":[{\"name\":\"desk\",\"max_connections\":100,\"cold_start_s\":1.0,\"cold_per_s\":10.0}],\"limits\":{\"max_body_bytes\":100000}}"
+  echo "{\"version\":$1,\"routes\":[{\"name\":\"$2\",\"host\":\"shop.example\",\"prefix\":\"/$2/\",\"kind\":\"safe\",\"timeout_ms\":1200,\"target_latency_ms\":400,\"priority\":1,\"service\":\"desk\",\"max_attempts\":2,\"sticky_sessions\":true,\"allowed_regions\":[]}],\"services\":[{\"name\":\"desk\",\"health_path\":\"/healthz\",\"max_connections\":100,\"cold_start_s\":1.0,\"cold_per_s\":10.0}],\"limits\":{\"max_body_bytes\":100000}}"
 }
 put () { curl -s -X PUT --data-binary "$2" "$store/_put?key=$1" -o /dev/null; }
 drop () { curl -s -X PUT "$store/_drop?key=$1" -o /dev/null; }
@@ -19,7 +19,9 @@
 { "name": "s$1", "zone": "north-a", "region": "north",
   "zones": [{ "name": "north-a", "region": "north" }],
   "listen": { "callers": "127.36.1.$1:7901", "readiness": "127.36.1.$1:7902",
-              "lookups": "127.36.1.$1:7903", "metrics": "127.36.1.$1:7904" },
+              "lookups": "127.36.1.$1:7903", "metrics": "127.36.1.$1:7904",
+              "copies": "127.36.1.$1:7905" },
+  "seeds": ["127.36.1.2:7905", "127.36.1.1:7905"],
   "store": { "address": "127.36.9.1:7900", "in_force_ms": 2500, "leaving_ms": 2500 },
   "retry": { "ratio": 0.2, "slack": 100 }, "cold": { "multiplier": 1.5, "slack": 5 },
   "stop_s": 6, "log_lines_per_s": 10000 }
--- a/tests/standin/worker.c
+++ b/tests/standin/worker.c
@@ -18,6 +18,9 @@
    A request beyond the slots is refused with 503 and `Not-Executed: 1', and
    one with an Expect-Instance header of another id with 421.
 
+   GET /healthz responds with 200 and its id in Instance-Id, with 503 once it
+   says that it leaves.
+
    For tests, GET /_runs returns how many requests ran, how many pairs of them
    had the same Request-Id, and how many callers closed their connection while
    their request ran.  PUT /_mode?mode=M sets the mode:
@@ -387,6 +390,14 @@
   return send_response (connection, 200, make_response (text));
 }
 
+static enum MHD_Result
+send_health (struct MHD_Connection *connection)
+{
+  struct MHD_Response *response = make_response ("health\n");
+  MHD_add_response_header (response, "Instance-Id", worker.id);
+  return send_response (connection, worker.says_leaving ? 503 : 200, response);
+}
+
 static ssize_t
 read_truncated_body (void *user_data, uint64_t position, char *out,
                      size_t size)
@@ -532,6 +543,8 @@
     return send_work_response (request);
   if (request->has_run)
     return MHD_NO;
+  if (strcmp (url, "/healthz") == 0)
+    return send_health (connection);
   if (strcmp (url, "/_runs") == 0)
     return send_run_report (connection);
   if (strcmp (url, "/_late") == 0 && strcmp (method, "PUT") == 0)
