Ask three entries in a round for the first listing; test starts in an outage

An entry whose first seed had just been killed waited 1.7 s for another failure of the store before it asked the next one. Unit table: copies of any age, upstreams that had left, the store back with its history, without it, and restored.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -319,8 +319,8 @@
 {
   struct gateway *gateway = user_data;
   struct str address = registry_next_peer_address (gateway->registry);
-  return peer_store (gateway, address.size > 0 ? address
-                                               : next_seed_address (gateway));
+  return peer_store (gateway,
+                     address.size > 0 ? address : next_seed_address (gateway));
 }
 
 static struct store *
@@ -549,7 +549,8 @@
           { "copies", listen->copies, &gateway->copy_listener } };
   enum err_code code
       = httpd_create (gateway->pool, &callers, &gateway->caller_listener, err);
-  for (size_t i = 0; i < sizeof others / sizeof *others && code == ERR_NONE; i++)
+  for (size_t i = 0; i < sizeof others / sizeof *others && code == ERR_NONE;
+       i++)
     {
       struct httpd_desc desc = { .loop = gateway->loop,
                                  .name = others[i].name,
--- a/src/gateway/store_sync.h
+++ b/src/gateway/store_sync.h
@@ -3,12 +3,13 @@
    and zones go to fleet/fleet.h, entries to gateway/registry.h, and everything
    to this entry's copy of the store (platform/mirror.h).
 
-   The store is listed once at the start; if it doesn't respond, another entry's
-   copy is, however old it is: what others serve by is better than nothing, and
-   the changes since its index follow when the store is back.  Until they say
-   what they are, all upstreams of an old one count as cold.  After that only the changes are
-   read, several times within each bound on how long a change may take to be in
-   force, from the first of these sources that responds in time:
+   The store is listed once at the start; if it doesn't respond, another
+   entry's copy is, however old it is: what others serve by is better than
+   nothing, and the changes since its index follow when the store is back.
+   Until they say what they are, all upstreams of an old one count as cold.
+   After that only the changes are read, several times within each bound on how
+   long a change may take to be in force, from the first of these sources that
+   responds in time:
 
    - In a zone of more than two entries two of them, the readers, read the
      store, and the others get the changes from a reader.  The load on the
--- a/src/gateway/store_sync_internal.h
+++ b/src/gateway/store_sync_internal.h
@@ -52,7 +52,8 @@
   bool is_round_over;      /* the next one is scheduled */
   int preferred_reader;    /* the one that is asked first */
   int round_position;      /* of the source that is waited for */
-  bool is_listing;         /* a listing is being applied */
+  int first_peers; /* asked in this round for the first listing, in vain */
+  bool is_listing; /* a listing is being applied */
   /* The history after a stale listing was gone, so the next one has to be of
      its moment.  */
   bool needs_fresh_listing;
--- a/src/gateway/store_sync_sources.c
+++ b/src/gateway/store_sync_sources.c
@@ -22,7 +22,9 @@
   /* Full responses in a row, beside those that a listing would take, after
      which all is listed.  */
   MIN_FULL_RESPONSES = 3,
-  PAGE_KEYS = 400 /* of one page of a listing */
+  PAGE_KEYS = 400, /* of one page of a listing */
+  /* Other entries that are asked for the first listing in one round.  */
+  FIRST_PEERS = 3
 };
 
 /* As fractions of the time between two reads of the store, which is 0.45 of
@@ -132,11 +134,13 @@
         = now
           + (query->source == SOURCE_STORE ? store_hold (store_sync)
                                            : TIMER_MS (READER_HOLD_MS));
-  if (was_waited_for)
-    {
-      store_sync->round_position++;
-      ask_next (store_sync, now);
-    }
+  if (!was_waited_for)
+    return;
+  bool has_refused = query->source == SOURCE_PEER && !query->in_progress;
+  if (!has_refused || store_sync->index > 0
+      || ++store_sync->first_peers == FIRST_PEERS)
+    store_sync->round_position++;
+  ask_next (store_sync, now);
 }
 
 static void
@@ -473,6 +477,7 @@
 store_sync_begin_round (struct store_sync *store_sync, apr_time_t now)
 {
   store_sync->round_position = 0;
+  store_sync->first_peers = 0;
   store_sync->is_round_over = false;
   ask_next (store_sync, now);
 }
--- a/tests/unit/store_sync_test.c
+++ b/tests/unit/store_sync_test.c
@@ -14,6 +14,7 @@
 {
   READER, /* the entry that reads the store for this one */
   STORE,
+  PEER, /* another entry, which needn't be known from the store */
   SOURCES
 };
 
@@ -34,6 +35,8 @@
 static struct platform_mirror *mirror;
 static struct store_sync *store_sync;
 static bool has_reader;
+static bool has_peer;
+static apr_time_t copy_age; /* of the next response */
 static apr_time_t now;
 
 static void
@@ -76,7 +79,7 @@
 next_peer_store (void *user_data)
 {
   (void)user_data;
-  return NULL;
+  return has_peer ? &sources[PEER].store : NULL;
 }
 
 static void
@@ -137,6 +140,7 @@
                                            .items = items,
                                            .count = count,
                                            .index = index,
+                                           .age = copy_age,
                                            .epoch = epoch };
   store_items_done_fn *done = sources[source].done;
   sources[source].done = NULL;
@@ -152,17 +156,17 @@
   store_sync_begin_round (store_sync, now);
 }
 
-/* Creates an entry that knows the store at index 50 of epoch 4: configuration
-   10 and a leaving upstream.  */
+/* Creates an entry that knows nothing.  */
 static void
-set_up (void)
+set_up_start (void)
 {
   struct err err;
   static struct gateway_zone zone = { { "z", 1 }, { "north", 5 } };
   memset (sources, 0, sizeof sources);
   for (int i = 0; i < SOURCES; i++)
     sources[i].store.ops = &source_ops;
-  has_reader = false;
+  has_reader = has_peer = false;
+  copy_age = 0;
   caught_up_count = 0;
   settings = (struct gateway_settings){ .name = STR ("self"),
                                         .zone = STR ("z"),
@@ -188,6 +192,14 @@
                                   .on_caught_up = on_caught_up };
   store_sync = store_sync_create (test_pool, &desc);
   now = timer_clock ();
+}
+
+/* Creates an entry that knows the store at index 50 of epoch 4: configuration
+   10 and a leaving upstream.  */
+static void
+set_up (void)
+{
+  set_up_start ();
   struct store_item items[]
       = { make_config (10, 45), make_upstream ("draining", 9, 50) };
   begin_round ();
@@ -411,7 +423,107 @@
     }
 }
 
+/* An entry starts while the store is away: it serves by the copy of another
+   one, holds the upstreams of an old one for cold, and reads what has changed
+   since as soon as the store is back.  */
+static void
+test_start_in_outage (void)
+{
+  static const struct
+  {
+    const char *name;
+    int64_t age_ms;       /* of the copy */
+    const char *state;    /* of the upstream in it */
+    enum err_code code;   /* of the changes, when the store is back */
+    int64_t epoch;        /* of the store then */
+    int version;          /* of its configuration then */
+    bool is_cold;         /* the upstream, by the copy */
+    bool is_eligible;     /* by the copy */
+    int expected_version; /* in force at the end */
+  } cases[]
+      = { { "a recent copy", 400, "ready", ERR_NONE, 4, 11, false, true, 11 },
+          { "an old copy", 60000, "ready", ERR_NONE, 4, 11, true, true, 11 },
+          { "older than the clock", INT64_MAX / 2000, "ready", ERR_NONE, 4, 11,
+            true, true, 11 },
+          { "one that had left", 60000, "draining", ERR_NONE, 4, 11, true,
+            false, 11 },
+          { "the history is gone", 60000, "ready", ERR_NOT_FOUND, 4, 11, true,
+            true, 11 },
+          { "the store lost writes", 60000, "ready", ERR_NONE, 5, 9, true,
+            true, 10 } };
+  for (size_t i = 0; i < COUNT (cases); i++)
+    {
+      set_up_start ();
+      has_peer = true;
+      begin_round ();
+      respond (STORE, ERR_UNAVAILABLE, 0, 0, NULL, 0);
+      /* The first one knows nothing, the second one is asked at once.  */
+      CU_ASSERT (sources[PEER].is_listing);
+      respond (PEER, ERR_UNAVAILABLE, 0, 0, NULL, 0);
+      CU_ASSERT_PTR_NULL (store_sync_plan (store_sync));
+      struct store_item items[]
+          = { make_config (10, 45), make_upstream (cases[i].state, 9, 50) };
+      copy_age = TIMER_MS (cases[i].age_ms);
+      respond (PEER, ERR_NONE, 4, 50, items, 2);
+      copy_age = 0;
+      CU_ASSERT_PTR_NOT_NULL_FATAL (store_sync_plan (store_sync));
+      CU_ASSERT_EQUAL (plan_version (store_sync_plan (store_sync)), 10);
+      const struct fleet_upstream *upstream = fleet_find (fleet, STR ("a"));
+      CU_ASSERT_EQUAL (fleet_is_cold (upstream, timer_clock ()),
+                       cases[i].is_cold);
+      CU_ASSERT_EQUAL (upstream->is_unseen, cases[i].is_cold);
+      CU_ASSERT_EQUAL (fleet_is_eligible (upstream), cases[i].is_eligible);
+      begin_round ();
+      CU_ASSERT_EQUAL (sources[STORE].index, 50);
+      struct store_item next[]
+          = { make_config (cases[i].version, 55),
+              { .key = STR ("servers/a"), .index = 56, .is_removed = true } };
+      respond (STORE, cases[i].code, cases[i].epoch, 56, next, 2);
+      if (sources[STORE].done)
+        {
+          /* All is listed; the upstream isn't.  */
+          CU_ASSERT (sources[STORE].is_listing);
+          respond (STORE, ERR_NONE, cases[i].epoch, 56, next, 1);
+        }
+      CU_ASSERT_EQUAL (plan_version (store_sync_plan (store_sync)),
+                       cases[i].expected_version);
+      /* What is missing right after an outage may have expired in it, and is
+         kept for the grace period.  */
+      upstream = fleet_find (fleet, STR ("a"));
+      CU_ASSERT (!upstream || upstream->expired_at > 0);
+      fleet_remove_expired (fleet, timer_clock () + TIMER_SEC (60));
+      CU_ASSERT_PTR_NULL (fleet_find (fleet, STR ("a")));
+      if (plan_version (store_sync_plan (store_sync))
+          != cases[i].expected_version)
+        printf ("# %s\n", cases[i].name);
+      tear_down ();
+    }
+}
+
+/* Of three entries that know nothing none is asked twice in a row before the
+   store is.  */
+static void
+test_start_alone (void)
+{
+  set_up_start ();
+  has_peer = true;
+  begin_round ();
+  respond (STORE, ERR_UNAVAILABLE, 0, 0, NULL, 0);
+  for (int i = 0; i < 3; i++)
+    respond (PEER, ERR_UNAVAILABLE, 0, 0, NULL, 0);
+  CU_ASSERT_PTR_NULL (sources[PEER].done);
+  CU_ASSERT_PTR_NULL (store_sync_plan (store_sync));
+  begin_round ();
+  CU_ASSERT_PTR_NOT_NULL (sources[STORE].done);
+  CU_ASSERT (sources[STORE].is_listing);
+  tear_down ();
+}
+
 const struct unit_test store_sync_tests[] = {
+  { "an entry that starts in an outage serves by another one's copy",
+    test_start_in_outage },
+  { "an entry that starts in an outage asks three others, then the store",
+    test_start_alone },
   { "a restored store is listed, whatever its index", test_restored },
   { "a restored configuration that can't be read is refused",
     test_restored_invalid },
