--- a/tests/standin/worker.c
+++ b/tests/standin/worker.c
@@ -2,7 +2,7 @@
    that requests may expect, and load reports in its response headers.
 
      standin worker --listen IP:PORT --id ID [--work-ms N] [--slots N]
-       [--events FILE] [--store IP:PORT ...] [--long-tail yes]
+       [--events FILE] [--store IP:PORT ...] [--long-tail yes] [--cold-ms N]
 
    With --store it keeps a registry entry there; registration.h has the other
    options.  SIGTERM makes it leave as registration_leave describes.
@@ -18,7 +18,12 @@
    A request beyond the slots is refused with 503 and `Not-Executed: 1', and
    one with an Expect-Instance header of another id with 421.
 
-   For tests, GET /_runs returns how many requests ran, how many pairs of them
+   GET /healthz responds with the id, the load and, in the first --cold-ms of
+   the process, what is left of them; slots don't matter to it.
+
+   For tests, GET /_rush returns how many requests, refused ones too, came in
+   any one second of the first --cold-ms of the process at most.  GET /_runs
+   returns how many requests ran, how many pairs of them
    had the same Request-Id, and how many callers closed their connection while
    their request ran.  PUT /_mode?mode=M sets the mode:
      normal   responds with 200 after --work-ms
@@ -33,7 +38,8 @@
               seconds, a date or anything else; without: no such header
    With &leaving=yes it states in any of the modes that it leaves.  With
    &for_ms=N the mode is `normal' again after N milliseconds, and mode `away'
-   without a text states what is left of them.
+   without a text states what is left of them; with &times=N it is after N
+   requests ran.
 
    GET /_late?ms=N reports requests that arrived although the stand-in had told
    their caller not to send any: "N after leaving", more than N milliseconds
@@ -69,6 +75,7 @@
   MAX_TEXT_BYTES = 512,
   MAX_NOTICES = 1024,
   MAX_CONNECTIONS = 1024,
+  MAX_COLD_ARRIVALS = 65536,
   AWAY_GRACE_MS = 500, /* after a refusal, for requests on their way */
   LONG_WORK_MS = 1000, /* in mode `long' */
   TAIL_PERCENT = 3,
@@ -125,6 +132,7 @@
   bool says_leaving;
   char retry_after[MAX_ID_BYTES];
   apr_time_t mode_until; /* 0: no end */
+  int64_t mode_times;    /* requests until its end; 0: no end */
   struct timer mode_timer;
   char runs[MAX_RUNS][MAX_ID_BYTES];
   size_t run_count;
@@ -136,6 +144,9 @@
     apr_time_t at;
   } arrivals[MAX_RUNS]; /* after a notice that it leaves */
   size_t arrival_count;
+  apr_time_t cold_until;
+  apr_time_t cold_arrivals[MAX_COLD_ARRIVALS]; /* before that time */
+  size_t cold_arrival_count;
   uint64_t copies_percent;
   uint64_t copies_seed;
   uint64_t copies_draws;
@@ -347,6 +358,7 @@
   strcpy (worker.mode, "normal");
   worker.says_leaving = false;
   worker.mode_until = 0;
+  worker.mode_times = 0;
 }
 
 static enum MHD_Result
@@ -362,6 +374,8 @@
       = strcmp (worker.mode, "leaving") == 0
         || str_equal (httpd_query_parameter (connection, "leaving"),
                       STR ("yes"));
+  worker.mode_times
+      = strtoll (httpd_query_parameter (connection, "times").data, NULL, 10);
   worker.mode_until = 0;
   if (for_ms.size > 0)
     {
@@ -387,6 +401,52 @@
   return send_response (connection, 200, make_response (text));
 }
 
+/* Reports the most requests that came in one second while it was cold.  */
+static enum MHD_Result
+send_rush_report (struct MHD_Connection *connection)
+{
+  char text[64];
+  size_t most = 0;
+  size_t first = 0;
+  for (size_t i = 0; i < worker.cold_arrival_count; i++)
+    {
+      while (worker.cold_arrivals[first]
+             <= worker.cold_arrivals[i] - APR_USEC_PER_SEC)
+        first++;
+      if (i + 1 - first > most)
+        most = i + 1 - first;
+    }
+  snprintf (text, sizeof text, "%zu in one second, %zu in all\n", most,
+            worker.cold_arrival_count);
+  return send_response (connection, 200, make_response (text));
+}
+
+/* Writes the value of the header that reports the load.  */
+static void
+format_load (char *out, size_t size)
+{
+  snprintf (out, size, "%lld,0,%lld,100", (long long)worker.running,
+            (long long)worker.slots);
+}
+
+static enum MHD_Result
+send_health (struct MHD_Connection *connection)
+{
+  char text[64];
+  apr_time_t now = timer_clock ();
+  struct MHD_Response *response = make_response ("");
+  MHD_add_response_header (response, "Instance-Id", worker.id);
+  format_load (text, sizeof text);
+  MHD_add_response_header (response, "Server-Load", text);
+  if (now < worker.cold_until)
+    {
+      snprintf (text, sizeof text, "%lld",
+                (long long)(worker.cold_until - now) / 1000 + 1);
+      MHD_add_response_header (response, "Cold-Ms", text);
+    }
+  return send_response (connection, 200, response);
+}
+
 static ssize_t
 read_truncated_body (void *user_data, uint64_t position, char *out,
                      size_t size)
@@ -408,8 +468,7 @@
       = is_truncated ? MHD_create_response_from_callback (
             64, 64, read_truncated_body, NULL, NULL)
                      : make_response (request->text);
-  snprintf (load, sizeof load, "%lld,0,%lld,100", (long long)worker.running,
-            (long long)worker.slots);
+  format_load (load, sizeof load);
   MHD_add_response_header (
       response, "Request-Id",
       strcmp (request->mode, "crossed") == 0 ? "another" : request->id);
@@ -476,6 +535,9 @@
   struct str expected_instance
       = httpd_header (request->connection, "Expect-Instance");
   count_arrival (httpd_header (request->connection, "Request-Id").data);
+  if (timer_clock () < worker.cold_until
+      && worker.cold_arrival_count < MAX_COLD_ARRIVALS)
+    worker.cold_arrivals[worker.cold_arrival_count++] = timer_clock ();
   if (expected_instance.size > 0
       && !str_equal (expected_instance, str_from (worker.id)))
     return refuse (request->connection, 421);
@@ -485,6 +547,8 @@
   snprintf (request->id, sizeof request->id, "%s",
             httpd_header (request->connection, "Request-Id").data);
   snprintf (request->mode, sizeof request->mode, "%s", worker.mode);
+  if (worker.mode_times > 0 && --worker.mode_times == 0)
+    set_normal_mode (NULL, 0);
   snprintf (request->text, sizeof request->text, "%s %s %s %zu\n", worker.id,
             method, url, request->body_size);
   if (worker.run_count < MAX_RUNS)
@@ -534,6 +598,10 @@
     return MHD_NO;
   if (strcmp (url, "/_runs") == 0)
     return send_run_report (connection);
+  if (strcmp (url, "/_rush") == 0)
+    return send_rush_report (connection);
+  if (strcmp (url, "/healthz") == 0)
+    return send_health (connection);
   if (strcmp (url, "/_late") == 0 && strcmp (method, "PUT") == 0)
     {
       worker.notice_count = worker.arrival_count = 0;
@@ -615,6 +683,9 @@
   worker.has_long_tail
       = strcmp (option (argc, argv, "--long-tail", "no"), "yes") == 0;
   worker.slots = strtoll (option (argc, argv, "--slots", "4"), NULL, 10);
+  worker.cold_until
+      = timer_clock ()
+        + TIMER_MS (strtoll (option (argc, argv, "--cold-ms", "0"), NULL, 10));
   worker.copies_percent
       = strtoull (option (argc, argv, "--copies", "0"), NULL, 10);
   worker.copies_seed
