--- a/tests/session/judge.sh
+++ b/tests/session/judge.sh
@@ -164,6 +164,28 @@
 check "three requests within the time, the path to the upstream was cut at the refusal" "$start | 8000 disturbed w1 back | ${away#*| * | } | 9100 undisturbed w1 | $(served 9600 a) | $(served 9700 b) | $(served 11900 c)"
 check "three requests within the time, the path to the upstream was cut later" "$away | 9100 disturbed w1 back | 9200 undisturbed w1 | $(served 9600 a) | $(served 9700 b) | $(served 11900 c)"
 check "three requests within the time, the upstream was paused at the refusal" "$start | 8000 disturbed w1 pause | ${away#*| * | } | 9100 undisturbed w1 | $(served 9600 a) | $(served 9700 b) | $(served 11900 c)"
+# An upstream is cold from 9000 to 12000 ms.
+cold="$start | 9000 cold w1-2 3000"
+rush () { served $((9100 + 40 * $1)) "k$1"; } # 25 a second
+calm_rush () { served $((9100 + 50 * $1)) "k$1"; } # 20 a second
+early_rush () { served $((8000 + 40 * $1)) "k$1"; }
+late_rush () { served $((11990 + 40 * $1)) "k$1"; }
+refused_rush () { echo "$(ask $((9100 + 40 * $1)) "k$1") | $((9101 + 40 * $1)) refused k$1 w1-2 desk 429"; }
+misdirected_rush () { echo "$(ask $((9100 + 40 * $1)) "k$1") | $((9101 + 40 * $1)) refused k$1 w1-2 desk 421"; }
+check "requests to a cold upstream, as many as it may get" "$cold | $(many 40 calm_rush)"
+check "one more" "$cold | $(many 40 calm_rush) | $(served 9520 a)"
+check "more than a cold upstream may get" "$cold | $(many 40 rush)"
+check "more than that, refused by it" "$cold | $(many 40 refused_rush)"
+check "more than that, for the process that was there before" "$cold | $(many 40 misdirected_rush)"
+check "more than that, before it started again" "$cold | $(many 25 early_rush)"
+check "more than that, after its cold time" "$cold | $(many 40 late_rush)"
+check "more than that, after each of two starts" "$cold | 10700 cold w1-2 3000 | $(many 90 rush)"
+check "more than that, the store was disturbed" "$cold | 8500 disturbed store silent | 10000 undisturbed store | $(many 40 rush)"
+check "more than that, the entry was cut off from the store" "$cold | 8500 disturbed e1 silent | 10000 undisturbed e1 | $(many 40 rush)"
+check "more than that, the entry restarted" "$cold | 8500 disturbed e1 kill | 8501 exited e1 137 | 8900 started e1 | 8901 undisturbed e1 | $(many 40 rush)"
+check "more than that, the entry restarted long before" "$cold | 4000 disturbed e1 kill | 4001 exited e1 137 | 4500 started e1 | 4501 undisturbed e1 | $(many 40 rush)"
+check "more than that, the upstream was killed before" "$cold | 8000 disturbed w1 kill | 8990 undisturbed w1 | $(many 40 rush)"
+check "more than that, the path to it was disturbed" "$cold | 9010 disturbed w1 delay | 9400 undisturbed w1 | $(many 40 rush)"
 # The calm phase at the end.
 calm_call () { served $((20100 + 10 * $1)) "q$1.0"; }
 check_calm "calm phase, every call served" "$start | 20000 calm begins | $(many 60 calm_call) | 25000 calm ends"
--- a/tests/soak/judge.awk
+++ b/tests/soak/judge.awk
@@ -28,6 +28,7 @@
 #                              so long it wants none, by Retry-After
 #   said REQUEST WORKER        a response to this request states that the upstream
 #                              leaves
+#   cold WORKER MS             an upstream starts, and is cold for so long
 # Others (fault, born, again, copied) only explain a log to its reader.
 # NAME is "store", "proxy", an entry "eN" or a worker slot "wN"; WORKER is
 # "wN-INCARNATION".
@@ -51,6 +52,7 @@
   MAX_ATTEMPTS = 2            # upstreams that one request may be sent to
   AWAY_GRACE = 500000         # after a refusal with Retry-After, for requests on their way
   MAX_WHILE_AWAY = 2          # requests of one entry after that, until the time is over
+  MAX_COLD = 20               # requests in any second to an upstream that is cold; as in soak.sh
   MIN_VIOLATIONS = 8          # of a rule on timing, before it counts as broken
 }
 
@@ -179,8 +181,27 @@
 $2 == "undisturbed" { excuse($3, frozen[$3]); if (--held_by[$3] == 0) frozen[$3] = cut_off[$3] = 0 }
 $2 == "started" { excuse($3, 1) }
 
+# An upstream that started a while ago gets at most MAX_COLD requests in any
+# second.  Not counted are those of an entry that restarts or freezes, which has
+# forgotten or not heard that it is cold; a disturbed path or upstream delays
+# requests, so that they arrive together.
+$2 == "cold" { cold_until[$3] = $1 + $4 * 1000; cold_first[$3] = 1; cold_count[$3] = 0 }
+$2 == "disturbed" && ($3 ~ /^e/ ? $4 ~ /^(kill|pause)$/ : $4 != "kill") { shaky[$3] = 1 }
+$2 == "undisturbed" && held_by[$3] == 0 && shaky[$3] { shaky[$3] = 0; steady_at[$3] = $1 + RECOVERY }
+function is_steady(name) { return !shaky[name] && $1 > steady_at[name] }
+function count_cold(id, worker,   n) {
+  if ($1 >= cold_until[worker] || !is_steady(entry_by[id]) || !is_steady(slot_of(worker))) return
+  n = ++cold_count[worker]
+  cold_at[worker, n] = $1
+  while (cold_at[worker, cold_first[worker]] <= $1 - 1000000) cold_first[worker]++
+  if (n - cold_first[worker] + 1 <= MAX_COLD) return
+  broken("cold", worker " got " n - cold_first[worker] + 1 " requests in one second, " (cold_until[worker] - $1) / 1e6 " s before it is warm; the last by " entry_by[id])
+  cold_until[worker] = 0
+}
+
 $2 == "refused" {
   count_arrival($3, $5)
+  if ($6 != 421) count_cold($3, $4)
   # 421: the entry sent it to another incarnation, whose address this one has.
   if ($6 != 421) check_notices($3, $4)
   entry = entry_by[$3]
@@ -197,6 +218,7 @@
   id = $3; worker = $4; service = $5; zone = $6
   if (!(id in sent_at)) { broken("unasked", "nobody sent " id); next }
   count_arrival(id, service)
+  count_cold(id, worker)
   check_notices(id, worker)
   if (method[id] != $7 || path[id] != $8 || size[id] != $9 || (size[id] > 0 && hash[id] != $10))
     broken("unasked", id " runs changed: " $7 " " $8 " " $9 " " $10)
--- a/tests/soak/soak.sh
+++ b/tests/soak/soak.sh
@@ -98,14 +98,15 @@
 start_entry () { launch "e$1" "$BUILD/citroncleat" gateway -f "$WORK/e$1.json"; }
 # Every third worker serves `shed'; incarnations with an odd number are quiet:
 # they delete their record when they leave instead of writing that they drain.
-start_worker () { # NUMBER INCARNATION [COPIES]
+start_worker () { # NUMBER INCARNATION [COPIES [OPTION...]]
   local service=desk quiet=no
+  echo "$2" >"$WORK/w$1.incarnation"
   [ $(($1 % 3)) != 0 ] || service=shed
   [ $(($2 % 2)) = 0 ] || quiet=yes
   launch "w$1" "$BUILD/standin" worker --listen "$net.2.$1:7910" --id "w$1-$2" --work-ms 30 --slots 12 --long-tail yes \
     --service $service --zone "$(worker_zone $(($1 / 3)))" --advertise "$net.3.$1:7910" \
     --store "$net.9.1:7900" --quiet $quiet --events "$WORK/workers.events" \
-    --copies "${3:-0}" --copies-seed $((seed + $2))
+    --copies "${3:-0}" --copies-seed $((seed + $2)) "${@:4}"
 }
 
 put () { curl -s -m 5 -X PUT --data-binary @- "$store/_put?key=$1" -o /dev/null; }
@@ -124,7 +125,7 @@
   for i in $(seq "$2"); do routes="$routes,$(route "extra-$version-$i" safe desk)"; done
   note "try config $version $1"
   put op/config <<EOF
-{"version":$version,"routes":[$routes],"services":[{"name":"desk","max_connections":100,"cold_start_s":1.0,"cold_per_s":10.0},{"name":"shed","max_connections":100,"cold_start_s":1.0,"cold_per_s":10.0}],"limits":{"max_body_bytes":1000000}}
+{"version":$version,"routes":[$routes],"services":[{"name":"desk","health_path":"/healthz","max_connections":100,"cold_start_s":3.0,"cold_per_s":10.0},{"name":"shed","health_path":"/healthz","max_connections":100,"cold_start_s":3.0,"cold_per_s":10.0}],"limits":{"max_body_bytes":1000000}}
 EOF
   note "ack config $version $1"
 }
@@ -359,6 +360,35 @@
   done
   wait $copies
 }
+# The worker ends and starts again under its id, cold; its record follows
+# REGISTER-MS after that.
+fault_worker_returns () { # NUMBER MS REGISTER-MS
+  lock "w$1" || return
+  note "disturbed w$1 kill"
+  send KILL "w$1"
+  sleep_ms "$2"
+  start_worker "$1" "$(cat "$WORK/w$1.incarnation")" 0 --cold-ms 3000 --register-after "$3"
+  note "undisturbed w$1"
+  sleep_ms $(($3 + 500))
+  unlock "w$1"
+}
+# Draws when that happens, from a random sequence of its own as in stop_in_series.
+upstreams_return () {
+  local returns="" w ms register_ms
+  RANDOM=$(((seed + 27644) % 32768))
+  while [ "$(date +%s)" -lt $end ]; do
+    pick "$workers"; w=$((1 + R))
+    pick 3800; ms=$((200 + R))
+    pick 2000; register_ms=$((1 + R))
+    set -- fault_worker_returns "$w" "$ms" "$register_ms"
+    note "fault $*"
+    "$@" &
+    returns="$returns $!"
+    pick 4000
+    sleep_ms $((1000 + R))
+  done
+  wait $returns
+}
 fault_store () { # MODE MS
   note "disturbed store $1"
   curl -s -m 5 -X PUT "$store/_mode?mode=$1" -o /dev/null
@@ -503,6 +533,8 @@
 running="$running $!"
 restore_store &
 running="$running $!"
+upstreams_return &
+running="$running $!"
 while [ "$(date +%s)" -lt $end ]; do
   inject
   pick 1500
--- a/tests/standin/registration.c
+++ b/tests/standin/registration.c
@@ -30,6 +30,7 @@
   int64_t era; /* of the store */
   int64_t sequence;
   int64_t started_at_ms;
+  int64_t cold_ms;
   struct timer heartbeat_timer;
   struct timer grace_timer;
 } registration;
@@ -88,14 +89,17 @@
 static void
 write_entry (void)
 {
+  int64_t cold_left = registration.started_at_ms + registration.cold_ms
+                      - apr_time_as_msec (apr_time_now ());
   char value[MAX_TEXT_BYTES], text[2 * MAX_TEXT_BYTES],
       body[3 * MAX_TEXT_BYTES];
   snprintf (value, sizeof value,
             "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\","
-            "\"slots\":%s,\"state\":\"%s\",\"cold_remaining_ms\":0,"
+            "\"slots\":%s,\"state\":\"%s\",\"cold_remaining_ms\":%lld,"
             "\"sequence\":%lld,\"born\":%lld}",
             registration.service, registration.advertise, registration.zone,
             registration.slots, registration.is_leaving ? "draining" : "ready",
+            (long long)(cold_left > 0 ? cold_left : 0),
             (long long)++registration.sequence,
             (long long)registration.started_at_ms);
   sodium_bin2base64 (text, sizeof text, (const unsigned char *)value,
@@ -172,12 +176,20 @@
   registration.slots = option (argc, argv, "--slots", "4");
   registration.leaves_unannounced
       = strcmp (option (argc, argv, "--quiet", "no"), "yes") == 0;
+  registration.cold_ms
+      = strtoll (option (argc, argv, "--cold-ms", "0"), NULL, 10);
+  int64_t wait_ms
+      = strtoll (option (argc, argv, "--register-after", "0"), NULL, 10);
   registration.started_at_ms = apr_time_as_msec (apr_time_now ());
   if (!registration.store
       || http_client_create (pool, loop, &registration.client, &err)
              != ERR_NONE)
     return;
-  send_heartbeat (NULL, timer_clock ());
+  if (wait_ms > 0)
+    timer_start (loop_timers (loop), &registration.heartbeat_timer,
+                 timer_clock () + TIMER_MS (wait_ms), send_heartbeat, NULL);
+  else
+    send_heartbeat (NULL, timer_clock ());
 }
 
 void
--- a/tests/standin/registration.h
+++ b/tests/standin/registration.h
@@ -17,8 +17,9 @@
 
 #include "base/loop.h"
 
-/* Reads the options --store, --service, --zone, --advertise, --id, --slots
-   and --quiet, and opens the lease.  Without --store nothing is registered. */
+/* Reads the options --store, --service, --zone, --advertise, --id, --slots,
+   --cold-ms and --quiet, and opens the lease, --register-after milliseconds
+   later if that is given.  Without --store nothing is registered.  */
 void registration_start (apr_pool_t *pool, struct loop *loop, int argc,
                          char **argv, void (*on_left) (void));
 /* Announces in the store that the upstream leaves; ON_LEFT follows.  Without a
--- a/tests/standin/worker.c
+++ b/tests/standin/worker.c
@@ -49,6 +49,7 @@
    the address that their connections come from.  `PUT /_late' forgets both.
 
    The event file has a line for each of them:
+     cold WORKER MS             it starts, and is cold for --cold-ms
      said ID WORKER             a response states that the worker leaves
      refused ID WORKER SERVICE STATUS [SECONDS]   SECONDS: of Retry-After
      copied ID WORKER STATUS ID   the response to the first ID takes the place
@@ -702,6 +703,9 @@
   worker.zone = option (argc, argv, "--zone", "north-a");
   events_open (option (argc, argv, "--events", NULL));
   events_write ("born %s %s %s", worker.id, worker.service, worker.zone);
+  if (worker.cold_until > timer_clock ())
+    events_write ("cold %s %s", worker.id,
+                  option (argc, argv, "--cold-ms", "0"));
   watch_stop_signals (worker.loop, on_stop_signal, NULL);
   registration_start (pool, worker.loop, argc, argv, on_registration_left);
   loop_run (worker.loop);
