--- a/tests/session/restarted-upstream.sh
+++ b/tests/session/restarted-upstream.sh
@@ -59,6 +59,15 @@
   local e
   for e in $entries; do [ $e = n1 ] || [ $e = $idle ] || kill "-$1" "$(pid_of load-$e)"; done
 }
+# find_key ID: sets K to a key whose requests at n1 go to the upstream ID.
+find_key () {
+  for K in $(seq 100 400); do [ "$(call "$K")" = "$1" ] && return; done
+  echo "no request reaches $1"
+}
+# call KEY: a call at n1; prints the upstream that ran it.
+call () {
+  curl -s -m 5 -H 'Host: shop.example' -H "Request-Id: k-$BASHPID-$RANDOM$RANDOM" -H "Cookie: Affinity-Key=$1" "http://$(address_of n1):7901/look/1" | sed 's/ .*//'
+}
 # restart OUTAGE_S BORN: ends i-1, starts it again and writes its new record after
 # 1.5 s; prints whether it got more in a second than it may.
 restart () {
@@ -66,8 +75,10 @@
   heard_before=$(heard)
   echo i-2 i-3 >"$WORK/listed"
   signal_callers STOP
+  find_key i-1
   sleep 0.3
   end_upstream 1
+  call $K >/dev/null
   sleep "$1"
   start_upstream 1 $cold_ms
   signal_callers CONT
@@ -95,7 +106,7 @@
 
 start store "$BUILD/standin" metadata --listen 127.44.9.1:7900
 wait_for 5 curl -s -o /dev/null "$store/kv-range?prefix=x"
-put op/config "{\"version\":1,\"routes\":[{\"name\":\"look\",\"host\":\"shop.example\",\"prefix\":\"/look/\",\"kind\":\"safe\",\"timeout_ms\":4000,\"target_latency_ms\":400,\"priority\":1,\"service\":\"desk\",\"max_attempts\":2,\"sticky_sessions\":false,\"allowed_regions\":[]}],\"services\":[{\"name\":\"desk\",\"health_path\":\"/healthz\",\"max_connections\":100,\"cold_start_s\":$((cold_ms / 1000)).0,\"cold_per_s\":$cold_per_s.0}],\"limits\":{\"max_body_bytes\":100000}}"
+put op/config "{\"version\":1,\"routes\":[{\"name\":\"look\",\"host\":\"shop.example\",\"prefix\":\"/look/\",\"kind\":\"safe\",\"timeout_ms\":4000,\"target_latency_ms\":400,\"priority\":1,\"service\":\"desk\",\"max_attempts\":2,\"sticky_sessions\":true,\"allowed_regions\":[]}],\"services\":[{\"name\":\"desk\",\"health_path\":\"/healthz\",\"max_connections\":100,\"cold_start_s\":$((cold_ms / 1000)).0,\"cold_per_s\":$cold_per_s.0}],\"limits\":{\"max_body_bytes\":100000}}"
 for i in 1 2 3; do start_upstream $i 0; put servers/i-$i "$(upstream_record $i $i 0)"; done
 echo i-1 i-2 i-3 >"$WORK/listed"
 renew &
