Retry budget: divide the slack over any number of entries

Cause: the rule bounds what all entries send again by the ratio plus one slack (BUDGET), but each entry kept at least one attempt saved up, so 300 entries with a slack of 64 had 300.

Change: an entry whose part of the slack is less than one attempt gives an unused attempt up again as its balance passes it, and goes on from the rest. The balances are spread by a random fraction of an attempt, so at any time only the part of the entries that the slack allows has one at hand, beside what the request at hand earns. From one attempt on the balance is capped as before, and it starts at zero as before. Fractions are kept while the part is above one attempt, so entries that were few don't become alike.

--- a/src/call/call.c
+++ b/src/call/call.c
@@ -123,7 +123,7 @@
   if (found)
     return found;
   found = apr_pcalloc (context->pool, sizeof *found);
-  budget_init (&found->hedge_budget, 0, MAX_SAVED_HEDGES);
+  budget_init (&found->hedge_budget, 0, MAX_SAVED_HEDGES, MAX_SAVED_HEDGES, 0);
   for (int outcome = 0; outcome <= OUTCOME_UNKNOWN; outcome++)
     {
       snprintf (labels, sizeof labels, "service=\"%.*s\",outcome=\"%s\"",
--- a/src/call/worker.c
+++ b/src/call/worker.c
@@ -119,7 +119,8 @@
   context->burn = desc->burn;
   context->pool = pool;
   context->service_counters = apr_hash_make (pool);
-  budget_init (&context->retries, RETRIES_PER_CALL, MAX_SAVED_RETRIES);
+  budget_init (&context->retries, RETRIES_PER_CALL, MAX_SAVED_RETRIES,
+               MAX_SAVED_RETRIES, 0);
   enum err_code code = loop_create (pool, &context->loop, err);
   if (code != ERR_NONE)
     return code;
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -760,6 +760,8 @@
   service = apr_pcalloc (gateway->pool, sizeof *service);
   service->name = str_dup (gateway->pool, name);
   service->most_urgent_priority = PRIORITY_LEVELS;
+  budget_init (&service->retry_budget, 0, 0, 0,
+               gateway_random_fraction (gateway));
   update_retry_budget (gateway, service);
   region_overflow_init (&service->overflow, overflow_fraction (gateway),
                         1
