Weights: start the round robin of each entry at a position of its own

Cause: every entry began its round robin at the same place, with the heaviest service, and again with each version of the configuration.

Change: when an entry adopts a configuration, each route's round robin starts at a position that follows from the entry's name, the version and the route, at most 1,000 requests on. From there it is the same round robin, so an entry of few requests is off by less than one of them, as before. Routes without usable weights are left alone (a test of faulty routes calls it too).

--- a/src/gateway/store_sync.c
+++ b/src/gateway/store_sync.c
@@ -4,6 +4,8 @@
 #include "platform/decode.h"
 #include "platform/mirror.h"
 
+#include <xxhash.h>
+
 /* constants */
 
 enum
@@ -43,6 +45,15 @@
          LOG_INT ("version", plan_version (plan)), LOG_INT ("count", count));
 }
 
+/* Returns a number that differs between entries, and between the VERSIONs of
+   the configuration.  */
+static uint64_t
+entry_seed (const struct store_sync *store_sync, int64_t version)
+{
+  struct str name = store_sync->desc.settings->name;
+  return XXH64 (name.data, name.size, (uint64_t)version);
+}
+
 /* Adopts the configuration TEXT if it is valid and newer than the plan in
    force.  */
 static void
@@ -64,6 +75,7 @@
     }
   plan_unref (store_sync->plan);
   store_sync->plan = plan;
+  plan_spread_weights (plan, entry_seed (store_sync, plan_version (plan)));
   counter_set (store_sync->version_gauge, plan_version (plan));
   LOG (LOG_INFO, "configuration-adopted",
        LOG_INT ("version", plan_version (plan)),
--- a/src/plan/plan.c
+++ b/src/plan/plan.c
@@ -1,5 +1,7 @@
 #include "plan/plan.h"
 
+#include "base/hash.h"
+
 #include <apr_hash.h>
 #include <apr_tables.h>
 #include <stdlib.h>
@@ -26,7 +28,10 @@
 {
   /* Host and prefix; plan_finish refuses longer ones, so a longer part of a
      path matches no route.  */
-  KEY_MAX_BYTES = 1024
+  KEY_MAX_BYTES = 1024,
+  /* Positions of a round robin at which it may start.  A longer one than this
+     is close to its weights after as many requests.  */
+  POSITIONS_MAX = 1000
 };
 
 /* private functions */
@@ -279,6 +284,30 @@
   return kind == PLAN_SAFE || kind == PLAN_DOWNLOAD;
 }
 
+void
+plan_spread_weights (struct plan *plan, uint64_t seed)
+{
+  for (int i = 0; i < plan->routes->nelts; i++)
+    {
+      struct plan_route *route
+          = APR_ARRAY_IDX (plan->routes, i, struct plan_route *);
+      int64_t positions = 0;
+      for (size_t s = 0; s < route->weighted_service_count; s++)
+        {
+          int64_t weight = route->weighted_services[s].weight;
+          positions += weight < POSITIONS_MAX ? weight : POSITIONS_MAX;
+        }
+      if (positions > POSITIONS_MAX)
+        positions = POSITIONS_MAX;
+      /* Less than two also where weights are missing or can't be used.  */
+      if (route->refusal || positions < 2)
+        continue;
+      uint64_t skipped = hash_mix (seed, (uint64_t)i) % (uint64_t)positions;
+      while (skipped-- > 0)
+        plan_next_weighted_service (route);
+    }
+}
+
 const struct plan_service *
 plan_service (const struct plan *plan, struct str name)
 {
--- a/src/plan/plan.h
+++ b/src/plan/plan.h
@@ -141,6 +141,10 @@
    marked with its `refusal'.  After an error the plan must only be released.
  */
 enum err_code plan_finish (struct plan *plan, struct err *err);
+/* Starts the round robins of PLAN, which plan_finish made ready, at positions
+   that follow from SEED, a different one in each process: else the first
+   requests of all processes would go to the same services.  */
+void plan_spread_weights (struct plan *plan, uint64_t seed);
 /* Returns the route of HOST, which has no port, with the longest prefix of
    PATH, which has no query; or NULL.  */
 struct plan_route *plan_find_route (const struct plan *plan, struct str host,
--- a/tests/unit/plan_test.c
+++ b/tests/unit/plan_test.c
@@ -4,6 +4,8 @@
 #include "plan/plan.h"
 #include "tests/unit/unit.h"
 
+#include <math.h>
+#include <stdio.h>
 #include <string.h>
 
 static struct plan_route
@@ -85,6 +87,54 @@
   CU_ASSERT_EQUAL (counts[2], 0);
 }
 
+/* The first requests of many entries divide by the weights too.  */
+static void
+test_weights_of_many (void)
+{
+  static const struct
+  {
+    int entries;
+    int requests; /* of each entry */
+    int64_t weights[2];
+  } cases[] = { { 3000, 1, { 90, 10 } },     { 300, 1, { 50, 50 } },
+                { 300, 1, { 70, 30 } },      { 300, 3, { 70, 30 } },
+                { 3000, 5, { 90, 10 } },     { 12, 600, { 90, 10 } },
+                { 3000, 1, { 1, 1 << 30 } }, { 3000, 1, { 70000, 30000 } },
+                { 300, 1, { 0, 10 } } };
+  for (size_t c = 0; c < COUNT (cases); c++)
+    {
+      double weights = (double)(cases[c].weights[0] + cases[c].weights[1]);
+      double all = (double)cases[c].entries * cases[c].requests;
+      int first = 0;
+      for (int e = 0; e < cases[c].entries; e++)
+        {
+          struct plan_weighted_service services[]
+              = { { { "desk", 4 }, cases[c].weights[0], false, 0 },
+                  { { "office", 6 }, cases[c].weights[1], false, 0 } };
+          struct plan_route row = make_route ("h", "/a/", services, 2);
+          struct err err = { 0 };
+          struct plan *plan = plan_create (1);
+          plan_add_service (plan, STR ("desk"));
+          plan_add_service (plan, STR ("office"));
+          plan_add_route (plan, &row);
+          CU_ASSERT_EQUAL_FATAL (plan_finish (plan, &err), ERR_NONE);
+          plan_spread_weights (plan, (uint64_t)e);
+          struct plan_route *route
+              = plan_find_route (plan, STR ("h"), STR ("/a/"));
+          for (int i = 0; i < cases[c].requests; i++)
+            first += plan_next_weighted_service (route)
+                     == &route->weighted_services[0];
+          plan_unref (plan);
+        }
+      double expected = all * (double)cases[c].weights[0] / weights;
+      /* Each entry is off by less than one request.  */
+      CU_ASSERT_DOUBLE_EQUAL (first, expected,
+                              2 * sqrt ((double)cases[c].entries));
+      if (fabs (first - expected) > 2 * sqrt ((double)cases[c].entries))
+        printf ("# case %d: %d, %.0f expected\n", (int)c, first, expected);
+    }
+}
+
 /* A route that can't be used is refused alone, when the plan is made and with
    a detail; the route beside it is served.  One such route once took all
    services down.  */
@@ -105,6 +155,7 @@
     { "unknown service", "/a/", "office", 1, true },
     { "weight below zero", "/a/", "desk", -1, true },
     { "weight of zero", "/a/", "desk", 0, true },
+    { "weight of zero, no slash at the end", "/a", "desk", 0, false },
     { "the prefix of another route", "/good/twice/", "desk", 1, true },
   };
   for (size_t i = 0; i < COUNT (cases); i++)
@@ -124,6 +175,7 @@
       plan_add_route (plan, &good);
       plan_add_route (plan, &twice);
       CU_ASSERT_EQUAL (plan_finish (plan, &err), ERR_NONE);
+      plan_spread_weights (plan, i);
       CU_ASSERT (plan_problem_count (plan) >= 1);
       CU_ASSERT (plan_problem (plan, 0)->detail[0] != 0);
       const struct plan_route *found
@@ -180,6 +232,8 @@
 const struct unit_test plan_tests[] = {
   { "the longest prefix of the host is found", test_find_route },
   { "weighted services get their weights at every moment", test_weights },
+  { "first requests of many entries follow the weights too",
+    test_weights_of_many },
   { "a faulty route is refused alone", test_faulty_routes },
   { "only the share of a missing service is refused", test_missing_service },
   { "a route without a host refuses the plan", test_no_host },
