Entries that vanish count among the senders to cold upstreams for ten seconds

When leases end in an outage of the store, entries are gone from the list for a second or more. One that is left alone took the part of all others, up to 16 requests a second, while the others went on sending theirs.

An entry whose key vanished counts for ten seconds more, unless it is listed again, in the rank and in the division; and none sends more than three requests a second to a cold upstream, since one that starts may not know the others yet.

--- a/src/balance/cold_quota.c
+++ b/src/balance/cold_quota.c
@@ -1,10 +1,15 @@
 #include "balance/cold_quota.h"
 
-#include "balance/load.h"
-
 /* Fraction of what is allowed that is divided.  */
 static const double divided_fraction = 0.75;
 
+enum
+{
+  /* An entry may know few others for a while: as it starts, or after the keys
+     of all were lost.  */
+  MAX_PER_SENDER = 3
+};
+
 struct cold_quota
 cold_quota_divide (double max, size_t entries)
 {
@@ -15,8 +20,8 @@
        senders++)
     {
       int64_t per_sender = total / (int64_t)senders;
-      if (per_sender > LOAD_RECENT_SENDS)
-        per_sender = LOAD_RECENT_SENDS;
+      if (per_sender > MAX_PER_SENDER)
+        per_sender = MAX_PER_SENDER;
       if ((int64_t)senders * per_sender
           >= (int64_t)best.senders * best.per_sender)
         best = (struct cold_quota){ senders, per_sender };
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -102,7 +102,7 @@
   double max
       = (planned ? planned->cold_rate : 0) * cold->multiplier + cold->slack;
   struct cold_quota quota
-      = cold_quota_divide (max, registry_count (gateway->registry));
+      = cold_quota_divide (max, registry_cold_count (gateway->registry));
   uint64_t version = registry_version (gateway->registry);
   for (size_t g = 0; upstreams && g < upstreams->group_count; g++)
     for (size_t i = 0; i < upstreams->groups[g]->count; i++)
@@ -117,8 +117,8 @@
         if (upstream->rank_version != version)
           {
             upstream->rank_version = version;
-            upstream->rank = registry_rank (gateway->registry, upstream->hash,
-                                            upstream->region);
+            upstream->rank = registry_cold_rank (
+                gateway->registry, upstream->hash, upstream->region);
           }
         bool may_send = upstream->rank < quota.senders;
         if (may_send && upstream->cold_quota == 0
--- a/src/gateway/registry.c
+++ b/src/gateway/registry.c
@@ -8,8 +8,22 @@
 #include <string.h>
 #include <xxhash.h>
 
+enum
+{
+  VANISHED_MAX = 1024 /* entries that vanished and still count; of more, those
+                         that vanished first are forgotten */
+};
+
 /* types */
 
+/* An entry that vanished a short while ago, and may still be there.  */
+struct vanished
+{
+  uint64_t hash;        /* of its name */
+  uint64_t region_hash; /* of the name of its region */
+  apr_time_t at;
+};
+
 struct registry
 {
   struct registry_desc desc;
@@ -35,6 +49,8 @@
   bool own_key_listed;       /* in the restored store, as written last */
   struct departed *departed; /* entries that left, by name */
   size_t held_count;
+  struct vanished vanished[VANISHED_MAX]; /* in no order */
+  size_t vanished_count;
   size_t next_peer; /* of registry_next_peer_address */
 };
 
@@ -49,6 +65,9 @@
   HOLD_MS = 6000,         /* longer than a lease, a renewal and a read */
   KEY_MAX_BYTES = 128,
   INITIAL_CAPACITY = 16,
+  /* Leases that ended during an outage: their keys are written again within
+     two seconds of its end, and read within the next poll.  */
+  VANISHED_MS = 10000,
   REGIONS_MAX = 64 /* whose readers registry_next_peer_address knows */
 };
 
@@ -231,12 +250,48 @@
   apr_pool_destroy (entry->pool);
 }
 
+static uint64_t
+hash_of (struct str name)
+{
+  return XXH64 (name.data, name.size, 0);
+}
+
+/* Counts ENTRY, whose key is gone, for a while among those that may send.  */
+static void
+remember_vanished (struct registry *registry,
+                   const struct registry_entry *entry, apr_time_t now)
+{
+  struct vanished *place = registry->vanished;
+  if (registry->vanished_count < VANISHED_MAX)
+    place = &registry->vanished[registry->vanished_count++];
+  else
+    for (size_t i = 1; i < VANISHED_MAX; i++)
+      if (registry->vanished[i].at < place->at)
+        place = &registry->vanished[i];
+  *place = (struct vanished){ entry->hash, hash_of (entry->region), now };
+}
+
+/* Forgets vanished entries: those that are over, and that with HASH, which is
+   there again; 0: none.  */
+static void
+forget_vanished (struct registry *registry, uint64_t hash, apr_time_t now)
+{
+  for (size_t i = registry->vanished_count; i-- > 0;)
+    if (registry->vanished[i].hash == hash
+        || now - registry->vanished[i].at > TIMER_MS (VANISHED_MS))
+      {
+        registry->vanished[i] = registry->vanished[--registry->vanished_count];
+        registry->version++;
+      }
+}
+
 /* Removes ENTRY, which has left, and remembers that.  */
 static void
 remove_entry (struct registry *registry, struct registry_entry *entry,
               const char *reason, apr_time_t now)
 {
   departed_add (registry->departed, entry->name, entry->started, now);
+  remember_vanished (registry, entry, now);
   LOG (LOG_INFO, "entry-gone", LOG_TEXT ("name", entry->name.data),
        LOG_TEXT ("reason", reason));
   drop_entry (registry, entry);
@@ -590,6 +645,7 @@
   if (old)
     drop_entry (registry, old);
   add_entry (registry, entry);
+  forget_vanished (registry, entry->hash, timer_clock ());
   return true;
 }
 
@@ -608,6 +664,7 @@
 {
   bool is_needed = registry->expired_count > 0 || registry->held_count > 0;
   departed_expire (registry->departed, now);
+  forget_vanished (registry, 0, now);
   for (size_t i = is_needed ? registry->count : 0; i-- > 0;)
     {
       struct registry_entry *entry = registry->list[i];
@@ -693,6 +750,32 @@
   return preceding;
 }
 
+size_t
+registry_cold_rank (const struct registry *registry, uint64_t hash,
+                    struct str region)
+{
+  struct str self = registry->desc.settings->name;
+  uint64_t own = rendezvous_rank (hash_of (self), hash);
+  uint64_t region_hash = hash_of (region);
+  bool own_is_local = str_equal (region, registry->desc.settings->region);
+  size_t preceding = registry_rank (registry, hash, region);
+  for (size_t i = 0; i < registry->vanished_count; i++)
+    {
+      const struct vanished *entry = &registry->vanished[i];
+      bool is_local = entry->region_hash == region_hash;
+      preceding += (is_local && !own_is_local)
+                   || (is_local == own_is_local
+                       && rendezvous_rank (entry->hash, hash) > own);
+    }
+  return preceding;
+}
+
+size_t
+registry_cold_count (const struct registry *registry)
+{
+  return registry->count + registry->vanished_count;
+}
+
 struct str
 registry_reader_address (const struct registry *registry, size_t number)
 {
--- a/src/gateway/registry.h
+++ b/src/gateway/registry.h
@@ -150,6 +150,12 @@
    upstream's.  */
 size_t registry_rank (const struct registry *registry, uint64_t hash,
                       struct str region);
+/* The same, and how many entries there are, with those that vanished in the
+   last ten seconds: their leases may only have ended, in an outage of the
+   store, while they send to cold upstreams.  */
+size_t registry_cold_rank (const struct registry *registry, uint64_t hash,
+                           struct str region);
+size_t registry_cold_count (const struct registry *registry);
 /* Returns the prefix of the entries' keys; what follows it is the name.  */
 struct str registry_key_prefix (void);
 
--- a/tests/unit/registry_test.c
+++ b/tests/unit/registry_test.c
@@ -506,6 +506,45 @@
     }
 }
 
+/* Entries whose keys vanish go on to count among those that may send to a cold
+   upstream, until they are listed again or for ten seconds: they may send all
+   the while, and one that thinks it is alone would send for all.  */
+static void
+test_vanished (void)
+{
+  static const struct entry_case entries[]
+      = { { "a", 10, false }, { "a", 10, false }, { "b", 10, false },
+          { "b", 10, false }, { "s", 10, false }, { "s", 10, false } };
+  apr_time_t now = timer_clock ();
+  for (int self = 0; self < (int)COUNT (entries); self++)
+    {
+      struct gateway_settings settings;
+      struct registry *registry
+          = make_registry (self, entries, COUNT (entries), &settings);
+      size_t before = registry_cold_rank (registry, 17, STR ("north"));
+      for (int e = 0; e < (int)COUNT (entries); e++)
+        if (e != self)
+          registry_remove (registry, str_printf (test_pool, "e%d", e), false,
+                           now);
+      CU_ASSERT_EQUAL (registry_rank (registry, 17, STR ("north")), 0);
+      CU_ASSERT_EQUAL (registry_cold_rank (registry, 17, STR ("north")),
+                       before);
+      CU_ASSERT_EQUAL (registry_cold_count (registry), COUNT (entries));
+      int other = self == 0;
+      registry_put (registry, str_printf (test_pool, "e%d", other),
+                    str_printf (test_pool,
+                                "{\"callers\":\"10.0.0.%d:1\",\"zone\":\"%s\","
+                                "\"leaving\":false}",
+                                other, entries[other].zone));
+      CU_ASSERT_EQUAL (registry_cold_rank (registry, 17, STR ("north")),
+                       before);
+      CU_ASSERT_EQUAL (registry_cold_count (registry), COUNT (entries));
+      registry_remove_expired (registry, now + TIMER_SEC (11));
+      CU_ASSERT_EQUAL (registry_cold_count (registry), 2);
+      registry_destroy (registry);
+    }
+}
+
 const struct unit_test registry_tests[] = {
   { "two entries of a region read the store", test_readers },
   { "who can't reach the store asks the readers of all regions", test_peers },
@@ -516,5 +555,7 @@
     test_restored_twice },
   { "a lease of an earlier epoch keeps no key alive", test_lease_epochs },
   { "all entries are named to callers in turn", test_look_ups_in_turn },
+  { "entries that vanished count among the senders to cold upstreams",
+    test_vanished },
   { NULL, NULL }
 };
