Queue of news: dropping more than there is drops all

An entry that became a reader while its exchange was in progress sent the news on by itself, and the end of the exchange dropped them a second time: the count wrapped around, and the entry would have sent old news without end. Found by reading; the unit test failed before (the queue was not empty).

--- a/src/gateway/doubt_queue.c
+++ b/src/gateway/doubt_queue.c
@@ -134,6 +134,8 @@
 void
 doubt_queue_drop (struct doubt_queue *queue, size_t count)
 {
+  if (count > queue->count)
+    count = queue->count;
   queue->first = (queue->first + count) % DOUBT_QUEUE_MAX;
   queue->count -= count;
 }
--- a/src/gateway/doubt_queue.h
+++ b/src/gateway/doubt_queue.h
@@ -42,7 +42,7 @@
 const char *doubt_queue_text (const struct doubt_queue *queue,
                               bool without_relayed, apr_time_t now,
                               size_t *count, apr_pool_t *pool);
-/* Removes the first COUNT news.  */
+/* Removes the first COUNT news, or all if there are fewer by now.  */
 void doubt_queue_drop (struct doubt_queue *queue, size_t count);
 
 /* Writes NEWS to TEXT, which has DOUBT_NEWS_BYTES; returns the length.  */
--- a/src/gateway/reachability.c
+++ b/src/gateway/reachability.c
@@ -20,8 +20,8 @@
   REPORT_MAX_BYTES = 96,  /* of one report or warning as text */
   NEWS_MS = 20,           /* collects what becomes known at the same moment */
   NEWS_INTERVAL_MS = 100, /* between two messages, if there are many news */
-  RECEIVERS_MAX = 1024,   /* of news: readers of other regions, and the entries
-                             that this one reads for */
+  RECEIVERS_MAX = 1024,   /* of news: all readers, and the entries of a
+                             region */
   HTTP_OK = 200
 };
 
@@ -295,7 +295,7 @@
 }
 
 /* As an entry without a reader, sends the pending news to all others without
-   one, unless they have them, and to the entries that this one reads for.  */
+   one, unless they have them, and to all entries of its region.  */
 static void
 pass_news_on (struct reachability *reachability)
 {
--- a/tests/unit/doubt_test.c
+++ b/tests/unit/doubt_test.c
@@ -541,6 +541,9 @@
       doubt_queue_drop (queue, count);
     }
   CU_ASSERT_EQUAL (received, DOUBT_QUEUE_MAX);
+  /* What an exchange has sent may have been sent in another way meanwhile.  */
+  doubt_queue_drop (queue, 3);
+  CU_ASSERT (doubt_queue_is_empty (queue));
 }
 
 const struct unit_test doubt_tests[] = {
