A request that broke off holds no upstream back that can't be asked

Without a cold time nothing can be cold. Now a service without a cold time has no doubts; without a health path only an upstream that could not be reached is held for cold, for the cold time, as it was before the doubts.

--- a/src/gateway/attempts.c
+++ b/src/gateway/attempts.c
@@ -237,15 +237,23 @@
 }
 
 /* Holds the upstream of REQUEST for cold until it is known what it is: contact
-   was lost, and it may return as a new process before its record shows it.  */
+   was lost, and it may return as a new process before its record shows it.
+   WAS_REACHED: a request broke off there, which alone holds no upstream back
+   that can't be asked.  */
 static void
-doubt_upstream (struct request *request, const char *reason)
+doubt_upstream (struct request *request, bool was_reached, const char *reason)
 {
   struct gateway *gateway = request->gateway;
   struct fleet_upstream *upstream = request->upstream;
+  const struct plan_service *service = dispatch_service (request);
+  bool can_be_asked = service->health_path.size > 0;
   apr_time_t now = timer_clock ();
-  if (upstream->removed || !fleet_doubt (gateway->fleet, upstream, now))
+  if (upstream->removed || service->cold_time == 0
+      || (was_reached && !can_be_asked)
+      || !fleet_doubt (gateway->fleet, upstream, now))
     return;
+  if (!can_be_asked)
+    upstream->doubt.ends_at = now + service->cold_time;
   counter_add (gateway->doubts, 1);
   if (gateway_allow_log_line (gateway))
     LOG (LOG_INFO, "upstream-doubted", LOG_TEXT ("id", request->id.data),
@@ -264,7 +272,7 @@
                      is_misdirected ? LOAD_UNREACHABLE : LOAD_REFUSED);
   if (is_misdirected)
     {
-      doubt_upstream (request, "another upstream has the address");
+      doubt_upstream (request, false, "another upstream has the address");
       reachability_report (gateway->reachability, request->upstream, true);
     }
   fail_or_retry (request,
@@ -287,7 +295,7 @@
   end_upstream_load (request, is_unreachable ? LOAD_UNREACHABLE : LOAD_FAILED);
   /* A response to another request shows that the process is there.  */
   if (attempt->result != CURLE_OK && !attempt->echo_mismatch)
-    doubt_upstream (request, reason);
+    doubt_upstream (request, !is_unreachable, reason);
   if (is_unreachable)
     reachability_report (request->gateway->reachability, request->upstream,
                          cause == ECONNREFUSED);
