--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -116,6 +116,7 @@
   struct doubt doubt;    /* whether it may have started again since then */
   bool is_unseen;        /* the doubt is about an old copy of its record: no
                             other entry has it, so this one asks */
+  bool is_asked;         /* a check of it is under way; set by the gateway */
   size_t rank;           /* of this entry among those that may send to it while
                             it is cold, from 0; set by the gateway */
   uint64_t rank_version; /* of the list of entries for which it was computed;
--- a/src/gateway/verify.c
+++ b/src/gateway/verify.c
@@ -33,6 +33,7 @@
 struct check
 {
   struct check *next;
+  struct check **link; /* the pointer to this check in the list */
   struct verify *verify;
   struct fleet_upstream *upstream;
   struct timer timer;
@@ -47,11 +48,11 @@
 static void
 end_check (struct check *check)
 {
-  struct check **link = &check->verify->checks;
-  while (*link != check)
-    link = &(*link)->next;
-  *link = check->next;
+  *check->link = check->next;
+  if (check->next)
+    check->next->link = check->link;
   check->verify->count--;
+  check->upstream->is_asked = false;
   fleet_upstream_unref (check->upstream);
   free (check);
 }
@@ -147,17 +148,18 @@
 void
 verify_upstream (struct verify *verify, struct fleet_upstream *upstream)
 {
-  struct check *check = verify->checks;
-  while (check && check->upstream != upstream)
-    check = check->next;
-  if (check || upstream->removed || verify->count == CHECKS_MAX)
+  if (upstream->is_asked || upstream->removed || verify->count == CHECKS_MAX)
     return;
-  check = calloc (1, sizeof *check);
+  struct check *check = calloc (1, sizeof *check);
   if (!check)
     abort ();
   check->verify = verify;
   check->upstream = fleet_upstream_ref (upstream);
+  upstream->is_asked = true;
   check->next = verify->checks;
+  check->link = &verify->checks;
+  if (check->next)
+    check->next->link = &check->next;
   verify->checks = check;
   verify->count++;
   on_due (check, timer_clock ());
