An upstream that is away is asked often by few entries only

Change: the few entries that may send to a cold upstream ask as before; the others, which hear of the answer, ask once at the sign, then after four seconds where nothing listens, and after times that double up to that where there is no response.

--- a/src/gateway/cold.c
+++ b/src/gateway/cold.c
@@ -60,25 +60,52 @@
          LOG_INT ("after_ms", since ? (now - since) / 1000 : -1));
 }
 
+/* Returns how the requests that a cold upstream of the service NAME may get
+   are divided.  */
+static struct cold_quota
+service_quota (const struct gateway *gateway, struct str name)
+{
+  const struct plan_service *planned = planned_service (gateway, name);
+  const struct gateway_cold *cold = &gateway->settings.cold;
+  double max
+      = (planned ? planned->cold_rate : 0) * cold->multiplier + cold->slack;
+  return cold_quota_divide (max, registry_cold_count (gateway->registry));
+}
+
+/* Returns whether this entry is one of QUOTA's senders for UPSTREAM.  */
+static bool
+is_sender (const struct gateway *gateway, struct fleet_upstream *upstream,
+           const struct cold_quota *quota)
+{
+  uint64_t version = registry_version (gateway->registry);
+  if (upstream->rank_version != version)
+    {
+      upstream->rank_version = version;
+      upstream->rank = registry_cold_rank (gateway->registry, upstream->hash,
+                                           upstream->region);
+    }
+  return upstream->rank < quota->senders;
+}
+
+static bool
+asks_often (void *user_data, struct fleet_upstream *upstream)
+{
+  struct cold_quota quota = service_quota (user_data, upstream->service);
+  return upstream->is_unseen || is_sender (user_data, upstream, &quota);
+}
+
 /* Updates the quota of UPSTREAM from that of its service, and asks it what it
    is if it is in doubt and this entry sends to it.  */
 static void
 update_quota (struct gateway *gateway, struct fleet_upstream *upstream,
               const struct cold_quota *quota, apr_time_t now)
 {
-  uint64_t version = registry_version (gateway->registry);
   if (!fleet_is_cold (upstream, now))
     {
       upstream->cold_quota = 0;
       return;
     }
-  if (upstream->rank_version != version)
-    {
-      upstream->rank_version = version;
-      upstream->rank = registry_cold_rank (gateway->registry, upstream->hash,
-                                           upstream->region);
-    }
-  bool may_send = upstream->rank < quota->senders;
+  bool may_send = is_sender (gateway, upstream, quota);
   if (may_send && upstream->cold_quota == 0
       && gateway_allow_log_line (gateway))
     LOG (LOG_INFO, "cold-quota", LOG_TEXT ("upstream", upstream->id.data),
@@ -100,6 +127,7 @@
                               .client = gateway->client,
                               .counters = gateway->counters,
                               .health_path = health_path,
+                              .asks_often = asks_often,
                               .gone = on_upstream_gone,
                               .answered = on_check_answered,
                               .user_data = gateway };
@@ -114,13 +142,7 @@
                     const struct service_state *service,
                     const struct fleet_service *upstreams, apr_time_t now)
 {
-  const struct plan_service *planned
-      = planned_service (gateway, service->name);
-  const struct gateway_cold *cold = &gateway->settings.cold;
-  double max
-      = (planned ? planned->cold_rate : 0) * cold->multiplier + cold->slack;
-  struct cold_quota quota
-      = cold_quota_divide (max, registry_cold_count (gateway->registry));
+  struct cold_quota quota = service_quota (gateway, service->name);
   for (size_t g = 0; upstreams && g < upstreams->group_count; g++)
     for (size_t i = 0; i < upstreams->groups[g]->count; i++)
       update_quota (gateway, upstreams->groups[g]->members[i].upstream, &quota,
--- a/src/gateway/verify.c
+++ b/src/gateway/verify.c
@@ -15,6 +15,8 @@
   FAST_TRIES = 15,
   FAST_INTERVAL_MS = 200,
   INTERVAL_MS = 1000,
+  MAX_INTERVAL_MS = 4000, /* of entries that hear of the answer from others */
+  DOUBLINGS_MAX = 6,      /* of the fast interval, until it would be longer */
   TIMEOUT_MS = 500, /* a check that waits for a slot says nothing in time */
   RESPONSE_MAX_BYTES = 4096
 };
@@ -57,12 +59,19 @@
   free (check);
 }
 
-/* Asks again after a while.  */
+/* Asks again after a while.  IS_GONE: nothing listens at the address.  */
 static void
-ask_later (struct check *check)
+ask_later (struct check *check, bool is_gone)
 {
+  const struct verify_desc *desc = &check->verify->desc;
   int64_t wait_ms = check->tries < FAST_TRIES ? FAST_INTERVAL_MS : INTERVAL_MS;
-  timer_start (loop_timers (check->verify->desc.loop), &check->timer,
+  if (!desc->asks_often (desc->user_data, check->upstream))
+    {
+      wait_ms = MAX_INTERVAL_MS;
+      if (!is_gone && check->tries < DOUBLINGS_MAX)
+        wait_ms = (int64_t)FAST_INTERVAL_MS << (check->tries - 1);
+    }
+  timer_start (loop_timers (desc->loop), &check->timer,
                timer_clock () + TIMER_MS (wait_ms), on_due, check);
 }
 
@@ -75,14 +84,15 @@
   apr_time_t cold_left
       = decode_cold (http_response_header (response, PLATFORM_COLD));
   bool is_other = id.size > 0 && !str_equal (id, check->upstream->id);
-  if (response->refused || is_other)
+  bool is_gone = response->refused || is_other;
+  if (is_gone)
     desc->gone (desc->user_data, check->upstream);
   /* One that is full rejects health checks as it rejects requests.  One that
      fails says all the same whether it is cold.  */
   if (response->status == 0 || is_other || id.size == 0
       || http_response_header (response, PLATFORM_NOT_EXECUTED).size > 0)
     {
-      ask_later (check);
+      ask_later (check, is_gone);
       return;
     }
   /* It was cold for so long when it responded, not when it was asked.  */
--- a/src/gateway/verify.h
+++ b/src/gateway/verify.h
@@ -3,7 +3,10 @@
    A lost connection doesn't show whether the process at its other end has
    ended.  The upstream's health path says at once, without the store, whether
    it is cold.  It is asked until it says so or its doubt ends, five times a
-   second and after three seconds once a second.
+   second and after three seconds once a second by the few entries that may
+   send to it while it is cold.  Hundreds of others would ask in vain and hear
+   of the answer anyway: where nothing listens they ask again after four
+   seconds, and where there is no response after times that double up to that.
 
      verify = verify_create (pool, &desc);
      verify_upstream (verify, upstream);   when a doubt begins
@@ -27,6 +30,8 @@
   struct counters *counters;
   /* Returns the health path of the service NAME, or an empty string.  */
   struct str (*health_path) (void *user_data, struct str name);
+  /* Returns whether this entry may send to UPSTREAM while it is cold.  */
+  bool (*asks_often) (void *user_data, struct fleet_upstream *upstream);
   /* Nothing listens at the address of UPSTREAM, or another one has it; not
      called if there is only no response, which may be due to this entry.  */
   void (*gone) (void *user_data, struct fleet_upstream *upstream);
