--- a/src/gateway/lookup.c
+++ b/src/gateway/lookup.c
@@ -45,8 +45,8 @@
   struct str region = httpd_query_parameter (connection, "region");
   /* After a pause others may have gone; this entry is there.  */
   bool is_alone = store_sync_is_catching_up (gateway->store_sync);
-  json_object *list = is_alone ? json_object_new_array ()
-                               : addresses_in (gateway, region);
+  json_object *list
+      = is_alone ? json_object_new_array () : addresses_in (gateway, region);
   /* A region without entries is served by those of all other regions.  */
   if (json_object_array_length (list) == 0 && !is_alone)
     {
