Fields and numbers of text between entries are parsed in one place

reachability.c and doubt_queue.c each had their own check of ids and their own parser of numbers. Both are in base/str now, with a table of cases.

--- a/src/base/str.c
+++ b/src/base/str.c
@@ -81,6 +81,43 @@
              || memcmp (s.data, prefix.data, prefix.size) == 0);
 }
 
+struct str
+str_next_field (struct str *text, char separator)
+{
+  const char *end
+      = text->size > 0 ? memchr (text->data, separator, text->size) : NULL;
+  size_t size = end ? (size_t)(end - text->data) : text->size;
+  struct str field = str_view (text->data, size);
+  size_t skipped = size + (end ? 1 : 0);
+  *text = str_view (text->data + skipped, text->size - skipped);
+  return field;
+}
+
+int64_t
+str_to_number (struct str s)
+{
+  int64_t number = 0;
+  bool is_negative = s.size > 0 && s.data[0] == '-';
+  for (size_t i = is_negative;
+       i < s.size && s.data[i] >= '0' && s.data[i] <= '9'
+       && number <= (INT64_MAX - 9) / 10;
+       i++)
+    number = number * 10 + (s.data[i] - '0');
+  return is_negative ? -number : number;
+}
+
+bool
+str_is_url_safe (struct str s)
+{
+  for (size_t i = 0; i < s.size; i++)
+    if (s.data[i] == 0
+        || !strchr ("ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz"
+                    "0123456789-_.",
+                    s.data[i]))
+      return false;
+  return s.size > 0;
+}
+
 bool
 str_list_contains (const struct str_list *list, struct str s)
 {
--- a/src/base/str.h
+++ b/src/base/str.h
@@ -17,6 +17,7 @@
 #include <stdarg.h>
 #include <stdbool.h>
 #include <stddef.h>
+#include <stdint.h>
 
 /* A string of SIZE bytes at DATA.  */
 struct str
@@ -56,6 +57,14 @@
 /* As `str_equal', but ignores the case of ASCII letters.  */
 bool str_equal_nocase (struct str a, struct str b);
 bool str_starts_with (struct str s, struct str prefix);
+/* Splits the next field off *TEXT, which SEPARATOR or the end of the text
+   ends; returns an empty string at the end.  */
+struct str str_next_field (struct str *text, char separator);
+/* Returns the decimal number at the start of S, negative after a "-"; 0 if
+   there is none.  Digits beyond the range of the type are ignored.  */
+int64_t str_to_number (struct str s);
+/* Returns whether S can be part of a URL as it is; the empty string can't.  */
+bool str_is_url_safe (struct str s);
 bool str_list_contains (const struct str_list *list, struct str s);
 /* Compares bytes as memcmp does; a string sorts after its own prefixes.  */
 int str_compare (struct str a, struct str b);
--- a/src/gateway/doubt_queue.c
+++ b/src/gateway/doubt_queue.c
@@ -32,51 +32,14 @@
 
 /* private functions */
 
-/* Returns whether ID can be part of a URL as it is.  */
-static bool
-is_plain (struct str id)
-{
-  for (size_t i = 0; i < id.size; i++)
-    if (id.data[i] == 0
-        || !strchr ("ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz"
-                    "0123456789-_.",
-                    id.data[i]))
-      return false;
-  return id.size > 0;
-}
-
-/* Splits the number before the next SEPARATOR off *TEXT; 0 if there is none.
- */
-static int64_t
-take_number (struct str *text, char separator)
-{
-  int64_t number = 0;
-  size_t i = 0;
-  bool is_negative = text->size > 0 && text->data[0] == '-';
-  for (i = is_negative; i < text->size && text->data[i] >= '0'
-                        && text->data[i] <= '9' && number < INT64_MAX / 100;
-       i++)
-    number = number * 10 + (text->data[i] - '0');
-  while (i < text->size && text->data[i] != separator)
-    i++;
-  i += i < text->size;
-  *text = str_view (text->data + i, text->size - i);
-  return is_negative ? -number : number;
-}
-
 /* Reads the first news off *TEXT; returns whether they are well-formed.  */
 static bool
 read_first (struct str *text, struct doubt_news *news, apr_time_t now)
 {
-  size_t size = 0;
-  while (size < text->size && text->data[size] != ',')
-    size++;
-  news->id = str_view (text->data, size);
-  size += size < text->size;
-  *text = str_view (text->data + size, text->size - size);
-  news->incarnation = take_number (text, ',');
-  int64_t age_ms = take_number (text, ',');
-  int64_t cold_ms = take_number (text, ';');
+  news->id = str_next_field (text, ',');
+  news->incarnation = str_to_number (str_next_field (text, ','));
+  int64_t age_ms = str_to_number (str_next_field (text, ','));
+  int64_t cold_ms = str_to_number (str_next_field (text, ';'));
   if (age_ms < 0 || age_ms > TIME_MAX_MS || cold_ms > TIME_MAX_MS)
     return false;
   news->at = now - age_ms * US_PER_MS;
@@ -97,7 +60,7 @@
                  bool is_relayed)
 {
   if (queue->count == DOUBT_QUEUE_MAX || news->id.size > ID_MAX_BYTES
-      || !is_plain (news->id))
+      || !str_is_url_safe (news->id))
     return;
   struct item *item
       = &queue->items[(queue->first + queue->count++) % DOUBT_QUEUE_MAX];
--- a/src/gateway/reachability.c
+++ b/src/gateway/reachability.c
@@ -88,45 +88,6 @@
   counter_add (reachability->warnings, 1);
 }
 
-/* Splits the next field off *TEXT, which SEPARATOR ends; returns an empty
-   string at the end.  */
-static struct str
-next_field (struct str *text, char separator)
-{
-  const char *end
-      = text->size > 0 ? memchr (text->data, separator, text->size) : NULL;
-  size_t size = end ? (size_t)(end - text->data) : text->size;
-  struct str field = str_view (text->data, size);
-  size_t skipped = size + (end ? 1 : 0);
-  *text = str_view (text->data + skipped, text->size - skipped);
-  return field;
-}
-
-/* Returns the number in TEXT, 0 if there is none.  */
-static int64_t
-number_in (struct str text)
-{
-  int64_t number = 0;
-  for (size_t i = 0; i < text.size && text.data[i] >= '0'
-                     && text.data[i] <= '9' && number < INT64_MAX / 100;
-       i++)
-    number = number * 10 + (text.data[i] - '0');
-  return number;
-}
-
-/* Returns whether ID can be part of a URL as it is.  */
-static bool
-is_plain (struct str id)
-{
-  for (size_t i = 0; i < id.size; i++)
-    if (!strchr ("ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz"
-                 "0123456789-_.",
-                 id.data[i])
-        || id.data[i] == 0)
-      return false;
-  return true;
-}
-
 /* Applies NEWS to the upstream that it is about.  */
 static void
 apply_news (struct reachability *reachability, const struct doubt_news *news)
@@ -214,19 +175,20 @@
   schedule_news (reachability);
   apr_time_t now = timer_clock ();
   struct str text = response->body;
-  struct str warnings = next_field (&text, '|');
+  struct str warnings = str_next_field (&text, '|');
   while (warnings.size > 0)
     {
-      struct str line = next_field (&warnings, ';');
-      struct unreachable_warning warning = { .id = next_field (&line, ',') };
-      warning.incarnation = number_in (next_field (&line, ','));
-      warning.left = TIMER_MS (number_in (next_field (&line, ',')));
+      struct str line = str_next_field (&warnings, ';');
+      struct unreachable_warning warning
+          = { .id = str_next_field (&line, ',') };
+      warning.incarnation = str_to_number (str_next_field (&line, ','));
+      warning.left = TIMER_MS (str_to_number (str_next_field (&line, ',')));
       apply_warning (reachability, &warning, now);
     }
   if (text.size == 0)
     return;
   struct doubt_news news;
-  reachability->reader_after = number_in (next_field (&text, '|'));
+  reachability->reader_after = str_to_number (str_next_field (&text, '|'));
   while (doubt_news_read (&text, &news, now))
     {
       /* On its way for up to the whole exchange.  A doubt that is taken for
@@ -445,7 +407,8 @@
                                        reachability->name_hash, is_certain };
   counter_add (reachability->reports, 1);
   unreachable_report (reachability->list, &report, timer_clock ());
-  if (reachability->pending_count == PENDING_MAX || !is_plain (upstream->id))
+  if (reachability->pending_count == PENDING_MAX
+      || !str_is_url_safe (upstream->id))
     return;
   int size
       = snprintf (reachability->pending[reachability->pending_count].text,
@@ -514,10 +477,10 @@
       = { .reporter = XXH64 (message->from.data, message->from.size, 0) };
   while (seen.size > 0)
     {
-      struct str line = next_field (&seen, ';');
-      report.id = next_field (&line, ',');
-      report.incarnation = number_in (next_field (&line, ','));
-      report.is_certain = number_in (next_field (&line, ',')) != 0;
+      struct str line = str_next_field (&seen, ';');
+      report.id = str_next_field (&line, ',');
+      report.incarnation = str_to_number (str_next_field (&line, ','));
+      report.is_certain = str_to_number (str_next_field (&line, ',')) != 0;
       unreachable_report (reachability->list, &report, now);
     }
   struct doubt_news news;
@@ -539,6 +502,6 @@
         STR_ARGS (warnings[i].id), (long long)warnings[i].incarnation,
         (long long)(warnings[i].left / (APR_USEC_PER_SEC / 1000)));
   struct str rest
-      = news_after (reachability, number_in (message->after), now, pool);
+      = news_after (reachability, str_to_number (message->after), now, pool);
   return str_printf (pool, "%.*s|%.*s", (int)size, text, STR_ARGS (rest));
 }
--- a/tests/unit/base_test.c
+++ b/tests/unit/base_test.c
@@ -62,6 +62,40 @@
         cases[i].edits);
 }
 
+/* Text between entries: malformed parts give empty fields and zero.  */
+static void
+test_fields_of_text (void)
+{
+  static const struct
+  {
+    const char *text;
+    const char *first;
+    const char *rest;
+    int64_t number; /* of the first field */
+    bool is_url_safe;
+  } cases[] = { { "", "", "", 0, false },
+                { ",", "", "", 0, false },
+                { "12", "12", "", 12, true },
+                { "12,a", "12", "a", 12, true },
+                { "-7,,", "-7", ",", -7, true },
+                { "-,1", "-", "1", 0, true },
+                { "3x,1", "3x", "1", 3, true },
+                { "a b,", "a b", "", 0, false },
+                { "i-1&x=2,", "i-1&x=2", "", 0, false },
+                { "i_1.a", "i_1.a", "", 0, true },
+                { "99999999999999999999,1", "99999999999999999999", "1",
+                  999999999999999999, true } };
+  for (size_t i = 0; i < COUNT (cases); i++)
+    {
+      struct str rest = str_from (cases[i].text);
+      struct str first = str_next_field (&rest, ',');
+      CU_ASSERT (str_equal (first, str_from (cases[i].first)));
+      CU_ASSERT (str_equal (rest, str_from (cases[i].rest)));
+      CU_ASSERT_EQUAL (str_to_number (first), cases[i].number);
+      CU_ASSERT_EQUAL (str_is_url_safe (first), cases[i].is_url_safe);
+    }
+}
+
 struct sample
 {
   struct str name;
@@ -271,6 +305,7 @@
 const struct unit_test base_tests[]
     = { { "a malformed address is refused", test_addresses },
         { "the edits between two names are counted", test_edit_distance },
+        { "malformed text gives empty fields and zero", test_fields_of_text },
         { "an invalid field gives a fault with its path", test_fields },
         { "a syntax error gives a fault with its line", test_parse },
         { "the loop does not poll for a timer that is due soon",
