A doubt of an entry's first seconds ends with the time in which records lag

Cause: an upstream that is full rejects the check, and the doubt of an entry that has just started lasted 8 s, as that of a lost connection. Its record tells within three seconds whether it started before the entry listed it, so the doubt ends then.

--- a/src/gateway/cold.c
+++ b/src/gateway/cold.c
@@ -149,7 +149,7 @@
                     now);
 }
 
-void
+bool
 cold_doubt_upstream (struct gateway *gateway, struct fleet_upstream *upstream,
                      struct str request_id, bool was_reached,
                      const char *reason)
@@ -158,11 +158,11 @@
       = planned_service (gateway, upstream->service);
   apr_time_t now = timer_clock ();
   if (!service || upstream->removed || service->cold_time == 0)
-    return;
+    return false;
   bool can_be_asked = service->health_path.size > 0;
   if ((was_reached && !can_be_asked)
       || !fleet_doubt (gateway->fleet, upstream, now))
-    return;
+    return false;
   if (!can_be_asked)
     upstream->doubt.ends_at = now + service->cold_time;
   counter_add (gateway->doubts, 1);
@@ -171,6 +171,7 @@
          LOG_TEXT ("upstream", upstream->id.data),
          LOG_INT ("born", upstream->incarnation), LOG_TEXT ("reason", reason));
   verify_upstream (gateway->verify, upstream);
+  return true;
 }
 
 void
@@ -194,8 +195,11 @@
                        apr_time_t now)
 {
   apr_time_t lag = TIMER_SEC (RECORD_LAG_S);
-  if (now - gateway->listed_at < lag
-      && load_sends_since (&upstream->load, now - lag) == 1)
-    cold_doubt_upstream (gateway, upstream, request_id, true,
-                         "this entry has just started");
+  if (now - gateway->listed_at >= lag
+      || load_sends_since (&upstream->load, now - lag) > 1
+      || !cold_doubt_upstream (gateway, upstream, request_id, true,
+                               "this entry has just started"))
+    return;
+  /* What the record doesn't show by then was not so when it was listed.  */
+  upstream->doubt.ends_at = now + lag;
 }
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -334,8 +334,9 @@
 /* Holds UPSTREAM for cold until it is known what it is: it may have started
    again before its record shows that.  REQUEST_ID, which may be empty, and
    REASON are for the log.  WAS_REACHED: the sign alone doesn't show that the
-   process is gone, so it holds back no upstream that can't be asked.  */
-void cold_doubt_upstream (struct gateway *gateway,
+   process is gone, so it holds back no upstream that can't be asked.  Returns
+   whether that began a doubt.  */
+bool cold_doubt_upstream (struct gateway *gateway,
                           struct fleet_upstream *upstream,
                           struct str request_id, bool was_reached,
                           const char *reason);
