The soak's judge tells the processes of one id apart

Cause: a notice that an upstream leaves was kept under the upstream's id, so that it counted against the next process of the id too, which said nothing (rule "leaving", and "drain" by the record). And the leaving notice of a later process took the place of the earlier one's, so that what the earlier process got too late was not seen.

Change: a notice is that of the process that was running when it was given; an upstream's event "born" begins the next one. What the process that gave the notice gets is judged as before.

--- a/tests/session/judge.sh
+++ b/tests/session/judge.sh
@@ -146,6 +146,23 @@
 check "sent too late after that, the entry restarted" "$told | 9100 disturbed e1 kill | 9101 exited e1 137 | 9200 started e1 | 9201 undisturbed e1 | $(served 11600 a)"
 check "sent too late after that, the entry was told again after its restart" "$told | 9100 disturbed e1 kill | 9101 exited e1 137 | 9200 started e1 | 9201 undisturbed e1 | $(ask 10000 m) | $(run 10001 m) | 10020 said m w1-2 | $(got 10030 m) | $(served 12600 a)"
 check "sent late to the upstream's next incarnation" "$told | $(ask 11600 a) | $(run 11601 a w1-3) | $(got 11630 a 200 w1-3)"
+# The process of w1-2 that gave the notice ends, and the next one starts under its id.
+born () { echo "$1 born w1-2 desk north-a"; }
+told_by_first="$(born 1000) | $told"
+reborn="9100 disturbed w1 kill | $(born 9200) | 9201 undisturbed w1"
+check "sent too late after the notice of a process that has not started again" "$told_by_first | $(served 11600 a)"
+check "sent too late after the notice, to the next process of the id" "$told_by_first | $reborn | $(served 11600 a)"
+check "sent too late after the notice, refused by the next process of the id" "$told_by_first | $reborn | $(ask 11600 a) | 11601 refused a w1-2 desk 503"
+check "sent too late after the notice, which the entry got when the next process had started" "$(born 1000) | $start | $(ask 9000 n) | $(run 9001 n) | 9020 said n w1-2 | $reborn | $(got 9300 n) | $(served 11900 a)"
+check "sent too late after the notice, before the next process starts" "$told_by_first | $(served 11600 a) | $(born 11700)"
+check "sent too late after the next process's own notice" "$told_by_first | $reborn | $(ask 10000 m) | $(run 10001 m) | 10020 said m w1-2 | $(got 10030 m) | $(served 12600 a)"
+check "sent within the limit after the next process's own notice" "$told_by_first | $reborn | $(ask 10000 m) | $(run 10001 m) | 10020 said m w1-2 | $(got 10030 m) | $(served 12500 a)"
+drained="$start | $(born 1000) | 9000 leaving w1-2"
+check "runs too late after the leaving notice in the record of a process that has not started again" "$drained | $(served 12000 a)"
+check "runs too late after that, at the next process of the id" "$drained | $(born 9300) | $(served 12000 a)"
+check "runs too late after that, before the next process leaves too" "$drained | $(served 12000 a) | $(born 12500) | 13000 leaving w1-2"
+check "runs too late after the next process's own leaving notice" "$drained | $(born 9300) | 10000 leaving w1-2 | $(served 13000 a)"
+check "runs within the limit after the next process's own leaving notice" "$drained | $(born 9300) | 10000 leaving w1-2 | $(served 12000 a)"
 check "the notice was not passed on" "$start | $(ask 9000 n) | 9001 refused n w1-2 desk 503 | 9001 said n w1-2 | $(run 9003 n w2-2) | $(got 9030 n 200 w2-2) | $(served 11600 a)"
 # An upstream refuses request n at 9001 ms and wants no more for 3 s.
 away="$start | $(ask 9000 n) | 9001 refused n w1-2 desk 503 3.000 | $(got 9002 n 503 -)"
--- a/tests/soak/judge.awk
+++ b/tests/soak/judge.awk
@@ -28,8 +28,9 @@
 #                              so long it wants none, by Retry-After
 #   said REQUEST WORKER        a response to this request states that the upstream
 #                              leaves
-#   cold WORKER MS             an upstream starts, and is cold for so long
-# Others (fault, born, again, copied) only explain a log to its reader.
+#   born WORKER SERVICE ZONE   an upstream starts, perhaps again under its id
+#   cold WORKER MS             and is cold for so long
+# Others (fault, again, copied) only explain a log to its reader.
 # NAME is "store", "proxy", an entry "eN" or a worker slot "wN"; WORKER is
 # "wN-INCARNATION".
 BEGIN {
@@ -78,6 +79,8 @@
 function timeout_of(id) { return path[id] ~ /^\/slow\// ? SLOW_TIMEOUT : ROUTE_TIMEOUT }
 # wN of wN-INCARNATION.
 function slot_of(worker) { sub(/-.*/, "", worker); return worker }
+# The process that has the id WORKER at present: notices are those of a process.
+function process_of(worker) { return worker "#" births[worker] + 0 }
 # Entry N listens on an address that ends in .N.
 function entry_of(address,   bytes) { split(address, bytes, "[.:]"); return "e" bytes[4] }
 
@@ -100,13 +103,17 @@
   else if ($2 == "ack" && $3 == "config") acked_at[number[$4]] = $1
   else if ($2 == "ack" && $3 == "evacuate") { evacuated_at[$4, ++evacuations[$4]] = $1; restored_at[$4, evacuations[$4]] = 9e18 }
   else if ($2 == "restore") restored_at[$3, evacuations[$3]] = $1
-  else if ($2 == "leaving") leaving_at[$3] = $1
+  else if ($2 == "born") births[$3]++
+  else if ($2 == "leaving") leaving_at[process_of($3)] = $1
   else if ($2 == "calm") { if ($3 == "begins") calm_begin = $1; else calm_end = $1 }
   else if ($2 == "got") answered_at[$3] = $1
   next
 }
 
 # Second pass.
+FNR == 1 { delete births }
+$2 == "born" { births[$3]++ }
+
 # An entry ends with status 0 within MAX_STOP of SIGTERM, or by a fault's
 # SIGKILL (status 137).  A pause at SIGTERM delays the stop; the time isn't judged
 # if a disturbance lasted until the end.
@@ -156,13 +163,14 @@
 }
 
 # Request ID reaches WORKER.  An entry that has passed on a response which says
-# that the worker leaves sends it no request that a caller sent more than
-# MAX_LEAVING later.  After a refusal with Retry-After at most MAX_WHILE_AWAY
+# that the worker leaves sends the process that said so no request that a caller
+# sent more than MAX_LEAVING later.  After a refusal with Retry-After at most MAX_WHILE_AWAY
 # requests of the entry arrive until that time is over.
-function check_notices(id, worker,   entry, i) {
+function check_notices(id, worker,   entry, process, i) {
   entry = entry_by[id]
-  if ((entry, worker) in told_at && sent_at[id] > told_at[entry, worker] + MAX_LEAVING)
-    broken("leaving", id " by " entry " reached " worker ", sent " (sent_at[id] - told_at[entry, worker]) / 1e6 " s after its notice")
+  process = process_of(worker)
+  if ((entry, process) in told_at && sent_at[id] > told_at[entry, process] + MAX_LEAVING)
+    broken("leaving", id " by " entry " reached " worker ", sent " (sent_at[id] - told_at[entry, process]) / 1e6 " s after its notice")
   for (i = 1; i <= refusals[entry, worker]; i++) {
     if ($1 <= refused_at[entry, worker, i] + AWAY_GRACE || $1 >= refused_until[entry, worker, i]) continue
     if (++early[entry, worker, i] > MAX_WHILE_AWAY)
@@ -210,12 +218,12 @@
     refused_at[entry, $4, i] = $1; refused_until[entry, $4, i] = $1 + $7 * 1000000; early[entry, $4, i] = 0
   }
 }
-$2 == "said" { said[$3, $4] = 1 }
+$2 == "said" { said[$3, $4] = process_of($4) }
 
 # A request runs as its caller sent it, once unless it is safe, not after it was
 # refused, and at an upstream that the configuration in force allows.
 $2 == "run" {
-  id = $3; worker = $4; service = $5; zone = $6
+  id = $3; worker = $4; service = $5; zone = $6; process = process_of(worker)
   if (!(id in sent_at)) { broken("unasked", "nobody sent " id); next }
   count_arrival(id, service)
   count_cold(id, worker)
@@ -227,8 +235,8 @@
   if (refused[id]) broken("refused", id " was refused and runs")
   worker_of[id] = worker; ran[id, worker] = 1; running[id, worker] = 1
   entry = entry_by[id]
-  if (worker in leaving_at && $1 > leaving_at[worker] + MAX_LEAVING && up_to_date(entry, $1, $1))
-    broken("drain", id " by " entry " at " worker " " ($1 - leaving_at[worker]) / 1e6 " s after")
+  if (process in leaving_at && $1 > leaving_at[process] + MAX_LEAVING && up_to_date(entry, $1, $1))
+    broken("drain", id " by " entry " at " worker " " ($1 - leaving_at[process]) / 1e6 " s after")
   for (i = 1; i <= evacuations[zone]; i++)
     if ($1 > evacuated_at[zone, i] + MAX_EVACUATION && $1 < restored_at[zone, i] && up_to_date(entry, $1, $1))
       broken("evacuate", id " by " entry " at " worker " in " zone)
@@ -264,7 +272,7 @@
 $2 == "got" {
   id = $3; status = $4; worker = $5; took = $1 - sent_at[id]; entry = entry_by[id]
   statuses[status]++
-  if ((id, worker) in said && !frozen[entry] && !((entry, worker) in told_at)) told_at[entry, worker] = $1
+  if ((id, worker) in said && !frozen[entry] && !((entry, said[id, worker]) in told_at)) told_at[entry, said[id, worker]] = $1
   if (status >= 200 && status < 300 && ($6 != "whole" || !((id, worker) in ran)))
     broken("mixed", id " got " status " of " worker " " $6 " by " entry)
   if (status == 429 || status == 503 || status == 408 || status == 421) {
