An upstream whose record vanishes after an outage is asked whether it leaves

A deletion then counts as a lease that may have ended, so the upstream stayed in use for the grace period and got a request 3.4 s after it left. The store can't tell the two apart; the upstream's health path does, and nothing asked it.

Change: gateway/lapse_checks asks each upstream whose record vanished at its health path, at a random time in the first half of the grace period. A 503 under its id, a refused connection or another upstream's id ends its use; 200 or silence changes nothing. At most 256 are asked at once, and none while more than 16 records are missing, which is a loss of leases (1,350 upstreams and 295 entries would be 398,000 checks), or while it is cold. A check of a doubt that finds nobody ends a lapse too.

The stand-in of an upstream responds 503 at its health path from SIGTERM on, as the platform's upstreams do; it responded 200 until then.

--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -589,6 +589,22 @@
     handle_vanished (fleet, upstream, may_be_expired, now);
 }
 
+bool
+fleet_end_lapse (struct fleet *fleet, struct fleet_upstream *upstream,
+                 apr_time_t now)
+{
+  if (upstream->expired_at == 0)
+    return false;
+  remove_departed (fleet, upstream, "has left", now);
+  return true;
+}
+
+size_t
+fleet_lapsed_count (const struct fleet *fleet)
+{
+  return fleet->expired_count;
+}
+
 void
 fleet_begin_restore (struct fleet *fleet)
 {
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -20,8 +20,9 @@
        if (fleet_is_eligible (group->members[i].upstream)) ...
 
    An upstream whose record vanishes during an outage of the store may only
-   have expired (see fleet/outage.h).  It stays in use until it is listed again
-   or the grace period is over, whichever comes first.
+   have expired (see fleet/outage.h).  It stays in use until it is listed
+   again, the grace period is over, or it is known that it has left
+   (fleet_end_lapse).
 
    A store that comes back from an older copy lists records that are older than
    those known here.  Between fleet_begin_restore and fleet_end_restore its
@@ -158,8 +159,8 @@
 struct fleet;
 
 /* Called when UPSTREAM changed.  WHAT is the change for the log: "added",
-   "ready", "leaving", "held back", "lapsed", "removed", "replaced", "lapse not
-   renewed" or "evacuation not renewed".  */
+   "ready", "leaving", "held back", "lapsed", "has left", "removed",
+   "replaced", "lapse not renewed" or "evacuation not renewed".  */
 typedef void fleet_changed_fn (void *user_data, const char *what,
                                const struct fleet_upstream *upstream);
 
@@ -196,6 +197,12 @@
    An upstream that is leaving is removed in any case.  */
 void fleet_remove_upstream (struct fleet *fleet, struct str id,
                             bool may_be_expired, apr_time_t now);
+/* UPSTREAM, whose record vanished, leaves or has ended: it wasn't its lease
+   that ended, so it is removed.  Returns false if its record isn't missing. */
+bool fleet_end_lapse (struct fleet *fleet, struct fleet_upstream *upstream,
+                      apr_time_t now);
+/* Returns how many upstreams are in use though their records vanished.  */
+size_t fleet_lapsed_count (const struct fleet *fleet);
 /* The store came back from an older copy, and its listing follows, with the
    keys that it lacks as removals that may be expired.  */
 void fleet_begin_restore (struct fleet *fleet);
--- a/src/gateway/cold.c
+++ b/src/gateway/cold.c
@@ -29,6 +29,14 @@
   return service ? service->health_path : STR ("");
 }
 
+static void
+on_lapsed_left (void *user_data, struct fleet_upstream *upstream)
+{
+  struct gateway *gateway = user_data;
+  if (fleet_end_lapse (gateway->fleet, upstream, timer_clock ()))
+    gateway->upstreams_changed = true;
+}
+
 /* The upstream of a check is gone, and may return as a new process: the other
    entries have to know that before it does.  */
 static void
@@ -38,6 +46,7 @@
   if (upstream->doubt.since > 0)
     reachability_report_doubt (gateway->reachability, upstream,
                                upstream->doubt.since);
+  on_lapsed_left (gateway, upstream);
 }
 
 static void
@@ -135,6 +144,15 @@
       gateway->counters, "citroncleat_upstream_doubts_total", "",
       "Upstreams that may have started again, as this entry saw itself.");
   gateway->verify = verify_create (gateway->pool, &desc);
+  struct lapse_checks_desc lapse_checks = { .loop = gateway->loop,
+                                            .client = gateway->client,
+                                            .counters = gateway->counters,
+                                            .fleet = gateway->fleet,
+                                            .seed = gateway->random_state,
+                                            .health_path = health_path,
+                                            .left = on_lapsed_left,
+                                            .user_data = gateway };
+  gateway->lapse_checks = lapse_checks_create (gateway->pool, &lapse_checks);
 }
 
 void
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -321,6 +321,9 @@
   struct gateway *gateway = user_data;
   if (strcmp (what, "added") == 0 && gateway->reachability)
     reachability_recall (gateway->reachability, upstream);
+  if (strcmp (what, "lapsed") == 0)
+    lapse_checks_add (gateway->lapse_checks,
+                      fleet_find (gateway->fleet, upstream->id));
   /* At the start there are thousands; the line on the listing counts them.  */
   if (store_sync_is_listing (gateway->store_sync)
       && strcmp (what, "added") == 0)
@@ -585,6 +588,7 @@
   store_sync_destroy (gateway->store_sync);
   reachability_destroy (gateway->reachability);
   verify_destroy (gateway->verify);
+  lapse_checks_destroy (gateway->lapse_checks);
   platform_mirror_destroy (gateway->mirror);
   fleet_destroy (gateway->fleet);
   if (gateway->signal_fd > 0)
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -23,6 +23,7 @@
 #include "call/attempt.h"
 #include "call/connections.h"
 #include "call/stop_limits.h"
+#include "gateway/lapse_checks.h"
 #include "gateway/reachability.h"
 #include "gateway/verify.h"
 #include "gateway/registry.h"
@@ -118,6 +119,7 @@
   struct store_sync *store_sync;
   struct reachability *reachability;
   struct verify *verify;
+  struct lapse_checks *lapse_checks;
   struct platform_mirror *mirror; /* copy of the store, served to peers */
   apr_hash_t *peer_stores; /* struct store of other entries by address */
   size_t next_seed;        /* index into the seeds of the settings */
@@ -323,7 +325,7 @@
 
 /* cold.c: upstreams that are cold, or that may have started again.  */
 
-/* Creates `verify', which asks upstreams what they are.  */
+/* Creates `verify' and `lapse_checks', which ask upstreams what they are.  */
 void cold_create_checks (struct gateway *gateway);
 /* Sets how many requests this entry may send to each cold one of UPSTREAMS,
    of SERVICE, and asks those in doubt to which it sends what they are.  */
--- a/tests/standin/worker.c
+++ b/tests/standin/worker.c
@@ -22,8 +22,8 @@
    one with an Expect-Instance header of another id with 421.
 
    GET /healthz responds with the id, the load and, in the first --cold-ms of
-   the process, what is left of them, with 503 once it says that it leaves;
-   slots don't matter to it.
+   the process, what is left of them, with 503 once it says that it leaves or
+   SIGTERM has come; slots don't matter to it.
 
    For tests, GET /_rush returns how many requests, refused ones too, came in
    any one second of the first --cold-ms of the process at most.  GET /_runs
@@ -135,6 +135,7 @@
   int64_t closed_early; /* callers that closed while their request ran */
   char mode[MAX_ID_BYTES];
   bool says_leaving;
+  bool is_stopping; /* SIGTERM came */
   char retry_after[MAX_ID_BYTES];
   apr_time_t mode_until; /* 0: no end */
   int64_t mode_times;    /* requests until its end; 0: no end */
@@ -449,7 +450,9 @@
                 (long long)(worker.cold_until - now) / 1000 + 1);
       MHD_add_response_header (response, "Cold-Ms", text);
     }
-  return send_response (connection, worker.says_leaving ? 503 : 200, response);
+  return send_response (connection,
+                        worker.says_leaving || worker.is_stopping ? 503 : 200,
+                        response);
 }
 
 static ssize_t
@@ -670,8 +673,10 @@
   struct signalfd_siginfo info;
   (void)user_data;
   (void)events;
-  if (read (fd, &info, sizeof info) > 0)
-    registration_leave ();
+  if (read (fd, &info, sizeof info) <= 0)
+    return;
+  worker.is_stopping = true;
+  registration_leave ();
 }
 
 int
--- a/tests/unit/fleet_test.c
+++ b/tests/unit/fleet_test.c
@@ -99,6 +99,56 @@
   fleet_destroy (fleet);
 }
 
+/* An upstream that is known to have left is removed within the grace period,
+   and one that is listed is not, whatever is thought of it.  */
+static void
+test_left_in_lapse (void)
+{
+  static const struct
+  {
+    const char *name;
+    bool vanished;
+    bool written_again;
+    bool restored; /* listed by a store that came back from an older copy */
+    bool is_eligible;
+  } cases[] = { { "listed", false, false, false, true },
+                { "vanished", true, false, false, false },
+                { "vanished and written again", true, true, false, true },
+                { "vanished and restored", true, false, true, false } };
+  for (size_t i = 0; i < COUNT (cases); i++)
+    {
+      set_up_fleet ();
+      struct fleet_record r = make_record ("a");
+      r.incarnation = 7;
+      fleet_put_upstream (fleet, &r, 1, now);
+      struct fleet_upstream *upstream
+          = fleet_upstream_ref (fleet_find (fleet, r.id));
+      if (cases[i].vanished)
+        fleet_remove_upstream (fleet, r.id, true, now);
+      CU_ASSERT_EQUAL (fleet_lapsed_count (fleet), cases[i].vanished);
+      if (cases[i].written_again)
+        fleet_put_upstream (fleet, &r, 2, now);
+      CU_ASSERT_EQUAL (fleet_end_lapse (fleet, upstream, now),
+                       !cases[i].is_eligible);
+      CU_ASSERT_EQUAL (fleet_lapsed_count (fleet), 0);
+      if (cases[i].restored)
+        {
+          fleet_begin_restore (fleet);
+          fleet_put_upstream (fleet, &r, 3, now);
+          fleet_end_restore (fleet);
+        }
+      fleet_remove_expired (fleet, now + TIMER_MS (2100));
+      const struct fleet_upstream *listed = fleet_find (fleet, r.id);
+      bool is_eligible = listed && fleet_is_eligible (listed);
+      CU_ASSERT_EQUAL (is_eligible, cases[i].is_eligible);
+      if (is_eligible != cases[i].is_eligible)
+        printf ("# %s\n", cases[i].name);
+      CU_ASSERT_FALSE (fleet_end_lapse (fleet, upstream, now));
+      fleet_upstream_unref (upstream);
+      fleet_destroy (fleet);
+    }
+}
+
 /* A record that is only written again keeps its upstream listed; one that is
    not known has to be put.  */
 static void
@@ -688,6 +738,8 @@
 const struct unit_test fleet_tests[] = {
   { "a restart is a new upstream", test_incarnations },
   { "an expired upstream is used until its grace period ends", test_expiry },
+  { "an upstream that has left is not used until its grace period ends",
+    test_left_in_lapse },
   { "a record that is written again keeps its upstream", test_renewal },
   { "an evacuated zone gets no requests and is cold afterwards",
     test_evacuation },
