Requests to an id count for its next process though its record was removed first

What an entry sent to the id in the last second was passed on to the next process only where the new record replaced the old one, so e1, e2 and e4 sent 3 before and 3 after that change, within a second. Their lines "upstream" show it: removed with sent_3s 6, added with sent_3s 0.

Change: a removed upstream that was sent requests within the last second is remembered for that second, and the next one of its id continues the count.

--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -18,7 +18,8 @@
   apr_hash_t *zones;                 /* struct fleet_zone by name */
   struct departed *departed;         /* upstreams that were removed, by id */
   struct fleet_upstream *remembered; /* removed ones that said that they leave
-                                        or want no requests */
+                                        or want no requests, or that were sent
+                                        some within the last second */
   int64_t revision;                  /* of the latest record received */
   int64_t restored_revision; /* of the latest one before the store came back
                                 from an older copy; 0: it never did */
@@ -36,6 +37,9 @@
    leaving.  As long as fleet/departed.h remembers that it has left.  */
 static const apr_time_t leaving_memory_us = 60000000;
 
+/* The time over which requests to cold upstreams are counted.  */
+static const apr_time_t sends_memory_us = 1000000;
+
 enum
 {
   DEFAULT_EXPIRY_GRACE_MS = 2000, /* owners write expired records again
@@ -235,6 +239,14 @@
          && (a->incarnation != 0 || str_equal (a->address, b->address));
 }
 
+/* Returns whether UPSTREAM, which was removed, was sent requests that count
+   for the next process of its id.  */
+static bool
+has_recent_sends (const struct fleet_upstream *upstream, apr_time_t now)
+{
+  return load_sends_since (&upstream->load, now - sends_memory_us) > 0;
+}
+
 /* Returns whether what UPSTREAM said is to be remembered after it was
    removed.  */
 static bool
@@ -246,15 +258,22 @@
          || upstream->load.restricted_until > now;
 }
 
-/* Remembers the removed UPSTREAM if it said something.  No effect if it is
-   remembered.  */
+/* Returns whether UPSTREAM, which was removed, is to be remembered.  */
+static bool
+is_memorable (const struct fleet_upstream *upstream, apr_time_t now)
+{
+  return has_said (upstream, now) || has_recent_sends (upstream, now);
+}
+
+/* Remembers the removed UPSTREAM if it said something or was sent requests
+   just now.  No effect if it is remembered.  */
 static void
 remember (struct fleet *fleet, struct fleet_upstream *upstream, apr_time_t now)
 {
   const struct fleet_upstream *known = fleet->remembered;
   while (known && known != upstream)
     known = known->next_remembered;
-  if (known || !has_said (upstream, now))
+  if (known || !is_memorable (upstream, now))
     return;
   upstream->next_remembered = fleet->remembered;
   fleet->remembered = fleet_upstream_ref (upstream);
@@ -268,7 +287,7 @@
   while (*link)
     {
       struct fleet_upstream *upstream = *link;
-      if (!all && has_said (upstream, now))
+      if (!all && is_memorable (upstream, now))
         {
           link = &upstream->next_remembered;
           continue;
@@ -278,18 +297,32 @@
     }
 }
 
-/* Makes the new object UPSTREAM continue what the same incarnation said.  */
+/* Makes the new object UPSTREAM continue what the same incarnation said, and
+   what was sent to the id just before its last record was removed: a process
+   that started again within that second has got it.  */
 static void
-recall (const struct fleet *fleet, struct fleet_upstream *upstream)
+recall (const struct fleet *fleet, struct fleet_upstream *upstream,
+        apr_time_t now)
 {
+  bool has_sends = false;
   for (const struct fleet_upstream *old = fleet->remembered; old;
        old = old->next_remembered)
-    if (is_same_process (old, upstream))
-      {
-        upstream->says_leaving = old->says_leaving;
-        load_inherit_wait (&upstream->load, &old->load);
-        return;
-      }
+    {
+      if (!str_equal (old->id, upstream->id))
+        continue;
+      /* The one that was removed last comes first.  */
+      if (!has_sends && has_recent_sends (old, now))
+        {
+          load_inherit_sends (&upstream->load, &old->load);
+          has_sends = true;
+        }
+      if (is_same_process (old, upstream))
+        {
+          upstream->says_leaving = old->says_leaving;
+          load_inherit_wait (&upstream->load, &old->load);
+          return;
+        }
+    }
 }
 
 /* Removes UPSTREAM from the fleet and gives up the fleet's reference.  */
@@ -526,7 +559,7 @@
   if (is_new)
     {
       upstream = add_upstream (fleet, record, region);
-      recall (fleet, upstream);
+      recall (fleet, upstream, now);
     }
   /* What was sent to the id in the last second has reached the new process if
      it started within that.  */
--- a/tests/unit/fleet_test.c
+++ b/tests/unit/fleet_test.c
@@ -149,6 +149,48 @@
     }
 }
 
+/* What was sent to an id within the last second counts for its next process,
+   which may have got it, also if the last one's record was removed before the
+   next one's came.  Otherwise a cold process gets the double.  */
+static void
+test_sends_to_next_process (void)
+{
+  static const struct
+  {
+    const char *name;
+    const char *id; /* of the next process */
+    bool is_removed_first;
+    int64_t after_ms; /* from the requests to the next process's record */
+    int64_t sends;    /* in the second before that */
+  } cases[] = { { "replaced", "a", false, 300, 3 },
+                { "removed", "a", true, 300, 3 },
+                { "removed, almost a second ago", "a", true, 990, 3 },
+                { "removed, over a second ago", "a", true, 1010, 0 },
+                { "another upstream", "b", true, 300, 0 } };
+  for (size_t i = 0; i < COUNT (cases); i++)
+    {
+      set_up_fleet ();
+      struct fleet_record r = make_record ("a");
+      r.incarnation = 7;
+      fleet_put_upstream (fleet, &r, 1, now);
+      for (int n = 0; n < 3; n++)
+        load_begin_request (&get_only_upstream ()->load, now);
+      if (cases[i].is_removed_first)
+        fleet_remove_upstream (fleet, r.id, false, now);
+      apr_time_t then = now + TIMER_MS (cases[i].after_ms);
+      fleet_remove_expired (fleet, then);
+      r = make_record (cases[i].id);
+      r.incarnation = 8;
+      fleet_put_upstream (fleet, &r, 2, then);
+      int64_t sends = load_sends_since (&get_only_upstream ()->load,
+                                        then - TIMER_SEC (1));
+      CU_ASSERT_EQUAL (sends, cases[i].sends);
+      if (sends != cases[i].sends)
+        printf ("# %s\n", cases[i].name);
+      fleet_destroy (fleet);
+    }
+}
+
 /* A record that is only written again keeps its upstream listed; one that is
    not known has to be put.  */
 static void
@@ -740,6 +782,8 @@
   { "an expired upstream is used until its grace period ends", test_expiry },
   { "an upstream that has left is not used until its grace period ends",
     test_left_in_lapse },
+  { "requests to an id count for its next process",
+    test_sends_to_next_process },
   { "a record that is written again keeps its upstream", test_renewal },
   { "an evacuated zone gets no requests and is cold afterwards",
     test_evacuation },
