Cold upstreams count for the slots that they may use

Cause: in the play of half a region that returns, no decision moved the requests.

Change: a cold upstream counts for what its rate uses, the rate of all entries together times the mean service time of the service, so requests move away at the usual rate while it is cold, and return so.

--- a/bench/gateway/cost.c
+++ b/bench/gateway/cost.c
@@ -134,7 +134,7 @@
       for (int r = 0; r < REGIONS; r++)
         loads[r] = balance_region_load (
             fleet_group (service, str_from (region_names[r])),
-            weight * balance_mean_requests (&reports, now), now);
+            weight * balance_mean_requests (&reports, now), 1.0, now);
       region_split_update (&split, loads, now);
     }
   for (int i = 0; i < MEASURED_S * EXPIRY_CHECKS_PER_S; i++)
--- a/bench/gateway/sim.c
+++ b/bench/gateway/sim.c
@@ -809,6 +809,20 @@
     }
 }
 
+/* Returns how many slots of a cold upstream are used by what all entries
+   together may send to it, as ENTRY estimates it.  */
+static double
+cold_slots (const struct sim *sim, const struct sim_entry *entry)
+{
+  struct cold_quota quota = cold_quota_divide (sim->plan.outage.cold_rate,
+                                               (size_t)sim->entry_count);
+  double service_time = 0.0;
+  for (int k = 0; k < SIM_REQUEST_KINDS; k++)
+    service_time += sim_request_kind (sim, k)->fraction
+                    * entry->service_times[k].uncached / APR_USEC_PER_SEC;
+  return (double)quota.senders * (double)quota.per_sender * service_time;
+}
+
 static void
 on_tick (struct sim *sim)
 {
@@ -831,7 +845,7 @@
             fleet_group (fleet_service (entry->fleet, STR ("s")),
                          str_from (sim_region_names[r])),
             weight * balance_mean_requests (&entry->reports[r], sim->now),
-            sim->now);
+            cold_slots (sim, entry), sim->now);
       region_split_update (&entry->region_split, entry->region_loads,
                            sim->now);
     }
--- a/src/balance/balance.c
+++ b/src/balance/balance.c
@@ -331,7 +331,7 @@
 
 struct balance_region_load
 balance_region_load (const struct fleet_group *group, double unheard_requests,
-                     apr_time_t now)
+                     double cold_slots, apr_time_t now)
 {
   struct balance_region_load region_load = { 0 };
   for (size_t i = 0; group && i < group->count; i++)
@@ -343,6 +343,8 @@
       double slots = load_is_returning (&upstream->load)
                          ? 1.0
                          : (double)upstream->load.slots;
+      if (fleet_is_cold (upstream, now) && slots > cold_slots)
+        slots = cold_slots;
       double unheard = 1.0 - load_report_weight (&upstream->load, now);
       double busy
           = load_in_flight (&upstream->load, now) + unheard * unheard_requests;
--- a/src/balance/balance.h
+++ b/src/balance/balance.h
@@ -149,12 +149,13 @@
                              size_t *count, apr_time_t *first_return);
 /* Returns the slots of the eligible upstreams of GROUP, which may be NULL, and
    how many are in use.  An upstream that has turned this entry away has none,
-   and one that is returning has one.  An upstream that was not heard of lately
-   counts for UNHEARD_REQUESTS: the mean of the region's reports times the
-   weight above.  Called several times per second for balance/region_split.h
-   and balance/admit.h.  */
+   and one that is returning has one.  One that is cold has COLD_SLOTS at most:
+   those that are used by what all entries together may send to it.  An
+   upstream that was not heard of lately counts for UNHEARD_REQUESTS: the mean
+   of the region's reports times the weight above.  Called several times per
+   second for balance/region_split.h and balance/admit.h.  */
 struct balance_region_load
 balance_region_load (const struct fleet_group *group, double unheard_requests,
-                     apr_time_t now);
+                     double cold_slots, apr_time_t now);
 
 #endif
--- a/src/gateway/attempts.c
+++ b/src/gateway/attempts.c
@@ -40,9 +40,21 @@
 static const double late_retry_max_utilization = 0.7;
 /* Weight of the newest connection in the moving average of a region's RTT.  */
 static const double rtt_weight = 0.25;
+/* Of the newest response, in the service's mean service time: that of some
+   twenty responses, as for the routes.  */
+static const double service_time_weight = 0.05;
 
 /* private functions */
 
+/* Updates the mean service time of the service by that of REQUEST's route.  */
+static void
+update_mean_time (struct request *request)
+{
+  double *mean = &request->service->uncached_us;
+  double newest = request->route_state->service_time.uncached;
+  *mean = *mean > 0 ? *mean + service_time_weight * (newest - *mean) : newest;
+}
+
 /* Removes the attempt from the upstream's load with RESULT and updates the
    estimates from its latency; called again it has no effect.  */
 static void
@@ -64,6 +76,7 @@
       balance_update_service_time (
           &request->route_state->service_time,
           (double)elapsed / request->upstream_slowdown, request->recurs);
+      update_mean_time (request);
       affinity_record (fleet_affinity (request->gateway->fleet),
                        request->upstream->incarnation_hash, request->object,
                        now);
--- a/src/gateway/cold.c
+++ b/src/gateway/cold.c
@@ -4,6 +4,8 @@
 
 #include "balance/cold_quota.h"
 
+#include <math.h>
+
 /* constants */
 
 enum
@@ -137,6 +139,17 @@
   gateway->verify = verify_create (gateway->pool, &desc);
 }
 
+double
+cold_usable_slots (const struct gateway *gateway,
+                   const struct service_state *service)
+{
+  struct cold_quota quota = service_quota (gateway, service->name);
+  return service->uncached_us > 0
+             ? (double)quota.senders * (double)quota.per_sender
+                   * service->uncached_us / APR_USEC_PER_SEC
+             : HUGE_VAL;
+}
+
 void
 cold_update_quotas (struct gateway *gateway,
                     const struct service_state *service,
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -132,7 +132,8 @@
   for (size_t i = 0; i < gateway->region_count; i++)
     service->region_loads[i] = balance_region_load (
         fleet_group (upstreams, gateway->regions[i]),
-        weight * balance_mean_requests (&service->reports[i], now), now);
+        weight * balance_mean_requests (&service->reports[i], now),
+        cold_usable_slots (gateway, service), now);
   region_split_update (&service->region_split, service->region_loads, now);
   log_region_split (gateway, service, now);
   update_retry_budget (gateway, service);
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -89,6 +89,9 @@
   apr_time_t split_logged_at;
   struct balance_region_load region_loads[GATEWAY_REGIONS_MAX];
   struct balance_reports reports[GATEWAY_REGIONS_MAX];
+  /* Moving average of the uncached service time of the routes whose requests
+     were answered; 0: none yet.  */
+  double uncached_us;
   struct budget retry_budget;
   /* For requests that are sent to another region than `region_split' picked,
      see dispatch.c.  */
@@ -331,6 +334,11 @@
                          const struct service_state *service,
                          const struct fleet_service *upstreams,
                          apr_time_t now);
+/* Returns how many slots of a cold upstream of SERVICE are used by what all
+   entries together may send to it; all of them as long as that is not known.
+ */
+double cold_usable_slots (const struct gateway *gateway,
+                          const struct service_state *service);
 /* Holds UPSTREAM for cold until it is known what it is: it may have started
    again before its record shows that.  REQUEST_ID, which may be empty, and
    REASON are for the log.  WAS_REACHED: the sign alone doesn't show that the
--- a/tests/unit/balance_test.c
+++ b/tests/unit/balance_test.c
@@ -527,7 +527,7 @@
           = balance_region_load (group,
                                  balance_unheard_weight (service, at)
                                      * balance_mean_requests (&reports, at),
-                                 at);
+                                 SLOTS, at);
       CU_ASSERT_DOUBLE_EQUAL (load.slots, MANY * SLOTS, 1e-9);
       CU_ASSERT_DOUBLE_EQUAL (load.busy, cases[i].busy, 0.01);
       fleet_destroy (fleet);
@@ -745,7 +745,7 @@
       size_t count = 0;
       const struct fleet_group *group = request (1).group;
       apr_time_t at = now + TIMER_MS (cases[i].at_ms);
-      CU_ASSERT_EQUAL (balance_region_load (group, 0, at).slots,
+      CU_ASSERT_EQUAL (balance_region_load (group, 0, SLOTS, at).slots,
                        cases[i].slots);
       CU_ASSERT_EQUAL (balance_is_turned_away (group, at, &count, &first),
                        cases[i].first_ms > 0);
@@ -755,6 +755,51 @@
     }
 }
 
+/* A cold upstream counts for the slots that are used by what it may be sent,
+   until it is known to be warm.  */
+static void
+test_cold_region (void)
+{
+  static const struct
+  {
+    int doubted; /* of the upstreams */
+    int cold;    /* of them, those that say that they are, for a second */
+    double cold_slots;
+    int64_t at_ms;
+    double slots;
+  } cases[] = {
+    { 0, 0, 1.5, 0, UPSTREAMS * SLOTS },
+    { 1, 0, 1.5, 0, (UPSTREAMS - 1) * SLOTS + 1.5 },
+    { 1, 1, 1.5, 0, (UPSTREAMS - 1) * SLOTS + 1.5 },
+    { 1, 1, 1.5, 1000, UPSTREAMS * SLOTS },
+    { UPSTREAMS, 0, 1.5, 0, UPSTREAMS * 1.5 },
+    { UPSTREAMS, UPSTREAMS, 0, 0, 0 },
+    { UPSTREAMS, UPSTREAMS - 1, 1.5, 1000, (UPSTREAMS - 1) * SLOTS + 1.5 },
+    /* As long as it is not known how many those are, all of them.  */
+    { UPSTREAMS, 0, HUGE_VAL, 0, UPSTREAMS * SLOTS },
+  };
+  for (size_t i = 0; i < COUNT (cases); i++)
+    {
+      set_up_fleet ();
+      for (int n = 0; n < cases[i].doubted; n++)
+        {
+          struct fleet_upstream *upstream
+              = fleet_find (fleet, str_printf (test_pool, "u%d", n));
+          fleet_doubt (fleet, upstream, now);
+          if (n < cases[i].cold)
+            fleet_settle (upstream, now, TIMER_SEC (1));
+        }
+      apr_time_t at = now + TIMER_MS (cases[i].at_ms);
+      double slots
+          = balance_region_load (request (1).group, 0, cases[i].cold_slots, at)
+                .slots;
+      CU_ASSERT_DOUBLE_EQUAL (slots, cases[i].slots, 1e-9);
+      if (fabs (slots - cases[i].slots) > 1e-9)
+        printf ("# case %d: %.1f slots\n", (int)i, slots);
+      fleet_destroy (fleet);
+    }
+}
+
 /* Two entries return at once, the others within a second, two by two; callers
    that were refused meanwhile return over a time that grows with them.  */
 static void
@@ -799,6 +844,7 @@
   { "an upstream that turns away gets nothing, then one at a time",
     test_turned_away },
   { "upstreams that turn away have no slots", test_turned_away_region },
+  { "cold upstreams count for the slots that they may use", test_cold_region },
   { "entries and callers don't return at once", test_return },
   { "a cold upstream gets this entry's share of its rate", test_cold },
   { "an object that does not recur is not expected to be cached",
--- a/tests/unit/gateway_sim_test.c
+++ b/tests/unit/gateway_sim_test.c
@@ -337,6 +337,10 @@
 static void
 test_shift_after_outage (void)
 {
+  enum
+  {
+    SEEDS = 3 /* counted together, so that chance explains little */
+  };
   static const struct
   {
     double demand;
@@ -366,14 +370,18 @@
               .queue_capacity = 32,
               .outage = *outage,
               .region_counts = &counts };
-      memset (&counts, 0, sizeof counts);
-      for (plan.seed = 1; plan.seed <= 3; plan.seed++)
-        sim_run (&plan);
-      double worst = worst_shift_since (counts.reached,
-                                        outage->begins_at + outage->lasts);
-      CU_ASSERT (worst <= max_shift);
-      if (worst > max_shift)
-        printf ("# case %d: %.3f of the requests\n", (int)c, worst);
+      for (uint64_t first = 1; first <= 4; first += SEEDS)
+        {
+          memset (&counts, 0, sizeof counts);
+          for (plan.seed = first; plan.seed < first + SEEDS; plan.seed++)
+            sim_run (&plan);
+          double worst = worst_shift_since (counts.reached,
+                                            outage->begins_at + outage->lasts);
+          CU_ASSERT (worst <= max_shift);
+          if (worst > max_shift)
+            printf ("# case %d, seeds from %d: %.3f of the requests\n", (int)c,
+                    (int)first, worst);
+        }
     }
 }
 
