Fuzz Retry-After: a bounded wait, whatever the header, its date and the clock

Cause: the fuzzer of the platform's decoders didn't reach decode_retry_after, whose value decides for how long an upstream gets no requests.

Change: the fuzzer reads its input as the header and, after a newline, the date of the response, with clocks from 0 to the largest one. A wait is from 0 to an hour, a refused value changes nothing, and an upstream that is turned away for that wait gets requests again at its end.

--- a/Makefile
+++ b/Makefile
@@ -127,7 +127,7 @@
 	@for f in $(FUZZERS); do \
 	  clang -O1 -g -fsanitize=fuzzer,address,undefined \
 	    $(filter-out -MMD -MP,$(STANDARD)) tests/fuzz/$${f}_fuzz.c \
-	    $(filter src/base/% src/peer/% src/resource/% src/plan/% platform/decode.c,$(SOURCES)) \
+	    $(filter src/base/% src/peer/% src/resource/% src/plan/% src/balance/load.c platform/decode.c,$(SOURCES)) \
 	    -o build-fuzz/$$f $(LIBS) || exit 1; \
 	  mkdir -p build-fuzz/found-$$f; \
 	  build-fuzz/$$f -max_total_time=$(FUZZ_SECONDS) -max_len=16384 \
--- a/tests/fuzz/decode_fuzz.c
+++ b/tests/fuzz/decode_fuzz.c
@@ -49,6 +49,45 @@
     }
 }
 
+/* The value of a Retry-After header, and after a newline that of the Date
+   beside it, give a wait from 0 to an hour, whatever the clock says; a value
+   that is refused changes nothing.  What keeps requests away for that wait
+   ends with it.  */
+static void
+check_retry_after (struct str data, apr_pool_t *pool)
+{
+  static const apr_time_t max_wait = 3600 * APR_USEC_PER_SEC;
+  static const apr_time_t untouched = -77;
+  static const apr_time_t clocks[]
+      = { 0, 1, 1765000000 * APR_USEC_PER_SEC, INT64_MAX };
+  const char *end = data.size > 0 ? memchr (data.data, '\n', data.size) : NULL;
+  size_t size = end ? (size_t)(end - data.data) : data.size;
+  struct str text = str_dup (pool, str_view (data.data, size));
+  struct str date
+      = end ? str_dup (pool, str_view (end + 1, data.size - size - 1))
+            : STR ("");
+  for (size_t i = 0; i < sizeof clocks / sizeof *clocks; i++)
+    {
+      struct load load;
+      apr_time_t now = APR_USEC_PER_SEC;
+      apr_time_t wait = untouched;
+      if (!decode_retry_after (text, date, clocks[i], &wait))
+        {
+          if (wait != untouched)
+            abort ();
+          continue;
+        }
+      if (wait < 0 || wait > max_wait)
+        abort ();
+      load_init (&load, 1);
+      load_turn_away (&load, wait, now);
+      load_restrict (&load, wait, now);
+      if (load_is_turned_away (&load, now) != (wait > 0)
+          || load_is_turned_away (&load, now + wait))
+        abort ();
+    }
+}
+
 int
 LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
 {
@@ -75,6 +114,7 @@
   if (decode_load (text, &report) && report.slots < 1)
     abort ();
   check_containment (text, pool);
+  check_retry_after (text, pool);
   decode_affinity_key (text);
   if (decode_deadline_ms (text) < -1)
     abort ();
