Session upstream-says: a 421 that says so, and a response nobody waits for

Cause: two cases of the notice had no session: a 421 with it, which comes from another process at the address, and the notice in the response to an attempt that was cancelled because the request was sent to another upstream.

Change: two rows of the session; no code. With 421 the listed upstream is used when it is back under its id and with the same record; after the cancelled attempt, whose connection is closed, the upstream is used at once.

That the rows fail when either notice is believed was not tried.

--- a/tests/session/upstream-says.sh
+++ b/tests/session/upstream-says.sh
@@ -158,6 +158,32 @@
   load 1
 done
 
+echo "# another upstream at the address refuses with 421 and says that it leaves"
+end_upstream 2
+start_upstream 2 9
+set_mode 2 leaving
+for n in $(seq 40); do call GET /look/1 $n; done | sed "s/^200 .*/200/" | sort -u
+grep -q '"event":"attempt-failed".*"status":421' "$WORK/g.log" && echo "it was asked"
+end_upstream 2
+start_upstream 2 2
+load 4
+[ "$(runs 2)" -gt 0 ] && echo "the one that is listed is used when it is back"
+
+echo "# a request is sent to another upstream when it is late; the response that is not waited for says that its upstream leaves"
+find_key i-2
+set_mode 2 long
+call GET /look/1 $K >"$WORK/late-answer" &
+late=$!
+sleep 0.2
+set_mode 2 leaving
+wait $late
+sed 's/i-[13]$/another/' "$WORK/late-answer"
+sleep 1
+set_mode 2 normal
+ran=$(runs 2)
+load 1
+[ "$(runs 2)" -gt "$ran" ] && echo "it is used"
+
 # turned_away NAME SECONDS MODE-VALUES...: one upstream turns away for so long; what
 # arrives there in the time that it states, and whether it is used after that.
 turned_away () {
