--- a/src/balance/balance.c
+++ b/src/balance/balance.c
@@ -55,11 +55,6 @@
    that of one report of an idle upstream.  */
 static const double min_report_weight = 1.0;
 
-/* An upstream that is leaving takes a request only if this multiple of the
-   expected time fits in before its end: nearly all responses arrive by then.
- */
-static const double leaving_margin = 2.0;
-
 enum
 {
   /* Upstreams of a group that a choice looks at.  In a region with nine of ten
@@ -87,17 +82,9 @@
   struct fleet_upstream *upstream;
 };
 
-/* Returns whether UPSTREAM takes requests, perhaps only those that end before
-   it does.  */
-static bool
-is_usable (const struct fleet_upstream *upstream, apr_time_t now)
-{
-  return fleet_is_eligible (upstream) || fleet_serves_until (upstream) > now;
-}
-
-/* Stores in OUT, which has room for CANDIDATES_MAX, the usable upstreams that
-   have not turned this entry away and rank first, highest rank first; returns
-   how many there are.  */
+/* Stores in OUT, which has room for CANDIDATES_MAX, the eligible upstreams
+   that have not turned this entry away and rank first, highest rank first;
+   returns how many there are.  */
 static size_t
 find_candidates (const struct balance_request *request, struct candidate *out)
 {
@@ -107,7 +94,7 @@
       const struct fleet_member *member = &request->group->members[i];
       uint64_t rank = hash_mix (member->hash, request->object);
       if ((count == CANDIDATES_MAX && rank <= out[count - 1].rank)
-          || !is_usable (member->upstream, request->now)
+          || !fleet_is_eligible (member->upstream)
           || load_is_turned_away (&member->upstream->load, request->now))
         continue;
       size_t at = count < CANDIDATES_MAX ? count++ : count - 1;
@@ -182,24 +169,6 @@
          + (apr_time_t)transfer_time (request);
 }
 
-/* Returns whether the request ends before UPSTREAM does, if that is leaving.
-   SERVICE_TIME: without waiting and slowdown.  */
-static bool
-ends_in_time (const struct balance_request *request,
-              const struct fleet_upstream *upstream, double service_time)
-{
-  if (fleet_is_eligible (upstream))
-    return true;
-  /* It closes its connections, so that a new one has to be made.  */
-  double network = 2.0 * (double)request->rtt + transfer_time (request);
-  double expected
-      = service_time * load_slowdown (&upstream->load, request->now)
-        + estimate_wait (request, &upstream->load);
-  return !request->is_open_ended
-         && (double)request->now + leaving_margin * expected + network
-                <= (double)fleet_serves_until (upstream);
-}
-
 /* Returns the cost of UPSTREAM, in microseconds: the time until its response
    is expected, and what probable failures, slots in use, another zone and a
    low rank for the object add to it.  */
@@ -260,8 +229,6 @@
         continue;
       double service_time = cached ? request->service_time->cached
                                    : request->service_time->uncached;
-      if (!ends_in_time (request, upstream, service_time))
-        continue;
       double cost = upstream_cost (request, &candidates[i], service_time);
       if (cost >= min_cost)
         continue;
--- a/src/balance/balance.h
+++ b/src/balance/balance.h
@@ -63,8 +63,6 @@
   /* Requests for each slot that may wait at an upstream that has the object
      cached: a short wait there ends before a response from elsewhere.  */
   double max_queue_per_slot;
-  /* Its end can't be foreseen: it goes to no upstream that is leaving.  */
-  bool is_open_ended;
   /* Slots of each upstream kept free for requests that are more urgent.  */
   double reserved_slots;
   /* Most requests of this entry at one upstream.  */
@@ -108,9 +106,8 @@
    that a choice costs little more with more upstreams, and all entries look at
    the same ones.  The cost is the time until its response is expected, plus
    what probable failures, slots in use, another zone and a low rank by hash
-   add to it.  An upstream that says that it is leaving takes those requests
-   whose responses are expected well before its end.  Changes no state: the
-   caller reports the request to balance/load.h when it is sent.  */
+   add to it.  Changes no state: the caller reports the request to
+   balance/load.h when it is sent.  */
 struct balance_choice
 balance_choose_upstream (const struct balance_request *request);
 /* Updates SERVICE_TIME by a response.  ELAPSED: time that the upstream took,
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -567,8 +567,6 @@
     load_inherit_sends (&upstream->load, &replaced_load);
   bool was_leaving = is_leaving (upstream);
   upstream->leaving = record->leaving;
-  if (record->leaving)
-    upstream->served_until = 0;
   upstream->slots = record->slots;
   set_expired_at (fleet, upstream, 0);
   update_cold (upstream, record, revision, now);
@@ -797,13 +795,6 @@
   return listed && is_same_process (listed, upstream) ? listed : NULL;
 }
 
-void
-fleet_mark_staying (struct fleet_upstream *upstream, apr_time_t sent_at)
-{
-  if (!upstream->says_leaving && sent_at > upstream->stayed_at)
-    upstream->stayed_at = sent_at;
-}
-
 bool
 fleet_mark_leaving (struct fleet *fleet, struct fleet_upstream *upstream,
                     apr_time_t now)
@@ -811,9 +802,6 @@
   struct fleet_upstream *listed = find_listed (fleet, upstream);
   bool is_news = !(listed ? listed : upstream)->says_leaving;
   bool was_leaving = listed && is_leaving (listed);
-  if (listed == upstream && !was_leaving && listed->expired_at == 0
-      && fleet->desc.drain_time > 0 && upstream->stayed_at > 0)
-    upstream->served_until = upstream->stayed_at + fleet->desc.drain_time;
   upstream->says_leaving = true;
   if (upstream->removed)
     remember (fleet, upstream, now);
@@ -824,21 +812,6 @@
   return is_news;
 }
 
-apr_time_t
-fleet_serves_until (const struct fleet_upstream *upstream)
-{
-  return upstream->says_leaving && !upstream->leaving && !upstream->removed
-                 && upstream->held_until == 0 && !upstream->zone->is_evacuated
-             ? upstream->served_until
-             : 0;
-}
-
-void
-fleet_end_service (struct fleet_upstream *upstream)
-{
-  upstream->served_until = 0;
-}
-
 void
 fleet_turn_away (struct fleet *fleet, struct fleet_upstream *upstream,
                  apr_time_t wait, apr_time_t stated, apr_time_t now)
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -45,12 +45,6 @@
    incarnation, or when the record has been gone for a minute and the wait is
    over.
 
-   One that says that it leaves goes on for the drain time.  It began to leave
-   after this entry sent the latest request that it answered without saying so
-   (fleet_mark_staying), so until the drain time after that it may get requests
-   that end by then (fleet_serves_until), unless its record has said or says
-   that it is leaving, or vanishes, or it fails one (fleet_end_service).
-
    A cold upstream has started a short while ago and can serve only few
    requests; how many is up to the caller.  One that can't be reached, or
    breaks off, may start again under its id before the store shows that; it
@@ -113,21 +107,17 @@
                             is not held back */
   bool leaving;          /* as in the record */
   bool says_leaving;     /* it said so in a response */
-  apr_time_t stayed_at;  /* the latest request was sent that it answered
-                            without saying so; 0: none */
-  apr_time_t served_until; /* with `says_leaving': the drain time after that;
-                              0: not known, or it has failed since */
-  bool removed;            /* no longer in the fleet, only referenced */
-  apr_time_t expired_at;   /* when its record vanished, perhaps only since its
-                              lease ran out; 0: it is listed */
-  apr_time_t cold_until;   /* 0 or in the past: it is not cold */
-  int64_t cold_revision;   /* of the record or event that made it cold; only a
-                              later record ends that */
-  bool record_is_cold;     /* the latest record said that it is cold */
-  struct doubt doubt;      /* whether it may have started again since then */
-  bool is_unseen;          /* the doubt is about an old copy of its record: no
-                              other entry has it, so this one asks */
-  bool is_asked;           /* a check of it is under way; set by the gateway */
+  bool removed;          /* no longer in the fleet, only referenced */
+  apr_time_t expired_at; /* when its record vanished, perhaps only since its
+                            lease ran out; 0: it is listed */
+  apr_time_t cold_until; /* 0 or in the past: it is not cold */
+  int64_t cold_revision; /* of the record or event that made it cold; only a
+                            later record ends that */
+  bool record_is_cold;   /* the latest record said that it is cold */
+  struct doubt doubt;    /* whether it may have started again since then */
+  bool is_unseen;        /* the doubt is about an old copy of its record: no
+                            other entry has it, so this one asks */
+  bool is_asked;         /* a check of it is under way; set by the gateway */
   size_t rank;           /* of this entry among those that may send to it while
                             it is cold, from 0; set by the gateway */
   uint64_t rank_version; /* of the list of entries for which it was computed;
@@ -178,8 +168,6 @@
 {
   apr_time_t expiry_grace; /* for which an upstream whose record may only have
                               expired stays in use; 0: 2 s */
-  apr_time_t drain_time;   /* for which an upstream goes on after it began to
-                              leave; 0: not known */
   /* Returns the region of ZONE, or an empty string.  Required.  */
   struct str (*find_region) (void *user_data, struct str zone);
   fleet_changed_fn *upstream_changed; /* may be NULL */
@@ -255,20 +243,11 @@
                    apr_time_t cold_left);
 /* Returns whether UPSTREAM is cold, as far as it is known, or may be.  */
 bool fleet_is_cold (const struct fleet_upstream *upstream, apr_time_t now);
-/* UPSTREAM answered a request that was sent at SENT_AT and did not say that it
-   is leaving.  No effect once it has said so.  */
-void fleet_mark_staying (struct fleet_upstream *upstream, apr_time_t sent_at);
 /* UPSTREAM, which may have been removed, said in a response that it is
-   leaving: it is not eligible any more, as if its record said so.  Returns
-   false if that was known.  */
+   leaving: it gets no new requests, as if its record said so.  Returns false
+   if that was known.  */
 bool fleet_mark_leaving (struct fleet *fleet, struct fleet_upstream *upstream,
                          apr_time_t now);
-/* Returns until when UPSTREAM, which says that it is leaving, is known to go
-   on; 0 if it isn't known, or it must not get requests at all.  */
-apr_time_t fleet_serves_until (const struct fleet_upstream *upstream);
-/* UPSTREAM failed a request, or refused the one with whose response it said
-   that it is leaving: while it is leaving, it gets no more.  */
-void fleet_end_service (struct fleet_upstream *upstream);
 /* UPSTREAM, which may have been removed, refused a request and stated that it
    wants none for STATED; it gets none for WAIT, see load_turn_away and
    load_restrict.  */
@@ -281,8 +260,8 @@
    it never had any there.  */
 const struct fleet_group *fleet_group (const struct fleet_service *service,
                                        struct str region);
-/* Returns whether UPSTREAM may get any new request: it is neither leaving, by
-   its record or what it said, nor removed nor held back, and its zone is not
+/* Returns whether UPSTREAM may get new requests: it is neither leaving, by its
+   record or what it said, nor removed nor held back, and its zone is not
    evacuated.  */
 bool fleet_is_eligible (const struct fleet_upstream *upstream);
 /* Returns the upstream ID, or NULL.  */
--- a/src/gateway/attempts.c
+++ b/src/gateway/attempts.c
@@ -71,9 +71,6 @@
   apr_time_t expected = (apr_time_t)((double)request->service_time
                                      * request->upstream_slowdown);
   load_end_request (&request->upstream->load, result, elapsed, expected, now);
-  if (result != LOAD_ANSWERED && result != LOAD_REFUSED
-      && result != LOAD_CANCELLED)
-    fleet_end_service (request->upstream);
   if (result == LOAD_ANSWERED && elapsed > 0)
     {
       balance_update_service_time (
@@ -373,8 +370,6 @@
   struct gateway *gateway = request->gateway;
   if (!fleet_mark_leaving (gateway->fleet, upstream, now))
     return;
-  if (is_refusal (request->attempt))
-    fleet_end_service (upstream);
   gateway->upstreams_changed = true;
   counter_add (gateway->leaving_by_response, 1);
   LOG (LOG_INFO, "upstream-says-leaving", LOG_TEXT ("id", request->id.data),
@@ -436,9 +431,6 @@
     return;
   if (decode_leaving (headers_get (headers, PLATFORM_LEAVING)))
     handle_leaving (request, upstream, now);
-  else if (upstream == request->upstream
-           && headers_has (headers, STR (PLATFORM_SERVER_STAMP)))
-    fleet_mark_staying (upstream, request->attempt->started_at);
   if (request->attempt->status == HTTP_UNAVAILABLE
       && decode_retry_after (headers_get (headers, PLATFORM_RETRY_AFTER),
                              headers_get (headers, PLATFORM_DATE),
@@ -508,9 +500,7 @@
   request->upstream = fleet_upstream_ref (upstream);
   request->service_time = choice->service_time;
   request->object_cached = choice->object_cached;
-  request->held_for = fleet_is_cold (upstream, now)  ? "cold"
-                      : fleet_is_eligible (upstream) ? "warm"
-                                                     : "leaving";
+  request->held_for = fleet_is_cold (upstream, now) ? "cold" : "warm";
   request->record_age_ms = store_sync_age (gateway->store_sync, now) / 1000;
   cold_check_first_send (gateway, upstream, request->id, now);
   request->upstream_slowdown = upstream->load.reported_slowdown > 0
--- a/src/gateway/dispatch.c
+++ b/src/gateway/dispatch.c
@@ -114,8 +114,6 @@
     .own_zone = gateway->settings.zone,
     .idle_timeout = TIMER_SEC (GATEWAY_MAX_IDLE_S),
     .body_bytes = request->body_size > 0 ? request->body_size : 0,
-    .is_open_ended = request->route->kind == PLAN_UPLOAD
-                     || request->route->kind == PLAN_KIND_UNKNOWN,
     .max_queue_per_slot = max_queue_per_slot,
     .reserved_slots
     = !is_top_priority (request)
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -527,11 +527,9 @@
           .counters = gateway->counters,
           .address = gateway->settings.store.address,
           .timeout_ms = gateway->settings.store.timeout_ms };
-  struct fleet_desc fleet
-      = { .drain_time = TIMER_MS (gateway->settings.store.leaving_ms),
-          .find_region = region_of_zone,
-          .upstream_changed = on_fleet_changed,
-          .user_data = gateway };
+  struct fleet_desc fleet = { .find_region = region_of_zone,
+                              .upstream_changed = on_fleet_changed,
+                              .user_data = gateway };
   gateway->store = platform_store_create (gateway->pool, &store);
   gateway->fleet = fleet_create (gateway->pool, &fleet);
   struct registry_desc registry = { .loop = gateway->loop,
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -230,8 +230,8 @@
   apr_time_t service_time;
   double upstream_slowdown;
   bool object_cached;
-  const char *held_for;  /* "warm", "cold" or "leaving": the upstream, when the
-                            attempt started */
+  const char *held_for;  /* "warm" or "cold": the upstream, when the attempt
+                            started */
   int64_t record_age_ms; /* of what was known of the store then */
   bool load_is_counted;  /* load_begin_request was called for the attempt and
                             load_end_request not yet */
