The soak's callers go on until refused calls of the calm phase are sent again

Change: the callers go on for 2 s after the phase. The judge and its rules are unchanged; two new cases of its session state that a refused call that is sent again after the phase is no finding, and one that is not is.

--- a/tests/session/judge.sh
+++ b/tests/session/judge.sh
@@ -209,3 +209,5 @@
 check_calm "calm phase with too few requests" "$start | 20000 calm begins | $(served 21000 a.0) | 25000 calm ends"
 check_calm "calm phase, one call refused" "$start | 20000 calm begins | $(many 60 calm_call) | $(ask 21000 a.0) | $(got 21010 a.0 503 -) | 25000 calm ends"
 check_calm "calm phase, one call refused and served on retry" "$start | 20000 calm begins | $(many 60 calm_call) | $(ask 21000 a.0) | $(got 21010 a.0 503 -) | $(served 21200 a.1) | 25000 calm ends"
+check_calm "calm phase, one call refused before its end and sent again after it" "$start | 20000 calm begins | $(many 60 calm_call) | $(ask 24800 a.0) | $(got 24850 a.0 503 -) | 25000 calm ends | $(served 25050 a.1)"
+check_calm "calm phase, one call refused before its end and not sent again" "$start | 20000 calm begins | $(many 60 calm_call) | $(ask 24800 a.0) | $(got 24850 a.0 503 -) | 25000 calm ends | $(served 25050 b.0)"
--- a/tests/soak/soak.sh
+++ b/tests/soak/soak.sh
@@ -25,6 +25,7 @@
 keepers=${SOAK_KEEPERS:-$((6 * entries))}
 recovery_s=8 # after the last fault, before the calm phase begins
 calm_s=5     # the calm phase, in which every call must get status 200
+retry_s=2    # after it, in which calls that were refused are sent again
 net=127.$((40 + ${SOAK_SLOT:-$$ % 150 + 20}))
 store=http://$net.9.1:7900
 RANDOM=$((seed % 32768))
@@ -550,6 +551,9 @@
 note "calm begins"
 sleep_ms $((calm_s * 1000))
 note "calm ends"
+# A call that was refused right before that isn't over: callers go on until the
+# judge has seen that it was sent again.
+sleep_ms $((retry_s * 1000))
 send KILL directory-callers
 sort -s -n -k 1,1 "$WORK"/*.events >"$WORK/all"
 awk -v seed="$seed" -v faults="$faults" -f tests/soak/judge.awk "$WORK/all" "$WORK/all"
