A request whose caller has gone ends within a second, in each state

Cause: libmicrohttpd waits for the next event once a read returned less than its buffer takes. If the end of the input had arrived by then, no further event comes, so it isn't read: the request stayed open until a time-out (15 s in the head, 60 s in the body), kept its memory, and a stop took its full time. Beside it: a caller that closed before its request was suspended was not reported, since the watch began later and is edge-triggered; and one that left while its request waited was counted and logged as ended by the handler.

Change: each connection is watched for its peer's close from the start. Once a second shutdown (SHUT_RD), which loses nothing that has arrived, raises another event for connections whose callers have closed, and libmicrohttpd reads to the end. A watch that begins after the close is armed again. What ends a request after its caller's close was reported counts as `caller'. New gauge citroncleat_open_requests.

--- a/src/base/httpd.c
+++ b/src/base/httpd.c
@@ -30,8 +30,9 @@
   bool is_in_request;
   bool has_completed_request;
   bool request_ended_early; /* and with it the connection */
-  bool head_is_late;        /* closed by check_header_timeouts */
-  bool is_watched;          /* FD is registered with close_fd */
+  bool head_is_late;        /* closed by check_connections */
+  bool caller_has_closed;   /* its direction of the connection */
+  bool close_is_reported;   /* of the request in progress */
   void *watched_request; /* to be reported when the caller closes, or NULL */
   apr_time_t idle_since; /* start, or end of the last request */
   struct sockaddr_in peer;
@@ -59,9 +60,9 @@
   struct httpd_desc desc;
   struct MHD_Daemon *daemon;
   int epoll_fd;
-  int close_fd; /* epoll instance for callers that close; -1: not needed */
-  struct timer timer;        /* for libmicrohttpd's timeouts */
-  struct timer header_timer; /* for check_header_timeouts */
+  int close_fd;             /* epoll instance for callers that close */
+  struct timer timer;       /* for libmicrohttpd's timeouts */
+  struct timer check_timer; /* for check_connections */
   struct connection *connections;
   char message[240]; /* of libmicrohttpd, of no request's end yet; or empty */
   apr_time_t message_at;
@@ -86,10 +87,10 @@
   RESPONSE_OWN_BYTES = 512,
   DEFAULT_HEADER_TIMEOUT_S = 15,
   DEFAULT_IDLE_TIMEOUT_S = 60,
-  HEADER_CHECK_INTERVAL_MS = 1000,
+  CHECK_INTERVAL_MS = 1000, /* of header timeouts, which are in seconds */
   LISTEN_BACKLOG = 1024,
   MAX_CLOSES_PER_CALL = 64,
-  LINES_PER_S = 40 /* on ends, of one server; all are counted */
+  LINES_PER_S = 40 /* of one server; all ends are counted */
 };
 
 /* States of TCP, in tcpi_state, in which the peer has closed its direction;
@@ -166,10 +167,17 @@
   return CUT_OTHER;
 }
 
-/* Returns why a request ended with CODE, which is not a whole response.  */
+/* Returns why a request on STATE's connection ended with CODE, which is not a
+   whole response.  */
 static enum cut
-request_cut (const struct httpd *httpd, enum MHD_RequestTerminationCode code)
-{
+request_cut (const struct httpd *httpd, const struct connection *state,
+             enum MHD_RequestTerminationCode code)
+{
+  if (state && state->head_is_late)
+    return CUT_HEAD_LATE;
+  /* The handler has ended it for that.  */
+  if (state && state->close_is_reported)
+    return CUT_CALLER;
   switch (code)
     {
     case MHD_REQUEST_TERMINATED_TIMEOUT_REACHED:
@@ -180,19 +188,17 @@
     case MHD_REQUEST_TERMINATED_CLIENT_ABORT:
       return CUT_CALLER;
     default:
-      return httpd->message[0] ? message_cut (httpd->message) : CUT_OTHER;
+      return httpd->message[0]                   ? message_cut (httpd->message)
+             : state && state->caller_has_closed ? CUT_CALLER
+                                                 : CUT_OTHER;
     }
 }
 
-/* Counts CUT, and returns whether there is to be a log line on it.  */
+/* Returns whether one more log line fits the limit.  */
 static bool
-count_cut (struct httpd *httpd, enum cut cut)
+allow_line (struct httpd *httpd)
 {
   apr_time_t now = timer_clock ();
-  if (httpd->desc.counters)
-    counter_add (httpd->cuts[cut], 1);
-  if (cut == CUT_CALLER)
-    return false;
   if (now - httpd->lines_began_at >= APR_USEC_PER_SEC)
     {
       httpd->lines_began_at = now;
@@ -201,6 +207,15 @@
   return httpd->lines++ < LINES_PER_S;
 }
 
+/* Counts CUT, and returns whether there is to be a log line on it.  */
+static bool
+count_cut (struct httpd *httpd, enum cut cut)
+{
+  if (httpd->desc.counters)
+    counter_add (httpd->cuts[cut], 1);
+  return cut != CUT_CALLER && allow_line (httpd);
+}
+
 /* Logs a message of libmicrohttpd that belongs to no request, nor to a
    connection that ended.  */
 static void
@@ -281,8 +296,7 @@
 {
   char peer[INET_ADDRSTRLEN + 8] = "";
   struct httpd_request_state described = { "", "head" };
-  enum cut cut = state && state->head_is_late ? CUT_HEAD_LATE
-                                              : request_cut (httpd, code);
+  enum cut cut = request_cut (httpd, state, code);
   httpd->ending = cut;
   bool has_line = count_cut (httpd, cut);
   if (!httpd->desc.describe || !has_line)
@@ -322,15 +336,26 @@
   httpd->message_at = timer_clock ();
 }
 
+/* Makes libmicrohttpd read to the end of what the caller of STATE sent.  It
+   waits for the next event after it has read less than its buffer takes, and
+   the end of the input raises none if it was there by then.  Nothing that has
+   arrived is lost by this, and the answer can still be sent.  */
+static void
+announce_end (const struct connection *state)
+{
+  shutdown (state->fd, SHUT_RD);
+}
+
 /* Closes the connections that did not deliver a complete header in time;
-   libmicrohttpd's own timeout restarts with each byte.  */
+   libmicrohttpd's own timeout restarts with each byte.  Makes sure that it
+   notices those whose callers have closed.  */
 static void
-check_header_timeouts (void *user_data, apr_time_t now)
+check_connections (void *user_data, apr_time_t now)
 {
   struct httpd *httpd = user_data;
   apr_time_t limit = TIMER_SEC (httpd->desc.header_timeout_s);
   /* A connection may be closed a while after the message.  */
-  if (now - httpd->message_at > TIMER_MS (HEADER_CHECK_INTERVAL_MS))
+  if (now - httpd->message_at > TIMER_MS (CHECK_INTERVAL_MS))
     flush_message (httpd);
   for (struct connection *state = httpd->connections; state;
        state = state->next)
@@ -339,9 +364,24 @@
         state->head_is_late = true;
         shutdown (state->fd, SHUT_RDWR);
       }
-  timer_start (loop_timers (httpd->desc.loop), &httpd->header_timer,
-               now + TIMER_MS (HEADER_CHECK_INTERVAL_MS),
-               check_header_timeouts, httpd);
+    else if (state->caller_has_closed)
+      announce_end (state);
+  timer_start (loop_timers (httpd->desc.loop), &httpd->check_timer,
+               now + TIMER_MS (CHECK_INTERVAL_MS), check_connections, httpd);
+}
+
+/* Has on_caller_close called when the peer of STATE closes its direction, with
+   EPOLL_CTL_MOD also if it has already.  */
+static void
+watch_close (struct httpd *httpd, struct connection *state, int operation)
+{
+  struct epoll_event event
+      = { .events = EPOLLRDHUP | EPOLLET, .data.ptr = state };
+  if (epoll_ctl (httpd->close_fd, operation, state->fd, &event) != 0
+      && allow_line (httpd))
+    LOG (LOG_WARN, "connection-unwatched",
+         LOG_TEXT ("listener", httpd->desc.name),
+         LOG_TEXT ("reason", strerror (errno)));
 }
 
 static void
@@ -370,6 +410,7 @@
         state->next->previous_next = &state->next;
       httpd->connections = state;
       *socket_context = state;
+      watch_close (httpd, state, EPOLL_CTL_ADD);
       return;
     }
   struct connection *state = *socket_context;
@@ -396,9 +437,12 @@
     {
       struct connection *state = closed[i].data.ptr;
       void *request = state->watched_request;
+      state->caller_has_closed = true;
       state->watched_request = NULL;
-      if (request)
-        httpd->desc.caller_closed (request);
+      if (!request)
+        continue;
+      state->close_is_reported = true;
+      httpd->desc.caller_closed (request);
     }
 }
 
@@ -446,6 +490,7 @@
   if (state)
     {
       state->is_in_request = false;
+      state->close_is_reported = false;
       state->request_ended_early = code != MHD_REQUEST_TERMINATED_COMPLETED_OK;
       state->has_completed_request = true;
       state->idle_since = timer_clock ();
@@ -496,6 +541,13 @@
   int fd = -1;
   if (net_listen (desc->address, LISTEN_BACKLOG, &fd, err) != ERR_NONE)
     return err->code;
+  httpd->close_fd = epoll_create1 (EPOLL_CLOEXEC);
+  if (httpd->close_fd < 0)
+    {
+      close (fd);
+      return err_set (err, ERR_IO, "start HTTP listener", NULL, "%s",
+                      strerror (errno));
+    }
   httpd->daemon = MHD_start_daemon (
       MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ERROR_LOG, 0, NULL,
       NULL, on_request, httpd, MHD_OPTION_EXTERNAL_LOGGER, on_message, httpd,
@@ -509,6 +561,7 @@
   if (!httpd->daemon)
     {
       close (fd);
+      close (httpd->close_fd);
       return err_set (err, ERR_IO, "start HTTP listener", NULL, "%s",
                       strerror (errno));
     }
@@ -516,11 +569,8 @@
       = MHD_get_daemon_info (httpd->daemon, MHD_DAEMON_INFO_EPOLL_FD)
             ->epoll_fd;
   loop_watch (desc->loop, httpd->epoll_fd, LOOP_READ, on_ready, httpd);
-  httpd->close_fd = desc->caller_closed ? epoll_create1 (EPOLL_CLOEXEC) : -1;
-  if (httpd->close_fd >= 0)
-    loop_watch (desc->loop, httpd->close_fd, LOOP_READ, on_caller_close,
-                httpd);
-  check_header_timeouts (httpd, timer_clock ());
+  loop_watch (desc->loop, httpd->close_fd, LOOP_READ, on_caller_close, httpd);
+  check_connections (httpd, timer_clock ());
   *result = httpd;
   return ERR_NONE;
 }
@@ -540,14 +590,11 @@
     return;
   struct timer_service *timers = loop_timers (httpd->desc.loop);
   loop_unwatch (httpd->desc.loop, httpd->epoll_fd);
-  if (httpd->close_fd >= 0)
-    {
-      loop_unwatch (httpd->desc.loop, httpd->close_fd);
-      close (httpd->close_fd);
-    }
+  loop_unwatch (httpd->desc.loop, httpd->close_fd);
   MHD_stop_daemon (httpd->daemon);
+  close (httpd->close_fd);
   timer_stop (timers, &httpd->timer);
-  timer_stop (timers, &httpd->header_timer);
+  timer_stop (timers, &httpd->check_timer);
 }
 
 void
@@ -675,12 +722,8 @@
   if (!state)
     return;
   state->watched_request = request;
-  if (!request || state->is_watched || httpd->close_fd < 0)
-    return;
-  struct epoll_event event
-      = { .events = EPOLLRDHUP | EPOLLET, .data.ptr = state };
-  state->is_watched
-      = epoll_ctl (httpd->close_fd, EPOLL_CTL_ADD, state->fd, &event) == 0;
+  if (request && state->caller_has_closed)
+    watch_close (httpd, state, EPOLL_CTL_MOD);
 }
 
 bool
--- a/src/base/httpd.h
+++ b/src/base/httpd.h
@@ -27,6 +27,10 @@
    unless the caller ended it (`request-unfinished', `connection-unfinished',
    `http-message').
 
+   A caller that closes its direction of a connection is noticed within a
+   second, whatever the state of its request: libmicrohttpd is made to read to
+   the end, and a request that is watched is reported (`caller_closed').
+
    Threads: the loop's thread only.  */
 #ifndef BASE_HTTPD_H
 #define BASE_HTTPD_H
@@ -104,7 +108,8 @@
    watch.  */
 bool httpd_caller_has_closed (struct MHD_Connection *connection);
 /* Makes the server call `caller_closed' of its description with REQUEST, once,
-   if the caller closes CONNECTION or the direction from it.  NULL ends the
+   if the caller closes CONNECTION or the direction from it, or has done so.
+   What ends the request then counts as done by the caller.  NULL ends the
    watch, which must be done before REQUEST is freed.  */
 void httpd_watch_caller_close (struct httpd *httpd,
                                struct MHD_Connection *connection,
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -502,6 +502,9 @@
   gateway->turned_back = counter_get (
       gateway->counters, "citroncleat_all_turned_away_refusals_total", "",
       "Requests refused since all upstreams had turned this entry away.");
+  gateway->open_requests_gauge
+      = gauge_get (gateway->counters, "citroncleat_open_requests", "",
+                   "Requests of callers that have begun and not ended.");
   for (int i = 0; i < 2; i++)
     gateway->unfinished[i] = counter_get (
         gateway->counters, "citroncleat_unfinished_requests_total",
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -164,6 +164,7 @@
   struct counter *doubts;      /* upstreams that may have started again */
   struct counter *turned_away; /* requests, by upstreams */
   struct counter *turned_back; /* requests, to callers */
+  struct counter *open_requests_gauge;
   /* Requests without a whole response or head: ended by this entry or its
      library, and by the caller.  */
   struct counter *unfinished[2];
--- a/src/gateway/lookup.c
+++ b/src/gateway/lookup.c
@@ -97,6 +97,7 @@
 {
   apr_pool_t *pool;
   apr_pool_create (&pool, gateway->pool);
+  counter_set (gateway->open_requests_gauge, gateway->open_requests);
   enum MHD_Result result = respond_text (
       connection, HTTP_OK, counters_render (gateway->counters, pool));
   apr_pool_destroy (pool);
