Failed attempts are counted by reason

Change: citroncleat_failed_attempts_total{reason} with eight reasons, counted where the line is written, and where none is: an answer that broke off while it was forwarded, and no answer before the deadline.

--- a/src/gateway/attempts.c
+++ b/src/gateway/attempts.c
@@ -32,6 +32,12 @@
   HTTP_SERVER_ERRORS = 500 /* the first one */
 };
 
+/* By enum attempt_failure.  */
+static const char *const failure_labels[ATTEMPT_FAILURES]
+    = { "reason=\"refused\"",   "reason=\"misdirected\"", "reason=\"error\"",
+        "reason=\"foreign\"",   "reason=\"unreachable\"", "reason=\"broken\"",
+        "reason=\"no-answer\"", "reason=\"late\"" };
+
 /* A late retry starts after this multiple of the expected service time, by
    which nearly all requests are answered.  */
 static const double late_retry_factor = 2.0;
@@ -123,10 +129,13 @@
   return !has_arrived || budget_try_withdraw (&request->service->retry_budget);
 }
 
+/* Counts the attempt's end by FAILURE, and logs it.  */
 static void
-log_attempt_failure (struct request *request, const char *reason, bool not_run)
+log_attempt_failure (struct request *request, enum attempt_failure failure,
+                     const char *reason, bool not_run)
 {
   struct gateway *gateway = request->gateway;
+  counter_add (gateway->failed_attempts[failure], 1);
   if (!gateway_allow_log_line (gateway))
     return;
   const struct attempt *attempt = request->attempt;
@@ -192,7 +201,7 @@
   request->tried_count--;
   if (!would_send || !may_retry (request, false, true))
     return false;
-  log_attempt_failure (request, "the upstream failed", false);
+  log_attempt_failure (request, FAILURE_ERROR, "the upstream failed", false);
   request->may_have_run = true;
   try_another (request, false);
   return true;
@@ -201,10 +210,11 @@
 /* Ends the failed attempt, and tries another upstream if that is allowed, else
    refuses the request with REASON.  */
 static void
-fail_or_retry (struct request *request, const char *reason, bool not_run)
+fail_or_retry (struct request *request, enum attempt_failure failure,
+               const char *reason, bool not_run)
 {
   bool has_arrived = request->attempt->sent;
-  log_attempt_failure (request, reason, not_run);
+  log_attempt_failure (request, failure, reason, not_run);
   if (!not_run)
     request->may_have_run = true;
   if (may_retry (request, not_run, has_arrived))
@@ -251,6 +261,7 @@
       reachability_report (gateway->reachability, request->upstream, true);
     }
   fail_or_retry (request,
+                 is_misdirected ? FAILURE_MISDIRECTED : FAILURE_REFUSED,
                  is_misdirected ? "another upstream has the address"
                                 : "the upstream refused the request",
                  true);
@@ -267,9 +278,13 @@
   curl_easy_getinfo (attempt->transfer.easy, CURLINFO_OS_ERRNO, &cause);
   /* ETIMEDOUT: sent data stayed unacknowledged.  */
   bool is_unreachable = not_run || cause == ETIMEDOUT;
+  bool is_foreign = attempt->result == CURLE_OK || attempt->echo_mismatch;
+  enum attempt_failure failure = is_foreign       ? FAILURE_FOREIGN
+                                 : is_unreachable ? FAILURE_UNREACHABLE
+                                                  : FAILURE_BROKEN;
   end_upstream_load (request, is_unreachable ? LOAD_UNREACHABLE : LOAD_FAILED);
   /* A response to another request shows that the process is there.  */
-  if (attempt->result != CURLE_OK && !attempt->echo_mismatch)
+  if (!is_foreign)
     cold_doubt_upstream (request->gateway, request->upstream, request->id,
                          !is_unreachable, reason);
   if (is_unreachable)
@@ -279,12 +294,13 @@
     {
       /* The callback that reads the response ends it with an error, so that
          the caller can't take it for complete.  */
+      counter_add (request->gateway->failed_attempts[failure], 1);
       request->may_have_run = true;
       request->outcome = REQUEST_FAILED;
       request_schedule_resume (request);
       return;
     }
-  fail_or_retry (request, reason, not_run);
+  fail_or_retry (request, failure, reason, not_run);
 }
 
 /* Handles the end of an attempt: forwards its response, or acts on a refusal
@@ -559,7 +575,8 @@
     }
   request->may_have_run |= attempt->sent;
   request->run_count += attempt->sent;
-  log_attempt_failure (request, "late; sent to another upstream", false);
+  log_attempt_failure (request, FAILURE_LATE, "late; sent to another upstream",
+                       false);
   end_upstream_load (request, LOAD_SUPERSEDED);
   attempts_cancel (request);
   attempts_start (request, &choice);
@@ -581,6 +598,16 @@
 
 /* public functions */
 
+void
+attempts_create_counters (struct gateway *gateway)
+{
+  for (int i = 0; i < ATTEMPT_FAILURES; i++)
+    gateway->failed_attempts[i] = counter_get (
+        gateway->counters, "citroncleat_failed_attempts_total",
+        failure_labels[i],
+        "Attempts at upstreams that ended without a usable response.");
+}
+
 void
 attempts_cancel (struct request *request)
 {
@@ -597,6 +624,8 @@
   if (!request->attempt || !request->attempt->sent)
     return;
   request->may_have_run = true;
-  if (!request->attempt->has_head)
-    end_upstream_load (request, LOAD_TIMED_OUT);
+  if (request->attempt->has_head || !request->load_is_counted)
+    return;
+  counter_add (request->gateway->failed_attempts[FAILURE_NO_ANSWER], 1);
+  end_upstream_load (request, LOAD_TIMED_OUT);
 }
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -505,6 +505,7 @@
   gateway->open_requests_gauge
       = gauge_get (gateway->counters, "citroncleat_open_requests", "",
                    "Requests of callers that have begun and not ended.");
+  attempts_create_counters (gateway);
   for (int i = 0; i < 2; i++)
     gateway->unfinished[i] = counter_get (
         gateway->counters, "citroncleat_unfinished_requests_total",
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -66,6 +66,20 @@
   REQUEST_OUTCOMES
 };
 
+/* Why an attempt ended without a response that its caller got.  */
+enum attempt_failure
+{
+  FAILURE_REFUSED,     /* by the upstream, which did not run it */
+  FAILURE_MISDIRECTED, /* another upstream has the address */
+  FAILURE_ERROR,       /* the upstream's, and sent to another one */
+  FAILURE_FOREIGN,     /* the response isn't the upstream's, or another's */
+  FAILURE_UNREACHABLE, /* not sent, or what was sent stayed unacknowledged */
+  FAILURE_BROKEN,      /* the connection, or its bytes were no response */
+  FAILURE_NO_ANSWER,   /* before the deadline, or the end of a stop */
+  FAILURE_LATE,        /* given up for one at another upstream */
+  ATTEMPT_FAILURES
+};
+
 /* State of a route that outlives versions of the plan.  */
 struct route_state
 {
@@ -165,6 +179,7 @@
   struct counter *turned_away; /* requests, by upstreams */
   struct counter *turned_back; /* requests, to callers */
   struct counter *open_requests_gauge;
+  struct counter *failed_attempts[ATTEMPT_FAILURES];
   /* Requests without a whole response or head: ended by this entry or its
      library, and by the caller.  */
   struct counter *unfinished[2];
@@ -312,6 +327,8 @@
 
 /* attempts.c: attempts at upstreams.  */
 
+/* Creates the counters of failed attempts; called once, at first.  */
+void attempts_create_counters (struct gateway *gateway);
 /* Starts an attempt at the upstream of CHOICE.  */
 void attempts_start (struct request *request,
                      const struct balance_choice *choice);
