Entries of the store under odd names are not used

Cause: only the contents of a record were checked, not its key. A name or an address with a null byte, which strchr and strtol passed over, is none.

--- a/src/base/field.c
+++ b/src/base/field.c
@@ -548,7 +548,7 @@
     return false;
   for (size_t i = 0; i < text.size; i++)
     if (!isalnum ((unsigned char)text.data[i])
-        && !strchr ("-_.", text.data[i]))
+        && (!text.data[i] || !strchr ("-_.", text.data[i])))
       return false;
   return true;
 }
--- a/src/base/net.c
+++ b/src/base/net.c
@@ -15,7 +15,8 @@
 net_split_address (struct str text, struct str *host, int *port)
 {
   char buffer[64];
-  if (text.size < 3 || text.size >= sizeof buffer)
+  if (text.size < 3 || text.size >= sizeof buffer
+      || memchr (text.data, 0, text.size))
     return false;
   memcpy (buffer, text.data, text.size);
   buffer[text.size] = 0;
--- a/src/gateway/registry.c
+++ b/src/gateway/registry.c
@@ -1,6 +1,7 @@
 /* The records of all entries.  */
 #include "gateway/registry_internal.h"
 
+#include "base/field.h"
 #include "base/net.h"
 #include "fleet/departed.h"
 
@@ -124,8 +125,10 @@
   struct str host;
   int port;
   return json_object_is_type (value, json_type_string)
-         && net_split_address (str_from (json_object_get_string (value)),
-                               &host, &port);
+         && net_split_address (
+             str_view (json_object_get_string (value),
+                       (size_t)json_object_get_string_len (value)),
+             &host, &port);
 }
 
 /* Returns which member of OBJECT, the key of an entry, is not what was
@@ -161,7 +164,10 @@
   const char *expected;
   json_object *value;
   const char *member = NULL;
-  if (!json_object_is_type (object, json_type_object))
+  if (!field_is_name (name))
+    snprintf (detail, sizeof detail,
+              "no name of 1 to 63 letters, digits, '-', '_' or '.'");
+  else if (!json_object_is_type (object, json_type_object))
     snprintf (detail, sizeof detail, "not a JSON object");
   else if ((member = find_faulty_member (object, &expected)))
     snprintf (detail, sizeof detail, "%s is %.*s, %s expected", member,
--- a/tests/unit/platform_test.c
+++ b/tests/unit/platform_test.c
@@ -223,6 +223,36 @@
     }
 }
 
+/* An id that can't be sent in a header, or listed between separators, names no
+   upstream, whatever its record.  */
+static void
+test_upstream_ids (void)
+{
+  static const struct
+  {
+    struct str id;
+    bool is_valid;
+  } cases[]
+      = { { { "i-7f3a91c2", 10 }, true }, { { "desk.1_a~b:c/d@e", 16 }, true },
+          { { "", 0 }, false },           { { "a&b", 3 }, false },
+          { { "a+b", 3 }, false },        { { "a#b", 3 }, false },
+          { { "a%b", 3 }, false },        { { "a b", 3 }, false },
+          { { "i-1 ", 4 }, false },       { { "a,b", 3 }, false },
+          { { "a;b|c", 5 }, false },      { { "a\r\nX: y", 7 }, false },
+          { { "i-1\0", 4 }, false },      { { "\xc3\xa4", 2 }, false } };
+  for (size_t i = 0; i < COUNT (cases); i++)
+    {
+      struct fleet_record record;
+      struct err err = { 0 };
+      enum err_code code = decode_upstream (
+          cases[i].id,
+          STR ("{\"service\":\"d\",\"address\":\"10.0.0.1:80\","
+               "\"zone\":\"z\",\"slots\":9,\"state\":\"ready\"}"),
+          test_pool, &record, &err);
+      CU_ASSERT_EQUAL (code == ERR_NONE, cases[i].is_valid);
+    }
+}
+
 /* A load report has the running and waiting requests, the slots and,
    optionally, the slowdown in percent; others are refused.  */
 static void
@@ -654,6 +684,7 @@
   { "a malformed configuration is refused", test_malformed_plans },
   { "what is not known concerns one route", test_containment },
   { "a malformed record of an upstream is refused", test_upstreams },
+  { "an odd id names no upstream", test_upstream_ids },
   { "a malformed load report is refused", test_load_reports },
   { "other cookies and malformed deadlines are not used", test_headers },
   { "a wait is read in each of its forms, and bounded", test_retry_after },
