A listing of the store goes on after any key, and ends

What callers saw: while an entry of another writer with &, +, #, % or a blank in its name stood in the list of servers, entries that started served nothing.

Cause: the key after which the next page begins was put into the query as it was. Cut off at & or #, or decoded to another key, it began the same page again, for ever; a blank made a URL that libcurl refuses. The tests missed it since the store's stand-in sent all keys in one page, and decoded leniently.

Change: texts are escaped where they enter a query.

The stand-in sends pages (500 items, or as set), sorted by key, and refuses a query that isn't escaped. The soak's store has pages of two items, and another writer puts odd entries there.

--- a/src/base/str.c
+++ b/src/base/str.c
@@ -5,6 +5,21 @@
 #include <string.h>
 #include <strings.h>
 
+/* constants */
+
+static const char url_safe[]
+    = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-_.";
+
+/* private functions */
+
+/* Returns whether BYTE is one of the characters of SET, which its null byte is
+   not.  */
+static bool
+is_one_of (char byte, const char *set)
+{
+  return byte && strchr (set, byte);
+}
+
 struct str
 str_from (const char *text)
 {
@@ -106,14 +121,33 @@
   return is_negative ? -number : number;
 }
 
+struct str
+str_url_escape (apr_pool_t *pool, struct str s)
+{
+  static const char digits[] = "0123456789ABCDEF";
+  char *out = apr_palloc (pool, 3 * s.size + 1);
+  size_t n = 0;
+  for (size_t i = 0; i < s.size; i++)
+    {
+      unsigned char byte = (unsigned char)s.data[i];
+      if (is_one_of (s.data[i], url_safe) || byte == '~' || byte == '/')
+        out[n++] = s.data[i];
+      else
+        {
+          out[n++] = '%';
+          out[n++] = digits[byte >> 4];
+          out[n++] = digits[byte & 0xf];
+        }
+    }
+  out[n] = 0;
+  return str_view (out, n);
+}
+
 bool
 str_is_url_safe (struct str s)
 {
   for (size_t i = 0; i < s.size; i++)
-    if (s.data[i] == 0
-        || !strchr ("ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz"
-                    "0123456789-_.",
-                    s.data[i]))
+    if (!is_one_of (s.data[i], url_safe))
       return false;
   return s.size > 0;
 }
--- a/src/base/str.h
+++ b/src/base/str.h
@@ -63,6 +63,10 @@
 /* Returns the decimal number at the start of S, negative after a "-"; 0 if
    there is none.  Digits beyond the range of the type are ignored.  */
 int64_t str_to_number (struct str s);
+/* Copies S into POOL as a part of a URL's path or query: each byte that isn't
+   unreserved (RFC 3986, 2.3) or a slash is escaped, so that decoding gives S
+   again.  */
+struct str str_url_escape (apr_pool_t *pool, struct str s);
 /* Returns whether S can be part of a URL as it is; the empty string can't.  */
 bool str_is_url_safe (struct str s);
 bool str_list_contains (const struct str_list *list, struct str s);
--- a/tests/soak/soak.sh
+++ b/tests/soak/soak.sh
@@ -426,6 +426,29 @@
     "$@"
   done
 }
+# Another writer puts entries under odd names among those of the upstreams and of
+# the entries, and removes them.  Their contents would hold under other names.  Draws
+# when that happens, from a random sequence of its own as in stop_in_series.
+odd_names=('a%26b' 'a%2Bb' 'a%23b' 'a%25b' 'a%20b' '%20' '%26' 'z%23' 'a%0Ab' 'a%22b' 'a%5Cb' '%C3%A4' 'a%FF' 'w%26after=z')
+write_odd_entries () {
+  local name w
+  RANDOM=$(((seed + 17707) % 32768))
+  while [ "$(date +%s)" -lt $end ]; do
+    pick ${#odd_names[@]}; name=${odd_names[$R]}
+    pick "$workers"; w=$((1 + R))
+    put "servers/$name" <<EOF
+{"service":"desk","address":"$net.3.$w:7910","zone":"$(worker_zone $((w / 3)))","slots":12,"state":"ready","cold_remaining_ms":0,"sequence":1,"born":1}
+EOF
+    put "citroncleat/entries/$name" <<EOF
+{"callers":"$net.1.99:7901","peers":"$net.1.99:7904","zone":"north-a","leaving":false,"capacity":1000000}
+EOF
+    pick 1500
+    sleep_ms $((100 + R))
+    pick 3
+    # One in three stays, also through the calm time.
+    [ "$R" = 0 ] || { drop "servers/$name"; drop "citroncleat/entries/$name"; }
+  done
+}
 fault_path () { # NAME ADDRESS MODE MS
   note "disturbed $1 $3"
   set_path_mode "$2" "$3"
@@ -512,6 +535,7 @@
 launch store "$BUILD/standin" metadata --listen "$net.9.1:7900" --mark "$WORK"
 launch proxy "$BUILD/standin" proxy --listen "$net.9.9:7900" --pairs "${pairs#,}" --mark "$WORK"
 wait_for 5 curl -s -o /dev/null "$store/kv-range?prefix=x" || exit 2
+curl -s -m 5 -X PUT "$store/_pages?items=2" -o /dev/null
 echo "0 desk" >"$WORK/config"
 configure desk 0 1
 for i in $(seq "$workers"); do start_worker "$i" 2; done
@@ -534,6 +558,8 @@
 running="$running $!"
 restore_store &
 running="$running $!"
+write_odd_entries &
+running="$running $!"
 if [ "${SOAK_RETURNS:-0}" = 1 ]; then
   upstreams_return &
   running="$running $!"
--- a/tests/standin/metadata.c
+++ b/tests/standin/metadata.c
@@ -4,8 +4,12 @@
      standin metadata --listen IP:PORT [--also IP:PORT]
 
    Both addresses serve the same data.  A response holds at most 500 changes,
-   as the platform's do; its revision is then that of the last of them.  Every
-   response states the era in the header Store-Era.
+   as the platform's do; its revision is then that of the last of them.  A
+   listing is sorted by key and comes in pages of 500 items; the next page
+   begins after the key in `after'.  A query is decoded strictly: a parameter
+   that is not known or comes twice, a percent sign that begins no escape, or a
+   byte that has to be escaped is refused with 400, and a plus is a blank.
+   Every response states the era in the header Store-Era.
 
    For tests, PUT /_put?key=K writes the request body as the value of K, as an
    operator or an upstream would, PUT /_drop?key=K removes a key,
@@ -19,9 +23,12 @@
      slow     responds after 600 ms
      compact  as normal, but the history up to now is dropped
      half     refuses requests to the second address with 503
+     stuck    as normal, but each page of a listing is the first one
+     hollow   as normal, but each page of a listing is empty and not the last
    The test requests are served in every mode.  */
 #include "tests/standin/standin.h"
 
+#include <ctype.h>
 #include <sodium.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -31,6 +38,9 @@
 {
   MAX_EVENTS = 64 * 1024,
   MAX_CHANGES = 500, /* in one response */
+  PAGE_ITEMS = 500,
+  MAX_TARGET_BYTES = 4096,
+  MAX_QUERY_BYTES = 1024, /* of a parameter's value, decoded */
   MAX_LEASES = 4096,
   MAX_BODY_BYTES = 1024 * 1024,
   MAX_VALUE_BYTES = 64 * 1024,
@@ -44,13 +54,16 @@
   MODE_BUSY,
   MODE_HALF,
   MODE_SLOW,
-  MODE_SILENT
+  MODE_SILENT,
+  MODE_STUCK,
+  MODE_HOLLOW
 };
 
 struct event
 {
   char *key;
   char *value; /* base64; NULL: removed */
+  char *raw;   /* JSON to be listed instead; may be NULL */
   int64_t revision;
   int64_t lease;
   bool is_superseded; /* a later event has the same key */
@@ -58,10 +71,12 @@
 
 struct store_request
 {
+  char target[MAX_TARGET_BYTES]; /* as received */
   char body[MAX_BODY_BYTES];
   size_t size;
   struct MHD_Connection *connection;
   struct timer timer;
+  bool is_begun;
   bool is_delayed;
   bool delay_over;
 };
@@ -84,6 +99,7 @@
   size_t copied_events; /* of the copy that was taken */
   int64_t copied_lease;
   enum mode mode;
+  size_t page_items;
   struct timer lease_check_timer;
 } store;
 
@@ -140,6 +156,8 @@
 static json_object *
 event_json (const struct event *event)
 {
+  if (event->raw)
+    return json_tokener_parse (event->raw);
   json_object *object = json_object_new_object ();
   json_object_object_add (object, "key", json_object_new_string (event->key));
   json_object_object_add (object, "revision",
@@ -153,38 +171,153 @@
   return object;
 }
 
-/* Sends the current value of every key with the request's prefix, or, for
-   CHANGES, the events after a revision; 410 if some of them were dropped.  */
+/* Parameters of a query; each is a NUL-terminated text of `sizes' bytes.  */
+struct query
+{
+  const char *const *names;
+  char values[4][MAX_QUERY_BYTES];
+  size_t sizes[4];
+  bool is_given[4];
+};
+
+/* Decodes the SIZE bytes of a query's value at TEXT to OUT; returns false if
+   one of them should have been escaped, or an escape is broken.  */
+static bool
+decode_value (const char *text, size_t size, char *out, size_t *out_size)
+{
+  size_t n = 0;
+  for (size_t i = 0; i < size; i++)
+    {
+      char digits[3] = "";
+      if (n + 1 == MAX_QUERY_BYTES)
+        return false;
+      if (text[i] == '%')
+        {
+          if (i + 2 >= size || !isxdigit ((unsigned char)text[i + 1])
+              || !isxdigit ((unsigned char)text[i + 2]))
+            return false;
+          memcpy (digits, text + i + 1, 2);
+          out[n++] = (char)strtol (digits, NULL, 16);
+          i += 2;
+        }
+      else if (text[i] == '+')
+        out[n++] = ' ';
+      else if (isalnum ((unsigned char)text[i])
+               || (text[i] && strchr ("-._~/:@!$'()*,;", text[i])))
+        out[n++] = text[i];
+      else
+        return false;
+    }
+  out[n] = 0;
+  *out_size = n;
+  return true;
+}
+
+/* Reads the query of TARGET, whose parameters are all among QUERY's names.  */
+static bool
+parse_query (const char *target, struct query *query)
+{
+  const char *at = strchr (target, '?');
+  while (at && *at)
+    {
+      const char *name = at + 1;
+      size_t size = strcspn (name, "&");
+      const char *equals = memchr (name, '=', size);
+      size_t i = 0;
+      if (!equals)
+        return false;
+      while (query->names[i]
+             && (strncmp (name, query->names[i], (size_t)(equals - name)) != 0
+                 || query->names[i][equals - name]))
+        i++;
+      if (!query->names[i] || query->is_given[i]
+          || !decode_value (equals + 1, size - (size_t)(equals + 1 - name),
+                            query->values[i], &query->sizes[i]))
+        return false;
+      query->is_given[i] = true;
+      at = name + size;
+    }
+  return true;
+}
+
+static int
+compare_keys (const void *a, const void *b)
+{
+  const struct event *const *first = a;
+  const struct event *const *second = b;
+  return strcmp ((*first)->key, (*second)->key);
+}
+
+static enum MHD_Result send_number (struct MHD_Connection *connection,
+                                    unsigned int status, const char *name,
+                                    int64_t number);
+
+/* Sends a page of the keys with the request's prefix, and their values.  */
 static enum MHD_Result
-send_items (struct MHD_Connection *connection, bool changes)
+send_page (struct MHD_Connection *connection, const char *target)
 {
-  struct str prefix = httpd_query_parameter (connection, "prefix");
-  struct str after_text = httpd_query_parameter (connection, "after");
-  int64_t after_revision = changes ? strtoll (after_text.data, NULL, 10) : 0;
+  static const char *const names[]
+      = { "prefix", "after", "serializable", NULL };
+  static const struct event *sorted[MAX_EVENTS];
+  struct query query = { .names = names };
+  size_t count = 0;
+  size_t sent = 0;
+  if (!parse_query (target, &query))
+    return send_number (connection, 400, "error", 1);
+  struct str prefix = str_view (query.values[0], query.sizes[0]);
+  struct str after = str_view (query.values[1], query.sizes[1]);
+  if (store.mode == MODE_STUCK)
+    after.size = 0;
+  for (size_t i = 0; i < store.event_count; i++)
+    if (store.events[i].value && is_latest (i)
+        && str_starts_with (str_from (store.events[i].key), prefix)
+        && str_compare (str_from (store.events[i].key), after) > 0)
+      sorted[count++] = &store.events[i];
+  qsort (sorted, count, sizeof *sorted, compare_keys);
   json_object *list = json_object_new_array ();
   json_object *object = json_object_new_object ();
+  while (sent < count && sent < store.page_items && store.mode != MODE_HOLLOW)
+    json_object_array_add (list, event_json (sorted[sent++]));
+  json_object_object_add (object, "items", list);
+  json_object_object_add (
+      object, "has_more",
+      json_object_new_boolean (sent < count || store.mode == MODE_HOLLOW));
+  json_object_object_add (object, "current_rev",
+                          json_object_new_int64 (current_revision ()));
+  return queue_json (connection, 200, object);
+}
+
+/* Sends the changes of keys with the request's prefix after a revision; 410 if
+   some of them were dropped.  */
+static enum MHD_Result
+send_changes (struct MHD_Connection *connection, const char *target)
+{
+  static const char *const names[] = { "prefix", "after", "wait_ms", NULL };
+  struct query query = { .names = names };
+  if (!parse_query (target, &query))
+    return send_number (connection, 400, "error", 1);
+  struct str prefix = str_view (query.values[0], query.sizes[0]);
+  int64_t after = strtoll (query.values[1], NULL, 10);
   int64_t revision = current_revision ();
+  json_object *list = json_object_new_array ();
+  json_object *object = json_object_new_object ();
   for (size_t i = 0; i < store.event_count; i++)
     {
       const struct event *event = &store.events[i];
-      if (changes && json_object_array_length (list) == MAX_CHANGES)
+      if (json_object_array_length (list) == MAX_CHANGES)
         {
           revision = store.events[i - 1].revision;
           break;
         }
-      if (!str_starts_with (str_from (event->key), prefix))
-        continue;
-      if (changes ? event->revision > after_revision
-                  : event->value != NULL && is_latest (i))
+      if (event->revision > after
+          && str_starts_with (str_from (event->key), prefix))
         json_object_array_add (list, event_json (event));
     }
-  json_object_object_add (object, changes ? "events" : "items", list);
-  json_object_object_add (object, "has_more", json_object_new_boolean (false));
+  json_object_object_add (object, "events", list);
   json_object_object_add (object, "current_rev",
                           json_object_new_int64 (revision));
-  bool is_gone = changes
-                 && (after_revision < store.compacted_revision
-                     || after_revision > current_revision ());
+  bool is_gone
+      = after < store.compacted_revision || after > current_revision ();
   return queue_json (connection, is_gone ? 410 : 200, object);
 }
 
@@ -285,6 +418,15 @@
   append_event (key, text, 0);
 }
 
+/* Lists the JSON of REQUEST's body in the place of KEY.  */
+static void
+put_raw (const char *key, const struct store_request *request)
+{
+  append_event (key, "", 0);
+  store.events[store.event_count - 1].raw
+      = strndup (request->body, request->size);
+}
+
 /* Writes the value of KEY again COUNT times.  */
 static void
 renew (const char *key, int64_t count)
@@ -310,6 +452,7 @@
       struct event *event = &store.events[--store.event_count];
       free (event->key);
       free (event->value);
+      free (event->raw);
     }
   for (size_t i = 0; i < store.event_count; i++)
     {
@@ -337,6 +480,8 @@
                : str_equal (mode, STR ("half"))   ? MODE_HALF
                : str_equal (mode, STR ("slow"))   ? MODE_SLOW
                : str_equal (mode, STR ("silent")) ? MODE_SILENT
+               : str_equal (mode, STR ("stuck"))  ? MODE_STUCK
+               : str_equal (mode, STR ("hollow")) ? MODE_HOLLOW
                                                   : MODE_NORMAL;
 }
 
@@ -348,6 +493,11 @@
   struct str key = httpd_query_parameter (connection, "key");
   if (strcmp (url, "/_put") == 0)
     put_body (key.data, request);
+  else if (strcmp (url, "/_raw") == 0)
+    put_raw (key.data, request);
+  else if (strcmp (url, "/_pages") == 0)
+    store.page_items
+        = strtoul (httpd_query_parameter (connection, "items").data, NULL, 10);
   else if (strcmp (url, "/_drop") == 0)
     append_event (key.data, NULL, 0);
   else if (strcmp (url, "/_renew") == 0)
@@ -379,6 +529,19 @@
   httpd_resume (store.httpd, request->connection);
 }
 
+static void *
+on_request_started (void *user_data, const char *target,
+                    struct MHD_Connection *connection)
+{
+  (void)user_data;
+  (void)connection;
+  struct store_request *request = calloc (1, sizeof *request);
+  if (!request)
+    abort ();
+  snprintf (request->target, sizeof request->target, "%s", target);
+  return request;
+}
+
 static enum MHD_Result
 on_request (void *user_data, struct MHD_Connection *connection,
             const char *url, const char *method, const char *version,
@@ -389,9 +552,9 @@
   (void)version;
   struct store_request *request = *context;
   enum MHD_Result result;
-  if (!request)
+  if (!request->is_begun)
     {
-      *context = calloc (1, sizeof *request);
+      request->is_begun = true;
       return MHD_YES;
     }
   if (*size > 0)
@@ -423,9 +586,9 @@
       return MHD_YES;
     }
   if (strcmp (url, "/kv-range") == 0)
-    return send_items (connection, false);
+    return send_page (connection, request->target);
   if (strcmp (url, "/kv-watch") == 0)
-    return send_items (connection, true);
+    return send_changes (connection, request->target);
   if (strcmp (url, "/kv-lease") == 0)
     return grant_lease (connection, request);
   if (strncmp (url, "/kv-keep/", 9) == 0)
@@ -474,6 +637,7 @@
   struct httpd_desc desc
       = { .address
           = str_from (option (argc, argv, "--listen", "127.24.9.1:7900")),
+          .request_started = on_request_started,
           .handler = on_request,
           .request_completed = on_request_completed };
   if (loop_create (pool, &store.loop, &err) != ERR_NONE)
@@ -492,6 +656,7 @@
       && httpd_create (pool, &desc, &second_httpd, &err) != ERR_NONE)
     return 1;
   store.era = 1;
+  store.page_items = PAGE_ITEMS;
   stop_on_signal (store.loop);
   on_lease_check (NULL, timer_clock ());
   loop_run (store.loop);
--- a/tests/unit/base_test.c
+++ b/tests/unit/base_test.c
@@ -96,6 +96,30 @@
     }
 }
 
+/* Each byte that has a meaning in a URL is escaped; else a key would be cut
+   off or read as another one.  */
+static void
+test_url_escape (void)
+{
+  static const struct
+  {
+    struct str text;
+    const char *escaped;
+  } cases[] = { { { "", 0 }, "" },
+                { { "servers/i-1_a.b~", 16 }, "servers/i-1_a.b~" },
+                { { "a&b=c", 5 }, "a%26b%3Dc" },
+                { { "a+b c", 5 }, "a%2Bb%20c" },
+                { { "#%?", 3 }, "%23%25%3F" },
+                { { "\0\n\x7f\xff", 4 }, "%00%0A%7F%FF" },
+                { { "\"\\;,:@", 6 }, "%22%5C%3B%2C%3A%40" } };
+  for (size_t i = 0; i < COUNT (cases); i++)
+    {
+      struct str escaped = str_url_escape (test_pool, cases[i].text);
+      CU_ASSERT (str_equal (escaped, str_from (cases[i].escaped)));
+      CU_ASSERT_EQUAL (escaped.data[escaped.size], 0);
+    }
+}
+
 struct sample
 {
   struct str name;
@@ -306,6 +330,7 @@
     = { { "a malformed address is refused", test_addresses },
         { "the edits between two names are counted", test_edit_distance },
         { "malformed text gives empty fields and zero", test_fields_of_text },
+        { "what has a meaning in a URL is escaped", test_url_escape },
         { "an invalid field gives a fault with its path", test_fields },
         { "a syntax error gives a fault with its line", test_parse },
         { "the loop does not poll for a timer that is due soon",
