A response whose head begins with a folded line doesn't crash

What callers saw: all requests of an entry were cut off, since the process ended by SIGSEGV or SIGABRT, after one response of an upstream whose first line after the status line began with a blank.

Cause: libcurl 7.88 appends a folded line to the field before it, by a pointer that curl_easy_reset leaves as it was: in the first field of a reused handle it points to the freed fields of an earlier response. That happens before any callback of ours.

Change: each transfer has a handle of its own.

--- a/src/base/curl_loop.c
+++ b/src/base/curl_loop.c
@@ -4,15 +4,8 @@
 
 /* types */
 
-enum
-{
-  MAX_IDLE_HANDLES = 256 /* kept by curl_loop_release_easy */
-};
-
 struct curl_loop
 {
-  CURL *idle_handles[MAX_IDLE_HANDLES]; /* kept for reuse */
-  size_t idle_handle_count;
   struct loop *loop;
   CURLM *multi;
   struct timer timer;
@@ -132,35 +125,10 @@
 {
   if (!cl)
     return;
-  while (cl->idle_handle_count > 0)
-    curl_easy_cleanup (cl->idle_handles[--cl->idle_handle_count]);
   curl_multi_cleanup (cl->multi);
   timer_stop (loop_timers (cl->loop), &cl->timer);
 }
 
-CURL *
-curl_loop_acquire_easy (struct curl_loop *cl)
-{
-  if (cl->idle_handle_count > 0)
-    return cl->idle_handles[--cl->idle_handle_count];
-  CURL *easy = curl_easy_init ();
-  if (!easy)
-    abort ();
-  return easy;
-}
-
-void
-curl_loop_release_easy (struct curl_loop *cl, CURL *easy)
-{
-  if (cl->idle_handle_count == MAX_IDLE_HANDLES)
-    {
-      curl_easy_cleanup (easy);
-      return;
-    }
-  curl_easy_reset (easy);
-  cl->idle_handles[cl->idle_handle_count++] = easy;
-}
-
 enum err_code
 curl_loop_add (struct curl_loop *cl, struct curl_transfer *transfer)
 {
--- a/src/base/curl_loop.h
+++ b/src/base/curl_loop.h
@@ -4,12 +4,14 @@
    transfer ends by exactly one of two ways: its completion function is called
    once, or the owner calls curl_loop_remove first.
 
-     transfer->easy = curl_loop_acquire_easy (curl_loop);
+     transfer->easy = curl_easy_init ();
      curl_easy_setopt (transfer->easy, CURLOPT_URL, url);
      curl_loop_add (curl_loop, transfer);
 
-   The easy handle stays the owner's, who reuses it, releases it or cleans it
-   up after the transfer.  Its CURLOPT_PRIVATE is reserved for this module.
+   The easy handle stays the owner's, who cleans it up after the transfer. Each
+   transfer needs a new one: libcurl 7.88 keeps a pointer to the last field of
+   a handle's earlier response, and writes there if a head begins with a folded
+   line.  Its CURLOPT_PRIVATE is reserved for this module.
 
    Threads: the loop's thread only.  */
 #ifndef BASE_CURL_LOOP_H
@@ -41,12 +43,6 @@
 /* Ends CURL_LOOP; all transfers must have ended or been removed.  NULL is
    ignored.  */
 void curl_loop_destroy (struct curl_loop *curl_loop);
-/* Returns an easy handle with default options.  Released handles are kept for
-   this, because creating one costs more than a small request.  */
-CURL *curl_loop_acquire_easy (struct curl_loop *curl_loop);
-/* Takes back a handle that has no transfer in progress; cleans it up if 256
-   are kept already.  */
-void curl_loop_release_easy (struct curl_loop *curl_loop, CURL *easy);
 /* Starts TRANSFER.  If it fails, the completion function is not called.  */
 enum err_code curl_loop_add (struct curl_loop *curl_loop,
                              struct curl_transfer *transfer);
--- a/src/call/attempt.c
+++ b/src/call/attempt.c
@@ -279,7 +279,9 @@
 attempt_start (const struct attempt_desc *desc)
 {
   struct attempt *attempt = apr_pcalloc (desc->pool, sizeof *attempt);
-  CURL *easy = curl_loop_acquire_easy (desc->curl_loop);
+  CURL *easy = curl_easy_init ();
+  if (!easy)
+    abort ();
   attempt->desc = *desc;
   attempt->transfer = (struct curl_transfer){ easy, on_done, attempt };
   attempt->response_size = -1;
@@ -333,7 +335,7 @@
   if (!attempt->done)
     curl_loop_remove (attempt->desc.curl_loop, &attempt->transfer);
   release_connection (attempt);
-  curl_loop_release_easy (attempt->desc.curl_loop, attempt->transfer.easy);
+  curl_easy_cleanup (attempt->transfer.easy);
   curl_slist_free_all (attempt->header_list);
   body_free (&attempt->response);
 }
--- a/tests/standin/directory_callers.c
+++ b/tests/standin/directory_callers.c
@@ -234,7 +234,7 @@
 release_transfer (struct caller *caller)
 {
   timer_stop (loop_timers (state.loop), &caller->abort_timer);
-  curl_loop_release_easy (state.curl_loop, caller->transfer.easy);
+  curl_easy_cleanup (caller->transfer.easy);
   curl_slist_free_all (caller->headers);
   caller->headers = NULL;
 }
@@ -305,7 +305,7 @@
 static CURL *
 new_transfer (struct caller *caller, const char *url, long timeout_ms)
 {
-  CURL *easy = curl_loop_acquire_easy (state.curl_loop);
+  CURL *easy = curl_easy_init ();
   caller->response_size = 0;
   caller->server_stamp[0] = 0;
   caller->echoed_id[0] = 0;
