An entry takes the rest of an upload whose response is complete

What callers saw: an upstream responded early, in full and with less than the entry buffers, to an upload of 3 MB; the caller got nothing until it gave up (9 and 20 s seen, beyond the deadline).

Cause: the attempt had ended, so nobody read the call's buffer; once that was full, the caller's connection stayed suspended, and libmicrohttpd sends a response only after the request. The rest is now discarded, as after a refusal.

--- a/src/call/dispatch.c
+++ b/src/call/dispatch.c
@@ -172,7 +172,11 @@
   if (!call->response_ready)
     select_attempt (call, attempt);
   if (attempt == call->attempt)
-    mark_response_ready (call);
+    {
+      /* Nobody reads the rest of a request that is answered early.  */
+      call->discard_body = true;
+      mark_response_ready (call);
+    }
   call_discard_hedge (call);
 }
 
--- a/tests/standin/faulty_upstream.c
+++ b/tests/standin/faulty_upstream.c
@@ -370,6 +370,12 @@
     .runs = true,
     .is_early = true,
     .resets = true },
+  { .name = "reset-early-body",
+    .status = "200 OK\r\nServer-Stamp: s",
+    .stage = STAGE_IN_BODY,
+    .runs = true,
+    .is_early = true,
+    .resets = true },
   { .name = "copy",
     .status = "200 OK\r\nServer-Stamp: s",
     .runs = true,
@@ -384,6 +390,7 @@
     .is_sent_again = true },
 };
 
+static const char go_on[] = "HTTP/1.1 100 Continue\r\n\r\n";
 static char stamp[64];     /* header line of whole responses, or empty */
 static const char *own_id; /* "": requests for any instance are accepted */
 static const char *state = "serving"; /* guarded by `mutex' */
@@ -474,7 +481,6 @@
 static bool
 read_body (FILE *in, int fd, struct request_head *request)
 {
-  static const char go_on[] = "HTTP/1.1 100 Continue\r\n\r\n";
   char line[256];
   size_t size = request->body_size;
   XXH64_state_t *hash = XXH64_createState ();
@@ -988,9 +994,19 @@
       if (number >= 0 && sized[number].is_first
           && record_refusal (request.token))
         strcpy (request.fault, "sized");
+      /* So that the body is being sent when the connection is reset.  */
+      if (is_early && sized[number].stage == STAGE_IN_BODY
+          && request.expects_continue)
+        send (fd, go_on, strlen (go_on), MSG_NOSIGNAL);
       is_open = is_early || read_body (in, fd, &request);
       is_open = is_open && serve (fd, &request, &duplicate);
       request.expects_continue = false;
+      /* The caller has the response, and sends on.  */
+      if (is_early && !is_open && sized[number].resets)
+        {
+          usleep (CLOSE_DELAY_MS * 1000);
+          break;
+        }
       /* What is unread when a connection closes makes it a reset.  */
       if (is_early && !is_open)
         shutdown (fd, SHUT_WR);
