Numbers of a record beyond what JSON holds exactly are refused or not used

Out of range, cold_remaining_ms and slots refuse the record, born and sequence count as missing. Three unit cases (on x86-64 the conversion gave a negative number, so the first two were refused before too).

--- a/tests/unit/platform_test.c
+++ b/tests/unit/platform_test.c
@@ -191,7 +191,16 @@
       "slots is 0, a number from 1 to 1000000 expected" },
     { "{\"service\":\"d\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
       "\"slots\":9,\"state\":\"ready\",\"cold_remaining_ms\":-1}",
-      "cold_remaining_ms is -1, a number from 0 expected" },
+      "cold_remaining_ms is -1, a number from 0 to 1e9 expected" },
+    { "{\"service\":\"d\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+      "\"slots\":9,\"state\":\"ready\",\"cold_remaining_ms\":1e300}",
+      "cold_remaining_ms is 1e300, a number from 0 to 1e9 expected" },
+    { "{\"service\":\"d\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+      "\"slots\":1e300,\"state\":\"ready\"}",
+      "slots is 1e300, a number from 1 to 1000000 expected" },
+    { "{\"service\":\"d\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+      "\"slots\":9,\"state\":\"ready\",\"born\":1e300,\"sequence\":-1e300}",
+      NULL },
     { "{\"service\":7,\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
       "\"slots\":9,\"state\":\"ready\"}",
       "service is 7, a name expected" },
