--- a/tests/session/odd-entries.sh
+++ b/tests/session/odd-entries.sh
@@ -115,7 +115,7 @@
 echo
 set_mode silent
 start_entry 2
-wait_for 4 serves 2 third && echo "an entry starts from a copy: $(knows 2) upstreams"
+wait_for 4 serves 2 third && wait_for 2 has_listed 2 && echo "an entry starts from a copy: $(knows 2) upstreams"
 set_mode normal
 both_named () { [ "$(named 2)" = "127.48.1.1:7901 127.48.1.2:7901 " ]; }
 wait_for 5 both_named && echo "both entries are named, and no other"
