--- a/src/call/attempt.c
+++ b/src/call/attempt.c
@@ -13,7 +13,10 @@
 
 enum
 {
-  EXPECT_MAX_WAIT_MS = 1000,        /* then the body is sent without it */
+  EXPECT_MAX_WAIT_MS = 1000, /* then the body is sent without it */
+  /* Each line copies the value before it, so without a limit a head of the
+     largest size takes some hundred megabytes.  */
+  MAX_FOLDED_LINES = 16,
   LINK_RECEIVE_BUFFER_BYTES = 65536 /* of sockets to another region */
 };
 
@@ -127,6 +130,8 @@
       headers_add (&attempt->headers, attempt->head.name, attempt->head.value);
       return size;
     case HTTP_HEAD_FOLD:
+      if (attempt->folded_lines++ == MAX_FOLDED_LINES)
+        return 0;
       headers_continue_last (&attempt->headers, attempt->head.value);
       return size;
     case HTTP_HEAD_END:
--- a/src/call/attempt.h
+++ b/src/call/attempt.h
@@ -118,6 +118,7 @@
   struct connection_history connection; /* before this request; its port is 0
                                            until the request is sent */
   size_t head_bytes;                    /* received in heads and trailers */
+  int folded_lines;                     /* in heads */
   bool has_head;
   bool echo_mismatch; /* the response belongs to another request */
   bool refused;       /* set by the owner: the upstream reports that it did
--- a/tests/session/endless.sh
+++ b/tests/session/endless.sh
@@ -1,5 +1,5 @@
 # A gateway with an upstream that sends bytes without end: in a status line, a
-# field, the number of fields, interim responses, the size of a chunk, chunks,
+# field, the number of fields, folded lines, interim responses, the size of a chunk, chunks,
 # trailers, a body, and after a whole response; fast, or drop by drop.  Guards
 # against memory that grows with them, requests that last beyond their deadline,
 # and connections that stay open.  Attempts at upstreams are the same code in an
@@ -53,7 +53,7 @@
   slowest=$(grep -v '"status":200' "$log" | sed 's/.*"elapsed_ms":\([0-9]*\).*/\1/' | sort -n | tail -1)
   if [ "${slowest:-0}" -le $most_ms ]; then echo "$3: ended in time"; else echo "$3: ended after $slowest ms"; fi
 }
-faults="endless-status endless-field endless-fields endless-interim endless-size endless-chunks endless-trailer endless-body endless-tail slow-head slow-body"
+faults="endless-status endless-field endless-fields endless-folds endless-interim endless-size endless-chunks endless-trailer endless-body endless-tail slow-head slow-body"
 # check PROCESS URL: all faults, and what the process is left with.
 check () {
   wait_for 5 is_served "$2"
--- a/tests/standin/faulty_upstream.c
+++ b/tests/standin/faulty_upstream.c
@@ -108,6 +108,7 @@
   { "endless-status", "HTTP/1.1 200 ", "O", false },
   { "endless-field", "HTTP/1.1 200 OK\r\nX-Long: ", "y", false },
   { "endless-fields", "HTTP/1.1 200 OK\r\n", "X-Many: z\r\n", false },
+  { "endless-folds", "HTTP/1.1 200 OK\r\nX-Many: a\r\n", " a\r\n", false },
   { "endless-interim", "", "HTTP/1.1 100 Continue\r\n\r\n", false },
   { "endless-size",
     "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: s\r\n"
