--- a/tests/unit/base_test.c
+++ b/tests/unit/base_test.c
@@ -202,6 +202,44 @@
     }
 }
 
+/* Name and value of a field, whatever blanks are around the value, and what
+   continues it.  */
+static void
+test_http_fields (void)
+{
+  static const struct
+  {
+    struct str line;
+    enum http_head_line kind;
+    const char *name;
+    const char *value;
+  } cases[] = {
+#define LINE(text) { text, sizeof text - 1 }
+    { LINE ("Connection: close , X-Secret\r\n"), HTTP_HEAD_FIELD, "Connection",
+      "close , X-Secret" },
+    { LINE ("connection:x-other\r\n"), HTTP_HEAD_FIELD, "connection",
+      "x-other" },
+    { LINE ("X-Empty:\r\n"), HTTP_HEAD_FIELD, "X-Empty", "" },
+    { LINE ("X-Blanks: \t a  b \t\n"), HTTP_HEAD_FIELD, "X-Blanks", "a  b" },
+    { LINE ("\t c: d \r\n"), HTTP_HEAD_FOLD, "X-Blanks", "c: d" },
+    { LINE ("no colon\r\n"), HTTP_HEAD_MALFORMED, NULL, NULL },
+    { LINE (": no name\r\n"), HTTP_HEAD_MALFORMED, NULL, NULL },
+#undef LINE
+  };
+  struct http_head head = { 0 };
+  CU_ASSERT_EQUAL (http_head_add_line (&head, STR ("HTTP/1.1 200 OK\r\n")),
+                   HTTP_HEAD_STATUS);
+  for (size_t i = 0; i < COUNT (cases); i++)
+    {
+      CU_ASSERT_EQUAL (http_head_add_line (&head, cases[i].line),
+                       cases[i].kind);
+      if (!cases[i].name)
+        continue;
+      CU_ASSERT (str_equal (head.name, str_from (cases[i].name)));
+      CU_ASSERT (str_equal (head.value, str_from (cases[i].value)));
+    }
+}
+
 struct sample
 {
   struct str name;
@@ -408,17 +446,18 @@
   CU_ASSERT_PTR_NOT_NULL (strstr (text, "c_seconds_count{} 1\n"));
 }
 
-const struct unit_test base_tests[]
-    = { { "a malformed address is refused", test_addresses },
-        { "the edits between two names are counted", test_edit_distance },
-        { "malformed text gives empty fields and zero", test_fields_of_text },
-        { "what has a meaning in a URL is escaped", test_url_escape },
-        { "a head that the grammar doesn't allow is refused",
-          test_http_heads },
-        { "an invalid field gives a fault with its path", test_fields },
-        { "a syntax error gives a fault with its line", test_parse },
-        { "the loop does not poll for a timer that is due soon",
-          test_no_busy_waiting },
-        { "timers fire once, in order and when due", test_timers },
-        { "metrics are in the text format of Prometheus", test_counters },
-        { NULL, NULL } };
+const struct unit_test base_tests[] = {
+  { "a malformed address is refused", test_addresses },
+  { "the edits between two names are counted", test_edit_distance },
+  { "malformed text gives empty fields and zero", test_fields_of_text },
+  { "what has a meaning in a URL is escaped", test_url_escape },
+  { "a head that the grammar doesn't allow is refused", test_http_heads },
+  { "a field's name and value are read without the blanks", test_http_fields },
+  { "an invalid field gives a fault with its path", test_fields },
+  { "a syntax error gives a fault with its line", test_parse },
+  { "the loop does not poll for a timer that is due soon",
+    test_no_busy_waiting },
+  { "timers fire once, in order and when due", test_timers },
+  { "metrics are in the text format of Prometheus", test_counters },
+  { NULL, NULL }
+};
