Tenants: keys, priorities, regions, and quotas over all entries

Cause: the gateway knew no tenant.

Change: the configuration's tenants are read into plan/tenant.h; a request is authenticated by one hash look-up, before its body is read. Upstreams get the tenant's name and never the key. The tenant's priority precedes the route's, and its regions bind beside the route's. quota/quota.h applies quotas over all entries: each entry has an equal share of a quota, which it delegates to the entry that grants tokens, so that no partition issues more than the quota. Quotas are applied where the settings have bounds for them.

--- a/src/call/headers.c
+++ b/src/call/headers.c
@@ -103,6 +103,25 @@
   return false;
 }
 
+size_t
+headers_count_of (const struct headers *headers, struct str name)
+{
+  size_t count = 0;
+  for (size_t i = 0; i < headers->count; i++)
+    count += str_equal_nocase (headers->items[i].name, name);
+  return count;
+}
+
+void
+headers_remove (struct headers *headers, struct str name)
+{
+  size_t kept = 0;
+  for (size_t i = 0; i < headers->count; i++)
+    if (!str_equal_nocase (headers->items[i].name, name))
+      headers->items[kept++] = headers->items[i];
+  headers->count = kept;
+}
+
 void
 headers_continue_last (struct headers *headers, struct str value)
 {
--- a/src/call/headers.h
+++ b/src/call/headers.h
@@ -37,6 +37,10 @@
 struct str headers_get (const struct headers *headers, const char *name);
 /* Returns whether there is a field NAME.  */
 bool headers_has (const struct headers *headers, struct str name);
+/* Returns how many fields NAME there are.  */
+size_t headers_count_of (const struct headers *headers, struct str name);
+/* Removes all fields NAME.  */
+void headers_remove (struct headers *headers, struct str name);
 /* Appends VALUE, of a continuation line, to the latest field, after a
    blank.  */
 void headers_continue_last (struct headers *headers, struct str value);
--- a/src/gateway/attempts.c
+++ b/src/gateway/attempts.c
@@ -497,6 +497,8 @@
   headers_init (set, request->pool);
   headers_add (set, STR (PLATFORM_REQUEST_ID), request->id);
   headers_add (set, STR (PLATFORM_EXPECTED_INSTANCE), upstream->id);
+  if (request->tenant)
+    headers_add (set, STR (PLATFORM_TENANT), request->tenant->name);
   headers_add (set, STR (PLATFORM_DEADLINE),
                str_printf (request->pool, "%lld",
                            (long long)(left > 0 ? left / 1000 : 0)));
@@ -522,6 +524,7 @@
   request->upstream_slowdown = upstream->load.reported_slowdown > 0
                                    ? upstream->load.reported_slowdown
                                    : 1.0;
+  tenant_quota_charge (request);
   load_begin_request (&upstream->load, now);
   request->load_is_counted = true;
   request->send_count++;
--- a/src/gateway/dispatch.c
+++ b/src/gateway/dispatch.c
@@ -39,17 +39,17 @@
 static bool
 is_top_priority (const struct request *request)
 {
-  return request->route->priority <= request->service->most_urgent_priority;
+  return request->priority <= request->service->most_urgent_priority;
 }
 
-/* Sets ALLOWED for the regions that the route allows and in which the service
-   has slots.  */
+/* Sets ALLOWED for the regions that the route and the tenant allow and in
+   which the service has slots.  */
 static void
 mark_usable_regions (const struct request *request, bool *allowed)
 {
   const struct gateway *gateway = request->gateway;
   for (size_t i = 0; i < gateway->region_count; i++)
-    allowed[i] = plan_route_allows_region (request->route, gateway->regions[i])
+    allowed[i] = tenant_request_allows_region (request, gateway->regions[i])
                  && request->service->region_loads[i].slots > 0;
 }
 
@@ -186,7 +186,7 @@
   apr_time_t first = 0;
   size_t count = 0;
   for (size_t i = 0; i < gateway->region_count; i++)
-    if (plan_route_allows_region (request->route, gateway->regions[i])
+    if (tenant_request_allows_region (request, gateway->regions[i])
         && !balance_is_turned_away (
             fleet_group (upstreams, gateway->regions[i]), now, &count, &first))
       return 0;
@@ -384,8 +384,10 @@
       region_overflow_deposit (&request->service->overflow, timer_clock ());
     }
   request->admitted = true;
-  if (request->route->priority < request->service->most_urgent_priority)
-    request->service->most_urgent_priority = request->route->priority;
+  if (!tenant_quota_allows (request))
+    return;
+  if (request->priority < request->service->most_urgent_priority)
+    request->service->most_urgent_priority = request->priority;
   if (!pick_region (request))
     {
       refuse_without_upstream (request);
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -208,6 +208,7 @@
   apr_time_t now = timer_clock ();
   if (gateway->listed_at == 0)
     gateway->listed_at = now;
+  tenant_quota_update (gateway);
   update_services (gateway, now);
   wait_queue_dispatch (gateway);
 }
@@ -506,6 +507,9 @@
   gateway->turned_back = counter_get (
       gateway->counters, "citroncleat_all_turned_away_refusals_total", "",
       "Requests refused since all upstreams had turned this entry away.");
+  gateway->unauthorized
+      = counter_get (gateway->counters, "citroncleat_unauthorized_total", "",
+                     "Requests refused since they have no key of a tenant.");
   gateway->open_requests_gauge
       = gauge_get (gateway->counters, "citroncleat_open_requests", "",
                    "Requests of callers that have begun and not ended.");
@@ -567,6 +571,7 @@
                                             .user_data = gateway };
   gateway->reachability = reachability_create (gateway->pool, &reachability);
   cold_create_checks (gateway);
+  tenant_quota_create (gateway);
   return create_listeners (gateway, err);
 }
 
@@ -589,6 +594,7 @@
   httpd_destroy (gateway->copy_listener);
   curl_loop_destroy (gateway->curl_loop);
   http_client_destroy (gateway->client);
+  quota_destroy (gateway->quota);
   registry_destroy (gateway->registry);
   store_sync_destroy (gateway->store_sync);
   reachability_destroy (gateway->reachability);
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -30,6 +30,7 @@
 #include "gateway/settings.h"
 #include "gateway/store_sync.h"
 #include "plan/plan.h"
+#include "quota/quota.h"
 #include "steer/budget.h"
 
 #include <sys/stat.h>
@@ -137,6 +138,11 @@
   struct reachability *reachability;
   struct verify *verify;
   struct lapse_checks *lapse_checks;
+  struct quota *quota;        /* NULL: quotas aren't applied */
+  int64_t quota_plan_version; /* of the plan whose limits it has */
+  struct timer quota_timer;
+  struct counter *quota_self_issued;
+  struct counter *quota_failed_messages;
   struct platform_mirror *mirror; /* copy of the store, served to peers */
   apr_hash_t *peer_stores; /* struct store of other entries by address */
   size_t next_seed;        /* index into the seeds of the settings */
@@ -180,9 +186,10 @@
   apr_time_t log_refilled_at;
   struct counter *suppressed_log_lines;
   struct counter *leaving_by_response; /* upstreams */
-  struct counter *doubts;      /* upstreams that may have started again */
-  struct counter *turned_away; /* requests, by upstreams */
-  struct counter *turned_back; /* requests, to callers */
+  struct counter *doubts;       /* upstreams that may have started again */
+  struct counter *turned_away;  /* requests, by upstreams */
+  struct counter *turned_back;  /* requests, to callers */
+  struct counter *unauthorized; /* requests */
   struct counter *open_requests_gauge;
   struct counter *failed_attempts[ATTEMPT_FAILURES];
   /* Requests without a whole response or head: ended by this entry or its
@@ -202,7 +209,9 @@
   struct headers headers;
   struct str id; /* the caller's Request-Id */
   struct plan *plan;
-  struct plan_route *route; /* NULL: none found */
+  struct plan_route *route;    /* NULL: none found */
+  const struct tenant *tenant; /* NULL: none, or not known */
+  int64_t priority;            /* the tenant's, else the route's */
   struct route_state *route_state;
   struct service_state *service;
   struct str service_name;
@@ -213,6 +222,8 @@
   bool head_received;
   bool admitted; /* the first admission decision was made */
   bool is_queued;
+  bool awaits_quota;   /* for a token of its tenant */
+  bool has_token;      /* of its tenant's quota */
   bool awaits_changes; /* queued until the entry has caught up after a pause */
   bool suspended;      /* libmicrohttpd does not call the handler */
   bool response_ready; /* an upstream's, or a refusal */
@@ -294,6 +305,38 @@
 void request_refuse (struct request *request, unsigned int status,
                      const char *reason);
 
+/* tenant.c: whose request it is.  */
+
+/* Finds the tenant of REQUEST, whose plan and route are known, by its key, and
+   removes the fields that upstreams don't get from callers.  Refuses the
+   request, and returns false, if it has no known key and its route is not
+   public, or if the tenant can't be served.  */
+bool tenant_authenticate (struct request *request);
+/* Returns whether REQUEST may be served in REGION.  */
+bool tenant_request_allows_region (const struct request *request,
+                                   struct str region);
+
+/* tenant_quota.c: quotas over all entries.  */
+
+/* Path of the listener for other entries, and its query parameter.  */
+extern const char tenant_quota_path[];
+extern const char tenant_quota_message[];
+
+/* Creates `quota' and begins to exchange messages, if the settings have bounds
+   of quotas.  */
+void tenant_quota_create (struct gateway *gateway);
+/* Applies the limits of the plan in force, if it is a new one.  */
+void tenant_quota_update (struct gateway *gateway);
+/* Takes a token of the tenant of REQUEST.  Returns false if the request has
+   been refused or waits, after which dispatch_admit is called again.  */
+bool tenant_quota_allows (struct request *request);
+/* Counts a repeat of REQUEST that an upstream may have run before.  */
+void tenant_quota_charge (struct request *request);
+/* Ends the wait of REQUEST for a token.  */
+void tenant_quota_cancel (struct request *request);
+/* REQUEST has ended: gives its token back if no upstream ran it.  */
+void tenant_quota_end (struct request *request);
+
 /* dispatch.c: admission.  */
 
 /* Picks a region, then sends the request, queues it, or refuses it.  Called
--- a/src/gateway/lookup.c
+++ b/src/gateway/lookup.c
@@ -169,6 +169,24 @@
   return result;
 }
 
+/* Takes a message on quotas from another entry.  */
+static enum MHD_Result
+respond_quota (struct gateway *gateway, struct MHD_Connection *connection)
+{
+  apr_pool_t *pool;
+  apr_pool_create (&pool, gateway->pool);
+  struct str text
+      = gateway->quota ? quota_handle (
+            gateway->quota,
+            httpd_query_parameter (connection, tenant_quota_message),
+            timer_clock (), pool)
+                       : STR ("");
+  enum MHD_Result result = respond_text (
+      connection, text.size > 0 ? HTTP_OK : HTTP_UNAVAILABLE, text);
+  apr_pool_destroy (pool);
+  return result;
+}
+
 /* public functions */
 
 bool
@@ -209,6 +227,8 @@
     return respond_changes (gateway, connection);
   if (strcmp (url, reachability_path) == 0)
     return respond_reachability (gateway, connection);
+  if (strcmp (url, tenant_quota_path) == 0)
+    return respond_quota (gateway, connection);
   if (strcmp (url, metrics_path) == 0)
     return respond_metrics (gateway, connection);
   return respond_text (connection, HTTP_NOT_FOUND, STR ("no such path\n"));
--- a/src/gateway/request.c
+++ b/src/gateway/request.c
@@ -20,8 +20,10 @@
      is on its way before the caller's and the operators' limits pass.  */
   TIMEOUT_MARGIN_MS = 10,
   HTTP_BAD_REQUEST = 400,
+  HTTP_UNAUTHORIZED = 401,
   HTTP_NOT_FOUND = 404,
   HTTP_TOO_LARGE = 413,
+  HTTP_TOO_MANY_REQUESTS = 429,
   HTTP_HEAD_TOO_LARGE = 431,
   HTTP_BAD_GATEWAY = 502,
   HTTP_UNAVAILABLE = 503
@@ -145,6 +147,8 @@
       return;
     }
   request->route_state = dispatch_route_state (gateway, request->route);
+  if (!tenant_authenticate (request))
+    return;
   if (request->route->refusal)
     {
       request_refuse (request, HTTP_UNAVAILABLE, request->route->refusal);
@@ -256,7 +260,10 @@
       strlen (text), (void *)text, MHD_RESPMEM_MUST_COPY);
   json_object_put (body);
   MHD_add_response_header (response, "Content-Type", "application/json");
-  if (request->status == HTTP_UNAVAILABLE)
+  if (request->status == HTTP_UNAUTHORIZED)
+    MHD_add_response_header (response, PLATFORM_CHALLENGE, PLATFORM_SCHEME);
+  if (request->status == HTTP_UNAVAILABLE
+      || request->status == HTTP_TOO_MANY_REQUESTS)
     MHD_add_response_header (
         response, PLATFORM_RETRY_AFTER,
         str_format (request->pool, "%.3f",
@@ -356,6 +363,7 @@
        LOG_INT ("status", request->status),
        LOG_TEXT ("reason", request->reason ? request->reason : "answered"),
        LOG_TEXT ("route", request->route ? request->route->name.data : ""),
+       LOG_TEXT ("tenant", request->tenant ? request->tenant->name.data : ""),
        LOG_INT ("version", request->plan ? plan_version (request->plan) : 0),
        LOG_TEXT ("upstream",
                  request->upstream ? request->upstream->id.data : ""),
@@ -446,6 +454,7 @@
     }
   wait_queue_remove (request);
   attempts_cancel (request);
+  tenant_quota_end (request);
   if (request->upstream)
     fleet_upstream_unref (request->upstream);
   timer_stop (timers, &request->deadline_timer);
@@ -537,6 +546,7 @@
   request->caller_closed = true;
   request->outcome = REQUEST_ABANDONED;
   wait_queue_remove (request);
+  tenant_quota_cancel (request);
   attempts_cancel (request);
   request_schedule_resume (request);
 }
@@ -607,6 +617,7 @@
   request->response_ready = true;
   request->discard_body = true;
   wait_queue_remove (request);
+  tenant_quota_cancel (request);
   /* Its queue must not send what was refused.  */
   timer_stop (loop_timers (request->gateway->loop), &request->queue_timer);
   attempts_cancel (request);
--- a/src/gateway/settings.c
+++ b/src/gateway/settings.c
@@ -61,6 +61,12 @@
         REAL (gateway_cold, slack, 0, 1000000, 0),
         { 0 } };
 
+static const struct field quota_fields[]
+    = { REAL (gateway_quota, window_s, 0, 3600, 0),
+        REAL (gateway_quota, overage, 0, 10, 0),
+        REAL (gateway_quota, slack, 0, 1000000, 0),
+        { 0 } };
+
 static const struct field machine_fields[]
     = { REAL (gateway_machine, link_mbps, 0, 1000000, 0),
         REAL (gateway_machine, cores, 0, 10000, 0),
@@ -81,6 +87,7 @@
         OBJECT (store, store_fields, true),
         OBJECT (retry, retry_fields, false),
         OBJECT (cold, cold_fields, false),
+        OBJECT (quota, quota_fields, false),
         OBJECT (machine, machine_fields, false),
         { .name = "seeds",
           .type = FIELD_ADDRESS_LIST,
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -63,6 +63,14 @@
   double slack;      /* requests beyond that rate, at one moment */
 };
 
+/* Bounds of the tenants' quotas, for all entries together.  */
+struct gateway_quota
+{
+  double window_s; /* in which the bound holds; 0: quotas aren't applied */
+  double overage;  /* fraction by which a quota may be exceeded there */
+  double slack;    /* requests beyond that */
+};
+
 /* Capacity of this VM; 0: not known.  */
 struct gateway_machine
 {
@@ -81,6 +89,7 @@
   struct gateway_store store;
   struct gateway_retry retry;
   struct gateway_cold cold;
+  struct gateway_quota quota;
   struct gateway_machine machine;
   /* Addresses `copies' of some entries, perhaps of this one or of none that
      runs; asked for a copy of the store while no other entry is known.  */
--- a/src/gateway/wait_queue.c
+++ b/src/gateway/wait_queue.c
@@ -7,7 +7,7 @@
 static size_t
 priority_level (const struct request *request)
 {
-  int64_t priority = request->route->priority;
+  int64_t priority = request->priority;
   if (priority < 0)
     return 0;
   return priority < PRIORITY_LEVELS ? (size_t)priority : PRIORITY_LEVELS - 1;
--- a/src/plan/plan.c
+++ b/src/plan/plan.c
@@ -15,6 +15,7 @@
   int references;
   int64_t version;
   struct plan_limits limits;
+  struct tenant_table *tenants; /* NULL: requests need no keys */
   apr_hash_t *services;         /* struct plan_service by name */
   apr_array_header_t *routes;   /* struct plan_route * */
   apr_hash_t *routes_by_prefix; /* struct plan_route by host and prefix */
@@ -173,6 +174,20 @@
   return &plan->limits;
 }
 
+struct tenant_table *
+plan_create_tenants (struct plan *plan)
+{
+  if (!plan->tenants)
+    plan->tenants = tenant_table_create (plan->pool);
+  return plan->tenants;
+}
+
+const struct tenant_table *
+plan_tenants (const struct plan *plan)
+{
+  return plan->tenants;
+}
+
 int64_t
 plan_version (const struct plan *plan)
 {
--- a/src/plan/plan.h
+++ b/src/plan/plan.h
@@ -33,6 +33,7 @@
 
 #include "base/err.h"
 #include "base/str.h"
+#include "plan/tenant.h"
 
 #include <apr_time.h>
 #include <stdint.h>
@@ -73,6 +74,8 @@
   int64_t max_attempts;
   /* Upstreams are faster for objects that they handled recently.  */
   bool sticky;
+  /* Requests need no key where the plan has tenants.  */
+  bool is_public;
   /* Where it may be served; empty: anywhere.  */
   struct str_list regions;
   struct plan_weighted_service *weighted_services;
@@ -120,6 +123,12 @@
 apr_pool_t *plan_pool (struct plan *plan);
 /* Returns the limits, to be filled before plan_finish.  */
 struct plan_limits *plan_limits (struct plan *plan);
+/* Makes PLAN one that has tenants, whose requests carry keys, and returns the
+   empty table of them.  */
+struct tenant_table *plan_create_tenants (struct plan *plan);
+/* Returns the tenants, or NULL if the plan has none and requests need no keys.
+ */
+const struct tenant_table *plan_tenants (const struct plan *plan);
 /* Returns the version that was given to plan_create.  */
 int64_t plan_version (const struct plan *plan);
 /* Adds the service NAME, which is not copied, and returns it to be filled.  */
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -29,7 +29,8 @@
                { "platform", platform_tests },
                { "gateway-sim", gateway_sim_tests },
                { "registry", registry_tests },
-               { "store-sync", store_sync_tests } };
+               { "store-sync", store_sync_tests },
+               { "quota", quota_tests } };
 
 static void
 set_up (void)
--- a/tests/unit/unit.h
+++ b/tests/unit/unit.h
@@ -38,5 +38,6 @@
 extern const struct unit_test registry_tests[];
 extern const struct unit_test store_sync_tests[];
 extern const struct unit_test platform_tests[];
+extern const struct unit_test quota_tests[];
 
 #endif
