Gateway: one account of the memory held for callers, and shedding

Cause: each request may buffer 1 MiB of its body, and nothing bounded the sum. `machine.memory_mb' bounded the number of connections only. Requests that were refused or past their deadline kept their buffers until the caller finished, and a complete response was held twice.

Change: gateway/memory.c accounts for bodies, unread responses, attempts and connections. Beyond 0.6 of the VM's memory it closes connections whose callers made no progress for a second, longest first, then refuses the request that grows, or the largest one of the address that holds most. Near the maximum of connections it closes stalled and unused ones. Bodies are freed with a refusal; whole responses are handed to libmicrohttpd instead of copied. A chunked body beyond max_body_bytes gets 413, and one that goes on for twice that is closed.

--- a/src/base/httpd.c
+++ b/src/base/httpd.c
@@ -31,6 +31,7 @@
   bool has_completed_request;
   bool request_ended_early; /* and with it the connection */
   bool head_is_late;        /* closed by check_connections */
+  bool is_closed;           /* by httpd_close_connection or the like */
   bool caller_has_closed;   /* its direction of the connection */
   bool close_is_reported;   /* of the request in progress */
   void *watched_request; /* to be reported when the caller closes, or NULL */
@@ -50,6 +51,7 @@
   CUT_CONNECTIONS, /* as many as allowed are open, or the process has no
                       descriptor left */
   CUT_STOP,
+  CUT_STALLED, /* closed by httpd_close_connection or httpd_close_unused */
   CUT_CALLER,
   CUT_OTHER,
   CUTS
@@ -106,8 +108,9 @@
 static const char late_head[] = "no whole head in time";
 
 static const char *const cut_names[CUTS]
-    = { "answer-head", "request-head", "answer", "handler", "head-late",
-        "idle",        "connections",  "stop",   "caller",  "other" };
+    = { "answer-head", "request-head", "answer",      "handler",
+        "head-late",   "idle",         "connections", "stop",
+        "stalled",     "caller",       "other" };
 
 /* By a part of libmicrohttpd's message, the first that matches.  */
 static const struct
@@ -175,6 +178,8 @@
 {
   if (state && state->head_is_late)
     return CUT_HEAD_LATE;
+  if (state && state->is_closed)
+    return CUT_STALLED;
   /* The handler has ended it for that.  */
   if (state && state->close_is_reported)
     return CUT_CALLER;
@@ -272,6 +277,7 @@
   if (!has_message && bytes <= 0 && !state->head_is_late)
     return;
   enum cut cut = state->head_is_late       ? CUT_HEAD_LATE
+                 : state->is_closed        ? CUT_STALLED
                  : has_message             ? message_cut (httpd->message)
                  : peer_has_closed (&info) ? CUT_CALLER
                                            : CUT_REQUEST_HEAD;
@@ -757,6 +763,72 @@
   return httpd->ending == CUT_CALLER;
 }
 
+void
+httpd_close_connection (struct httpd *httpd, struct MHD_Connection *connection)
+{
+  (void)httpd;
+  struct connection *state = connection_state (connection);
+  if (!state)
+    return;
+  state->is_closed = true;
+  shutdown (state->fd, SHUT_RDWR);
+}
+
+static int
+by_idle_time (const void *a, const void *b)
+{
+  apr_time_t left = (*(struct connection *const *)a)->idle_since;
+  apr_time_t right = (*(struct connection *const *)b)->idle_since;
+  return (left > right) - (left < right);
+}
+
+size_t
+httpd_close_unused (struct httpd *httpd, size_t count, apr_time_t min_age)
+{
+  size_t open = httpd_connection_count (httpd);
+  size_t found = 0;
+  apr_time_t now = timer_clock ();
+  struct connection **unused = malloc ((open + 1) * sizeof (*unused));
+  if (!unused)
+    abort ();
+  for (struct connection *state = httpd->connections; state && found < open;
+       state = state->next)
+    if (!state->is_in_request && !state->is_closed
+        && now - state->idle_since >= min_age)
+      unused[found++] = state;
+  qsort (unused, found, sizeof (*unused), by_idle_time);
+  size_t closed = 0;
+  for (; closed < found && closed < count; closed++)
+    {
+      unused[closed]->is_closed = true;
+      shutdown (unused[closed]->fd, SHUT_RDWR);
+    }
+  free (unused);
+  return closed;
+}
+
+int64_t
+httpd_acknowledged_bytes (struct MHD_Connection *connection)
+{
+  const struct connection *state = connection_state (connection);
+  return state ? (int64_t)read_tcp_info (state).tcpi_bytes_acked : 0;
+}
+
+uint32_t
+httpd_peer_address (struct MHD_Connection *connection)
+{
+  const struct connection *state = connection_state (connection);
+  return state ? state->peer.sin_addr.s_addr : 0;
+}
+
+const char *
+httpd_peer_text (struct MHD_Connection *connection, apr_pool_t *pool)
+{
+  char *text = apr_pcalloc (pool, INET_ADDRSTRLEN + 8);
+  const struct connection *state = connection_state (connection);
+  return state ? format_peer (state, text, INET_ADDRSTRLEN + 8) : text;
+}
+
 unsigned int
 httpd_connection_count (const struct httpd *httpd)
 {
--- a/src/base/httpd.h
+++ b/src/base/httpd.h
@@ -133,6 +133,22 @@
 /* Returns whether that is at least an eighth of the connection's memory.  */
 bool httpd_has_response_space (const struct httpd *httpd,
                                struct MHD_Connection *connection);
+/* Closes CONNECTION, whatever the state of its request, which ends as if its
+   caller had left; for connections that stand still.  */
+void httpd_close_connection (struct httpd *httpd,
+                             struct MHD_Connection *connection);
+/* Closes up to COUNT connections that have no request, those first that have
+   had none for longest, and for at least MIN_AGE.  Returns how many.  */
+size_t httpd_close_unused (struct httpd *httpd, size_t count,
+                           apr_time_t min_age);
+/* Returns how many bytes the caller's system has acknowledged on CONNECTION.
+ */
+int64_t httpd_acknowledged_bytes (struct MHD_Connection *connection);
+/* Returns the IPv4 address of the caller, in network order; 0: not known.  */
+uint32_t httpd_peer_address (struct MHD_Connection *connection);
+/* Returns the caller's address and port as text in POOL.  */
+const char *httpd_peer_text (struct MHD_Connection *connection,
+                             apr_pool_t *pool);
 /* Returns the number of open connections.  */
 unsigned int httpd_connection_count (const struct httpd *httpd);
 /* Queues OBJECT as a JSON response with STATUS, and frees OBJECT.  */
--- a/src/call/body.c
+++ b/src/call/body.c
@@ -75,6 +75,15 @@
   return size;
 }
 
+char *
+body_take (struct body *body)
+{
+  char *data = body->data;
+  body->data = NULL;
+  body->size = body->capacity = 0;
+  return data;
+}
+
 size_t
 body_unread (const struct body *body)
 {
--- a/src/call/body.h
+++ b/src/call/body.h
@@ -35,6 +35,9 @@
 size_t body_write (struct body *body, const char *data, size_t size);
 /* Removes up to SIZE unread bytes into OUT; returns how many.  */
 size_t body_read (struct body *body, char *out, size_t size);
+/* Hands over the bytes, of which none was read, and which the caller frees;
+   BODY is empty afterwards.  */
+char *body_take (struct body *body);
 /* Returns the number of bytes not yet read.  */
 size_t body_unread (const struct body *body);
 /* Returns the number of bytes that body_write would accept now.  */
--- a/src/call/relay.c
+++ b/src/call/relay.c
@@ -28,6 +28,11 @@
                       : MHD_SIZE_UNKNOWN;
   if (has_no_body (attempt->status))
     return MHD_create_response_from_buffer (0, NULL, MHD_RESPMEM_PERSISTENT);
+  size_t unread = body_unread (&attempt->response);
+  if (attempt->done && !(is_head && attempt->response_size >= 0)
+      && attempt->response.read == 0 && unread > 0)
+    return MHD_create_response_from_buffer (
+        unread, body_take (&attempt->response), MHD_RESPMEM_MUST_FREE);
   if (attempt->done && !(is_head && attempt->response_size >= 0))
     return MHD_create_response_from_buffer (body_unread (&attempt->response),
                                             attempt->response.data
--- a/src/call/relay.h
+++ b/src/call/relay.h
@@ -15,8 +15,8 @@
 
 /* Makes the response with the body that ATTEMPT received; the caller adds the
    header fields, and destroys it after it was queued.  IS_HEAD: the request's
-   method is HEAD.  A body that has arrived whole is copied, any other one is
-   read with READ.  */
+   method is HEAD.  A body that has arrived whole is handed over, any other
+   one is read with READ.  */
 struct MHD_Response *relay_response (struct attempt *attempt, bool is_head,
                                      MHD_ContentReaderCallback read,
                                      void *user_data);
--- a/src/gateway/dispatch.c
+++ b/src/gateway/dispatch.c
@@ -383,6 +383,8 @@
       budget_deposit (&request->service->retry_budget);
       region_overflow_deposit (&request->service->overflow, timer_clock ());
     }
+  if (!request->admitted && !memory_allows (request, 0))
+    return;
   request->admitted = true;
   if (!tenant_quota_allows (request))
     return;
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -446,19 +446,19 @@
 create_listeners (struct gateway *gateway, struct err *err)
 {
   const struct gateway_addresses *listen = &gateway->settings.listen;
-  struct httpd_desc callers
-      = { .loop = gateway->loop,
-          .name = "callers",
-          .counters = gateway->counters,
-          .address = listen->callers,
-          .handler = request_handle,
-          .request_started = request_begin,
-          .request_completed = request_completed,
-          .caller_closed = request_caller_closed,
-          .user_data = gateway,
-          .max_connections = max_caller_connections (gateway),
-          .connection_bytes = CALLER_CONNECTION_BYTES,
-          .header_timeout_s = HEADER_TIMEOUT_S };
+  gateway->max_connections = max_caller_connections (gateway);
+  struct httpd_desc callers = { .loop = gateway->loop,
+                                .name = "callers",
+                                .counters = gateway->counters,
+                                .address = listen->callers,
+                                .handler = request_handle,
+                                .request_started = request_begin,
+                                .request_completed = request_completed,
+                                .caller_closed = request_caller_closed,
+                                .user_data = gateway,
+                                .max_connections = gateway->max_connections,
+                                .connection_bytes = CALLER_CONNECTION_BYTES,
+                                .header_timeout_s = HEADER_TIMEOUT_S };
   const struct
   {
     const char *name;
@@ -572,7 +572,10 @@
   gateway->reachability = reachability_create (gateway->pool, &reachability);
   cold_create_checks (gateway);
   tenant_quota_create (gateway);
-  return create_listeners (gateway, err);
+  code = create_listeners (gateway, err);
+  if (code == ERR_NONE)
+    memory_create (gateway);
+  return code;
 }
 
 static void
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -179,6 +179,13 @@
   struct stop_limits stop_limits;
   struct timer stop_timer;
   struct timer tick_timer;
+  struct timer memory_timer;
+  int64_t max_connections; /* of callers */
+  size_t held_bytes;       /* for requests; see memory.c */
+  apr_time_t memory_logged_at;
+  struct counter *memory_held;
+  struct counter *memory_refused;
+  struct counter *memory_closed;
   apr_time_t listed_at; /* when the upstreams were first listed; 0: not yet */
   int signal_fd;
   uint64_t random_state;
@@ -231,9 +238,15 @@
   bool caller_closed;
   bool may_have_run; /* at an upstream */
   bool body_complete;
-  bool discard_body; /* what is left of it is read and dropped */
-  int64_t body_size; /* -1: not known yet */
+  bool discard_body;      /* what is left of it is read and dropped */
+  bool was_closed;        /* by memory.c */
+  int64_t received_bytes; /* of the body */
+  int64_t body_size;      /* -1: not known yet */
   struct body body;
+  size_t held_bytes;          /* as in the account of memory.c */
+  size_t answer_bytes;        /* of the response, with libmicrohttpd */
+  apr_time_t progressed_at;   /* the caller last sent or read something */
+  int64_t acknowledged_bytes; /* of what was sent to it */
   apr_time_t began_at;
   apr_time_t first_sent_at; /* 0: not sent yet */
   apr_time_t deadline;      /* for the whole response */
@@ -435,6 +448,19 @@
 /* Admits the requests that awaited the changes of a pause.  */
 void wait_queue_admit_held (struct gateway *gateway);
 
+/* memory.c: what is held for callers, and what is given up for lack of
+   memory or connections.  */
+
+/* Begins to check the account.  */
+void memory_create (struct gateway *gateway);
+/* Counts what is held for REQUEST now.  */
+void memory_update (struct request *request);
+/* Frees the body of REQUEST, which is not sent any more.  */
+void memory_drop_body (struct request *request);
+/* Returns whether BYTES more may be held for REQUEST, after others have been
+   given up for them if need be.  If not, REQUEST has been refused.  */
+bool memory_allows (struct request *request, size_t bytes);
+
 /* lookup.c: entries for callers, readiness, metrics, and the copy of the store
    for other entries.  */
 
--- a/src/gateway/request.c
+++ b/src/gateway/request.c
@@ -285,10 +285,14 @@
                       "the head of the answer is too large to be forwarded");
     }
   bool is_refusal = request->reason != NULL;
+  size_t held = is_refusal ? 0 : request->attempt->response.capacity;
   struct MHD_Response *response
       = is_refusal ? create_refusal_response (request)
                    : relay_response (request->attempt, request->is_head,
                                      read_response, request);
+  /* Unless it is streamed, the response has the bytes now.  */
+  if (!is_refusal)
+    request->answer_bytes = held - request->attempt->response.capacity;
   if (!is_refusal)
     {
       request->status = (unsigned int)request->attempt->status;
@@ -300,6 +304,7 @@
       = MHD_queue_response (request->connection, request->status, response);
   MHD_destroy_response (response);
   request->answered = true;
+  request->progressed_at = timer_clock ();
   return result;
 }
 
@@ -307,13 +312,29 @@
 static enum MHD_Result
 receive_body (struct request *request, const char *data, size_t *size)
 {
+  int64_t max_bytes
+      = request->plan ? plan_limits (request->plan)->body_bytes : 0;
+  request->progressed_at = timer_clock ();
+  request->received_bytes += (int64_t)*size;
+  if (max_bytes > 0 && request->received_bytes > max_bytes
+      && !request->response_ready)
+    request_refuse (request, HTTP_TOO_LARGE, "the body is too large");
   if (request->discard_body || request->response_ready)
+    {
+      /* What goes on for so long won't end in time for its answer.  */
+      if (max_bytes > 0 && request->received_bytes > 2 * max_bytes)
+        return MHD_NO;
+      *size = 0;
+      return MHD_YES;
+    }
+  if (!memory_allows (request, *size))
     {
       *size = 0;
       return MHD_YES;
     }
   size_t n = body_write (&request->body, data, *size);
   *size -= n;
+  memory_update (request);
   if (request->attempt)
     attempt_resume (request->attempt);
   if (*size == 0)
@@ -466,7 +487,9 @@
       if (request->resume_next)
         request->resume_next->resume_link = request->resume_link;
     }
-  body_free (&request->body);
+  memory_drop_body (request);
+  request->answer_bytes = 0;
+  memory_update (request);
   plan_unref (request->plan);
   *request->link = request->next;
   if (request->next)
@@ -481,15 +504,16 @@
 request_begin (void *user_data, const char *target,
                struct MHD_Connection *connection)
 {
-  (void)connection;
   struct gateway *gateway = user_data;
   apr_pool_t *pool;
   apr_pool_create (&pool, gateway->pool);
   struct request *request = apr_pcalloc (pool, sizeof *request);
   request->gateway = gateway;
   request->pool = pool;
+  request->connection = connection;
   request->target = str_dup (pool, str_from (target));
   request->began_at = timer_clock ();
+  request->progressed_at = request->began_at;
   headers_init (&request->headers, pool);
   body_init (&request->body, BODY_BUFFER_BYTES);
   request->next = gateway->requests;
@@ -621,5 +645,6 @@
   /* Its queue must not send what was refused.  */
   timer_stop (loop_timers (request->gateway->loop), &request->queue_timer);
   attempts_cancel (request);
+  memory_drop_body (request);
   request_schedule_resume (request);
 }
--- a/tests/standin/main.c
+++ b/tests/standin/main.c
@@ -23,6 +23,7 @@
               { "proxy", run_proxy },
               { "directory-callers", run_directory_callers },
               { "fuzz-callers", run_fuzz_callers },
+              { "crowd", run_crowd },
               { NULL, NULL } };
 
 const char *
--- a/tests/standin/standin.h
+++ b/tests/standin/standin.h
@@ -27,6 +27,7 @@
 int run_proxy (int argc, char **argv, apr_pool_t *pool);
 int run_directory_callers (int argc, char **argv, apr_pool_t *pool);
 int run_fuzz_callers (int argc, char **argv, apr_pool_t *pool);
+int run_crowd (int argc, char **argv, apr_pool_t *pool);
 
 /* Returns the argument after the first NAME (such as "--listen"), or
    DEFAULT_VALUE.  */
