--- a/src/base/httpd.c
+++ b/src/base/httpd.c
@@ -479,6 +479,10 @@
 {
   struct httpd *httpd = user_data;
   struct connection *state = connection_state (connection);
+  /* A request that had arrived before the connection was closed: there is no
+     way to answer it.  */
+  if (state->is_closed && !state->is_in_request)
+    return MHD_NO;
   state->is_in_request = true;
   state->head = method;
   return httpd->desc.handler (httpd->desc.user_data, connection, url, method,
@@ -732,6 +736,15 @@
     watch_close (httpd, state, EPOLL_CTL_MOD);
 }
 
+bool
+httpd_owns (const struct httpd *httpd, struct MHD_Connection *connection)
+{
+  return httpd
+         && MHD_get_connection_info (connection, MHD_CONNECTION_INFO_DAEMON)
+                    ->daemon
+                == httpd->daemon;
+}
+
 bool
 httpd_is_first_request (struct MHD_Connection *connection)
 {
@@ -783,7 +796,8 @@
 }
 
 size_t
-httpd_close_unused (struct httpd *httpd, size_t count, apr_time_t min_age)
+httpd_close_unused (struct httpd *httpd, size_t count, apr_time_t min_head_age,
+                    apr_time_t min_idle_age)
 {
   size_t open = httpd_connection_count (httpd);
   size_t found = 0;
@@ -794,7 +808,8 @@
   for (struct connection *state = httpd->connections; state && found < open;
        state = state->next)
     if (!state->is_in_request && !state->is_closed
-        && now - state->idle_since >= min_age)
+        && now - state->idle_since
+               >= (state->has_completed_request ? min_idle_age : min_head_age))
       unused[found++] = state;
   qsort (unused, found, sizeof (*unused), by_idle_time);
   size_t closed = 0;
--- a/src/base/httpd.h
+++ b/src/base/httpd.h
@@ -114,6 +114,9 @@
 void httpd_watch_caller_close (struct httpd *httpd,
                                struct MHD_Connection *connection,
                                void *request);
+/* Returns whether CONNECTION was made to the listener of HTTPD, which may be
+   NULL.  */
+bool httpd_owns (const struct httpd *httpd, struct MHD_Connection *connection);
 /* Returns whether no request has been completed on CONNECTION yet.  */
 bool httpd_is_first_request (struct MHD_Connection *connection);
 /* Returns why a request ended whose request_completed is being called with
@@ -137,10 +140,11 @@
    caller had left; for connections that stand still.  */
 void httpd_close_connection (struct httpd *httpd,
                              struct MHD_Connection *connection);
-/* Closes up to COUNT connections that have no request, those first that have
-   had none for longest, and for at least MIN_AGE.  Returns how many.  */
+/* Closes up to COUNT connections without a request, those first that have had
+   none for longest: for at least MIN_HEAD_AGE if they never had one, and for
+   MIN_IDLE_AGE since the last one otherwise.  Returns how many.  */
 size_t httpd_close_unused (struct httpd *httpd, size_t count,
-                           apr_time_t min_age);
+                           apr_time_t min_head_age, apr_time_t min_idle_age);
 /* Returns how many bytes the caller's system has acknowledged on CONNECTION.
  */
 int64_t httpd_acknowledged_bytes (struct MHD_Connection *connection);
--- a/src/gateway/memory.c
+++ b/src/gateway/memory.c
@@ -6,7 +6,7 @@
    process.  While that exceeds the limit, which follows from the VM's memory,
    or nearly all connections are in use,
 
-   - connections on which the caller has made no progress for a second are
+   - connections on which the caller has made no progress for two seconds are
      closed, those first that have stood still longest: their requests can't be
      served, or their responses aren't read;
    - a body that grows beyond the limit is given up: that request, or the
@@ -29,13 +29,16 @@
 {
   CHECK_MS = 100,
   /* Callers that are slow send or read something within this time.  */
-  STALL_MS = 1000,
-  /* A connection without a request, while nearly all are in use.  Longer than
-     callers take to send the first head.  */
-  UNUSED_MS = 3000,
+  STALL_MS = 2000,
+  /* Operators allow callers 3 s for a head, and to use a connection again that
+     was idle for up to 12 s.  */
+  HEAD_MS = 4000,
+  IDLE_MS = 13000,
   PROCESS_BYTES = 16 * 1024 * 1024, /* without any connection */
   CONNECTION_BYTES = 48 * 1024,     /* without bodies */
   ATTEMPT_BYTES = 64 * 1024, /* buffers of libcurl and of its connection */
+  /* Room for a few requests, whatever the settings say.  */
+  MIN_LIMIT_BYTES = PROCESS_BYTES + 8 * 1024 * 1024,
   RETRY_AFTER_MS = 1000,
   HTTP_UNAVAILABLE = 503,
   /* Larger allocations are returned to the system when they are freed; the
@@ -75,8 +78,9 @@
 static size_t
 limit (const struct gateway *gateway)
 {
-  return (size_t)((double)gateway->settings.machine.memory_mb * 1024 * 1024
-                  * limit_fraction);
+  size_t bytes = (size_t)((double)gateway->settings.machine.memory_mb * 1024
+                          * 1024 * limit_fraction);
+  return bytes > MIN_LIMIT_BYTES ? bytes : MIN_LIMIT_BYTES;
 }
 
 /* Returns whether the process is known to have memory for BYTES more.  */
@@ -88,12 +92,13 @@
 }
 
 /* Returns whether nothing happens to REQUEST before its caller sends or reads
-   more.  */
+   more.  A suspended one waits for an upstream or for this entry.  */
 static bool
 awaits_caller (const struct request *request)
 {
-  return request->answered || !request->head_received
-         || !request->body_complete;
+  return !request->suspended
+         && (request->answered || !request->head_received
+             || !request->body_complete);
 }
 
 /* Updates when the caller of REQUEST last made progress, from what it has
@@ -145,6 +150,8 @@
   counter_add (gateway->memory_closed, 1);
   request->was_closed = true;
   wait_queue_remove (request);
+  timer_stop (loop_timers (gateway->loop), &request->queue_timer);
+  tenant_quota_cancel (request);
   attempts_cancel (request);
   memory_drop_body (request);
   memory_update (request);
@@ -166,7 +173,8 @@
     if (!request->was_closed && awaits_caller (request))
       {
         check_progress (request, now);
-        if (now - request->progressed_at >= TIMER_MS (STALL_MS))
+        int64_t most_ms = request->head_received ? STALL_MS : HEAD_MS;
+        if (now - request->progressed_at >= TIMER_MS (most_ms))
           stalled[(*count)++] = request;
       }
   qsort (stalled, *count, sizeof (*stalled), by_progress);
@@ -210,6 +218,7 @@
         }
       use->bytes += request->held_bytes;
       if (!request->response_ready && !request->attempt
+          && !request->may_have_run && request->held_bytes > 0
           && (!use->largest || request->held_bytes > use->largest->held_bytes))
         use->largest = request;
       if (use->bytes > largest.bytes)
@@ -258,7 +267,8 @@
       if (closed < wanted)
         counter_add (gateway->memory_closed,
                      (int64_t)httpd_close_unused (listener, wanted - closed,
-                                                  TIMER_MS (UNUSED_MS)));
+                                                  TIMER_MS (HEAD_MS),
+                                                  TIMER_MS (IDLE_MS)));
     }
   counter_set (gateway->memory_held, (int64_t)account (gateway));
   timer_start (loop_timers (gateway->loop), &gateway->memory_timer,
@@ -309,7 +319,9 @@
 {
   struct gateway *gateway = request->gateway;
   memory_update (request);
-  if (fits (gateway, bytes))
+  /* One that was sent has its whole buffer, and refusing it as not run would
+     be wrong.  */
+  if (request->attempt || request->may_have_run || fits (gateway, bytes))
     return true;
   shed (gateway, bytes, 0, timer_clock ());
   while (!fits (gateway, bytes))
--- a/src/gateway/request.c
+++ b/src/gateway/request.c
@@ -318,11 +318,15 @@
   request->received_bytes += (int64_t)*size;
   if (max_bytes > 0 && request->received_bytes > max_bytes
       && !request->response_ready)
-    request_refuse (request, HTTP_TOO_LARGE, "the body is too large");
+    {
+      request->may_have_run |= request->attempt && request->attempt->sent;
+      request_refuse (request, HTTP_TOO_LARGE, "the body is too large");
+    }
   if (request->discard_body || request->response_ready)
     {
       /* What goes on for so long won't end in time for its answer.  */
-      if (max_bytes > 0 && request->received_bytes > 2 * max_bytes)
+      if (max_bytes > 0
+          && request->received_bytes > 2 * max_bytes + BODY_BUFFER_BYTES)
         return MHD_NO;
       *size = 0;
       return MHD_YES;
@@ -334,6 +338,8 @@
     }
   size_t n = body_write (&request->body, data, *size);
   *size -= n;
+  /* libmicrohttpd passes the rest again.  */
+  request->received_bytes -= (int64_t)*size;
   memory_update (request);
   if (request->attempt)
     attempt_resume (request->attempt);
@@ -539,7 +545,8 @@
       receive_head (request, connection, method);
       return MHD_YES;
     }
-  if (request->caller_closed)
+  /* Data that arrived before a shutdown can still be read.  */
+  if (request->caller_closed || request->was_closed)
     return MHD_NO;
   if (*size > 0)
     return receive_body (request, data, size);
@@ -599,6 +606,7 @@
         gateway->resume_list->resume_link = &gateway->resume_list;
       request->resume_link = NULL;
       request->suspended = false;
+      request->progressed_at = timer_clock ();
       MHD_resume_connection (request->connection);
       if (!gateway->resume_list)
         httpd_run (gateway->caller_listener);
--- a/src/gateway/wait_queue.c
+++ b/src/gateway/wait_queue.c
@@ -65,6 +65,9 @@
            request = next)
         {
           next = request->queue_next;
+          /* Admitting the one before may have refused it.  */
+          if (!request->is_queued)
+            continue;
           /* In a region that has lost all its slots none will become free. */
           if (request->service->region_loads[request->region].slots <= 0)
             dispatch_readmit (request);
@@ -85,6 +88,9 @@
            request = next)
         {
           next = request->queue_next;
+          /* Admitting the one before may have refused it.  */
+          if (!request->is_queued)
+            continue;
           if (request->awaits_changes)
             dispatch_readmit (request);
         }
