--- a/src/gateway/lookup.c
+++ b/src/gateway/lookup.c
@@ -175,12 +175,9 @@
 {
   apr_pool_t *pool;
   apr_pool_create (&pool, gateway->pool);
-  struct str text
-      = gateway->quota ? quota_handle (
-            gateway->quota,
-            httpd_query_parameter (connection, tenant_quota_message),
-            timer_clock (), pool)
-                       : STR ("");
+  struct str text = quota_handle (
+      gateway->quota, httpd_query_parameter (connection, tenant_quota_message),
+      timer_clock (), pool);
   enum MHD_Result result = respond_text (
       connection, text.size > 0 ? HTTP_OK : HTTP_UNAVAILABLE, text);
   apr_pool_destroy (pool);
@@ -227,7 +224,9 @@
     return respond_changes (gateway, connection);
   if (strcmp (url, reachability_path) == 0)
     return respond_reachability (gateway, connection);
-  if (strcmp (url, tenant_quota_path) == 0)
+  /* A message grants and returns tokens, so callers' listeners take none.  */
+  if (gateway->quota && strcmp (url, tenant_quota_path) == 0
+      && httpd_owns (gateway->metrics_listener, connection))
     return respond_quota (gateway, connection);
   if (strcmp (url, metrics_path) == 0)
     return respond_metrics (gateway, connection);
--- a/src/gateway/tenant_quota.c
+++ b/src/gateway/tenant_quota.c
@@ -124,6 +124,9 @@
 on_tick (void *user_data, apr_time_t now)
 {
   struct gateway *gateway = user_data;
+  /* A plan may come into force without a change of the store, once what was
+     listed at the start is known to be current.  */
+  tenant_quota_update (gateway);
   update_members (gateway, now);
   quota_tick (gateway->quota, now);
   struct quota_stats stats = quota_stats (gateway->quota);
@@ -155,6 +158,7 @@
   if (settings->window_s <= 0)
     return;
   gateway->quota = quota_create (gateway->pool, &desc, now);
+  gateway->quota_plan_version = -1;
   gateway->quota_self_issued = gauge_get (
       gateway->counters, "citroncleat_quota_self_issued", "",
       "Requests allowed from this entry's own share of a quota, since it "
@@ -199,6 +203,7 @@
   apr_time_t retry_after = 0;
   if (!gateway->quota || !request->tenant || request->has_token)
     return true;
+  tenant_quota_update (gateway);
   switch (quota_take (gateway->quota, request->tenant->name, request,
                       timer_clock (), &retry_after))
     {
@@ -206,7 +211,8 @@
       request->has_token = true;
       return true;
     case QUOTA_WAIT:
-      request->awaits_quota = true;
+      /* It may have been granted within the call.  */
+      request->awaits_quota = !request->has_token;
       return false;
     case QUOTA_REFUSED:
       break;
--- a/src/quota/hub.c
+++ b/src/quota/hub.c
@@ -48,11 +48,11 @@
   return want;
 }
 
-/* Fills MESSAGE with what is wanted of ROOT.  Returns whether something is
-   needed at once.  */
+/* Adds to MESSAGE what is wanted of ROOT, of the tenants with needs or of the
+   others.  Returns whether something is needed at once.  */
 static bool
 collect_wants (struct quota *quota, const struct quota_peer *root,
-               struct quota_message *message, apr_time_t now)
+               struct quota_message *message, bool with_needs, apr_time_t now)
 {
   bool is_urgent = false;
   for (int i = 0;
@@ -64,7 +64,8 @@
       if (hub_is_root (quota, tenant, &its_root) || its_root != root)
         continue;
       struct quota_want want = root_want (quota, tenant, now);
-      if (want.need == 0 && want.more == 0 && want.surplus == 0)
+      if ((want.need > 0) != with_needs
+          || (want.need == 0 && want.more == 0 && want.surplus == 0))
         continue;
       is_urgent |= want.need > 0;
       message->wants[message->count++] = want;
@@ -82,8 +83,9 @@
         quota_send (quota, peer, &message, QUOTA_HUB_TIMEOUT_MS, now);
       return;
     }
-  if (!collect_wants (quota, peer, &message, now)
-      && now - peer->sent_at < MS (QUOTA_PERIOD_MS))
+  bool is_urgent = collect_wants (quota, peer, &message, true, now);
+  collect_wants (quota, peer, &message, false, now);
+  if (!is_urgent && now - peer->sent_at < MS (QUOTA_PERIOD_MS))
     return;
   for (size_t i = 0; i < message.count; i++)
     {
@@ -114,6 +116,9 @@
            int64_t surplus)
 {
   struct quota_peer *root;
+  int64_t max = issuer_standing_max (quota, tenant);
+  if (surplus > max)
+    surplus = max;
   if (hub_is_root (quota, tenant, &root))
     tenant->issuer.tokens += (double)surplus;
   else
@@ -187,7 +192,8 @@
             apr_time_t now)
 {
   bool is_leaf = message->hubs == 0;
-  if (message->share <= 0 || now < quota->deaf_until
+  if (message->share <= 0 || (is_leaf && message->share > QUOTA_SHARE)
+      || now < quota->ignore_delegations_until
       || (!is_leaf && message->hubs != quota->hubs_hash))
     return;
   struct delegation *delegation = apr_hash_get (
--- a/src/quota/internal.h
+++ b/src/quota/internal.h
@@ -24,7 +24,7 @@
   QUOTA_PERIOD_MS = 250,    /* between messages without a want */
   QUOTA_LEASE_MS = 700,     /* of a delegation, from its receipt */
   QUOTA_RECLAIM_MS = 1100,  /* from its sending: the lease and the timeout */
-  QUOTA_PATIENCE_MS = 300,  /* longest wait of a request: two round trips to
+  QUOTA_MAX_WAIT_MS = 300,  /* longest wait of a request: two round trips to
                                a root in another region */
   QUOTA_PROBE_MS = 1000,    /* between messages to a hub that failed */
   QUOTA_USED_S = 5,         /* a hub keeps tokens for tenants that were wanted
@@ -32,7 +32,11 @@
   QUOTA_PAUSE_MS = 300,     /* between ticks: the process was paused */
   QUOTA_MIN_HINT_MS = 20,   /* between two wants of a tenant */
   QUOTA_EMPTY_MS = 100,     /* the same while the quota is used up */
-  QUOTA_MAX_HINT_MS = 10000
+  QUOTA_MAX_HINT_MS = 10000,
+  /* Entries that are cut off go on with the share that they had.  The others
+     count them for this long, a minute or less of reduced quotas after many
+     entries have ended.  */
+  QUOTA_ENTRIES_KEPT_S = 120
 };
 
 /* The bucket of a tenant at an entry that grants its tokens.  */
@@ -152,8 +156,11 @@
   bool is_limited;             /* some tenant has a limit */
   apr_time_t created_at;
   apr_time_t ticked_at;
-  apr_time_t deaf_until; /* messages may be older than their receipt */
-  size_t entries;
+  apr_time_t ignore_delegations_until; /* they may be older than their
+                                          receipt */
+  size_t entries;                      /* the most in QUOTA_ENTRIES_KEPT_S */
+  size_t entries_peaks[2]; /* in its current half and in the one before */
+  apr_time_t peak_began_at;
   bool is_hub;
   uint64_t own_hash;  /* of the own address */
   uint64_t hubs_hash; /* of the hubs in use, this one included */
@@ -179,6 +186,9 @@
                          const struct quota_tenant *tenant);
 int64_t issuer_hub_max (const struct quota *quota,
                         const struct quota_tenant *tenant);
+/* The most tokens that are unused anywhere.  */
+int64_t issuer_standing_max (const struct quota *quota,
+                             const struct quota_tenant *tenant);
 /* Grants up to NEED and, if enough is left, MORE tokens out of ISSUER, which
    holds SHARE.  Sets HINT_MS if NEED isn't met.  */
 int64_t issuer_grant (struct quota *quota, const struct quota_tenant *tenant,
--- a/src/quota/issuer.c
+++ b/src/quota/issuer.c
@@ -63,6 +63,13 @@
 
 /* public functions */
 
+int64_t
+issuer_standing_max (const struct quota *quota,
+                     const struct quota_tenant *tenant)
+{
+  return (int64_t)standing_max (quota, tenant) + 1;
+}
+
 int64_t
 issuer_leaf_max (const struct quota *quota, const struct quota_tenant *tenant)
 {
--- a/src/quota/leaf.c
+++ b/src/quota/leaf.c
@@ -79,24 +79,35 @@
   leaf_receive (quota, tenant, granted, now);
 }
 
-/* Sends the wants of this entry to HUB, with its share.  */
+/* Adds to MESSAGE what this entry wants, of the tenants with needs or of the
+   others.  */
 static void
-send_wants (struct quota *quota, struct quota_peer *hub, apr_time_t now)
+collect_wants (struct quota *quota, struct quota_message *message,
+               bool with_needs, apr_time_t now)
 {
-  struct quota_message message = { .share = leaf_share (quota, now) };
-  for (int i = 0; i < quota->tenants->nelts && message.count < QUOTA_ITEMS_MAX;
-       i++)
+  for (int i = 0;
+       i < quota->tenants->nelts && message->count < QUOTA_ITEMS_MAX; i++)
     {
       struct quota_tenant *tenant
           = APR_ARRAY_IDX (quota->tenants, i, struct quota_tenant *);
       struct quota_want want = leaf_want (quota, tenant, now);
       issuer_end (&tenant->own, now);
-      if (want.need == 0 && want.more == 0 && want.surplus == 0)
+      if ((want.need > 0) != with_needs
+          || (want.need == 0 && want.more == 0 && want.surplus == 0))
         continue;
       tenant->surplus = 0;
       tenant->announced = tenant->waiting;
-      message.wants[message.count++] = want;
+      message->wants[message->count++] = want;
     }
+}
+
+/* Sends the wants of this entry to HUB, with its share.  */
+static void
+send_wants (struct quota *quota, struct quota_peer *hub, apr_time_t now)
+{
+  struct quota_message message = { .share = leaf_share (quota, now) };
+  collect_wants (quota, &message, true, now);
+  collect_wants (quota, &message, false, now);
   if (message.share > 0)
     quota->delegated_at = now;
   quota_send (quota, hub, &message, QUOTA_LEAF_TIMEOUT_MS, now);
@@ -173,7 +184,7 @@
   int64_t max = issuer_leaf_max (quota, tenant);
   /* Only a tenant whose requests come here has tokens kept.  */
   if (want.need > 0 || (tenant->tokens > 0 && 2 * tenant->tokens <= max))
-    want.more = max - tenant->tokens;
+    want.more = max > tenant->tokens ? max - tenant->tokens : 0;
   return want;
 }
 
@@ -185,18 +196,18 @@
       = now + MS (hint_ms > QUOTA_MIN_HINT_MS ? hint_ms : QUOTA_MIN_HINT_MS);
   if (tenant->ask_at <= now || ask_at < tenant->ask_at)
     tenant->ask_at = ask_at;
-  if (hint_ms <= QUOTA_PATIENCE_MS)
+  if (hint_ms <= QUOTA_MAX_WAIT_MS)
     return;
   tenant->fits_after = MS (hint_ms);
   tenant->ask_at = now + MS (QUOTA_EMPTY_MS);
-  tenant->empty_until = now + MS (QUOTA_PATIENCE_MS);
+  tenant->empty_until = now + MS (QUOTA_MAX_WAIT_MS);
 }
 
 int64_t
 leaf_waiting_max (const struct quota_tenant *tenant, apr_time_t now)
 {
   return 1
-         + (int64_t)(recent_grants (tenant, now) * MS (QUOTA_PATIENCE_MS)
+         + (int64_t)(recent_grants (tenant, now) * MS (QUOTA_MAX_WAIT_MS)
                      / grants_decay_us);
 }
 
@@ -209,9 +220,9 @@
   while (is_empty && tenant->waiting > max)
     refuse_waiter (quota, tenant, tenant->fits_after);
   while (tenant->first_waiter
-         && now - tenant->first_waiter->since >= MS (QUOTA_PATIENCE_MS))
+         && now - tenant->first_waiter->since >= MS (QUOTA_MAX_WAIT_MS))
     refuse_waiter (quota, tenant,
-                   is_empty ? tenant->fits_after : MS (QUOTA_PATIENCE_MS));
+                   is_empty ? tenant->fits_after : MS (QUOTA_MAX_WAIT_MS));
 }
 
 int64_t
--- a/src/quota/quota.c
+++ b/src/quota/quota.c
@@ -26,6 +26,14 @@
   return quota_find (quota, hash_of (name));
 }
 
+/* Returns whether this leaf may ask PEER.  */
+static bool
+is_region_hub (const struct quota *quota, const struct quota_peer *peer)
+{
+  return peer == quota->hub || peer == quota->region_hubs[0]
+         || peer == quota->region_hubs[1];
+}
+
 /* Returns the peer at ADDRESS, which it creates at first; NULL if there are
    too many.  */
 static struct quota_peer *
@@ -36,7 +44,8 @@
     {
       if (str_equal (quota->peers[i]->address, address))
         return quota->peers[i];
-      if (!quota->peers[i]->is_known && !quota->peers[i]->in_call)
+      if (!quota->peers[i]->is_known && !quota->peers[i]->in_call
+          && !is_region_hub (quota, quota->peers[i]))
         unused = i;
     }
   struct quota_peer *peer;
@@ -94,6 +103,24 @@
     }
 }
 
+/* Sets `entries' to the most that there were lately, COUNT now.  */
+static void
+count_entries (struct quota *quota, size_t count, apr_time_t now)
+{
+  size_t *peaks = quota->entries_peaks;
+  if (now - quota->peak_began_at >= QUOTA_ENTRIES_KEPT_S * MS (1000) / 2)
+    {
+      quota->peak_began_at = now;
+      peaks[1] = peaks[0];
+      peaks[0] = 0;
+    }
+  if (count > peaks[0])
+    peaks[0] = count;
+  quota->entries = peaks[0] > peaks[1] ? peaks[0] : peaks[1];
+  if (quota->entries == 0)
+    quota->entries = 1;
+}
+
 /* Applies LIMIT to its tenant.  */
 static void
 set_limit (struct quota *quota, const struct quota_limit *limit,
@@ -119,7 +146,9 @@
   if (is_lower)
     {
       tenant->tokens = 0;
+      tenant->surplus = 0;
       tenant->cache = 0;
+      tenant->hub_surplus = 0;
       issuer_end (&tenant->issuer, now);
       issuer_end (&tenant->own, now);
     }
@@ -207,7 +236,7 @@
 quota_set_members (struct quota *quota, const struct quota_members *members,
                    apr_time_t now)
 {
-  quota->entries = members->entries > 0 ? members->entries : 1;
+  count_entries (quota, members->entries, now);
   /* What this entry delegated in its former role is not back yet.  */
   if (members->is_hub != quota->is_hub && quota->delegated_at > 0)
     quota->delegate_after = quota->delegated_at + MS (QUOTA_RECLAIM_MS);
@@ -339,7 +368,7 @@
 {
   /* After a pause, messages from before it are read as if they came now.  */
   if (now - quota->ticked_at > MS (QUOTA_PAUSE_MS))
-    quota->deaf_until = now + MS (QUOTA_HUB_TIMEOUT_MS);
+    quota->ignore_delegations_until = now + MS (QUOTA_HUB_TIMEOUT_MS);
   quota->ticked_at = now;
   if (!quota->is_limited)
     return;
@@ -378,7 +407,7 @@
       struct quota_grant grant = { .tenant = want->tenant };
       /* The sender knows a configuration that this entry doesn't know yet.  */
       if (!tenant || tenant->rate <= 0)
-        grant.hint_ms = want->need > 0 ? QUOTA_PATIENCE_MS : 0;
+        grant.hint_ms = want->need > 0 ? QUOTA_MAX_WAIT_MS : 0;
       else
         grant.tokens
             = message.hubs == 0
--- a/src/quota/quota.h
+++ b/src/quota/quota.h
@@ -8,15 +8,16 @@
    the same time, after a partition or with different views of who is there,
    never issue more than r together.  Each request takes a token.
 
-     leaf   each entry: takes tokens for its requests, asks its hub for more
-     hub    two entries of each region: pool the shares of its entries, and
-   keep a few tokens at hand for them root   of a tenant: the hub that ranks
-   first by hash; grants the tokens
+   - Leaf: each entry.  It takes tokens for its requests and asks its hub for
+     more.
+   - Hub: two entries of each region.  They pool the shares of its entries and
+     keep a few tokens for them.
+   - Root of a tenant: the hub that ranks first by hash.  It grants the tokens.
 
    A hub that reaches no other one is the root of what it holds, and a leaf
    that reaches no hub issues tokens to itself from its own share.  A
-   delegation lasts LEASE from the last message that carried it, and its sender
-   uses or delegates the share again only RECLAIM after that message.
+   delegation lasts 0.7 s from the last message that carried it, and its sender
+   uses or delegates the share again only 1.1 s after it sent that message.
 
      quota = quota_create (pool, &desc);
      quota_set_limits (quota, limits, count, now);
@@ -33,7 +34,9 @@
    Unused tokens, over all entries, are bounded by b + 0.7 m, where m is what
    the window allows beyond r W + b.  So r W + b + 0.8 m is the most that is
    taken in a window; the rest is for shares that are counted twice for a
-   moment, since views differ.
+   moment, since views differ.  An entry that is cut off goes on with the share
+   that it had, and the others count it for one to two minutes; a bound isn't
+   kept if many are cut off for longer.
 
    Does no I/O and reads no clock.  Units: microseconds, requests per second.
    Threads: one thread.  Errors: a malformed message changes nothing and is
@@ -92,7 +95,7 @@
   double burst;
 };
 
-/* Who is there, as this entry knows it.  */
+/* Members, as this entry knows them.  */
 struct quota_members
 {
   size_t entries; /* of all regions, this one and those that vanished lately
@@ -128,7 +131,7 @@
    none.  LIMITS is copied.  */
 void quota_set_limits (struct quota *quota, const struct quota_limit *limits,
                        size_t count, apr_time_t now);
-/* Sets who is there; MEMBERS is copied.  */
+/* Sets the members; MEMBERS is copied.  */
 void quota_set_members (struct quota *quota,
                         const struct quota_members *members, apr_time_t now);
 /* Takes a token of the tenant NAME for a request.  With QUOTA_WAIT, WAITER is
--- a/tests/unit/platform_test.c
+++ b/tests/unit/platform_test.c
@@ -159,6 +159,89 @@
     }
 }
 
+/* Whose key it is, and what is known of the tenant.  A tenant or key that
+   can't be used concerns that one alone: its requests are refused, and the
+   others' are served.  Guards against keys that give more than the
+   configuration says.  */
+static void
+test_tenants (void)
+{
+  static const struct
+  {
+    const char *tenant; /* members, beside the valid tenant's */
+    const char *key;
+    const char *owner; /* NULL: nobody */
+    bool is_refused;
+    size_t problems;
+  } cases[] = {
+    { "\"name\":\"b\",\"api_keys\":[\"k2\",\"k3\"]", "k3", "b", false, 0 },
+    { "\"name\":\"b\",\"api_keys\":[\"k2\"]", "k1", "a", false, 0 },
+    { "\"name\":\"b\",\"api_keys\":[\"k2\"]", "K2", NULL, false, 0 },
+    { "\"name\":\"b\",\"api_keys\":[\"k2\"]", "", NULL, false, 0 },
+    { "\"name\":\"b\",\"api_keys\":[\"k1\"]", "k1", NULL, false, 1 },
+    { "\"name\":\"b\",\"api_keys\":[\"\",\"k2\"]", "k2", "b", false, 1 },
+    { "\"name\":\"b\",\"api_keys\":[7,\"k2\"]", "k2", "b", false, 1 },
+    { "\"name\":\"b\",\"api_keys\":\"k2\"", "k2", NULL, false, 1 },
+    { "\"name\":\"b c\",\"api_keys\":[\"k2\"]", "k2", NULL, false, 1 },
+    { "\"name\":7,\"api_keys\":[\"k2\"]", "k2", NULL, false, 1 },
+    { "\"name\":\"a\",\"api_keys\":[\"k2\"]", "k2", NULL, false, 1 },
+    { "\"api_keys\":[\"k1\"]", "k1", NULL, false, 2 },
+    { "\"name\":\"b\",\"api_keys\":[\"k2\"],\"rate_per_s\":\"5\"", "k2", "b",
+      true, 1 },
+    { "\"name\":\"b\",\"api_keys\":[\"k2\"],\"burst\":-1", "k2", "b", true,
+      1 },
+    { "\"name\":\"b\",\"api_keys\":[\"k2\"],\"allowed_regions\":7", "k2", "b",
+      true, 1 },
+    { "\"name\":\"b\",\"api_keys\":[\"k2\"],\"priority\":\"high\"", "k2", "b",
+      false, 1 },
+  };
+  for (size_t i = 0; i < COUNT (cases); i++)
+    {
+      struct plan *plan;
+      struct err err = { 0 };
+      struct str text = str_printf (
+          test_pool,
+          "{\"version\":7,\"routes\":[],\"services\":[],\"tenants\":["
+          "{\"name\":\"a\",\"api_keys\":[\"k1\"],\"priority\":2,"
+          "\"rate_per_s\":5,\"burst\":6,\"allowed_regions\":[\"north\"]},"
+          "{%s}]}",
+          cases[i].tenant);
+      CU_ASSERT_EQUAL_FATAL (decode_plan (text, &plan, &err), ERR_NONE);
+      const struct tenant_table *tenants = plan_tenants (plan);
+      CU_ASSERT_PTR_NOT_NULL_FATAL (tenants);
+      const struct tenant *owner
+          = tenant_table_find (tenants, str_from (cases[i].key));
+      const struct tenant *first = tenant_table_get (tenants, 0);
+      CU_ASSERT_EQUAL (owner != NULL, cases[i].owner != NULL);
+      CU_ASSERT (!owner || str_equal (owner->name, str_from (cases[i].owner)));
+      CU_ASSERT (!owner || (owner->refusal != NULL) == cases[i].is_refused);
+      CU_ASSERT (first->priority == 2 && first->rate == 5
+                 && first->burst == 6);
+      CU_ASSERT (tenant_allows_region (first, STR ("north"))
+                 && !tenant_allows_region (first, STR ("south")));
+      CU_ASSERT_EQUAL (plan_problem_count (plan), cases[i].problems);
+      plan_unref (plan);
+    }
+}
+
+/* The key in a field, in each form that the scheme allows.  */
+static void
+test_key_fields (void)
+{
+  static const struct
+  {
+    const char *field;
+    const char *key;
+  } cases[] = {
+    { "Token k1", "k1" },   { "token k1", "k1" }, { "Token   k1 ", "k1" },
+    { "Token k 1", "k 1" }, { "Token", "" },      { "Token ", "" },
+    { "Tokenk1", "" },      { "Bearer k1", "" },  { "", "" }
+  };
+  for (size_t i = 0; i < COUNT (cases); i++)
+    CU_ASSERT (str_equal (decode_key_field (str_from (cases[i].field)),
+                          str_from (cases[i].key)));
+}
+
 /* A record that is malformed, or has a wrong type, state or address, is
    refused, and the error names the value and what was expected; with a default
    in its place, requests would go to a wrong address.  */
@@ -706,5 +789,7 @@
   { "a late response does not undo what is known", test_outdated_items },
   { "an entry that is too far behind has to request a listing",
     test_served_removals_bounded },
+  { "tenants and their keys", test_tenants },
+  { "a key is read in each form of its field", test_key_fields },
   { NULL, NULL }
 };
--- a/tests/unit/quota_test.c
+++ b/tests/unit/quota_test.c
@@ -25,6 +25,8 @@
   WINDOW_STEPS = WINDOW_S * 1000 / STEP_MS,
   WARM_UP_S = 8,
   DAY_S = 30,
+  LONG_DAY_S = 60,
+  LONG_CUT_S = 45,
   VIEW_MS = 1800,  /* between two reads of the registry */
   LEASE_MS = 8000, /* of an entry's key */
   REMEMBERED_MS = 10000
@@ -102,10 +104,12 @@
 {
   const char *name;
   int faults;
-  double demand;  /* of each tenant, of its rate */
-  int callers_at; /* entries that its callers use; 0: all */
-  double usable;  /* least fraction that is served, of what is asked or of
-                     the rate */
+  bool has_long_cut; /* a region for 45 s, longer than its entries are
+                        remembered */
+  double demand;     /* of each tenant, of its rate */
+  int callers_at;    /* entries that its callers use; 0: all */
+  double usable;     /* least fraction that is served, of what is asked or of
+                        the rate */
 };
 
 /* the network */
@@ -313,7 +317,7 @@
 }
 
 static void
-bring_faults (struct sim *sim, int faults)
+inject_faults (struct sim *sim, int faults)
 {
   apr_time_t span = (apr_time_t)(fraction (sim) * 6 * APR_USEC_PER_SEC);
   int kind = 1 << (int)(fraction (sim) * 5);
@@ -343,6 +347,17 @@
     }
 }
 
+/* Cuts off all entries of the first region for SPAN.  */
+static void
+cut_region (struct sim *sim, apr_time_t span)
+{
+  for (int i = 0; i < sim->count; i += REGIONS)
+    {
+      sim->nodes[i].cut_until = sim->now + span;
+      sim->nodes[i].lost_at = sim->now + LEASE_MS * 1000;
+    }
+}
+
 static void
 run_node (struct sim *sim, int number, const struct quota_case *c)
 {
@@ -412,7 +427,8 @@
           sim->nodes[i].lost_at = -REMEMBERED_MS * 1000;
         }
     }
-  for (; sim->now < DAY_S * APR_USEC_PER_SEC; sim->now += STEP_MS * 1000)
+  apr_time_t end = (c->has_long_cut ? LONG_DAY_S : DAY_S) * APR_USEC_PER_SEC;
+  for (; sim->now < end; sim->now += STEP_MS * 1000)
     {
       size_t step = (size_t)(sim->now / (STEP_MS * 1000)) % WINDOW_STEPS;
       for (int t = 0; t < TENANTS; t++)
@@ -421,7 +437,9 @@
           sim->taken[t][step] = 0;
         }
       if (sim->now > WARM_UP_S * APR_USEC_PER_SEC)
-        bring_faults (sim, c->faults);
+        inject_faults (sim, c->faults);
+      if (c->has_long_cut && sim->now == WARM_UP_S * APR_USEC_PER_SEC)
+        cut_region (sim, LONG_CUT_S * APR_USEC_PER_SEC);
       deliver (sim);
       for (int i = 0; i < entries; i++)
         run_node (sim, i, c);
@@ -466,11 +484,11 @@
 test_calm (void)
 {
   static const struct quota_case cases[]
-      = { { "usual load", 0, 0.6, 0, 0.9 },
-          { "usual load at one entry", 0, 0.6, 1, 0.9 },
-          { "hot tenants", 0, 4.7, 0, 0.9 },
-          { "hot tenants at one entry", 0, 4.7, 1, 0.9 },
-          { "hot tenants at two entries", 0, 4.7, 2, 0.9 } };
+      = { { "usual load", 0, false, 0.6, 0, 0.9 },
+          { "usual load at one entry", 0, false, 0.6, 1, 0.9 },
+          { "hot tenants", 0, false, 4.7, 0, 0.9 },
+          { "hot tenants at one entry", 0, false, 4.7, 1, 0.9 },
+          { "hot tenants at two entries", 0, false, 4.7, 2, 0.9 } };
   static const int sizes[] = { 1, 11, 75 };
   for (size_t i = 0; i < COUNT (cases); i++)
     for (size_t s = 0; s < COUNT (sizes); s++)
@@ -482,14 +500,15 @@
 test_faults (void)
 {
   static const struct quota_case cases[] = {
-    { "cuts", FAULT_CUT, 4.7, 0, 0 },
-    { "pauses", FAULT_PAUSE, 4.7, 0, 0 },
-    { "kills", FAULT_KILL, 4.7, 0, 0 },
-    { "joins", FAULT_JOIN, 4.7, 0, 0 },
-    { "all killed", FAULT_ALL_KILLED, 4.7, 0, 0 },
+    { "cuts", FAULT_CUT, false, 4.7, 0, 0 },
+    { "pauses", FAULT_PAUSE, false, 4.7, 0, 0 },
+    { "kills", FAULT_KILL, false, 4.7, 0, 0 },
+    { "joins", FAULT_JOIN, false, 4.7, 0, 0 },
+    { "all killed", FAULT_ALL_KILLED, false, 4.7, 0, 0 },
+    { "a region cut off for long", 0, true, 4.7, 0, 0 },
     { "everything",
       FAULT_CUT | FAULT_PAUSE | FAULT_KILL | FAULT_JOIN | FAULT_ALL_KILLED,
-      4.7, 0, 0 }
+      false, 4.7, 0, 0 }
   };
   const char *seeds = getenv ("QUOTA_SEEDS");
   int broken = 0;
