Quotas: an entry that starts joins within 2 s

Cause: after all entries were restarted at once, tenants got a quarter of their quota for 4 s, and each change of the hubs meanwhile let shares rest for 1.1 s more.

Change: the first two seconds count as joining, within which an entry reads the store again; a share that is delegated anew in that time doesn't rest, since it is a quarter.

--- a/src/quota/hub.c
+++ b/src/quota/hub.c
@@ -296,8 +296,6 @@
   if (hash == quota->hubs_hash)
     return;
   quota->hubs_hash = hash;
-  if (quota->delegated_at > 0)
-    quota->delegate_after = quota->delegated_at + MS (QUOTA_RECLAIM_MS);
-  quota->delegated_at = 0;
+  leaf_reclaim (quota, now);
   hub_update (quota, now);
 }
--- a/src/quota/internal.h
+++ b/src/quota/internal.h
@@ -15,23 +15,26 @@
 
 enum
 {
-  QUOTA_HUBS_MAX = 128,     /* two in each of 64 regions */
-  QUOTA_ITEMS_MAX = 256,    /* tenants named in a message */
-  QUOTA_SHARE = 100,        /* a whole base share */
-  QUOTA_JOINING_SHARE = 25, /* of an entry that may not see all others yet */
-  QUOTA_JOINING_MS = 4000,  /* as long as a change of the list of entries may
-                               take to be known everywhere */
-  QUOTA_PERIOD_MS = 250,    /* between messages without a want */
-  QUOTA_LEASE_MS = 700,     /* of a delegation, from its receipt */
-  QUOTA_RECLAIM_MS = 1100,  /* from its sending: the lease and the timeout */
-  QUOTA_MAX_WAIT_MS = 300,  /* longest wait of a request: two round trips to
-                               a root in another region */
-  QUOTA_PROBE_MS = 1000,    /* between messages to a hub that failed */
-  QUOTA_USED_S = 5,         /* a hub keeps tokens for tenants that were wanted
-                               in this time */
-  QUOTA_PAUSE_MS = 300,     /* between ticks: the process was paused */
-  QUOTA_MIN_HINT_MS = 20,   /* between two wants of a tenant */
-  QUOTA_EMPTY_MS = 100,     /* the same while the quota is used up */
+  QUOTA_HUBS_MAX = 128,  /* two in each of 64 regions */
+  QUOTA_ITEMS_MAX = 256, /* tenants named in a message */
+  QUOTA_SHARE = 100,     /* a whole base share */
+  /* Of an entry that may not see all others yet.  Twice as much is not more
+     than its share, so what it delegated needs no time to come back.  */
+  QUOTA_JOINING_SHARE = 25,
+  /* An entry that starts reads the store at once and again within this time,
+     in which the others that start with it have written their keys.  */
+  QUOTA_JOINING_MS = 2000,
+  QUOTA_PERIOD_MS = 250,   /* between messages without a want */
+  QUOTA_LEASE_MS = 700,    /* of a delegation, from its receipt */
+  QUOTA_RECLAIM_MS = 1100, /* from its sending: the lease and the timeout */
+  QUOTA_MAX_WAIT_MS = 300, /* longest wait of a request: two round trips to
+                              a root in another region */
+  QUOTA_PROBE_MS = 1000,   /* between messages to a hub that failed */
+  QUOTA_USED_S = 5,        /* a hub keeps tokens for tenants that were wanted
+                              in this time */
+  QUOTA_PAUSE_MS = 300,    /* between ticks: the process was paused */
+  QUOTA_MIN_HINT_MS = 20,  /* between two wants of a tenant */
+  QUOTA_EMPTY_MS = 100,    /* the same while the quota is used up */
   QUOTA_MAX_HINT_MS = 10000,
   /* Entries that are cut off go on with the share that they had.  The others
      count them for this long, a minute or less of reduced quotas after many
@@ -226,6 +229,9 @@
                        apr_time_t now);
 /* Asks the own hub, the other one, or the own share, for what is wanted.  */
 void leaf_pump (struct quota *quota, apr_time_t now);
+/* What this entry delegated goes to another hub now, or back to it: its share
+   rests until the former delegation has ended.  */
+void leaf_reclaim (struct quota *quota, apr_time_t now);
 /* Returns the share that this entry itself may use or delegate.  */
 int64_t leaf_share (const struct quota *quota, apr_time_t now);
 
--- a/src/quota/leaf.c
+++ b/src/quota/leaf.c
@@ -225,13 +225,26 @@
                    is_empty ? tenant->fits_after : MS (QUOTA_MAX_WAIT_MS));
 }
 
+static bool
+is_joining (const struct quota *quota, apr_time_t now)
+{
+  return now - quota->created_at < MS (QUOTA_JOINING_MS);
+}
+
+void
+leaf_reclaim (struct quota *quota, apr_time_t now)
+{
+  if (quota->delegated_at > 0 && !is_joining (quota, now))
+    quota->delegate_after = quota->delegated_at + MS (QUOTA_RECLAIM_MS);
+  quota->delegated_at = 0;
+}
+
 int64_t
 leaf_share (const struct quota *quota, apr_time_t now)
 {
   if (now < quota->delegate_after)
     return 0;
-  return now - quota->created_at < MS (QUOTA_JOINING_MS) ? QUOTA_JOINING_SHARE
-                                                         : QUOTA_SHARE;
+  return is_joining (quota, now) ? QUOTA_JOINING_SHARE : QUOTA_SHARE;
 }
 
 /* Asks hubs that failed whether they are back, without a share.  */
@@ -266,11 +279,8 @@
   struct quota_peer *hub = quota->is_hub ? NULL : usable_hub (quota);
   if (!quota->is_hub)
     {
-      if (hub != quota->hub && quota->delegated_at > 0)
-        {
-          quota->delegate_after = quota->delegated_at + MS (QUOTA_RECLAIM_MS);
-          quota->delegated_at = 0;
-        }
+      if (hub != quota->hub)
+        leaf_reclaim (quota, now);
       quota->hub = hub;
       probe_hubs (quota, now);
     }
--- a/src/quota/quota.c
+++ b/src/quota/quota.c
@@ -238,11 +238,9 @@
 {
   count_entries (quota, members->entries, now);
   /* What this entry delegated in its former role is not back yet.  */
-  if (members->is_hub != quota->is_hub && quota->delegated_at > 0)
-    quota->delegate_after = quota->delegated_at + MS (QUOTA_RECLAIM_MS);
   if (members->is_hub != quota->is_hub)
     {
-      quota->delegated_at = 0;
+      leaf_reclaim (quota, now);
       quota->hub = NULL;
     }
   quota->is_hub = members->is_hub;
