--- a/review/peer-2/peer.c
+++ b/review/peer-2/peer.c
@@ -22,8 +22,9 @@
    An upstream serves one request at a time on a connection.  It reads a body
    with --rate bytes per second, and with --slow after SIGUSR1, until SIGUSR2;
    then it works for --work-ms.  It refuses a request for another instance with
-   421.  With --early it responds to a request with a body, with that many
-   bytes in chunks, before it has read the body, and reads on later.  With
+   421.  From SIGUSR1 until SIGUSR2 an upstream with --early responds to
+   --early-percent of the requests with a body, with that many bytes in chunks,
+   before it has read the body, and reads on later.  With
    --piece it works for --piece-ms, or --slow-piece-ms while it is slow, on
    each piece of the body before it reads the next one.  --mss sets the size of
    segments, which is larger on loopback than on a network.
@@ -86,7 +87,8 @@
 static const char *option_listen, *option_connect, *option_id = "i-0";
 static const char *option_prefix = "c", *option_target = "/";
 static const char *option_method = "POST";
-static int64_t option_rate, option_slow, option_work_ms, option_early;
+static int64_t option_rate, option_slow, option_work_ms, option_early,
+    option_early_percent = 100;
 static int64_t option_piece, option_piece_ms, option_slow_piece_ms;
 static int64_t option_response = 100, option_behind_ms, option_stagger_ms;
 static int64_t option_mss, option_requests = 1, option_parallel = 1;
@@ -400,7 +402,9 @@
   int64_t expected_size = field (head, "X-Body-Bytes", text, sizeof text)
                               ? strtoll (text, NULL, 10)
                               : 0;
-  bool answers_early = option_early > 0 && (is_chunked || length > 0);
+  bool answers_early = is_slow && option_early > 0
+                       && (is_chunked || length > 0)
+                       && (int64_t)(seed_of (id) % 100) < option_early_percent;
   bool ok = true;
   if (field (head, "Expect", text, sizeof text))
     ok = send_all (s->fd, "HTTP/1.1 100 Continue\r\n\r\n", 25);
@@ -671,6 +675,7 @@
                   { "--slow", NULL, &option_slow },
                   { "--work-ms", NULL, &option_work_ms },
                   { "--early", NULL, &option_early },
+                  { "--early-percent", NULL, &option_early_percent },
                   { "--mss", NULL, &option_mss },
                   { "--response", NULL, &option_response },
                   { "--piece", NULL, &option_piece },
