Log and count answers that a close resets before they are acknowledged

1. the kernel resets a connection that is closed with unread bytes; 2. the exit of the process cuts what it still had to send; 3. the gateway ends the request itself (request-unfinished, request-cut); 4. the upstream's answer is cut.

A close now looks at the socket's queues. Nothing else is changed.

--- a/src/base/httpd.c
+++ b/src/base/httpd.c
@@ -7,6 +7,7 @@
 #include <ctype.h>
 #include <errno.h>
 #include <netinet/in.h>
+#include <linux/sockios.h>
 #include <linux/tcp.h>
 #include <stdarg.h>
 #include <stdio.h>
@@ -14,6 +15,7 @@
 #include <string.h>
 #include <strings.h>
 #include <sys/epoll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -70,6 +72,7 @@
   apr_time_t message_at;
   enum cut ending; /* of the request whose request_completed is called */
   struct counter *cuts[CUTS];
+  struct counter *unacknowledged;
   apr_time_t lines_began_at; /* of the second in which `lines' were written */
   int lines;
 };
@@ -295,6 +298,30 @@
   httpd->message[0] = 0;
 }
 
+/* Counts and logs the close of a connection whose peer has sent bytes that
+   were not read: the kernel then resets it, and drops what it has not
+   delivered yet.  */
+static void
+report_reset (struct httpd *httpd, const struct connection *state)
+{
+  char peer[INET_ADDRSTRLEN + 8];
+  int unread = 0;
+  int unacknowledged = 0;
+  ioctl (state->fd, FIONREAD, &unread);
+  ioctl (state->fd, SIOCOUTQ, &unacknowledged);
+  /* One of them is the end that was just sent.  */
+  if (unread == 0 || unacknowledged <= 1)
+    return;
+  if (httpd->desc.counters)
+    counter_add (httpd->unacknowledged, 1);
+  if (allow_line (httpd))
+    LOG (LOG_WARN, "answer-unacknowledged",
+         LOG_TEXT ("listener", httpd->desc.name),
+         LOG_TEXT ("peer", format_peer (state, peer, sizeof peer)),
+         LOG_INT ("bytes", unacknowledged - 1), LOG_INT ("unread", unread),
+         LOG_INT ("sent", (int64_t)read_tcp_info (state).tcpi_bytes_sent));
+}
+
 /* Counts and logs the end of a request with CODE.  */
 static void
 report_request_end (struct httpd *httpd, const struct connection *state,
@@ -422,6 +449,7 @@
   struct connection *state = *socket_context;
   if (!state->request_ended_early)
     report_connection_end (httpd, state);
+  report_reset (httpd, state);
   *state->previous_next = state->next;
   if (state->next)
     state->next->previous_next = state->previous_next;
@@ -536,6 +564,11 @@
         str_format (pool, "listener=\"%s\",reason=\"%s\"", httpd->desc.name,
                     cut_names[i]),
         "Requests and connections that ended before a whole response.");
+  if (httpd->desc.counters)
+    httpd->unacknowledged = counter_get (
+        httpd->desc.counters, "citroncleat_http_unacknowledged_total",
+        str_format (pool, "listener=\"%s\"", httpd->desc.name),
+        "Connections closed before the peer had acknowledged its answer.");
 }
 
 /* public functions */
