Lingering close: an answer is not cut by the close behind it

Cause: a socket that is closed with unread bytes, or gets bytes after its close, is reset, and the kernel drops what it has not delivered. libmicrohttpd closes both directions at once.

Change: base/closer owns a connection of base/httpd, in both daemons, from the end of its last answer: it closes the sending direction, reads and discards what comes, and ends the connection when the peer has closed, 1 s after everything was acknowledged, after 2 s without an acknowledgement, after 30 s, or when a new connection needs its place. So nothing is unread at the close as long as the answer is under way. A planned stop waits for that within its time; the worker of an entry now sends its last responses before its loop stops.

--- a/src/base/httpd.c
+++ b/src/base/httpd.c
@@ -1,5 +1,6 @@
 #include "base/httpd.h"
 
+#include "base/closer.h"
 #include "base/log.h"
 #include "base/net.h"
 
@@ -7,15 +8,12 @@
 #include <ctype.h>
 #include <errno.h>
 #include <netinet/in.h>
-#include <linux/sockios.h>
-#include <linux/tcp.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
 #include <sys/epoll.h>
-#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -33,7 +31,7 @@
   bool has_completed_request;
   bool request_ended_early; /* and with it the connection */
   bool head_is_late;        /* closed by check_connections */
-  bool is_closed;           /* by httpd_close_connection or the like */
+  bool is_closed;           /* by this module; no request is taken any more */
   bool caller_has_closed;   /* its direction of the connection */
   bool close_is_reported;   /* of the request in progress */
   void *watched_request; /* to be reported when the caller closes, or NULL */
@@ -68,11 +66,13 @@
   struct timer timer;       /* for libmicrohttpd's timeouts */
   struct timer check_timer; /* for check_connections */
   struct connection *connections;
+  int64_t connection_count;
+  struct closer *closer;
+  bool is_destroyed;
   char message[240]; /* of libmicrohttpd, of no request's end yet; or empty */
   apr_time_t message_at;
   enum cut ending; /* of the request whose request_completed is called */
   struct counter *cuts[CUTS];
-  struct counter *unacknowledged;
   apr_time_t lines_began_at; /* of the second in which `lines' were written */
   int lines;
 };
@@ -98,16 +98,6 @@
   LINES_PER_S = 40 /* of one server; all ends are counted */
 };
 
-/* States of TCP, in tcpi_state, in which the peer has closed its direction;
-   <netinet/tcp.h> has them, but not all fields of struct tcp_info.  */
-enum
-{
-  PEER_CLOSE = 7,
-  PEER_CLOSE_WAIT = 8,
-  PEER_LAST_ACK = 9,
-  PEER_CLOSING = 11
-};
-
 static const char late_head[] = "no whole head in time";
 
 static const char *const cut_names[CUTS]
@@ -248,24 +238,6 @@
   return text;
 }
 
-static struct tcp_info
-read_tcp_info (const struct connection *state)
-{
-  struct tcp_info info;
-  socklen_t size = sizeof info;
-  memset (&info, 0, sizeof info);
-  getsockopt (state->fd, IPPROTO_TCP, TCP_INFO, &info, &size);
-  return info;
-}
-
-static bool
-peer_has_closed (const struct tcp_info *info)
-{
-  return info->tcpi_state == PEER_CLOSE || info->tcpi_state == PEER_CLOSE_WAIT
-         || info->tcpi_state == PEER_LAST_ACK
-         || info->tcpi_state == PEER_CLOSING;
-}
-
 /* Counts and logs the end of a connection, if it ended before the request line
    was read and not between two requests.  */
 static void
@@ -275,15 +247,15 @@
   bool has_message = httpd->message[0] != 0;
   if (!has_message && state->has_completed_request)
     return;
-  struct tcp_info info = read_tcp_info (state);
-  int64_t bytes = (int64_t)info.tcpi_bytes_received;
+  struct net_tcp_state tcp = net_tcp_state (state->fd);
+  int64_t bytes = tcp.received_bytes;
   if (!has_message && bytes <= 0 && !state->head_is_late)
     return;
-  enum cut cut = state->head_is_late       ? CUT_HEAD_LATE
-                 : state->is_closed        ? CUT_STALLED
-                 : has_message             ? message_cut (httpd->message)
-                 : peer_has_closed (&info) ? CUT_CALLER
-                                           : CUT_REQUEST_HEAD;
+  enum cut cut = state->head_is_late   ? CUT_HEAD_LATE
+                 : state->is_closed    ? CUT_STALLED
+                 : has_message         ? message_cut (httpd->message)
+                 : tcp.peer_has_closed ? CUT_CALLER
+                                       : CUT_REQUEST_HEAD;
   if (count_cut (httpd, cut))
     LOG (LOG_WARN, "connection-unfinished",
          LOG_TEXT ("listener", httpd->desc.name),
@@ -298,30 +270,6 @@
   httpd->message[0] = 0;
 }
 
-/* Counts and logs the close of a connection whose peer has sent bytes that
-   were not read: the kernel then resets it, and drops what it has not
-   delivered yet.  */
-static void
-report_reset (struct httpd *httpd, const struct connection *state)
-{
-  char peer[INET_ADDRSTRLEN + 8];
-  int unread = 0;
-  int unacknowledged = 0;
-  ioctl (state->fd, FIONREAD, &unread);
-  ioctl (state->fd, SIOCOUTQ, &unacknowledged);
-  /* One of them is the end that was just sent.  */
-  if (unread == 0 || unacknowledged <= 1)
-    return;
-  if (httpd->desc.counters)
-    counter_add (httpd->unacknowledged, 1);
-  if (allow_line (httpd))
-    LOG (LOG_WARN, "answer-unacknowledged",
-         LOG_TEXT ("listener", httpd->desc.name),
-         LOG_TEXT ("peer", format_peer (state, peer, sizeof peer)),
-         LOG_INT ("bytes", unacknowledged - 1), LOG_INT ("unread", unread),
-         LOG_INT ("sent", (int64_t)read_tcp_info (state).tcpi_bytes_sent));
-}
-
 /* Counts and logs the end of a request with CODE.  */
 static void
 report_request_end (struct httpd *httpd, const struct connection *state,
@@ -345,8 +293,7 @@
       LOG_TEXT ("stage", described.stage), LOG_TEXT ("cause", cut_names[cut]),
       LOG_TEXT ("reason", httpd_end_reason (httpd, code)),
       LOG_INT ("bytes",
-               state ? (int64_t)read_tcp_info (state).tcpi_bytes_received
-                     : -1));
+               state ? net_tcp_state (state->fd).received_bytes : -1));
 }
 
 /* Callback of libmicrohttpd for its messages, with which it says why it closes
@@ -379,6 +326,27 @@
   shutdown (state->fd, SHUT_RD);
 }
 
+/* Closes the connection of STATE so that its peer gets all that was sent to
+   it, whatever it still sends itself.  */
+static void
+close_in_stages (struct httpd *httpd, struct connection *state)
+{
+  state->is_closed = true;
+  if (!closer_linger (httpd->closer, state->fd))
+    shutdown (state->fd, SHUT_RDWR);
+}
+
+/* Closes the connection of STATE, on which no request is in progress.  */
+static void
+close_idle (struct httpd *httpd, struct connection *state)
+{
+  state->is_closed = true;
+  if (net_unacknowledged_bytes (state->fd) > 0)
+    close_in_stages (httpd, state);
+  else
+    shutdown (state->fd, SHUT_RDWR);
+}
+
 /* Closes the connections that did not deliver a complete header in time;
    libmicrohttpd's own timeout restarts with each byte.  Makes sure that it
    notices those whose callers have closed.  */
@@ -392,10 +360,11 @@
     flush_message (httpd);
   for (struct connection *state = httpd->connections; state;
        state = state->next)
-    if (!state->is_in_request && now - state->idle_since > limit)
+    if (!state->is_in_request && !state->is_closed
+        && now - state->idle_since > limit)
       {
         state->head_is_late = true;
-        shutdown (state->fd, SHUT_RDWR);
+        close_idle (httpd, state);
       }
     else if (state->caller_has_closed)
       announce_end (state);
@@ -417,6 +386,16 @@
          LOG_TEXT ("reason", strerror (errno)));
 }
 
+/* Lets lingering connections give way to open ones.  */
+static void
+make_room (struct httpd *httpd)
+{
+  while (closer_count (httpd->closer) > 0
+         && httpd->connection_count + (int64_t)closer_count (httpd->closer)
+                > httpd->desc.max_connections)
+    closer_close_oldest (httpd->closer);
+}
+
 static void
 on_connection (void *user_data, struct MHD_Connection *connection,
                void **socket_context, enum MHD_ConnectionNotificationCode code)
@@ -442,14 +421,21 @@
       if (state->next)
         state->next->previous_next = &state->next;
       httpd->connections = state;
+      httpd->connection_count++;
       *socket_context = state;
+      make_room (httpd);
       watch_close (httpd, state, EPOLL_CTL_ADD);
       return;
     }
   struct connection *state = *socket_context;
   if (!state->request_ended_early)
     report_connection_end (httpd, state);
-  report_reset (httpd, state);
+  /* The kernel would go on with the watch while a duplicate of the descriptor
+     is open.  */
+  epoll_ctl (httpd->close_fd, EPOLL_CTL_DEL, state->fd, NULL);
+  if (!state->is_closed && !httpd->is_destroyed)
+    close_in_stages (httpd, state);
+  httpd->connection_count--;
   *state->previous_next = state->next;
   if (state->next)
     state->next->previous_next = state->previous_next;
@@ -564,11 +550,6 @@
         str_format (pool, "listener=\"%s\",reason=\"%s\"", httpd->desc.name,
                     cut_names[i]),
         "Requests and connections that ended before a whole response.");
-  if (httpd->desc.counters)
-    httpd->unacknowledged = counter_get (
-        httpd->desc.counters, "citroncleat_http_unacknowledged_total",
-        str_format (pool, "listener=\"%s\"", httpd->desc.name),
-        "Connections closed before the peer had acknowledged its answer.");
 }
 
 /* public functions */
@@ -581,6 +562,10 @@
   httpd->desc = *desc;
   set_defaults (&httpd->desc);
   create_counters (httpd, pool);
+  struct closer_desc closer = { .loop = desc->loop,
+                                .name = httpd->desc.name,
+                                .counters = desc->counters };
+  httpd->closer = closer_create (pool, &closer);
   int fd = -1;
   if (net_listen (desc->address, LISTEN_BACKLOG, &fd, err) != ERR_NONE)
     return err->code;
@@ -634,7 +619,9 @@
   struct timer_service *timers = loop_timers (httpd->desc.loop);
   loop_unwatch (httpd->desc.loop, httpd->epoll_fd);
   loop_unwatch (httpd->desc.loop, httpd->close_fd);
+  httpd->is_destroyed = true;
   MHD_stop_daemon (httpd->daemon);
+  closer_destroy (httpd->closer);
   close (httpd->close_fd);
   timer_stop (timers, &httpd->timer);
   timer_stop (timers, &httpd->check_timer);
@@ -847,19 +834,27 @@
   qsort (unused, found, sizeof (*unused), by_idle_time);
   size_t closed = 0;
   for (; closed < found && closed < count; closed++)
-    {
-      unused[closed]->is_closed = true;
-      shutdown (unused[closed]->fd, SHUT_RDWR);
-    }
+    close_idle (httpd, unused[closed]);
   free (unused);
   return closed;
 }
 
+bool
+httpd_finish_responses (struct httpd *httpd)
+{
+  for (struct connection *state = httpd->connections; state;
+       state = state->next)
+    if (!state->is_in_request && !state->is_closed
+        && net_unacknowledged_bytes (state->fd) > 0)
+      close_in_stages (httpd, state);
+  return closer_count (httpd->closer) == 0;
+}
+
 int64_t
 httpd_acknowledged_bytes (struct MHD_Connection *connection)
 {
   const struct connection *state = connection_state (connection);
-  return state ? (int64_t)read_tcp_info (state).tcpi_bytes_acked : 0;
+  return state ? net_tcp_state (state->fd).acknowledged_bytes : 0;
 }
 
 uint32_t
--- a/src/base/httpd.h
+++ b/src/base/httpd.h
@@ -2,7 +2,8 @@
 
    Call order: httpd_create; the handler is then called as
    libmicrohttpd's access handler.  httpd_close_listener stops accepting
-   connections; httpd_destroy closes those that are left.
+   connections; httpd_finish_responses, until it returns true or there is no
+   time left; httpd_destroy closes the connections that are left.
 
      struct httpd_desc desc = { .loop = loop, .address = STR ("127.0.0.1:80"),
                                 .handler = on_request };
@@ -27,6 +28,10 @@
    unless the caller ended it (`request-unfinished', `connection-unfinished',
    `http-message').
 
+   A connection that the server closes first lingers (base/closer.h), so that
+   its caller gets the whole response also if it sends more.  It counts toward
+   the maximum of connections, and gives way to one that was accepted.
+
    A caller that closes its direction of a connection is noticed within a
    second, whatever the state of its request: libmicrohttpd is made to read to
    the end, and a request that is watched is reported (`caller_closed').
@@ -74,7 +79,7 @@
      are written by request_completed.  */
   struct httpd_request_state (*describe) (void *request);
   void *user_data; /* user data of the first three functions */
-  /* Maximum of open connections; default 1024.  */
+  /* Maximum of open and lingering connections; default 1024.  */
   int64_t max_connections;
   /* Memory of a connection in bytes; default 32 KiB.  */
   int64_t connection_bytes;
@@ -92,6 +97,9 @@
                             struct httpd **result, struct err *err);
 /* Closes the listening socket; open connections remain in service.  */
 void httpd_close_listener (struct httpd *httpd);
+/* Closes the connections without a request whose callers have not acknowledged
+   the last response.  Returns whether no connection lingers any more.  */
+bool httpd_finish_responses (struct httpd *httpd);
 /* Closes all connections; none may be suspended.  NULL is ignored.  */
 void httpd_destroy (struct httpd *httpd);
 /* Stops all work on CONNECTION until httpd_resume, while its response is
--- a/src/base/net.c
+++ b/src/base/net.c
@@ -3,12 +3,29 @@
 #include <arpa/inet.h>
 #include <ctype.h>
 #include <errno.h>
+#include <linux/sockios.h>
+#include <linux/tcp.h>
 #include <netinet/in.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <unistd.h>
 
+/* constants */
+
+/* States of TCP, in tcpi_state; <netinet/tcp.h> has them, but not all fields
+   of struct tcp_info.  */
+enum
+{
+  STATE_FIN_WAIT2 = 5,
+  STATE_TIME_WAIT = 6,
+  STATE_CLOSE = 7,
+  STATE_CLOSE_WAIT = 8,
+  STATE_LAST_ACK = 9,
+  STATE_CLOSING = 11
+};
+
 /* public functions */
 
 bool
@@ -96,3 +113,39 @@
     close (sock);
   return ERR_IO;
 }
+
+struct net_tcp_state
+net_tcp_state (int fd)
+{
+  struct tcp_info info;
+  socklen_t size = sizeof info;
+  memset (&info, 0, sizeof info);
+  getsockopt (fd, IPPROTO_TCP, TCP_INFO, &info, &size);
+  int state = info.tcpi_state;
+  return (struct net_tcp_state){
+    .is_closed = state == STATE_CLOSE,
+    .peer_has_closed = state == STATE_CLOSE || state == STATE_CLOSE_WAIT
+                       || state == STATE_LAST_ACK || state == STATE_CLOSING
+                       || state == STATE_TIME_WAIT,
+    .end_is_acknowledged
+    = state == STATE_FIN_WAIT2 || state == STATE_TIME_WAIT,
+    .acknowledged_bytes = (int64_t)info.tcpi_bytes_acked,
+    .received_bytes = (int64_t)info.tcpi_bytes_received
+  };
+}
+
+int
+net_unread_bytes (int fd)
+{
+  int bytes = 0;
+  ioctl (fd, FIONREAD, &bytes);
+  return bytes;
+}
+
+int
+net_unacknowledged_bytes (int fd)
+{
+  int bytes = 0;
+  ioctl (fd, SIOCOUTQ, &bytes);
+  return bytes;
+}
--- a/src/base/net.h
+++ b/src/base/net.h
@@ -1,5 +1,5 @@
-/* IP addresses with ports, and listening sockets.  Host names are not
-   resolved.
+/* IP addresses with ports, listening sockets, and the state of connections.
+   Host names are not resolved.
 
    Threads: no shared state.  */
 #ifndef BASE_NET_H
@@ -22,4 +22,25 @@
 enum err_code net_listen (struct str address, int backlog, int *fd,
                           struct err *err);
 
+/* What the kernel knows of a TCP connection.  */
+struct net_tcp_state
+{
+  bool is_closed;           /* both directions, or reset */
+  bool peer_has_closed;     /* its direction at least */
+  bool end_is_acknowledged; /* this side has closed its direction, and the peer
+                               acknowledged that and all bytes before */
+  int64_t acknowledged_bytes;
+  int64_t received_bytes;
+};
+
+/* Returns the state of the connection of FD; all zero if it isn't known.  */
+struct net_tcp_state net_tcp_state (int fd);
+/* Returns how many bytes have arrived at FD and were not read; 0 if that is
+   not known.  */
+int net_unread_bytes (int fd);
+/* Returns how many bytes that were written to FD the peer has not
+   acknowledged; the end of the connection counts as one.  0 if that is not
+   known.  */
+int net_unacknowledged_bytes (int fd);
+
 #endif
--- a/src/call/call.h
+++ b/src/call/call.h
@@ -72,6 +72,8 @@
   bool waits_for_connection; /* an upstream with a free slot was passed over
                                 since it had no free connection */
   bool leaving;              /* the entry is about to stop */
+  bool listener_closed;
+  bool calls_ended;               /* those left got their final response */
   struct stop_limits stop_limits; /* set while leaving */
   struct budget retries;          /* of all services */
   int64_t open_requests;          /* calls not destroyed, look-ups included */
--- a/src/call/worker.c
+++ b/src/call/worker.c
@@ -70,6 +70,10 @@
   atomic_store (&worker->in_flight, context->in_flight);
   atomic_store (&worker->queued, (int64_t)queue_length (context->queue));
   atomic_store (&worker->open_requests, context->open_requests);
+  if (context->listener_closed
+      && (context->open_requests == 0 || context->calls_ended))
+    atomic_store (&worker->is_idle, httpd_finish_responses (context->httpd)
+                                        && context->open_requests == 0);
 }
 
 /* Periodically checks for callers that closed a suspended connection, which
@@ -236,3 +240,9 @@
 {
   return atomic_load (&worker->open_requests);
 }
+
+bool
+worker_is_idle (const struct worker *worker)
+{
+  return atomic_load (&worker->is_idle);
+}
--- a/src/call/worker.h
+++ b/src/call/worker.h
@@ -7,7 +7,8 @@
 
    Call order: worker_create, worker_start; then worker_set_snapshot,
    worker_set_roster and worker_set_membership at each change;
-   worker_set_leaving, worker_close_listener, worker_stop; worker_destroy.
+   worker_set_leaving, worker_close_listener, worker_end_calls, worker_stop;
+   worker_destroy.
 
      code = worker_create (pool, &desc, &worker, &err);
      code = worker_start (worker, &err);
@@ -79,6 +80,8 @@
                          const struct stop_limits *limits);
 /* Stops accepting connections.  */
 void worker_close_listener (struct worker *worker);
+/* Gives each call that is left its final response, and takes no other.  */
+void worker_end_calls (struct worker *worker);
 /* Sets or clears that SOURCE reports UPSTREAM as leaving.  An upstream gets no
    new calls while any source reports it.  */
 void worker_set_upstream_leaving (struct worker *worker, struct str upstream,
@@ -98,6 +101,10 @@
 /* Returns the number of requests that have not ended, look-ups included, as of
    the same time.  */
 int64_t worker_open_requests (const struct worker *worker);
+/* Returns whether the listener is closed, no request is open, and the callers
+   have their responses or are given up (base/closer.h), as of the same time.
+   Attempts may still hold slots.  */
+bool worker_is_idle (const struct worker *worker);
 /* Calls DONE on the control loop with the worker's view of every upstream and
    service, {"upstreams":{NAME:{...}},"services":{NAME:{...}}}, as a JSON
    object that DONE frees.  A stopped worker doesn't call it.  */
--- a/src/call/worker_commands.c
+++ b/src/call/worker_commands.c
@@ -122,23 +122,32 @@
 {
   struct command *command = user_data;
   httpd_close_listener (command->worker->context.httpd);
+  command->worker->context.listener_closed = true;
   free (command);
 }
 
 /* Gives each call that is left its final response, which the end of this
    iteration sends, and lets no other begin.  */
 static void
-stop_loop (void *user_data)
+end_calls (void *user_data)
 {
   struct command *command = user_data;
   struct call_context *context = &command->worker->context;
   apr_time_t now = timer_clock ();
   context->leaving = true;
+  context->calls_ended = true;
   context->stop_limits = (struct stop_limits){ .began_at = now };
   for (struct call *call = context->calls; call; call = call->next)
     if (call->opened)
       call_end_for_stop (call);
-  loop_stop (context->loop);
+  free (command);
+}
+
+static void
+stop_loop (void *user_data)
+{
+  struct command *command = user_data;
+  loop_stop (command->worker->context.loop);
   free (command);
 }
 
@@ -248,6 +257,7 @@
 void
 worker_post_stop (struct worker *worker)
 {
+  post (command_create (worker), end_calls);
   post (command_create (worker), stop_loop);
 }
 
@@ -291,6 +301,12 @@
   post (command_create (worker), close_listener);
 }
 
+void
+worker_end_calls (struct worker *worker)
+{
+  post (command_create (worker), end_calls);
+}
+
 void
 worker_set_upstream_leaving (struct worker *worker, struct str upstream,
                              enum leaving_source source, bool leaving)
--- a/src/call/worker_internal.h
+++ b/src/call/worker_internal.h
@@ -32,6 +32,7 @@
   _Atomic int64_t in_flight;
   _Atomic int64_t queued;
   _Atomic int64_t open_requests;
+  _Atomic bool is_idle; /* see worker_is_idle */
 };
 
 /* worker_commands.c  */
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -38,6 +38,7 @@
   int signal_fd;
   bool stopping;
   bool listener_closed;
+  bool calls_ended;
   struct stop_limits stop_limits;
   struct timer stop_timer;
 };
@@ -257,8 +258,9 @@
 }
 
 /* Runs every STOP_CHECK_MS during a planned stop: closes the listener when no
-   cached look-up result can name this entry any more, and finishes the stop
-   when all calls have ended, or when those that are left are due to end.  */
+   cached look-up result can name this entry any more, ends the calls that are
+   left when they are due to end, and finishes the stop when all callers have
+   their responses, or at its end.  */
 static void
 check_stop_progress (void *user_data, apr_time_t now)
 {
@@ -271,16 +273,18 @@
       LOG (LOG_INFO, "listener-closed",
            LOG_INT ("open", worker_open_requests (entry->worker)));
     }
-  else if (entry->listener_closed && worker_open_requests (entry->worker) == 0
-           && worker_in_flight (entry->worker) == 0)
-    {
-      finish_stop (entry);
-      return;
-    }
-  if (now >= limits->answer_by)
+  if (!entry->calls_ended && now >= limits->answer_by)
     {
       LOG (LOG_WARN, "stop-timeout",
            LOG_INT ("open", worker_open_requests (entry->worker)));
+      worker_end_calls (entry->worker);
+      entry->calls_ended = true;
+    }
+  bool has_ended
+      = worker_is_idle (entry->worker)
+        && (entry->calls_ended || worker_in_flight (entry->worker) == 0);
+  if (has_ended || now >= limits->exit_at)
+    {
       finish_stop (entry);
       return;
     }
--- a/tests/standin/crowd.c
+++ b/tests/standin/crowd.c
@@ -64,6 +64,8 @@
   const char *fault; /* sends whole requests for such a response, and reads
                         nothing */
   int requests;      /* of them, on one connection */
+  bool closes;       /* asks the server to close the connection */
+  bool goes_on;      /* sends more after its requests */
 };
 
 static const struct load_kind loads[] = {
@@ -103,6 +105,18 @@
     .framing = FRAMING_NONE,
     .fault = "sized",
     .requests = 1 },
+  { .name = "closed-unread",
+    .framing = FRAMING_NONE,
+    .fault = "sized",
+    .requests = 2,
+    .closes = true },
+  { .name = "closed-endless",
+    .framing = FRAMING_NONE,
+    .sent = 100,
+    .fault = "sized",
+    .requests = 1,
+    .closes = true,
+    .goes_on = true },
 };
 
 struct crowd
@@ -147,6 +161,9 @@
                               "X-Fault: %s\r\nX-Form: length\r\n"
                               "X-Body: %zu\r\n",
                               kind->fault, crowd->body);
+  if (kind->closes)
+    size += (size_t)snprintf (out + size, HEAD_MAX_BYTES - size,
+                              "Connection: close\r\n");
   if (kind->framing == FRAMING_CHUNKED)
     size += (size_t)snprintf (out + size, HEAD_MAX_BYTES - size,
                               "Transfer-Encoding: chunked\r\n");
@@ -254,7 +271,7 @@
             return;
           continue;
         }
-      if (crowd->kind->fault)
+      if (crowd->kind->fault && !crowd->kind->goes_on)
         caller->has_ended = true;
       else
         fill_unit (crowd, caller);
--- a/tests/standin/faulty_upstream.c
+++ b/tests/standin/faulty_upstream.c
@@ -72,6 +72,7 @@
   PIECES_BYTES = 4096,
   DRIP_PIECES = 20,
   SLOW_PIECE_MS = 20,
+  LATE_SIZED_MS = 400,
   DUPLICATE_LEAD_MS = 10 /* of a report that is sent again */
 };
 
@@ -306,10 +307,15 @@
   bool is_early; /* before the request's body is read */
   bool resets;   /* where it breaks off, instead of closing */
   bool drips;    /* slowly, in some pieces */
+  bool is_late;  /* after 0.4 s */
   bool is_first; /* only the first time; a request that comes again runs */
   bool is_sent_again;
 } sized[] = {
   { .name = "sized", .status = "200 OK\r\nServer-Stamp: s", .runs = true },
+  { .name = "sized-late",
+    .status = "200 OK\r\nServer-Stamp: s",
+    .runs = true,
+    .is_late = true },
   { .name = "sized-error",
     .status = "500 Internal Server Error\r\nServer-Stamp: s",
     .runs = true },
@@ -753,6 +759,8 @@
     size = head_size;
   else if (stage == STAGE_IN_BODY)
     size = head_size + (size - head_size) / 2;
+  if (sized[number].is_late)
+    usleep (LATE_SIZED_MS * 1000);
   send_split (fd, text, size, request->split, sized[number].drips);
   free (text);
   if (stage != STAGE_NONE && sized[number].resets)
