Gateway: a body that an attempt still sends is not dropped

Cause: receive_body dropped the body from the moment at which a response was ready to be forwarded, also when the attempt that it belongs to was still sending that body; at the caller's end of the body on_read then returned 0, which libcurl sends as the last chunk.

Change: the body is dropped only if no attempt needs it. The last byte of a response with a length is forwarded once the upload in front of it has ended, since the request ends with it (relay_read, both daemons). Deadlines and the end of a stop also end requests whose response waits for the rest of their body.

--- a/src/call/relay.c
+++ b/src/call/relay.c
@@ -43,10 +43,16 @@
 }
 
 ssize_t
-relay_read (struct attempt *attempt, char *out, size_t size)
+relay_read (struct attempt *attempt, uint64_t position, char *out, size_t size)
 {
   if (!attempt)
     return MHD_CONTENT_READER_END_WITH_ERROR;
+  /* With its last byte the caller's request ends, and with it an attempt that
+     still sends the body.  */
+  if (!attempt->done && attempt->desc.body_size != 0
+      && attempt->response_size > 0
+      && position + size >= (uint64_t)attempt->response_size)
+    size = (size_t)((uint64_t)attempt->response_size - position - 1);
   size_t n = body_read (&attempt->response, out, size);
   if (n > 0)
     {
--- a/src/call/relay.h
+++ b/src/call/relay.h
@@ -20,11 +20,13 @@
 struct MHD_Response *relay_response (struct attempt *attempt, bool is_head,
                                      MHD_ContentReaderCallback read,
                                      void *user_data);
-/* Moves up to SIZE bytes of the response to OUT, and resumes ATTEMPT.  Returns
-   how many, 0 if no more have arrived yet, or how the response ended:
-   libmicrohttpd's end of stream, or its error, which makes a truncated
+/* Moves up to SIZE bytes of the response, from POSITION on, to OUT, and
+   resumes ATTEMPT.  Returns how many, 0 if no more have arrived yet or the
+   last byte waits for the end of the request's body, or how the response
+   ended: libmicrohttpd's end of stream, or its error, which makes a truncated
    response recognizable as such.  ATTEMPT may be NULL: the response is
    truncated.  */
-ssize_t relay_read (struct attempt *attempt, char *out, size_t size);
+ssize_t relay_read (struct attempt *attempt, uint64_t position, char *out,
+                    size_t size);
 
 #endif
--- a/src/call/response.c
+++ b/src/call/response.c
@@ -25,10 +25,9 @@
 static ssize_t
 read_response (void *user_data, uint64_t position, char *out, size_t size)
 {
-  (void)position;
   struct call *call = user_data;
-  ssize_t n
-      = relay_read (call->caller_closed ? NULL : call->attempt, out, size);
+  ssize_t n = relay_read (call->caller_closed ? NULL : call->attempt, position,
+                          out, size);
   if (n == 0)
     {
       call->suspended = true;
--- a/src/gateway/dispatch.c
+++ b/src/gateway/dispatch.c
@@ -461,7 +461,8 @@
 end_unanswered (struct request *request, unsigned int status_if_run,
                 const char *reason_if_run, const char *reason_if_not_run)
 {
-  if (request->response_ready && !request->answered)
+  if (request->response_ready && !request->answered
+      && !request_needs_body (request))
     return;
   attempts_record_timeout (request);
   if (request->answered)
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -304,6 +304,9 @@
 /* Cancels the work for the request USER_DATA, whose caller has closed its
    connection.  */
 void request_caller_closed (void *user_data);
+/* Returns whether the rest of the body is sent to an upstream; also if the
+   response that is ready is that of an attempt which still sends it.  */
+bool request_needs_body (const struct request *request);
 /* Makes REQUEST resume at the end of this event loop iteration, if it is
    suspended.  */
 void request_schedule_resume (struct request *request);
--- a/src/gateway/request.c
+++ b/src/gateway/request.c
@@ -214,10 +214,9 @@
 static ssize_t
 read_response (void *user_data, uint64_t position, char *out, size_t size)
 {
-  (void)position;
   struct request *request = user_data;
   ssize_t n = relay_read (request->caller_closed ? NULL : request->attempt,
-                          out, size);
+                          position, out, size);
   if (n == 0)
     suspend (request);
   return n;
@@ -317,12 +316,12 @@
   request->progressed_at = timer_clock ();
   request->received_bytes += (int64_t)*size;
   if (max_bytes > 0 && request->received_bytes > max_bytes
-      && !request->response_ready)
+      && request_needs_body (request))
     {
       request->may_have_run |= request->attempt && request->attempt->sent;
       request_refuse (request, HTTP_TOO_LARGE, "the body is too large");
     }
-  if (request->discard_body || request->response_ready)
+  if (!request_needs_body (request))
     {
       /* What goes on for so long won't end in time for its answer.  */
       if (max_bytes > 0
@@ -348,7 +347,7 @@
   /* The body is larger than the buffer: it is sent while it arrives.  */
   if (!request->admitted)
     dispatch_admit (request);
-  if (!request->response_ready)
+  if (request_needs_body (request))
     suspend (request);
   else
     /* Refused at once.  libmicrohttpd calls the handler again only when more
@@ -365,11 +364,9 @@
   if (request->body_complete)
     return;
   request->body_complete = true;
-  if (request->response_ready)
-    return;
   if (request->attempt)
     attempt_resume (request->attempt);
-  else if (!request->admitted)
+  else if (!request->response_ready && !request->admitted)
     {
       request->body_size = (int64_t)request->body.size;
       dispatch_admit (request);
@@ -582,6 +579,15 @@
   request_schedule_resume (request);
 }
 
+bool
+request_needs_body (const struct request *request)
+{
+  if (request->body_complete || request->discard_body)
+    return false;
+  return !request->response_ready
+         || (request->attempt && !request->attempt->done);
+}
+
 void
 request_schedule_resume (struct request *request)
 {
--- a/src/gateway/stop.c
+++ b/src/gateway/stop.c
@@ -21,7 +21,8 @@
 {
   for (struct request *request = gateway->requests; request;
        request = request->next)
-    if (!request->response_ready || request->answered)
+    if (!request->response_ready || request->answered
+        || request_needs_body (request))
       {
         request_log_cut (request, now);
         dispatch_end_for_stop (request);
--- a/tests/standin/faulty_upstream.c
+++ b/tests/standin/faulty_upstream.c
@@ -305,6 +305,7 @@
   enum stage stage;
   bool runs;
   bool is_early; /* before the request's body is read */
+  bool goes_on;  /* and after "100 Continue" if that is expected */
   bool resets;   /* where it breaks off, instead of closing */
   bool drips;    /* slowly, in some pieces */
   bool is_late;  /* after 0.4 s */
@@ -337,6 +338,11 @@
     .status = "200 OK\r\nServer-Stamp: s",
     .runs = true,
     .is_early = true },
+  { .name = "early-continue",
+    .status = "200 OK\r\nServer-Stamp: s",
+    .runs = true,
+    .is_early = true,
+    .goes_on = true },
   { .name = "early-error",
     .status = "500 Internal Server Error\r\nServer-Stamp: s",
     .runs = true,
@@ -1004,8 +1010,8 @@
           && record_refusal (request.token))
         strcpy (request.fault, "sized");
       /* So that the body is being sent when the connection is reset.  */
-      if (is_early && sized[number].stage == STAGE_IN_BODY
-          && request.expects_continue)
+      if (is_early && request.expects_continue
+          && (sized[number].goes_on || sized[number].stage == STAGE_IN_BODY))
         send (fd, go_on, strlen (go_on), MSG_NOSIGNAL);
       is_open = is_early || read_body (in, fd, &request);
       is_open = is_open && serve (fd, &request, &duplicate);
@@ -1019,8 +1025,13 @@
       /* What is unread when a connection closes makes it a reset.  */
       if (is_early && !is_open)
         shutdown (fd, SHUT_WR);
-      if (is_early && !(read_body (in, fd, &request) && is_open))
-        is_open = false;
+      if (is_early)
+        {
+          bool is_whole = read_body (in, fd, &request);
+          fprintf (stderr, "early %s: %zu bytes, %s\n", request.token,
+                   request.body_size, is_whole ? "ended" : "broken off");
+          is_open = is_open && is_whole;
+        }
     }
   fclose (in);
   return NULL;
