Gateway: a late retry that isn't made leaves the body alone

Cause: on_late_retry_due rewound the body before it asked the retry budget. With an empty budget it returned, and the attempt in progress read on at the beginning.

Change: decisions ask body_can_rewind; only attempts_start rewinds, when no other attempt reads the body.

--- a/src/call/body.c
+++ b/src/call/body.c
@@ -96,10 +96,16 @@
   return body->limit - (body->size - body->read);
 }
 
+bool
+body_can_rewind (const struct body *body)
+{
+  return !body->dropped;
+}
+
 bool
 body_rewind (struct body *body)
 {
-  if (body->dropped)
+  if (!body_can_rewind (body))
     return false;
   body->read = 0;
   return true;
--- a/src/call/body.h
+++ b/src/call/body.h
@@ -42,8 +42,10 @@
 size_t body_unread (const struct body *body);
 /* Returns the number of bytes that body_write would accept now.  */
 size_t body_space (const struct body *body);
+/* Returns whether all bytes can be read again.  */
+bool body_can_rewind (const struct body *body);
 /* Makes all bytes unread again; returns false and changes nothing if some are
-   gone.  */
+   gone.  Whoever is still reading them would go on at the first one.  */
 bool body_rewind (struct body *body);
 
 #endif
--- a/src/gateway/attempts.c
+++ b/src/gateway/attempts.c
@@ -135,7 +135,7 @@
       && (!plan_kind_is_idempotent (request->route->kind)
           || request->run_count + 1 >= request->route->max_attempts))
     return false;
-  if (!body_rewind (&request->body))
+  if (!body_can_rewind (&request->body))
     return false;
   /* Sending a request that reached no upstream adds no load to any, so it
      costs nothing of the budget.  */
@@ -556,6 +556,9 @@
     .event = on_attempt_event,
     .user_data = request,
   };
+  /* Not before the attempt in front of it, which reads the same bytes, has
+     ended.  */
+  body_rewind (&request->body);
   request->attempt = attempt_start (&desc);
   start_late_retry_timer (request);
 }
@@ -583,7 +586,7 @@
   request->tried_upstreams[request->tried_count++] = request->upstream->hash;
   struct balance_choice choice = dispatch_choose_upstream (request);
   if (!choice.upstream || now + choice.expected_latency > request->target_at
-      || !body_rewind (&request->body)
+      || !body_can_rewind (&request->body)
       || !budget_try_withdraw (&request->service->retry_budget))
     {
       request->tried_count--;
--- a/tests/standin/faulty_upstream.c
+++ b/tests/standin/faulty_upstream.c
@@ -36,6 +36,8 @@
    body has X-Body: N bytes, the pattern of the token (standin.h), in the form
    X-Form (length, chunked or close), in writes of X-Split: N bytes at most
    (0: one write).
+   With --mss, segments have so many bytes at most and the window is small, as
+   on a network.
    Several options --listen make one process listen on several addresses.
    Requests are counted by their X-Caller-Token; GET /_runs/TOKEN returns the
    count as the response's token, and GET /_record/TOKEN a line for each of its
@@ -49,6 +51,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <pthread.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -72,6 +75,8 @@
   PIECES_BYTES = 4096,
   DRIP_PIECES = 20,
   SLOW_PIECE_MS = 20,
+  SMALL_WINDOW_BYTES = 32 * 1024,
+  SLOW_READ_MS = 16, /* after each 16 KiB */
   LATE_SIZED_MS = 400,
   DUPLICATE_LEAD_MS = 10 /* of a report that is sent again */
 };
@@ -88,6 +93,7 @@
   bool is_head;
   bool is_chunked;
   bool expects_continue;
+  bool reads_slowly;
   uint64_t head_hash; /* of method and target */
   uint64_t body_hash;
   bool body_read;
@@ -304,12 +310,13 @@
   const char *status; /* and fields, without the last line end */
   enum stage stage;
   bool runs;
-  bool is_early; /* before the request's body is read */
-  bool goes_on;  /* and after "100 Continue" if that is expected */
-  bool resets;   /* where it breaks off, instead of closing */
-  bool drips;    /* slowly, in some pieces */
-  bool is_late;  /* after 0.4 s */
-  bool is_first; /* only the first time; a request that comes again runs */
+  bool is_early;     /* before the request's body is read */
+  bool goes_on;      /* and after "100 Continue" if that is expected */
+  bool resets;       /* where it breaks off, instead of closing */
+  bool drips;        /* slowly, in some pieces */
+  bool is_late;      /* after 0.4 s */
+  bool reads_slowly; /* the request's body, 1 MB/s */
+  bool is_first;     /* only the first time; a request that comes again runs */
   bool is_sent_again;
 } sized[] = {
   { .name = "sized", .status = "200 OK\r\nServer-Stamp: s", .runs = true },
@@ -317,6 +324,10 @@
     .status = "200 OK\r\nServer-Stamp: s",
     .runs = true,
     .is_late = true },
+  { .name = "sized-slow-upload",
+    .status = "200 OK\r\nServer-Stamp: s",
+    .runs = true,
+    .reads_slowly = true },
   { .name = "sized-error",
     .status = "500 Internal Server Error\r\nServer-Stamp: s",
     .runs = true },
@@ -473,9 +484,9 @@
   snprintf (out, size, "%.*s", (int)length, value);
 }
 
-/* Reads SIZE bytes and adds them to HASH.  */
+/* Reads SIZE bytes, slowly if IS_SLOW, and adds them to HASH.  */
 static bool
-read_bytes (FILE *in, size_t size, XXH64_state_t *hash)
+read_bytes (FILE *in, size_t size, bool is_slow, XXH64_state_t *hash)
 {
   char bytes[16384];
   while (size > 0)
@@ -485,6 +496,8 @@
         return false;
       XXH64_update (hash, bytes, n);
       size -= n;
+      if (is_slow)
+        usleep (SLOW_READ_MS * 1000);
     }
   return true;
 }
@@ -500,7 +513,8 @@
   XXH64_reset (hash, 0);
   if (request->expects_continue)
     send (fd, go_on, strlen (go_on), MSG_NOSIGNAL);
-  bool whole = request->is_chunked || read_bytes (in, size, hash);
+  bool is_slow = request->reads_slowly;
+  bool whole = request->is_chunked || read_bytes (in, size, is_slow, hash);
   while (whole && request->is_chunked)
     {
       whole = fgets (line, sizeof line, in);
@@ -508,7 +522,8 @@
       if (!whole || size == 0)
         break;
       request->body_size += size;
-      whole = read_bytes (in, size, hash) && fgets (line, sizeof line, in);
+      whole = read_bytes (in, size, is_slow, hash)
+              && fgets (line, sizeof line, in);
     }
   while (whole && request->is_chunked && fgets (line, sizeof line, in)
          && strlen (line) > 2)
@@ -1006,6 +1021,7 @@
         }
       int number = find_sized (&request);
       bool is_early = number >= 0 && sized[number].is_early;
+      request.reads_slowly = number >= 0 && sized[number].reads_slowly;
       if (number >= 0 && sized[number].is_first
           && record_refusal (request.token))
         strcpy (request.fault, "sized");
@@ -1060,6 +1076,8 @@
   if (*text)
     snprintf (stamp, sizeof stamp, "Server-Stamp: %s\r\n", text);
   own_id = option (argc, argv, "--id", "");
+  int mss = atoi (option (argc, argv, "--mss", "0"));
+  int window = SMALL_WINDOW_BYTES;
   counts = calloc (MAX_TOKENS, sizeof *counts);
   if (!counts)
     abort ();
@@ -1079,6 +1097,11 @@
             fprintf (stderr, "standin: %s\n", err.detail);
             return 1;
           }
+        if (mss > 0)
+          {
+            setsockopt (fd, IPPROTO_TCP, TCP_MAXSEG, &mss, sizeof mss);
+            setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &window, sizeof window);
+          }
         loop_watch (loop, fd, LOOP_READ, on_accept, NULL);
       }
   loop_run (loop);
