Stop: wait for responses at the callers' listener only

Cause, found by reading the diff: the other listeners stay open until the exit, so each check of a stop could find a look-up or a copy that was just answered and not acknowledged, close its connection, and wait for it; busy ones would hold the stop until its end. Change: only the callers' listener, which is closed by then, is waited for. A connection that has closed with bytes unread is ended at once rather than reported.

--- a/src/base/closer.c
+++ b/src/base/closer.c
@@ -178,7 +178,8 @@
   lingering->acknowledged_bytes = state.acknowledged_bytes;
   lingering->is_acknowledged = state.end_is_acknowledged;
   apr_time_t idle = now - lingering->progressed_at;
-  if (state.peer_has_closed && net_unread_bytes (lingering->fd) == 0)
+  if (state.is_closed
+      || (state.peer_has_closed && net_unread_bytes (lingering->fd) == 0))
     end (lingering);
   else if (lingering->is_acknowledged && idle >= TIMER_MS (ACKNOWLEDGED_MS))
     end (lingering);
--- a/src/gateway/stop.c
+++ b/src/gateway/stop.c
@@ -29,21 +29,6 @@
       }
 }
 
-/* Returns whether the callers have all responses.  */
-static bool
-finish_responses (struct gateway *gateway)
-{
-  struct httpd *const listeners[]
-      = { gateway->caller_listener, gateway->readiness_listener,
-          gateway->lookup_listener, gateway->metrics_listener,
-          gateway->copy_listener };
-  bool finished = true;
-  for (size_t i = 0; i < sizeof listeners / sizeof *listeners; i++)
-    if (listeners[i] && !httpd_finish_responses (listeners[i]))
-      finished = false;
-  return finished;
-}
-
 static void
 on_stop_step (void *user_data, apr_time_t now)
 {
@@ -57,7 +42,10 @@
            LOG_INT ("open", gateway->open_requests));
     }
   bool has_ended = gateway->listener_closed && gateway->open_requests == 0;
-  if ((has_ended || gateway->requests_ended) && !finish_responses (gateway))
+  /* Not at the other listeners: they stay open, so new responses never end.
+   */
+  if ((has_ended || gateway->requests_ended)
+      && !httpd_finish_responses (gateway->caller_listener))
     has_ended = false;
   if (has_ended || (gateway->requests_ended && now >= limits->exit_at))
     {
