--- a/src/base/closer.h
+++ b/src/base/closer.h
@@ -24,8 +24,8 @@
    A socket that is closed before all bytes were acknowledged is counted in
    citroncleat_unacknowledged_closes_total by the reason (`stalled', `time',
    `room', `exit'), and logged (`answer-unacknowledged').  The kernel still
-   delivers the bytes unless the peer sends more.  citroncleat_lingering is the
-   number of sockets.
+   delivers the rest unless bytes from the peer are unread or it sends more.
+   citroncleat_lingering is the number of sockets.
 
    Threads: the loop's thread only.  */
 #ifndef BASE_CLOSER_H
