Gateway: buffer more of a response that comes before the end of the body

What callers saw, since the body is not dropped any more: 504 for an early response of 600 kB, or 502 and 503, from an upstream that reads no more of the body before its response is read.

Cause: libmicrohttpd sends no response before it has the whole body, the gateway buffered 256 KiB of the response and 1 MiB of the body, and the kernel took the rest only with large windows. So the gateway and the upstream waited for each other.

Change: while the body is still needed, up to 1 MiB of such a response is buffered, if the account of memory has room for it.

--- a/src/call/attempt.c
+++ b/src/call/attempt.c
@@ -370,6 +370,13 @@
   curl_easy_setopt (attempt->transfer.easy, CURLOPT_FORBID_REUSE, 1L);
 }
 
+void
+attempt_extend_response (struct attempt *attempt, size_t max_bytes)
+{
+  if (attempt->response.limit < max_bytes)
+    attempt->response.limit = max_bytes;
+}
+
 void
 attempt_drop_response (struct attempt *attempt)
 {
--- a/src/call/attempt.h
+++ b/src/call/attempt.h
@@ -148,6 +148,10 @@
 /* Makes the connection close after the response of ATTEMPT.  Call it from
    `event' with ATTEMPT_HEAD.  */
 void attempt_close_connection (struct attempt *attempt);
+/* Makes the buffer of the response take up to MAX_BYTES, if the response can't
+   be forwarded yet.  An upstream may read no more of the request's body before
+   its response is read.  Call it from `event' with ATTEMPT_DATA.  */
+void attempt_extend_response (struct attempt *attempt, size_t max_bytes);
 /* Drops the bytes of the response that were received and not read, if it won't
    be forwarded, so that the rest of it is read too.  */
 void attempt_drop_response (struct attempt *attempt);
--- a/src/gateway/attempts.c
+++ b/src/gateway/attempts.c
@@ -25,6 +25,9 @@
   /* Attempts of one request.  The route's maximum of attempts doesn't limit
      repeating those that an upstream refused.  */
   SENDS_MAX = 4,
+  /* Of a response that comes while the body is being sent, as much as of a
+     body is buffered.  */
+  EARLY_RESPONSE_BYTES = BODY_BUFFER_BYTES,
   PATH_BYTES_MAX = 128, /* in a log line */
   HTTP_BAD_GATEWAY = 502,
   HTTP_UNAVAILABLE = 503,
@@ -472,7 +475,13 @@
                                 STR (PLATFORM_SERVER_STAMP)))
         attempt_drop_response (attempt);
       else if (!is_buffered (attempt))
-        deliver_response (request);
+        {
+          /* libmicrohttpd sends nothing before it has the whole body.  */
+          if (request_needs_body (request)
+              && memory_has_room (request->gateway, EARLY_RESPONSE_BYTES))
+            attempt_extend_response (attempt, EARLY_RESPONSE_BYTES);
+          deliver_response (request);
+        }
       break;
     case ATTEMPT_BODY_SPACE:
       if (body_space (&request->body) >= request->body.limit / 2)
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -460,6 +460,8 @@
 void memory_update (struct request *request);
 /* Frees the body of REQUEST, which is not sent any more.  */
 void memory_drop_body (struct request *request);
+/* Returns whether BYTES more may be held, without giving up anything.  */
+bool memory_has_room (const struct gateway *gateway, size_t bytes);
 /* Returns whether BYTES more may be held for REQUEST, after others have been
    given up for them if need be.  If not, REQUEST has been refused.  */
 bool memory_allows (struct request *request, size_t bytes);
--- a/src/gateway/memory.c
+++ b/src/gateway/memory.c
@@ -314,6 +314,12 @@
   memory_update (request);
 }
 
+bool
+memory_has_room (const struct gateway *gateway, size_t bytes)
+{
+  return fits (gateway, bytes);
+}
+
 bool
 memory_allows (struct request *request, size_t bytes)
 {
--- a/tests/session/early-uploads.sh
+++ b/tests/session/early-uploads.sh
@@ -14,7 +14,7 @@
   "log_lines_per_s": 10000 }
 END
 start store "$BUILD/standin" metadata --listen 127.55.9.1:7900
-start faulty-upstream "$BUILD/standin" faulty-upstream --listen 127.55.2.1:9000 --stamp s
+start faulty-upstream "$BUILD/standin" faulty-upstream --listen 127.55.2.1:9000 --stamp s --mss 1460
 wait_for 5 curl -s -o /dev/null "$store/kv-range?prefix=x"
 start g1 "$BUILD/citroncleat" gateway -f "$WORK/gateway.json"
 put op/config '{"version":1,"routes":[{"name":"r","host":"shop.example","prefix":"/","kind":"upload","timeout_ms":5000,"target_latency_ms":900,"priority":1,"service":"desk","max_attempts":1}],"services":[{"name":"desk"}],"limits":{"max_body_bytes":67108864}}'
--- a/tests/standin/faulty_upstream.c
+++ b/tests/standin/faulty_upstream.c
@@ -1101,6 +1101,7 @@
           {
             setsockopt (fd, IPPROTO_TCP, TCP_MAXSEG, &mss, sizeof mss);
             setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &window, sizeof window);
+            setsockopt (fd, SOL_SOCKET, SO_SNDBUF, &window, sizeof window);
           }
         loop_watch (loop, fd, LOOP_READ, on_accept, NULL);
       }
